Serve a request from one end to the other

Cause: nothing ran yet; all further work needs a whole path to measure against. Change: three processes with entry and control roles, stand-in servers that announce themselves, address query, routing by declared kind, relay to the owner of a service, claims for idempotency keys in a replicated log with a fixed primary, lovagectl apply, leave, make demo and make test.

--- /dev/null
+++ b/src/build-scripts/format.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Formats all C++ files, or with --check only reports the ones that are not formatted.
+set -eu
+cd "$(dirname "$0")/../.."
+mode=-i
+[ "${1:-}" = --check ] && mode="--dry-run -Werror"
+find src testsuite -name '*.cpp' -o -name '*.h' | sort | xargs -r -P "$(nproc)" -n 8 clang-format $mode
--- /dev/null
+++ b/src/cmake/LovageholdTargets.cmake
@@ -0,0 +1,29 @@
+# Helpers that give every target of the workspace the same flags.
+
+add_library(lovagehold_options INTERFACE)
+target_include_directories(lovagehold_options INTERFACE ${CMAKE_SOURCE_DIR}/src/include ${CMAKE_SOURCE_DIR}/src)
+target_compile_options(lovagehold_options INTERFACE -Wall -Wextra -Wno-missing-field-initializers)
+target_compile_definitions(lovagehold_options INTERFACE
+  BOOST_ERROR_CODE_HEADER_ONLY SPDLOG_FMT_EXTERNAL)
+target_link_libraries(lovagehold_options INTERFACE Threads::Threads)
+if(LOVAGEHOLD_SANITIZE)
+  target_compile_options(lovagehold_options INTERFACE -fsanitize=${LOVAGEHOLD_SANITIZE} -fno-omit-frame-pointer)
+  target_link_options(lovagehold_options INTERFACE -fsanitize=${LOVAGEHOLD_SANITIZE})
+endif()
+
+# lovagehold_package(NAME SOURCES a.cpp ... DEPENDS x ...): a static library of the workspace.
+function(lovagehold_package name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_library(${name} STATIC ${ARG_SOURCES})
+  target_link_libraries(${name} PUBLIC lovagehold_options ${ARG_DEPENDS})
+endfunction()
+
+# lovagehold_test(NAME SOURCES a_test.cpp ... DEPENDS x ...): a GoogleTest program registered with CTest as NAME.
+function(lovagehold_test name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_link_libraries(${name} PRIVATE lovagehold_options ${ARG_DEPENDS} GTest::gtest_main GTest::gmock rapidcheck)
+  target_include_directories(${name} PRIVATE ${RAPIDCHECK_INCLUDE_DIRS})
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES LABELS unit)
+endfunction()
--- /dev/null
+++ b/src/include/lovagehold/admin_server.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "lovagehold/error.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lovagehold {
+
+struct AdminRequest
+{
+  std::string method;
+  /// Path without the query.
+  std::string path;
+  std::string query;
+  std::string body;
+};
+
+struct AdminResponse
+{
+  unsigned status = 200;
+  std::string content_type = "application/json";
+  std::string body;
+};
+
+/// HTTP/1.1 listener for lovagectl and scrapers. Runs on the given context.
+class AdminServer
+{
+public:
+  using Reply = std::function<void(AdminResponse)>;
+  /// Called on the context's thread; the reply may be given later, from the same thread.
+  using Handler = std::function<void(const AdminRequest&, Reply)>;
+
+  AdminServer(boost::asio::io_context& context, Handler handler);
+  ~AdminServer();
+
+  /// Listens on "IP:port".
+  Result<void> start(const std::string& address);
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/include/lovagehold/cluster_transport.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "lovagehold/types.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lovagehold {
+
+struct ClusterTransportOptions
+{
+  /// "IP:port" to listen on; peers use it as the name of this process.
+  std::string listen_address;
+  /// Bytes of one message at most.
+  std::size_t message_bytes = std::size_t{ 64 } << 20;
+  /// Bytes that wait for a connection to one peer at most; further messages are dropped.
+  std::size_t backlog_bytes = std::size_t{ 8 } << 20;
+  std::chrono::milliseconds connect_timeout{ 500 };
+};
+
+/// Sends binary messages between the processes of the cluster over websocket connections. Messages
+/// may be lost when a connection breaks and keep their order while it lasts. All functions are
+/// thread-safe.
+class ClusterTransport
+{
+public:
+  /// Called on the transport's thread with the peer's listen address and the message.
+  using Receive = std::function<void(const std::string& peer_address, Bytes message)>;
+
+  ClusterTransport(ClusterTransportOptions options, Receive receive);
+  ~ClusterTransport();
+
+  /// Listens and starts the transport's thread.
+  /// \return false if the address can't be listened on; \p error then says why.
+  bool start(std::string& error);
+
+  /// Sends the message, opening a connection if there is none. Never blocks.
+  void send(const std::string& peer_address, Bytes message);
+
+  /// Closes all connections and joins the thread.
+  void stop();
+
+  /// Bytes sent and received since the start, for the metrics.
+  std::uint64_t bytes_sent() const;
+  std::uint64_t bytes_received() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/include/lovagehold/command.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "lovagehold/error.h"
+#include "lovagehold/types.h"
+
+#include <array>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace lovagehold {
+
+/// SHA-256 of a request body.
+using Digest = std::array<std::uint8_t, 32>;
+
+/// A file of the operators' folder. Its number decides between racing changes.
+struct SubmitChange
+{
+  std::uint64_t number = 0;
+  std::string file_name;
+  std::string content;
+};
+
+/// Reserves an idempotency key for one attempt, before the first byte goes to a server.
+struct ClaimKey
+{
+  ServiceName service;
+  std::string key;
+  Digest body_digest{};
+  /// Unique over all attempts of all hosts.
+  std::string attempt;
+  HostId holder;
+  WallTime now{};
+  std::chrono::hours keep{ 24 };
+};
+
+enum class OutcomeKind
+{
+  Done,   ///< the server answered; the answer is stored
+  NotRun, ///< the first byte never went out; the key is free again
+};
+
+/// An answer kept for callers that ask again.
+struct StoredAnswer
+{
+  unsigned status = 0;
+  std::string content_type;
+  std::string body;
+  /// The answer was larger than the limit; body is empty.
+  bool truncated = false;
+};
+
+/// Ends a claim. Only the attempt that holds it can.
+struct RecordOutcome
+{
+  ServiceName service;
+  std::string key;
+  std::string attempt;
+  OutcomeKind outcome = OutcomeKind::Done;
+  StoredAnswer answer;
+  WallTime now{};
+};
+
+struct JoinServer
+{
+  ServerInfo server;
+};
+
+/// The server leaves; nothing new goes to this incarnation or an older one.
+struct LeaveServer
+{
+  ServiceName service;
+  ServerId id;
+  std::uint64_t incarnation = 0;
+};
+
+struct JoinHost
+{
+  HostInfo host;
+};
+
+struct LeaveHost
+{
+  HostId id;
+  std::uint64_t incarnation = 0;
+  /// The host gave up its services itself, so that a successor has nothing to wait for.
+  bool released = false;
+};
+
+/// Removes outcomes whose time to keep has passed.
+struct ExpireOutcomes
+{
+  WallTime now{};
+};
+
+using Command = std::variant<SubmitChange,
+                             ClaimKey,
+                             RecordOutcome,
+                             JoinServer,
+                             LeaveServer,
+                             JoinHost,
+                             LeaveHost,
+                             ExpireOutcomes>;
+
+/// How a claim stands after a ClaimKey command.
+enum class ClaimStatus
+{
+  Granted,       ///< this attempt may run
+  InProgress,    ///< another attempt holds the key and its holder is live
+  Done,          ///< ran; the answer is stored
+  Unknown,       ///< may have run; the holder is gone
+  DigestDiffers, ///< the key was used with another body
+  StoreFull,     ///< refused: the store is at its limit
+};
+
+/// What applying a command gave; errors are part of the replicated result.
+struct ApplyResult
+{
+  bool accepted = false;
+  /// Set if not accepted.
+  std::optional<Error> error;
+  /// Set for ClaimKey.
+  ClaimStatus claim = ClaimStatus::Granted;
+  /// Set for ClaimKey with status Done.
+  std::optional<StoredAnswer> answer;
+  /// Set for SubmitChange: the revision that the change has or, on conflict, the winner's.
+  std::uint64_t revision = 0;
+  /// Set for SubmitChange on conflict.
+  std::string winner_file;
+  std::uint64_t next_free_number = 0;
+};
+
+/// CBOR encoding of a command. \return the bytes.
+Bytes encode(const Command& command);
+
+/// \return the command, or Protocol if the bytes are no command.
+Result<Command> decode_command(const Bytes& bytes);
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/include/lovagehold/dispatcher.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include "lovagehold/declaration.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lovagehold {
+
+/// A request as the dispatcher sees it.
+struct RequestInfo
+{
+  RequestId id = 0;
+  RequestClass request_class = RequestClass::Urgent;
+  /// A second run does no harm, so that retries are allowed.
+  bool idempotent = true;
+  /// No result is of use after this time.
+  TimePoint deadline;
+  /// Retries that the levels above have left for this call.
+  unsigned retries_left = 2;
+};
+
+/// How an attempt ended.
+enum class AttemptStatus
+{
+  Succeeded,       ///< whole answer received
+  Refused,         ///< the server shed the request (503) or refused the connection; it did not run
+  FailedUnstarted, ///< failed before the first byte went out; it did not run
+  Failed,          ///< failed after a byte may have reached the server
+  TimedOut,        ///< no answer in time; it may have run
+  Cancelled,       ///< ended by CancelAttempt or because the caller went away
+};
+
+struct AttemptResult
+{
+  AttemptStatus status = AttemptStatus::Succeeded;
+  /// From the first byte sent to the answer's header.
+  Duration service_time{};
+};
+
+/// Send the request to the server; report the end with Dispatcher::complete.
+struct StartAttempt
+{
+  RequestId request = 0;
+  AttemptId attempt = 0;
+  ServerId server;
+  std::string address;
+  bool hedge = false;
+};
+
+/// Close the attempt's connection; report it as Cancelled.
+struct CancelAttempt
+{
+  AttemptId attempt = 0;
+};
+
+enum class RejectReason
+{
+  Overloaded,       ///< can't be served before its deadline
+  DeadlineExceeded, ///< waited until its deadline
+  NoServer,         ///< the service has no eligible server
+  RetriesExhausted, ///< all allowed attempts failed
+  NotOwner,         ///< this host may not bind requests of the service now
+};
+
+/// Tell the caller that the request will not be served.
+struct RejectRequest
+{
+  RequestId request = 0;
+  RejectReason reason = RejectReason::Overloaded;
+  /// When a new try makes sense.
+  Duration retry_after{};
+};
+
+/// Probe the server's health endpoint; report with Dispatcher::probe_result.
+struct SendProbe
+{
+  ServerId server;
+  std::string address;
+};
+
+using Action = std::variant<StartAttempt, CancelAttempt, RejectRequest, SendProbe>;
+using Actions = std::vector<Action>;
+
+/// Which part of each server's slots this owner may use.
+enum class SlotShare
+{
+  None,     ///< not the owner: bind nothing
+  Isolated, ///< cut off from control: one slot a server
+  Reduced,  ///< took over without a release: all but one slot a server
+  Full,
+};
+
+struct DispatcherOptions
+{
+  ServiceName service;
+  double probe_budget = 0.002;
+  std::chrono::microseconds probe_cost{ 6000 };
+  /// A server is eligible while its last renewal is at most this old.
+  std::chrono::milliseconds renewal_lifetime{ 2000 };
+  /// Requests queued at most, both classes together.
+  std::size_t queue_capacity = 10000;
+  /// Breaks ties among equally good servers.
+  std::uint64_t seed = 1;
+};
+
+/// Binds the requests of one service to its servers: queues by class, slot accounting, choice of
+/// the server, stragglers, retries, hedges and probes. Pure: the present time is an argument and
+/// effects are returned as actions. Not thread-safe; the caller holds the lock of the service's
+/// shard.
+class Dispatcher
+{
+public:
+  explicit Dispatcher(DispatcherOptions options);
+  ~Dispatcher();
+  Dispatcher(Dispatcher&&) noexcept;
+  Dispatcher& operator=(Dispatcher&&) noexcept;
+
+  /// Adds a server or takes up its changed announcement. Counts as a renewal.
+  Actions set_server(const ServerInfo& server, TimePoint now);
+
+  /// Notes that the server announced itself again.
+  Actions renew_server(const ServerId& server, TimePoint now);
+
+  /// The server is leaving or gone: binds nothing new to it; attempts in flight go on.
+  Actions remove_server(const ServerId& server, TimePoint now);
+
+  /// Sets the share of the slots that may be used.
+  Actions set_share(SlotShare share, TimePoint now);
+
+  /// Queues a request. Its result is StartAttempt or RejectRequest, now or in a later call.
+  Actions submit(const RequestInfo& request, TimePoint now);
+
+  /// Reports the end of an attempt. Attempts that are not known are ignored.
+  Actions complete(AttemptId attempt, const AttemptResult& result, TimePoint now);
+
+  /// The caller went away: drops the request and cancels its attempts.
+  Actions cancel(RequestId request, TimePoint now);
+
+  /// Reports the end of a probe.
+  Actions probe_result(const ServerId& server, bool healthy, Duration elapsed, TimePoint now);
+
+  /// Acts on timers; to be called at next_wakeup() at the latest.
+  Actions tick(TimePoint now);
+
+  /// \return when tick() has to be called; nothing if no timer runs.
+  std::optional<TimePoint> next_wakeup() const;
+
+  /// Figures for metrics and status pages.
+  struct Stats
+  {
+    std::size_t queued_urgent = 0;
+    std::size_t queued_patient = 0;
+    std::size_t in_flight = 0;
+    std::size_t servers = 0;
+    std::size_t eligible_servers = 0;
+    std::uint64_t probes_sent = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t rejected = 0;
+  };
+  Stats stats(TimePoint now) const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/include/lovagehold/settings.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "lovagehold/config_parser.h"
+
+#include <optional>
+
+namespace lovagehold {
+
+/// A control host as the settings name it.
+struct ControlPeer
+{
+  HostId id;
+  std::string cluster_address;
+};
+
+/// Limits towards callers.
+struct CallerLimits
+{
+  std::size_t header_bytes = std::size_t{ 16 } << 10;
+  std::size_t body_bytes = std::size_t{ 1 } << 30;
+  std::size_t connections = 10000;
+  std::chrono::milliseconds idle{ 60000 };
+  std::chrono::milliseconds header_timeout{ 5000 };
+};
+
+/// Settings of one process.
+struct Settings
+{
+  HostId host;
+  std::string failure_domain;
+  bool entry_role = false;
+  bool control_role = false;
+  std::string caller_address;
+  std::string cluster_address;
+  std::string admin_address;
+  std::string data_folder;
+  std::vector<ControlPeer> control_peers;
+  unsigned threads = 2;
+  std::string log_level = "info";
+  CallerLimits limits;
+};
+
+struct SettingsOutcome
+{
+  Settings settings;
+  std::vector<Mistake> mistakes;
+};
+
+/// Reads the settings of a process from YAML text.
+/// \param file name used in mistakes
+SettingsOutcome parse_settings(const std::string& file, const std::string& content);
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libadapters/cluster_transport.cpp
@@ -0,0 +1,260 @@
+#include "lovagehold/cluster_transport.h"
+
+#include "lovagehold/address.h"
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <thread>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace lovagehold {
+
+namespace {
+
+using Server = websocketpp::server<websocketpp::config::asio>;
+using Client = websocketpp::client<websocketpp::config::asio_client>;
+using websocketpp::connection_hdl;
+
+constexpr char kAddressHeader[] = "Lovagehold-Address";
+
+struct Peer
+{
+  // Exactly one of the two is set once the connection is open.
+  Server::connection_ptr inbound;
+  Client::connection_ptr outbound;
+  bool connecting = false;
+  std::deque<Bytes> backlog;
+  std::size_t backlog_bytes = 0;
+};
+
+} // namespace
+
+struct ClusterTransport::Impl
+{
+  ClusterTransportOptions options;
+  Receive receive;
+  boost::asio::io_context context;
+  Server server;
+  Client client;
+  // Touched only on the transport's thread.
+  std::map<std::string, Peer> peers;
+  std::thread thread;
+  std::atomic<std::uint64_t> sent{ 0 };
+  std::atomic<std::uint64_t> received{ 0 };
+  std::atomic<bool> stopping{ false };
+
+  template<class Endpoint>
+  void configure(Endpoint& endpoint)
+  {
+    endpoint.clear_access_channels(websocketpp::log::alevel::all);
+    endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    endpoint.init_asio(&context);
+    endpoint.set_max_message_size(options.message_bytes);
+    // Messages are small and latency counts, so they must not wait for Nagle's algorithm.
+    endpoint.set_socket_init_handler(
+      [](const connection_hdl&, boost::asio::ip::tcp::socket& socket) {
+        boost::system::error_code ignored;
+        socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+      });
+  }
+
+  void configure_server()
+  {
+    configure(server);
+    server.set_reuse_addr(true);
+    server.set_validate_handler([this](const connection_hdl& handle) {
+      return !server.get_con_from_hdl(handle)->get_request_header(kAddressHeader).empty();
+    });
+    server.set_open_handler([this](const connection_hdl& handle) {
+      const auto connection = server.get_con_from_hdl(handle);
+      boost::system::error_code ignored;
+      connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+      Peer& peer = peers[connection->get_request_header(kAddressHeader)];
+      if (!peer.outbound) {
+        peer.inbound = connection;
+        flush(peer);
+      }
+    });
+    server.set_message_handler(
+      [this](const connection_hdl& handle, const Server::message_ptr& message) {
+        deliver(server.get_con_from_hdl(handle)->get_request_header(kAddressHeader),
+                message->get_payload());
+      });
+    server.set_close_handler([this](const connection_hdl& handle) {
+      const auto connection = server.get_con_from_hdl(handle);
+      Peer& peer = peers[connection->get_request_header(kAddressHeader)];
+      if (peer.inbound == connection) {
+        peer.inbound.reset();
+      }
+    });
+  }
+
+  void deliver(const std::string& peer, const std::string& payload)
+  {
+    received += payload.size();
+    receive(peer, Bytes(payload.begin(), payload.end()));
+  }
+
+  void connect(const std::string& address, Peer& peer)
+  {
+    websocketpp::lib::error_code error;
+    const auto connection = client.get_connection("ws://" + address + "/cluster", error);
+    if (error) {
+      drop_backlog(peer);
+      return;
+    }
+    connection->append_header(kAddressHeader, options.listen_address);
+    connection->set_open_handshake_timeout(static_cast<long>(options.connect_timeout.count()));
+    connection->set_open_handler([this, address, connection](const connection_hdl&) {
+      boost::system::error_code ignored;
+      connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+      Peer& opened = peers[address];
+      opened.connecting = false;
+      opened.outbound = connection;
+      opened.inbound.reset();
+      flush(opened);
+    });
+    const auto on_end = [this, address](const connection_hdl&) {
+      Peer& ended = peers[address];
+      ended.connecting = false;
+      ended.outbound.reset();
+      drop_backlog(ended);
+    };
+    connection->set_fail_handler(on_end);
+    connection->set_close_handler(on_end);
+    connection->set_message_handler(
+      [this, address](const connection_hdl&, const Client::message_ptr& message) {
+        deliver(address, message->get_payload());
+      });
+    peer.connecting = true;
+    client.connect(connection);
+  }
+
+  static void drop_backlog(Peer& peer)
+  {
+    peer.backlog.clear();
+    peer.backlog_bytes = 0;
+  }
+
+  void flush(Peer& peer)
+  {
+    for (const Bytes& message : peer.backlog) {
+      write(peer, message);
+    }
+    drop_backlog(peer);
+  }
+
+  void write(Peer& peer, const Bytes& message)
+  {
+    const auto opcode = websocketpp::frame::opcode::binary;
+    websocketpp::lib::error_code error;
+    if (peer.outbound) {
+      if (peer.outbound->get_buffered_amount() < options.backlog_bytes) {
+        error = peer.outbound->send(message.data(), message.size(), opcode);
+      }
+    } else if (peer.inbound && peer.inbound->get_buffered_amount() < options.backlog_bytes) {
+      error = peer.inbound->send(message.data(), message.size(), opcode);
+    }
+    if (!error) {
+      sent += message.size();
+    }
+  }
+
+  void send_now(const std::string& address, Bytes message)
+  {
+    Peer& peer = peers[address];
+    if (peer.outbound || peer.inbound) {
+      write(peer, message);
+      return;
+    }
+    if (peer.backlog_bytes + message.size() <= options.backlog_bytes) {
+      peer.backlog_bytes += message.size();
+      peer.backlog.push_back(std::move(message));
+    }
+    if (!peer.connecting) {
+      connect(address, peer);
+    }
+  }
+
+  void close_all()
+  {
+    websocketpp::lib::error_code ignored;
+    server.stop_listening(ignored);
+    peers.clear();
+    context.stop();
+  }
+};
+
+ClusterTransport::ClusterTransport(ClusterTransportOptions options, Receive receive)
+  : m_impl(std::make_unique<Impl>())
+{
+  m_impl->options = std::move(options);
+  m_impl->receive = std::move(receive);
+}
+
+ClusterTransport::~ClusterTransport()
+{
+  stop();
+}
+
+bool
+ClusterTransport::start(std::string& error)
+{
+  const auto endpoint = parse_endpoint(m_impl->options.listen_address);
+  if (!endpoint) {
+    error = "'" + m_impl->options.listen_address + "' is no IP:port address";
+    return false;
+  }
+  m_impl->configure_server();
+  m_impl->configure(m_impl->client);
+  websocketpp::lib::error_code code;
+  m_impl->server.listen(*endpoint, code);
+  if (code) {
+    error = "can't listen on " + m_impl->options.listen_address + ": " + code.message();
+    return false;
+  }
+  m_impl->server.start_accept();
+  m_impl->thread = std::thread([this] { m_impl->context.run(); });
+  return true;
+}
+
+void
+ClusterTransport::send(const std::string& peer_address, Bytes message)
+{
+  if (m_impl->stopping) {
+    return;
+  }
+  boost::asio::post(m_impl->context, [this, peer_address, message = std::move(message)]() mutable {
+    m_impl->send_now(peer_address, std::move(message));
+  });
+}
+
+void
+ClusterTransport::stop()
+{
+  if (m_impl->stopping.exchange(true)) {
+    return;
+  }
+  if (m_impl->thread.joinable()) {
+    boost::asio::post(m_impl->context, [this] { m_impl->close_all(); });
+    m_impl->thread.join();
+  }
+}
+
+std::uint64_t
+ClusterTransport::bytes_sent() const
+{
+  return m_impl->sent;
+}
+
+std::uint64_t
+ClusterTransport::bytes_received() const
+{
+  return m_impl->received;
+}
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libproxy/caller_session.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "entry_context.h"
+#include "http_types.h"
+
+namespace lovagehold {
+
+/// Serves the requests of one caller's connection, one after the other, until it closes.
+awaitable<void> run_caller_session(std::shared_ptr<EntryContext> context, tcp::socket socket);
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libproxy/entry_service.cpp
@@ -0,0 +1,165 @@
+#include "lovagehold/entry_service.h"
+
+#include "caller_session.h"
+#include "lovagehold/address.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <thread>
+
+namespace lovagehold {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{ 5 };
+
+} // namespace
+
+struct EntryService::Impl
+{
+  std::shared_ptr<EntryContext> context;
+  std::vector<std::unique_ptr<asio::io_context>> contexts;
+  std::vector<std::thread> threads;
+  std::unique_ptr<tcp::acceptor> acceptor;
+
+  awaitable<void> accept_loop()
+  {
+    std::size_t next = 0;
+    while (acceptor->is_open()) {
+      asio::io_context& target = *contexts[next++ % contexts.size()];
+      tcp::socket socket(target);
+      boost::system::error_code error;
+      co_await acceptor->async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+      if (error) {
+        continue;
+      }
+      if (context->connections >= context->options.limits.connections) {
+        context->log.warn("connection_refused", { { "reason", "connection_limit" } });
+        continue;
+      }
+      ++context->connections;
+      asio::co_spawn(target, run_caller_session(context, std::move(socket)), asio::detached);
+    }
+  }
+
+  awaitable<void> tick_loop()
+  {
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (true) {
+      timer.expires_after(kTickInterval);
+      co_await timer.async_wait(asio::use_awaitable);
+      context->table.tick(Clock::now());
+    }
+  }
+};
+
+EntryService::EntryService(EntryServiceOptions options, EntryPorts ports, EventLog& log)
+  : m_impl(std::make_unique<Impl>())
+{
+  m_impl->context = std::make_shared<EntryContext>(std::move(options), std::move(ports), log);
+}
+
+EntryService::~EntryService()
+{
+  stop();
+}
+
+Result<void>
+EntryService::start()
+{
+  const EntryServiceOptions& options = m_impl->context->options;
+  const auto endpoint = parse_endpoint(options.caller_address);
+  if (!endpoint) {
+    return Error{ .kind = ErrorKind::InvalidArgument,
+                  .message = "'" + options.caller_address + "' is no IP:port address",
+                  .remedy = "correct listen.callers in the settings" };
+  }
+  for (unsigned i = 0; i < std::max(options.threads, 1U); ++i) {
+    m_impl->contexts.push_back(std::make_unique<asio::io_context>(1));
+  }
+  m_impl->acceptor = std::make_unique<tcp::acceptor>(*m_impl->contexts.front());
+  boost::system::error_code error;
+  m_impl->acceptor->open(endpoint->protocol(), error);
+  m_impl->acceptor->set_option(tcp::acceptor::reuse_address(true), error);
+  m_impl->acceptor->bind(*endpoint, error);
+  if (!error) {
+    m_impl->acceptor->listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Error{ .kind = ErrorKind::Unavailable,
+                  .message = "can't listen on " + options.caller_address + ": " + error.message(),
+                  .remedy = "stop the process that holds the address or change listen.callers" };
+  }
+  asio::co_spawn(*m_impl->contexts.front(), m_impl->accept_loop(), asio::detached);
+  asio::co_spawn(*m_impl->contexts.front(), m_impl->tick_loop(), asio::detached);
+  for (const auto& io : m_impl->contexts) {
+    m_impl->threads.emplace_back([&io] {
+      const auto work = asio::make_work_guard(*io);
+      io->run();
+    });
+  }
+  return boost::outcome_v2::success();
+}
+
+void
+EntryService::update(std::shared_ptr<const RoutingView> view, TimePoint now)
+{
+  for (const auto& [name, route] : view->routes) {
+    const bool owner = !route.homes.empty() && route.homes.front().id == view->self;
+    if (!owner) {
+      m_impl->context->table.set_share(name, SlotShare::None, now);
+      continue;
+    }
+    const DispatcherOptions options{ .service = name,
+                                     .probe_budget = route.declaration.probe_budget,
+                                     .probe_cost = route.declaration.probe_cost };
+    m_impl->context->table.set_service(options, route.servers, route.share, now);
+  }
+  m_impl->context->set_view(std::move(view));
+}
+
+void
+EntryService::renew(const ServerRenewal& renewal, TimePoint now)
+{
+  m_impl->context->table.renew_server(renewal.service, renewal.id, now);
+}
+
+void
+EntryService::drain()
+{
+  m_impl->context->draining = true;
+  asio::post(*m_impl->contexts.front(), [this] {
+    boost::system::error_code ignored;
+    m_impl->acceptor->close(ignored);
+  });
+}
+
+std::size_t
+EntryService::in_flight() const
+{
+  return m_impl->context->in_flight;
+}
+
+void
+EntryService::stop()
+{
+  for (const auto& io : m_impl->contexts) {
+    io->stop();
+  }
+  for (std::thread& thread : m_impl->threads) {
+    thread.join();
+  }
+  m_impl->threads.clear();
+}
+
+const ServiceTable&
+EntryService::services() const
+{
+  return m_impl->context->table;
+}
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libproxy/local_routes.cpp
@@ -0,0 +1,227 @@
+#include "local_routes.h"
+
+#include "libstate/json_fields.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace lovagehold {
+
+namespace {
+
+using nlohmann::json;
+
+StringResponse
+make_json(const StringRequest& request, http::status status, const json& body)
+{
+  StringResponse response(status, request.version());
+  response.keep_alive(request.keep_alive());
+  response.set(http::field::content_type, "application/json");
+  response.body() = body.dump();
+  response.prepare_payload();
+  return response;
+}
+
+std::string
+query_value(const std::string& target, const std::string& name)
+{
+  const std::size_t query = target.find('?');
+  std::size_t at = query;
+  while (at != std::string::npos) {
+    const std::size_t end = target.find('&', at + 1);
+    const std::string pair = target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
+    if (pair.compare(0, name.size() + 1, name + "=") == 0) {
+      return pair.substr(name.size() + 1);
+    }
+    at = end;
+  }
+  return "";
+}
+
+StringResponse
+answer_where(EntryContext& context, const StringRequest& request)
+{
+  const std::string service = query_value(std::string(request.target()), "service");
+  const auto view = context.view();
+  const auto route = view->routes.find(service);
+  if (route == view->routes.end()) {
+    return make_error(request,
+                      http::status::not_found,
+                      "service '" + service + "' is not declared",
+                      "add it to the declaration folder and run lovagectl apply");
+  }
+  json addresses = json::array();
+  for (const HostInfo& home : route->second.homes) {
+    addresses.push_back(home.caller_address);
+  }
+  return make_json(request,
+                   http::status::ok,
+                   { { "service", service },
+                     { "addresses", addresses },
+                     { "keep_seconds", context.options.address_lifetime.count() } });
+}
+
+// Passes a renewal on to the owner of the service, which may be this host.
+void
+pass_renewal(EntryContext& context, const ServerInfo& server)
+{
+  const auto view = context.view();
+  const auto route = view->routes.find(server.service);
+  if (route == view->routes.end() || route->second.homes.empty()) {
+    return;
+  }
+  const HostInfo& owner = route->second.homes.front();
+  if (owner.id == context.options.self) {
+    context.table.renew_server(server.service, server.id, Clock::now());
+    return;
+  }
+  context.ports.send_renewal(
+    owner, { .service = server.service, .id = server.id, .incarnation = server.incarnation });
+}
+
+bool
+has_joined(const EntryContext& context, const ServerInfo& server)
+{
+  const auto view = context.view();
+  const auto route = view->routes.find(server.service);
+  if (route == view->routes.end()) {
+    return false;
+  }
+  const auto& servers = route->second.servers;
+  return std::find(servers.begin(), servers.end(), server) != servers.end();
+}
+
+awaitable<StringResponse>
+answer_announce(EntryContext& context, const StringRequest& request)
+{
+  ServerInfo server;
+  try {
+    server = json::parse(request.body()).get<ServerInfo>();
+  } catch (const std::exception& exception) {
+    co_return make_error(request,
+                         http::status::bad_request,
+                         std::string("announcement is not valid: ") + exception.what(),
+                         "send JSON with service, id, address, slots, connections, incarnation");
+  }
+  if (!has_joined(context, server)) {
+    const Command join = JoinServer{ server };
+    const Result<ApplyResult> joined = co_await propose(context, join);
+    if (joined.has_error() || !joined.value().accepted) {
+      const Error error = joined.has_error() ? joined.error() : *joined.value().error;
+      co_return make_error(request, http::status::service_unavailable, error.message, error.remedy);
+    }
+  }
+  pass_renewal(context, server);
+  co_return make_json(request, http::status::ok, { { "renew_ms", 1000 } });
+}
+
+awaitable<StringResponse>
+answer_leave(EntryContext& context, const StringRequest& request, const std::string& id)
+{
+  const std::string target(request.target());
+  LeaveServer leave{ .service = query_value(target, "service"), .id = id };
+  const std::string incarnation = query_value(target, "incarnation");
+  leave.incarnation =
+    incarnation.empty() ? ~std::uint64_t{ 0 } : std::strtoull(incarnation.c_str(), nullptr, 10);
+  const Command command = leave;
+  const Result<ApplyResult> left = co_await propose(context, command);
+  if (left.has_error()) {
+    co_return make_error(
+      request, http::status::service_unavailable, left.error().message, left.error().remedy);
+  }
+  co_return make_json(request, http::status::ok, { { "left", id } });
+}
+
+StringResponse
+answer_key(EntryContext& context, const StringRequest& request, const std::string& path)
+{
+  const std::size_t slash = path.find('/');
+  const std::string service = path.substr(0, slash);
+  const std::string key = slash == std::string::npos ? "" : path.substr(slash + 1);
+  const auto status = context.ports.key_status(service, key);
+  if (!status) {
+    return make_json(request, http::status::ok, { { "key", key }, { "outcome", "not-run" } });
+  }
+  if (status->status == ClaimStatus::Done) {
+    return make_json(
+      request,
+      http::status::ok,
+      { { "key", key }, { "outcome", "done" }, { "status", status->answer->status } });
+  }
+  const bool unknown = status->status == ClaimStatus::Unknown;
+  return make_json(request,
+                   http::status::ok,
+                   { { "key", key }, { "outcome", unknown ? "unknown" : "in-progress" } });
+}
+
+} // namespace
+
+StringResponse
+make_error(const StringRequest& request,
+           http::status status,
+           const std::string& error,
+           const std::string& remedy,
+           const std::string& outcome)
+{
+  StringResponse response =
+    make_json(request, status, { { "error", error }, { "remedy", remedy } });
+  if (!outcome.empty()) {
+    response.set(kOutcomeHeader, outcome);
+  }
+  return response;
+}
+
+awaitable<Result<ApplyResult>>
+propose(EntryContext& context, const Command& command)
+{
+  struct Wait
+  {
+    explicit Wait(const asio::any_io_executor& executor)
+      : signal(executor, TimePoint::max())
+    {
+    }
+    asio::steady_timer signal;
+    std::optional<Result<ApplyResult>> result;
+  };
+  const auto executor = co_await asio::this_coro::executor;
+  const auto wait = std::make_shared<Wait>(executor);
+  context.ports.propose(command, [wait, executor](Result<ApplyResult> result) {
+    asio::post(executor, [wait, result = std::move(result)]() mutable {
+      wait->result.emplace(std::move(result));
+      wait->signal.cancel();
+    });
+  });
+  while (!wait->result) {
+    boost::system::error_code ignored;
+    co_await wait->signal.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  co_return std::move(*wait->result);
+}
+
+awaitable<StringResponse>
+answer_local(EntryContext& context, const StringRequest& request)
+{
+  const std::string target(request.target());
+  const std::string path =
+    target.substr(sizeof kLocalPrefix - 1, target.find('?') - (sizeof kLocalPrefix - 1));
+  if (path == "where" && request.method() == http::verb::get) {
+    co_return answer_where(context, request);
+  }
+  if (path == "servers" && request.method() == http::verb::post) {
+    co_return co_await answer_announce(context, request);
+  }
+  if (path.rfind("servers/", 0) == 0 && request.method() == http::verb::delete_) {
+    co_return co_await answer_leave(context, request, path.substr(8));
+  }
+  if (path.rfind("keys/", 0) == 0 && request.method() == http::verb::get) {
+    co_return answer_key(context, request, path.substr(5));
+  }
+  co_return make_error(request,
+                       http::status::not_found,
+                       "no such resource",
+                       "see the operators' guide for the paths under /.lovagehold/");
+}
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libstate/command_codec.cpp
@@ -0,0 +1,180 @@
+#include "json_fields.h"
+
+namespace lovagehold {
+
+namespace {
+
+using nlohmann::json;
+
+std::int64_t
+to_millis(WallTime time)
+{
+  return time.time_since_epoch().count();
+}
+
+WallTime
+from_millis(const json& value)
+{
+  return WallTime(std::chrono::milliseconds(value.get<std::int64_t>()));
+}
+
+json
+to_fields(const SubmitChange& change)
+{
+  return { { "t", "change" },
+           { "number", change.number },
+           { "file", change.file_name },
+           { "content", change.content } };
+}
+
+json
+to_fields(const ClaimKey& claim)
+{
+  const Bytes digest(claim.body_digest.begin(), claim.body_digest.end());
+  return { { "t", "claim" },
+           { "service", claim.service },
+           { "key", claim.key },
+           { "digest", json::binary(digest) },
+           { "attempt", claim.attempt },
+           { "holder", claim.holder },
+           { "now", to_millis(claim.now) },
+           { "keep_h", claim.keep.count() } };
+}
+
+json
+to_fields(const RecordOutcome& record)
+{
+  return { { "t", "outcome" },
+           { "service", record.service },
+           { "key", record.key },
+           { "attempt", record.attempt },
+           { "done", record.outcome == OutcomeKind::Done },
+           { "answer", record.answer },
+           { "now", to_millis(record.now) } };
+}
+
+json
+to_fields(const JoinServer& join)
+{
+  return { { "t", "server_join" }, { "server", join.server } };
+}
+
+json
+to_fields(const LeaveServer& leave)
+{
+  return { { "t", "server_leave" },
+           { "service", leave.service },
+           { "id", leave.id },
+           { "incarnation", leave.incarnation } };
+}
+
+json
+to_fields(const JoinHost& join)
+{
+  return { { "t", "host_join" }, { "host", join.host } };
+}
+
+json
+to_fields(const LeaveHost& leave)
+{
+  return { { "t", "host_leave" },
+           { "id", leave.id },
+           { "incarnation", leave.incarnation },
+           { "released", leave.released } };
+}
+
+json
+to_fields(const ExpireOutcomes& expire)
+{
+  return { { "t", "expire" }, { "now", to_millis(expire.now) } };
+}
+
+ClaimKey
+parse_claim(const json& fields)
+{
+  ClaimKey claim;
+  fields.at("service").get_to(claim.service);
+  fields.at("key").get_to(claim.key);
+  const auto& digest = fields.at("digest").get_binary();
+  if (digest.size() != claim.body_digest.size()) {
+    throw std::invalid_argument("digest has the wrong size");
+  }
+  std::copy(digest.begin(), digest.end(), claim.body_digest.begin());
+  fields.at("attempt").get_to(claim.attempt);
+  fields.at("holder").get_to(claim.holder);
+  claim.now = from_millis(fields.at("now"));
+  claim.keep = std::chrono::hours(fields.at("keep_h").get<std::int64_t>());
+  return claim;
+}
+
+RecordOutcome
+parse_outcome(const json& fields)
+{
+  RecordOutcome record;
+  fields.at("service").get_to(record.service);
+  fields.at("key").get_to(record.key);
+  fields.at("attempt").get_to(record.attempt);
+  record.outcome = fields.at("done").get<bool>() ? OutcomeKind::Done : OutcomeKind::NotRun;
+  fields.at("answer").get_to(record.answer);
+  record.now = from_millis(fields.at("now"));
+  return record;
+}
+
+Command
+parse_command(const json& fields)
+{
+  const auto type = fields.at("t").get<std::string>();
+  if (type == "change") {
+    return SubmitChange{ .number = fields.at("number").get<std::uint64_t>(),
+                         .file_name = fields.at("file").get<std::string>(),
+                         .content = fields.at("content").get<std::string>() };
+  }
+  if (type == "claim") {
+    return parse_claim(fields);
+  }
+  if (type == "outcome") {
+    return parse_outcome(fields);
+  }
+  if (type == "server_join") {
+    return JoinServer{ fields.at("server").get<ServerInfo>() };
+  }
+  if (type == "server_leave") {
+    return LeaveServer{ .service = fields.at("service").get<std::string>(),
+                        .id = fields.at("id").get<std::string>(),
+                        .incarnation = fields.at("incarnation").get<std::uint64_t>() };
+  }
+  if (type == "host_join") {
+    return JoinHost{ fields.at("host").get<HostInfo>() };
+  }
+  if (type == "host_leave") {
+    return LeaveHost{ .id = fields.at("id").get<std::string>(),
+                      .incarnation = fields.at("incarnation").get<std::uint64_t>(),
+                      .released = fields.at("released").get<bool>() };
+  }
+  if (type == "expire") {
+    return ExpireOutcomes{ .now = from_millis(fields.at("now")) };
+  }
+  throw std::invalid_argument("unknown command type '" + type + "'");
+}
+
+} // namespace
+
+Bytes
+encode(const Command& command)
+{
+  return json::to_cbor(std::visit([](const auto& typed) { return to_fields(typed); }, command));
+}
+
+Result<Command>
+decode_command(const Bytes& bytes)
+{
+  try {
+    return parse_command(json::from_cbor(bytes));
+  } catch (const std::exception& exception) {
+    return Error{ .kind = ErrorKind::Protocol,
+                  .message = std::string("not a command: ") + exception.what(),
+                  .remedy = "check that all hosts run compatible versions" };
+  }
+}
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libstate/command_codec_test.cpp
@@ -0,0 +1,29 @@
+#include "lovagehold/command.h"
+
+#include <gtest/gtest.h>
+
+namespace lovagehold {
+namespace {
+
+// Guards against bodies that are no valid text being refused or altered by the encoding.
+TEST(CommandCodec, KeepsBinaryBodies)
+{
+  RecordOutcome record{ .service = "s", .key = "k", .attempt = "a" };
+  record.answer = { .status = 200, .content_type = "x/y", .body = std::string("\xff\x00\x80", 3) };
+  const Result<Command> decoded = decode_command(encode(record));
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(std::get<RecordOutcome>(decoded.value()).answer.body, record.answer.body);
+}
+
+// Guards against a crash on bytes from a broken peer.
+TEST(CommandCodec, RefusesBytesThatAreNoCommand)
+{
+  for (const Bytes& bytes : { Bytes{}, Bytes{ 0xff }, Bytes{ 0xa1, 0x61, 0x74, 0x61, 0x78 } }) {
+    const Result<Command> decoded = decode_command(bytes);
+    ASSERT_TRUE(decoded.has_error());
+    EXPECT_EQ(decoded.error().kind, ErrorKind::Protocol);
+  }
+}
+
+} // namespace
+} // namespace lovagehold
--- /dev/null
+++ b/src/libstate/json_fields.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "lovagehold/command.h"
+
+#include <nlohmann/json.hpp>
+
+/// JSON forms of the shared value types; the wire form is their CBOR encoding.
+namespace lovagehold {
+
+inline void
+to_json(nlohmann::json& json, const ServerInfo& server)
+{
+  json = { { "service", server.service },         { "id", server.id },
+           { "address", server.address },         { "slots", server.slots },
+           { "connections", server.connections }, { "incarnation", server.incarnation } };
+}
+
+inline void
+from_json(const nlohmann::json& json, ServerInfo& server)
+{
+  json.at("service").get_to(server.service);
+  json.at("id").get_to(server.id);
+  json.at("address").get_to(server.address);
+  server.slots = json.value("slots", server.slots);
+  server.connections = json.value("connections", server.connections);
+  server.incarnation = json.value("incarnation", server.incarnation);
+}
+
+inline void
+to_json(nlohmann::json& json, const HostInfo& host)
+{
+  json = { { "id", host.id },
+           { "incarnation", host.incarnation },
+           { "failure_domain", host.failure_domain },
+           { "callers", host.caller_address },
+           { "cluster", host.cluster_address },
+           { "admin", host.admin_address } };
+}
+
+inline void
+from_json(const nlohmann::json& json, HostInfo& host)
+{
+  json.at("id").get_to(host.id);
+  json.at("incarnation").get_to(host.incarnation);
+  json.at("failure_domain").get_to(host.failure_domain);
+  json.at("callers").get_to(host.caller_address);
+  json.at("cluster").get_to(host.cluster_address);
+  json.at("admin").get_to(host.admin_address);
+}
+
+inline void
+to_json(nlohmann::json& json, const StoredAnswer& answer)
+{
+  // Bodies may be any bytes, so they travel as CBOR byte strings.
+  json = { { "status", answer.status },
+           { "type", answer.content_type },
+           { "body", nlohmann::json::binary({ answer.body.begin(), answer.body.end() }) },
+           { "truncated", answer.truncated } };
+}
+
+inline void
+from_json(const nlohmann::json& json, StoredAnswer& answer)
+{
+  json.at("status").get_to(answer.status);
+  json.at("type").get_to(answer.content_type);
+  const auto& body = json.at("body").get_binary();
+  answer.body.assign(body.begin(), body.end());
+  json.at("truncated").get_to(answer.truncated);
+}
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/lovagehold/node.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "lovagehold/admin_server.h"
+#include "lovagehold/cluster_transport.h"
+#include "lovagehold/control_client.h"
+#include "lovagehold/entry_service.h"
+#include "lovagehold/event_log.h"
+#include "lovagehold/primary_log.h"
+#include "lovagehold/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <mutex>
+
+namespace lovagehold {
+
+/// One lovagehold process: wires the roles of its settings together. Control logic runs on the
+/// thread that calls run(); entry threads reach it by posting.
+class Node
+{
+public:
+  explicit Node(Settings settings);
+  ~Node();
+
+  /// Runs until SIGTERM or SIGINT, then drains. \return Unavailable if a listener can't start.
+  Result<void> run();
+
+private:
+  void send(const std::string& address, const ClusterMessage& message);
+  void receive(const std::string& from, const Bytes& bytes);
+  void propose(const Command& command, ControlClient::Answer answer);
+  void on_applied(const StateMachine& state);
+  std::shared_ptr<const RoutingView> make_view(const StateMachine& state) const;
+  void schedule_tick();
+  void tick(TimePoint now);
+  void announce_host();
+  void handle_admin(const AdminRequest& request, const AdminServer::Reply& reply);
+  void submit_change(const AdminRequest& request, const AdminServer::Reply& reply);
+  AdminResponse status_page() const;
+  AdminResponse event_page() const;
+  void begin_shutdown();
+  void finish_shutdown(TimePoint give_up);
+
+  Settings m_settings;
+  HostInfo m_self;
+  EventLog m_log;
+  boost::asio::io_context m_context{ 1 };
+  boost::asio::signal_set m_signals;
+  boost::asio::steady_timer m_timer;
+  std::unique_ptr<ClusterTransport> m_transport;
+  std::unique_ptr<PrimaryLog> m_primary_log;
+  std::unique_ptr<ControlClient> m_client;
+  std::unique_ptr<EntryService> m_entry;
+  std::unique_ptr<AdminServer> m_admin;
+  bool m_host_announced = false;
+  bool m_leaving = false;
+  bool m_entry_started = false;
+};
+
+} // namespace lovagehold
