--- a/src/libadapters/cluster_transport_test.cpp
+++ b/src/libadapters/cluster_transport_test.cpp
@@ -1,6 +1,7 @@
 #include "lovagehold/cluster_transport.h"
 
 #include <condition_variable>
+#include <cstdlib>
 #include <gtest/gtest.h>
 #include <mutex>
 
@@ -9,6 +10,14 @@
 
 constexpr std::chrono::seconds kGenerousLimit{ 20 };
 
+// Parallel test runs set different networks.
+std::string
+test_network()
+{
+  const char* network = std::getenv("LOVAGEHOLD_TEST_NET");
+  return network == nullptr ? "127.10" : network;
+}
+
 class Inbox
 {
 public:
@@ -40,8 +49,8 @@
 // Guards against replies that need a second connection and against reordering on one connection.
 TEST(ClusterTransport, DeliversInOrderAndRepliesToThePeer)
 {
-  const std::string left_address = "127.0.0.1:39501";
-  const std::string right_address = "127.0.0.1:39502";
+  const std::string left_address = test_network() + ".0.1:39501";
+  const std::string right_address = test_network() + ".0.1:39502";
   Inbox left_inbox;
   Inbox right_inbox;
   ClusterTransport left({ left_address }, [&](const std::string&, Bytes message) {
--- a/testsuite/demo/run.sh
+++ b/testsuite/demo/run.sh
@@ -7,7 +7,7 @@
 . "$HERE/../lib.sh"
 trap 'stop_all; rm -rf "$WORK"' EXIT
 BIN="$BUILD/src"
-ADMIN=127.0.1.1:7082
+ADMIN=$NET.1.1:7082
 
 echo "starting three hosts"
 for n in 1 2 3; do
@@ -18,13 +18,13 @@
 
 echo "applying the declarations"
 await "the folder is accepted" "$BIN/lovagectl/lovagectl" --admin "$ADMIN" apply "$HERE/config"
-in_force() { get "http://127.0.1.$1:7082/status" | json_field 'd["revision"] > 0 and len(d["hosts"]) == 3' | grep -q True; }
+in_force() { get "http://$NET.1.$1:7082/status" | json_field 'd["revision"] > 0 and len(d["hosts"]) == 3' | grep -q True; }
 for n in 1 2 3; do await "the change is in force on host-$n" in_force "$n"; done
 
 echo "starting stand-in servers"
 standin() { # standin SERVICE NUMBER PORT
-  start "$1-$2" "$BIN/teststand/standin_server" --service "$1" --id "$1-$2" --address "127.0.2.$2:$3" \
-    --entry "127.0.1.$(( $2 % 3 + 1 )):7080" --entry 127.0.1.1:7080
+  start "$1-$2" "$BIN/teststand/standin_server" --service "$1" --id "$1-$2" --address "$NET.2.$2:$3" \
+    --entry "$NET.1.$(( $2 % 3 + 1 )):7080" --entry "$NET.1.1:7080"
 }
 for i in 1 2 3; do standin slot-desk "$i" 8001; done
 SLOT_SERVER=$LAST_PID
@@ -33,7 +33,7 @@
 all_eligible() {
   local total=0 n
   for n in 1 2 3; do
-    total=$((total + $(get "http://127.0.1.$n:7082/status" | json_field 'sum(s["eligible_servers"] for s in d["services"].values())')))
+    total=$((total + $(get "http://$NET.1.$n:7082/status" | json_field 'sum(s["eligible_servers"] for s in d["services"].values())')))
   done
   [ "$total" = 7 ]
 }
@@ -41,23 +41,23 @@
 
 echo "sending requests"
 driver() { "$BIN/teststand/load_driver" "$@"; }
-check "urgent reads" driver --entry 127.0.1.1:7080 --service slot-desk --target /slots/1 --count 500 --rate 500
-check "patient look-ups" driver --entry 127.0.1.2:7080 --service delivery-notes --target /notes/1 --count 200 --rate 300
+check "urgent reads" driver --entry "$NET.1.1:7080" --service slot-desk --target /slots/1 --count 500 --rate 500
+check "patient look-ups" driver --entry $NET.1.2:7080 --service delivery-notes --target /notes/1 --count 200 --rate 300
 check "non-idempotent requests, each key sent three times" \
-  driver --entry 127.0.1.3:7080 --service stem-ledger --method POST --target /stems --count 150 --rate 150 --key-repeats 3
+  driver --entry $NET.1.3:7080 --service stem-ledger --method POST --target /stems --count 150 --rate 150 --key-repeats 3
 
 count_runs() { # count_runs FIELD: sum over the servers of stem-ledger
   local total=0 i
-  for i in 1 2; do total=$((total + $(get "http://127.0.2.$i:8002/standin/report" | json_field "d['$1']"))); done
+  for i in 1 2; do total=$((total + $(get "http://$NET.2.$i:8002/standin/report" | json_field "d['$1']"))); done
   echo "$total"
 }
 check "each of the 50 keys ran once" test "$(count_runs ran) $(count_runs keys) $(count_runs doubled)" = "50 50 0"
 
 echo "a server leaves"
 kill -TERM "$SLOT_SERVER"
-two_left() { get "http://127.0.1.$1:7082/status" | json_field 'd["services"].get("slot-desk", {"servers": 2})["servers"] == 2' | grep -q True; }
+two_left() { get "http://$NET.1.$1:7082/status" | json_field 'd["services"].get("slot-desk", {"servers": 2})["servers"] == 2' | grep -q True; }
 for n in 1 2 3; do await "host-$n sends it nothing new" two_left "$n"; done
-check "urgent reads without it" driver --entry 127.0.1.1:7080 --service slot-desk --target /slots/1 --count 200 --rate 300 --seed 2
+check "urgent reads without it" driver --entry "$NET.1.1:7080" --service slot-desk --target /slots/1 --count 200 --rate 300 --seed 2
 
 [ "$FAILED" = 0 ] && echo "demo: all checks passed" || { echo "demo: checks failed, logs follow"; tail -n 5 "$WORK"/*.log; }
 exit "$FAILED"
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -1,6 +1,8 @@
 # Shell functions for the end-to-end cases. A case sets BUILD, WORK and calls these; all processes that
 # it started end with it.
 set -u
+# Cases use NET.1.N for hosts and NET.2.N for servers; parallel runs set different networks.
+NET="${LOVAGEHOLD_TEST_NET:-127.10}"
 PIDS=()
 FAILED=0
 
@@ -45,15 +47,15 @@
   python3 -c 'import sys,urllib.request; print(urllib.request.urlopen(sys.argv[1], timeout=5).read().decode())' "$1" 2>/dev/null
 }
 
-write_settings() { # write_settings N DOMAIN ROLES CONTROL_COUNT: settings of host N on 127.0.1.N
+write_settings() { # write_settings N DOMAIN ROLES CONTROL_COUNT: settings of host N on NET.1.N
   local n="$1" domain="$2" roles="$3" controls="$4"
   {
     echo "host: host-$n"
     echo "failure_domain: $domain"
     echo "roles: [$roles]"
-    echo "listen: {callers: \"127.0.1.$n:7080\", cluster: \"127.0.1.$n:7081\", admin: \"127.0.1.$n:7082\"}"
+    echo "listen: {callers: \"$NET.1.$n:7080\", cluster: \"$NET.1.$n:7081\", admin: \"$NET.1.$n:7082\"}"
     echo "data_folder: $WORK/data-$n"
     echo "control:"
-    for c in $(seq "$controls"); do echo "  - {id: host-$c, address: \"127.0.1.$c:7081\"}"; done
+    for c in $(seq "$controls"); do echo "  - {id: host-$c, address: \"$NET.1.$c:7081\"}"; done
   } >"$WORK/host-$n.yaml"
 }
