--- /dev/null
+++ b/src/teststand/capacity_bench.cpp
@@ -0,0 +1,276 @@
+#include "lovagehold/cluster_message.h"
+#include "lovagehold/cluster_transport.h"
+#include "lovagehold/home_selector.h"
+#include "lovagehold/state_machine.h"
+
+#include <condition_variable>
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <malloc.h>
+#include <mutex>
+#include <sys/resource.h>
+
+// Measures how state, time and bytes grow with the size of the system. Each line is one point:
+// "slope=NAME x=SIZE y=VALUE unit=UNIT". src/build-scripts/capacity.py fits the lines.
+namespace lovagehold {
+namespace {
+
+constexpr std::size_t kTypicalChangeBytes = 500;
+
+void
+print_point(const char* slope, double x, double y, const char* unit)
+{
+  std::printf("slope=%s x=%.0f y=%.3f unit=%s\n", slope, x, y, unit);
+}
+
+std::size_t
+heap_bytes()
+{
+  const struct mallinfo2 info = ::mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+double
+cpu_micros()
+{
+  rusage usage{};
+  ::getrusage(RUSAGE_SELF, &usage);
+  const auto micros = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_usec);
+  };
+  return micros(usage.ru_utime) + micros(usage.ru_stime);
+}
+
+std::string
+service_name(std::size_t number)
+{
+  return "service-" + std::to_string(number);
+}
+
+ServerInfo
+make_server(std::size_t number)
+{
+  return { .service = service_name(number / 10),
+           .id = "server-" + std::to_string(number),
+           .address =
+             "10.1." + std::to_string(number / 250) + "." + std::to_string(number % 250) + ":8080",
+           .incarnation = 1796372712995 };
+}
+
+HostInfo
+make_host(std::size_t number)
+{
+  const std::string ip =
+    "10.2." + std::to_string(number / 250) + "." + std::to_string(number % 250);
+  return { .id = "entry-" + std::to_string(number),
+           .incarnation = 1796372712995,
+           .failure_domain = "domain-" + std::to_string(number % 11),
+           .caller_address = ip + ":7080",
+           .cluster_address = ip + ":7081",
+           .admin_address = ip + ":7082" };
+}
+
+ClaimKey
+make_claim(std::size_t number)
+{
+  return { .service = service_name(number % 100),
+           .key = "6f9619ff-8b86-d011-b42d-" + std::to_string(100000000000 + number),
+           .attempt = "entry-7-" + std::to_string(number) + "/1",
+           .holder = "entry-7" };
+}
+
+SubmitChange
+make_change(std::size_t number, std::size_t service)
+{
+  std::string content = "services:\n  " + service_name(service) +
+                        ":\n    kinds:\n      read: {treat: urgent, methods: [GET], path: /read, "
+                        "deadline_ms: " +
+                        std::to_string(100 + number % 1000) +
+                        "}\n      write: {treat: non-idempotent, methods: [POST], path: /write, "
+                        "deadline_ms: 3000}\n# ";
+  content.resize(std::max(content.size(), kTypicalChangeBytes), 'x');
+  content += "\n";
+  char digits[16];
+  std::snprintf(digits, sizeof digits, "%09zu", number);
+  return { .number = number,
+           .file_name = std::string(digits) + "-change.yaml",
+           .content = content };
+}
+
+using MakeCommand = std::function<Command(std::size_t)>;
+
+// Heap growth of the state for a number of equal commands.
+void
+measure_memory(const char* slope, const std::vector<std::size_t>& sizes, const MakeCommand& make)
+{
+  for (const std::size_t size : sizes) {
+    const std::size_t before = heap_bytes();
+    StateMachine state;
+    for (std::size_t i = 0; i < size; ++i) {
+      state.apply(i + 1, make(i + 1));
+    }
+    print_point(
+      slope, static_cast<double>(size), static_cast<double>(heap_bytes() - before), "bytes");
+  }
+}
+
+// Time to apply one more command in a state of the given size.
+void
+measure_apply(const char* slope, const std::vector<std::size_t>& sizes, const MakeCommand& make)
+{
+  constexpr std::size_t kRepeats = 20;
+  for (const std::size_t size : sizes) {
+    StateMachine state;
+    for (std::size_t i = 0; i < size; ++i) {
+      state.apply(i + 1, make(i + 1));
+    }
+    const double start = cpu_micros();
+    for (std::size_t i = size; i < size + kRepeats; ++i) {
+      state.apply(i + 1, make(i + 1));
+    }
+    print_point(slope, static_cast<double>(size), (cpu_micros() - start) / kRepeats, "us");
+  }
+}
+
+void
+measure_snapshot(const std::vector<std::size_t>& sizes)
+{
+  for (const std::size_t size : sizes) {
+    StateMachine state;
+    for (std::size_t i = 0; i < size; ++i) {
+      state.apply(i + 1, JoinServer{ make_server(i) });
+    }
+    const Bytes bytes = state.snapshot();
+    const double start = cpu_micros();
+    StateMachine restored;
+    static_cast<void>(restored.restore(bytes));
+    print_point("snapshot_bytes_per_server",
+                static_cast<double>(size),
+                static_cast<double>(bytes.size()),
+                "bytes");
+    print_point("snapshot_restore_time", static_cast<double>(size), cpu_micros() - start, "us");
+  }
+}
+
+// Time to find the homes of all services of a region after a membership change.
+void
+measure_view(const std::vector<std::size_t>& host_counts)
+{
+  constexpr std::size_t kServices = 450;
+  for (const std::size_t count : host_counts) {
+    std::vector<HostInfo> hosts;
+    for (std::size_t i = 0; i < count; ++i) {
+      hosts.push_back(make_host(i));
+    }
+    const double start = cpu_micros();
+    std::size_t found = 0;
+    for (std::size_t i = 0; i < kServices; ++i) {
+      found += select_homes(service_name(i), hosts, 3).size();
+    }
+    if (found == 0) {
+      std::abort();
+    }
+    print_point("homes_of_450_services", static_cast<double>(count), cpu_micros() - start, "us");
+  }
+}
+
+void
+measure_codec()
+{
+  const auto measure = [](const char* name, const ClusterMessage& message) {
+    constexpr int kRepeats = 2000;
+    const Bytes bytes = encode(message);
+    const double start = cpu_micros();
+    for (int i = 0; i < kRepeats; ++i) {
+      if (decode_message(encode(message)).has_error()) {
+        std::abort();
+      }
+    }
+    const double each = (cpu_micros() - start) / kRepeats;
+    std::printf("message=%s bytes=%zu codec_us=%.2f\n", name, bytes.size(), each);
+  };
+  const ServerInfo server = make_server(17999);
+  measure(
+    "server_renewal",
+    ServerRenewal{ .service = server.service, .id = server.id, .incarnation = server.incarnation });
+  measure("propose_claim", Propose{ .id = 1234567, .command = encode(Command(make_claim(1))) });
+  measure("propose_reply", ProposeReply{ .id = 1234567, .decided = true });
+  measure("entry_server_join",
+          Entries{ .first_index = 1234567, .commands = { encode(Command(JoinServer{ server })) } });
+  measure(
+    "entry_change",
+    Entries{ .first_index = 1234567, .commands = { encode(Command(make_change(53000, 1))) } });
+}
+
+// Processor time of both ends for messages between two processes' transports.
+void
+measure_transport(const std::vector<std::size_t>& counts)
+{
+  const char* network = std::getenv("LOVAGEHOLD_TEST_NET");
+  const std::string prefix = network == nullptr ? "127.10" : network;
+  const std::string left_address = prefix + ".0.1:39511";
+  const std::string right_address = prefix + ".0.1:39512";
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::size_t received = 0;
+  ClusterTransport left({ left_address }, [](const std::string&, const Bytes&) {});
+  ClusterTransport right({ right_address }, [&](const std::string&, const Bytes&) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    ++received;
+    changed.notify_all();
+  });
+  std::string error;
+  if (!left.start(error) || !right.start(error)) {
+    std::fprintf(stderr, "capacity_bench: %s\n", error.c_str());
+    return;
+  }
+  const Bytes message(80, 1);
+  for (const std::size_t count : counts) {
+    const double start = cpu_micros();
+    for (std::size_t i = 0; i < count; ++i) {
+      // One message at a time, as heartbeats and renewals come: no batching of writes.
+      std::unique_lock<std::mutex> lock(mutex);
+      const std::size_t before = received;
+      left.send(right_address, message);
+      if (!changed.wait_for(lock, std::chrono::seconds(10), [&] { return received > before; })) {
+        std::fprintf(stderr, "capacity_bench: a message was lost\n");
+        return;
+      }
+    }
+    print_point("transport_messages", static_cast<double>(count), cpu_micros() - start, "us");
+  }
+}
+
+void
+run()
+{
+  const std::vector<std::size_t> sizes{ 2250, 4500, 9000, 18000 };
+  const std::vector<std::size_t> change_sizes{ 50, 100, 200, 400 };
+  const MakeCommand join_server = [](std::size_t i) { return JoinServer{ make_server(i) }; };
+  const MakeCommand join_host = [](std::size_t i) { return JoinHost{ make_host(i) }; };
+  const MakeCommand claim = [](std::size_t i) { return make_claim(i); };
+  const MakeCommand change = [](std::size_t i) { return make_change(i, i % 1800); };
+  measure_memory("memory_server", sizes, join_server);
+  measure_memory("memory_host", { 55, 110, 220, 440 }, join_host);
+  measure_memory("memory_claim", { 10000, 20000, 40000, 80000 }, claim);
+  measure_memory("memory_change", change_sizes, change);
+  measure_apply("apply_server", sizes, join_server);
+  measure_apply("apply_claim", { 10000, 20000, 40000, 80000 }, claim);
+  measure_apply("apply_change", change_sizes, change);
+  measure_snapshot(sizes);
+  measure_view({ 55, 110, 220, 440 });
+  measure_codec();
+  measure_transport({ 1000, 2000, 4000, 8000 });
+}
+
+} // namespace
+} // namespace lovagehold
+
+int
+main()
+{
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  lovagehold::run();
+  return 0;
+}
