Complete the dispatcher of a service

Cause: the dispatcher was a single first-in first-out queue without limits, retries or probes. Change: urgent (earliest deadline first) and patient queues with the 1 in 8 rule and a reserved slot, admission by expected wait, server choice with cold start, refusal back-off, ejection, probation, retry and hedge budget, probe token buckets and slot shares, in small files. The interface gains responding(), SlotShare::Pending, CancelAttempt::request, StartAttempt::retries_left and the options reserve_urgent_slot and hedging (off, because it needs a caller that runs two attempts at a time).

--- a/src/include/lovagehold/dispatcher.h
+++ b/src/include/lovagehold/dispatcher.h
@@ -50,12 +50,15 @@
   ServerId server;
   std::string address;
   bool hedge = false;
+  /// Retries that the levels below may make; to be propagated with the call.
+  unsigned retries_left = 0;
 };
 
-/// Close the attempt's connection; report it as Cancelled.
+/// Close the attempt's connection; report it as Cancelled. Its slot stays in use until then.
 struct CancelAttempt
 {
   AttemptId attempt = 0;
+  RequestId request = 0;
 };
 
 enum class RejectReason
@@ -89,7 +92,8 @@
 /// Which part of each server's slots this owner may use.
 enum class SlotShare
 {
-  None,     ///< not the owner: bind nothing
+  None,     ///< not the owner: dispatch nothing, reject requests with NotOwner
+  Pending,  ///< the next owner, before the handover is complete: dispatch nothing, requests wait
   Isolated, ///< cut off from control: one slot a server
   Reduced,  ///< took over without a release: all but one slot a server
   Full,
@@ -104,6 +108,12 @@
   std::chrono::milliseconds renewal_lifetime{ 2000 };
   /// Requests queued at most, both classes together.
   std::size_t queue_capacity = 10000;
+  /// Keep one slot of the service free of patient requests. May be unset for services that have
+  /// no urgent requests.
+  bool reserve_urgent_slot = true;
+  /// Hedge idempotent urgent requests. Requires a caller that runs two attempts of a request at
+  /// the same time and reports responding().
+  bool hedging = false;
   /// Breaks ties among equally good servers.
   std::uint64_t seed = 1;
 };
@@ -135,6 +145,11 @@
   /// Queues a request. Its result is StartAttempt or RejectRequest, now or in a later call.
   Actions submit(const RequestInfo& request, TimePoint now);
 
+  /// The header of the response arrived: the deadline no longer applies, the request is neither
+  /// retried nor hedged, and its other attempts are cancelled. Without this call an attempt is
+  /// cancelled at the deadline even while its response is being transferred.
+  Actions responding(AttemptId attempt, TimePoint now);
+
   /// Reports the end of an attempt. Attempts that are not known are ignored.
   Actions complete(AttemptId attempt, const AttemptResult& result, TimePoint now);
 
--- a/src/libdecision/dispatcher.cpp
+++ b/src/libdecision/dispatcher.cpp
@@ -1,8 +1,6 @@
 #include "lovagehold/dispatcher.h"
 
-#include <algorithm>
-#include <deque>
-#include <unordered_map>
+#include "dispatcher_impl.h"
 
 namespace lovagehold {
 
@@ -10,99 +8,11 @@
 
 constexpr std::chrono::milliseconds kNoServerRetryAfter{ 1000 };
 
-struct Server
-{
-  ServerInfo info;
-  TimePoint last_renewal;
-  bool leaving = false;
-  unsigned in_use = 0;
-};
-
-struct Attempt
-{
-  RequestId request = 0;
-  ServerId server;
-};
-
 } // namespace
 
-struct Dispatcher::Impl
-{
-  DispatcherOptions options;
-  std::unordered_map<ServerId, Server> servers;
-  std::deque<RequestInfo> queue;
-  std::unordered_map<AttemptId, Attempt> attempts;
-  AttemptId next_attempt = 1;
-  SlotShare share = SlotShare::Full;
-  Stats counters;
-
-  unsigned usable_slots(const Server& server) const
-  {
-    switch (share) {
-      case SlotShare::None:
-        return 0;
-      case SlotShare::Isolated:
-        return std::min(server.info.slots, 1U);
-      case SlotShare::Reduced:
-        return server.info.slots - std::min(server.info.slots, 1U);
-      case SlotShare::Full:
-        return server.info.slots;
-    }
-    return 0;
-  }
-
-  bool eligible(const Server& server, TimePoint now) const
-  {
-    return !server.leaving && now - server.last_renewal <= options.renewal_lifetime;
-  }
-
-  Server* choose_server(TimePoint now)
-  {
-    Server* best = nullptr;
-    for (auto& [id, server] : servers) {
-      if (!eligible(server, now) || server.in_use >= usable_slots(server)) {
-        continue;
-      }
-      if (best == nullptr || server.in_use < best->in_use) {
-        best = &server;
-      }
-    }
-    return best;
-  }
-
-  Actions bind_waiting(TimePoint now)
-  {
-    Actions actions;
-    while (!queue.empty()) {
-      if (queue.front().deadline <= now) {
-        ++counters.rejected;
-        actions.push_back(RejectRequest{ .request = queue.front().id,
-                                         .reason = RejectReason::DeadlineExceeded,
-                                         .retry_after = {} });
-        queue.pop_front();
-        continue;
-      }
-      Server* server = choose_server(now);
-      if (server == nullptr) {
-        break;
-      }
-      ++server->in_use;
-      const AttemptId attempt = next_attempt++;
-      attempts[attempt] = { queue.front().id, server->info.id };
-      actions.push_back(StartAttempt{ .request = queue.front().id,
-                                      .attempt = attempt,
-                                      .server = server->info.id,
-                                      .address = server->info.address });
-      queue.pop_front();
-    }
-    return actions;
-  }
-};
-
 Dispatcher::Dispatcher(DispatcherOptions options)
-  : m_impl(std::make_unique<Impl>())
+  : m_impl(std::make_unique<Impl>(std::move(options)))
 {
-  m_impl->options = std::move(options);
 }
 
 Dispatcher::~Dispatcher() = default;
@@ -112,131 +22,174 @@
 Actions
 Dispatcher::set_server(const ServerInfo& server, TimePoint now)
 {
-  Server& entry = m_impl->servers[server.id];
-  entry.info = server;
-  entry.leaving = false;
-  entry.last_renewal = now;
-  return m_impl->bind_waiting(now);
+  Actions actions;
+  m_impl->servers.set(server, now);
+  m_impl->settle(now, actions);
+  return actions;
 }
 
 Actions
 Dispatcher::renew_server(const ServerId& server, TimePoint now)
 {
-  const auto found = m_impl->servers.find(server);
-  if (found == m_impl->servers.end()) {
-    return {};
-  }
-  found->second.last_renewal = now;
-  return m_impl->bind_waiting(now);
+  Actions actions;
+  m_impl->servers.renew(server, now);
+  m_impl->settle(now, actions);
+  return actions;
 }
 
 Actions
 Dispatcher::remove_server(const ServerId& server, TimePoint now)
 {
-  const auto found = m_impl->servers.find(server);
-  if (found != m_impl->servers.end()) {
-    found->second.leaving = true;
-    if (found->second.in_use == 0) {
-      m_impl->servers.erase(found);
-    }
-  }
-  return m_impl->bind_waiting(now);
+  Actions actions;
+  m_impl->servers.remove(server);
+  m_impl->settle(now, actions);
+  return actions;
 }
 
 Actions
 Dispatcher::set_share(SlotShare share, TimePoint now)
 {
-  m_impl->share = share;
-  return m_impl->bind_waiting(now);
+  Actions actions;
+  m_impl->servers.share = share;
+  if (share == SlotShare::None) {
+    std::vector<RequestId> waiting;
+    for (const auto& [id, request] : m_impl->requests) {
+      if (request.queued) {
+        waiting.push_back(id);
+      }
+    }
+    for (const RequestId id : waiting) {
+      m_impl->reject(id, RejectReason::NotOwner, {}, actions);
+    }
+  }
+  m_impl->settle(now, actions);
+  return actions;
 }
 
 Actions
 Dispatcher::submit(const RequestInfo& request, TimePoint now)
 {
-  if (m_impl->queue.size() >= m_impl->options.queue_capacity) {
-    ++m_impl->counters.rejected;
-    return { RejectRequest{ .request = request.id,
-                            .reason = RejectReason::Overloaded,
-                            .retry_after = kNoServerRetryAfter } };
+  Actions actions;
+  Impl& impl = *m_impl;
+  if (impl.servers.share == SlotShare::None) {
+    impl.reject(request.id, RejectReason::NotOwner, {}, actions);
+    return actions;
+  }
+  if (request.deadline <= now) {
+    impl.reject(request.id, RejectReason::DeadlineExceeded, {}, actions);
+    return actions;
+  }
+  if (impl.servers.eligible_count(now) == 0) {
+    impl.reject(request.id, RejectReason::NoServer, kNoServerRetryAfter, actions);
+    return actions;
+  }
+  if (impl.queue.urgent_size() + impl.queue.patient_size() >= impl.options.queue_capacity) {
+    impl.reject(request.id, RejectReason::Overloaded, kNoServerRetryAfter, actions);
+    return actions;
+  }
+  const std::uint64_t arrival = impl.next_arrival++;
+  impl.requests[request.id] = { .info = request, .arrival = arrival };
+  impl.queue.push(request, arrival);
+  impl.deadlines.insert({ request.deadline, request.id });
+  impl.settle(now, actions);
+  const auto waiting = impl.requests.find(request.id);
+  if (waiting != impl.requests.end() && waiting->second.queued) {
+    if (const auto late = impl.hopeless_for(waiting->second, now)) {
+      impl.reject(request.id, RejectReason::Overloaded, *late, actions);
+    }
   }
-  m_impl->queue.push_back(request);
-  return m_impl->bind_waiting(now);
+  return actions;
+}
+
+Actions
+Dispatcher::responding(AttemptId attempt, TimePoint now)
+{
+  Actions actions;
+  const auto found = m_impl->attempts.find(attempt);
+  if (found == m_impl->attempts.end() || found->second.cancelled) {
+    return actions;
+  }
+  Impl::Request& request = m_impl->requests.at(found->second.request);
+  request.responding = true;
+  m_impl->deadlines.erase({ request.info.deadline, request.info.id });
+  m_impl->hedge_timers.erase({ found->second.hedge_at, attempt });
+  found->second.hedge_at = TimePoint::max();
+  m_impl->cancel_attempts(request, attempt, false, actions);
+  m_impl->settle(now, actions);
+  return actions;
 }
 
 Actions
 Dispatcher::complete(AttemptId attempt, const AttemptResult& result, TimePoint now)
 {
+  Actions actions;
   const auto found = m_impl->attempts.find(attempt);
   if (found == m_impl->attempts.end()) {
-    return {};
+    return actions;
   }
-  const Attempt ended = found->second;
+  const Impl::Attempt ended = found->second;
+  m_impl->observe(ended, result, now);
+  m_impl->hedge_timers.erase({ ended.hedge_at, attempt });
   m_impl->attempts.erase(found);
-  const auto server = m_impl->servers.find(ended.server);
-  if (server != m_impl->servers.end()) {
-    --server->second.in_use;
-    if (server->second.leaving && server->second.in_use == 0) {
-      m_impl->servers.erase(server);
-    }
-  }
-  Actions actions = m_impl->bind_waiting(now);
-  if (result.status != AttemptStatus::Succeeded && result.status != AttemptStatus::Cancelled) {
-    actions.push_back(RejectRequest{
-      .request = ended.request, .reason = RejectReason::RetriesExhausted, .retry_after = {} });
-  }
+  m_impl->patient_in_use -= ended.patient ? 1 : 0;
+  m_impl->servers.release(ended.server);
+  m_impl->end_attempt(ended, result.status, now, actions);
+  m_impl->settle(now, actions);
   return actions;
 }
 
 Actions
-Dispatcher::cancel(RequestId request, TimePoint)
+Dispatcher::cancel(RequestId request, TimePoint now)
 {
-  auto& queue = m_impl->queue;
-  queue.erase(std::remove_if(queue.begin(),
-                             queue.end(),
-                             [&](const RequestInfo& waiting) { return waiting.id == request; }),
-              queue.end());
   Actions actions;
-  for (const auto& [id, attempt] : m_impl->attempts) {
-    if (attempt.request == request) {
-      actions.push_back(CancelAttempt{ id });
-    }
+  const auto found = m_impl->requests.find(request);
+  if (found != m_impl->requests.end()) {
+    m_impl->cancel_attempts(found->second, 0, false, actions);
+    m_impl->forget(request);
   }
+  m_impl->settle(now, actions);
   return actions;
 }
 
 Actions
-Dispatcher::probe_result(const ServerId&, bool, Duration, TimePoint now)
+Dispatcher::probe_result(const ServerId& server, bool healthy, Duration elapsed, TimePoint now)
 {
-  return m_impl->bind_waiting(now);
+  Actions actions;
+  m_impl->servers.on_probe(server, healthy, elapsed, now);
+  m_impl->settle(now, actions);
+  return actions;
 }
 
 Actions
 Dispatcher::tick(TimePoint now)
 {
-  return m_impl->bind_waiting(now);
+  Actions actions;
+  m_impl->settle(now, actions);
+  return actions;
 }
 
 std::optional<TimePoint>
 Dispatcher::next_wakeup() const
 {
-  if (m_impl->queue.empty()) {
-    return std::nullopt;
+  TimePoint next = m_impl->server_timer;
+  if (!m_impl->deadlines.empty()) {
+    next = std::min(next, m_impl->deadlines.begin()->first);
+  }
+  if (!m_impl->hedge_timers.empty()) {
+    next = std::min(next, m_impl->hedge_timers.begin()->first);
   }
-  return m_impl->queue.front().deadline;
+  return next == TimePoint::max() ? std::nullopt : std::optional<TimePoint>(next);
 }
 
 Dispatcher::Stats
 Dispatcher::stats(TimePoint now) const
 {
   Stats stats = m_impl->counters;
-  stats.servers = m_impl->servers.size();
+  stats.queued_urgent = m_impl->queue.urgent_size();
+  stats.queued_patient = m_impl->queue.patient_size();
   stats.in_flight = m_impl->attempts.size();
-  for (const RequestInfo& request : m_impl->queue) {
-    ++(request.request_class == RequestClass::Patient ? stats.queued_patient : stats.queued_urgent);
-  }
-  for (const auto& [id, server] : m_impl->servers) {
-    stats.eligible_servers += m_impl->eligible(server, now) ? 1 : 0;
-  }
+  stats.servers = m_impl->servers.size();
+  stats.eligible_servers = m_impl->servers.eligible_count(now);
   return stats;
 }
 
--- /dev/null
+++ b/src/libdecision/dispatcher_test.cpp
@@ -0,0 +1,360 @@
+#include "lovagehold/dispatcher.h"
+
+#include <gtest/gtest.h>
+
+namespace lovagehold {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint kStart = TimePoint{} + 1000s;
+
+template<class T>
+std::vector<T>
+select(const Actions& actions)
+{
+  std::vector<T> selected;
+  for (const Action& action : actions) {
+    if (const T* match = std::get_if<T>(&action)) {
+      selected.push_back(*match);
+    }
+  }
+  return selected;
+}
+
+ServerInfo
+make_server(int number, unsigned slots = 3)
+{
+  const std::string id = "server-" + std::to_string(number);
+  return { .service = "s", .id = id, .address = id + ":80", .slots = slots };
+}
+
+// A dispatcher with a clock that keeps its servers renewed.
+class DispatcherTest : public testing::Test
+{
+protected:
+  Dispatcher dispatcher{ DispatcherOptions{ .service = "s", .hedging = true } };
+  TimePoint now = kStart;
+  int servers = 0;
+  RequestId next_request = 1;
+
+  void add_servers(int count, unsigned slots = 3)
+  {
+    for (int i = 0; i < count; ++i) {
+      dispatcher.set_server(make_server(servers++, slots), now);
+    }
+  }
+
+  Actions advance(Duration step)
+  {
+    now += step;
+    Actions actions = dispatcher.tick(now);
+    for (int i = 0; i < servers; ++i) {
+      const Actions more = dispatcher.renew_server("server-" + std::to_string(i), now);
+      actions.insert(actions.end(), more.begin(), more.end());
+    }
+    return actions;
+  }
+
+  Actions submit(RequestInfo request)
+  {
+    request.id = next_request++;
+    if (request.deadline == TimePoint{}) {
+      request.deadline = now + 1s;
+    }
+    return dispatcher.submit(request, now);
+  }
+
+  StartAttempt submit_started(const RequestInfo& request = {})
+  {
+    const auto starts = select<StartAttempt>(submit(request));
+    return starts.empty() ? StartAttempt{} : starts.front();
+  }
+
+  Actions complete(const StartAttempt& start, AttemptStatus status, Duration time = 1ms)
+  {
+    return dispatcher.complete(start.attempt, { .status = status, .service_time = time }, now);
+  }
+
+  // Runs requests that take `time`, one after the other and without hedges.
+  void serve(int count, Duration time)
+  {
+    for (int i = 0; i < count; ++i) {
+      const StartAttempt start = submit_started({ .idempotent = false });
+      advance(time);
+      complete(start, AttemptStatus::Succeeded, time);
+    }
+  }
+};
+
+// Guards against urgent requests being served in order of arrival.
+TEST_F(DispatcherTest, UrgentRequestsAreServedByDeadline)
+{
+  add_servers(1, 1);
+  const StartAttempt running = submit_started();
+  submit({ .deadline = now + 900ms });
+  submit({ .deadline = now + 300ms });
+  const auto next = select<StartAttempt>(complete(running, AttemptStatus::Succeeded));
+  ASSERT_EQ(next.size(), 1U);
+  EXPECT_EQ(next[0].request, 3U);
+}
+
+// Guards against patient requests taking the slot that an urgent one may need.
+TEST_F(DispatcherTest, PatientRequestsLeaveOneSlotFree)
+{
+  add_servers(2);
+  for (int i = 0; i < 10; ++i) {
+    submit({ .request_class = RequestClass::Patient });
+  }
+  EXPECT_EQ(dispatcher.stats(now).in_flight, 5U);
+  EXPECT_NE(submit_started().attempt, 0U);
+}
+
+// Guards against patient requests starving behind a steady stream of urgent ones.
+TEST_F(DispatcherTest, OneInEightDispatchesIsPatient)
+{
+  add_servers(2, 1);
+  StartAttempt first = submit_started();
+  const StartAttempt other = submit_started();
+  for (int i = 0; i < 40; ++i) {
+    submit({});
+    submit({ .request_class = RequestClass::Patient });
+  }
+  int patient = 0;
+  for (int i = 0; i < 24; ++i) {
+    const auto next = select<StartAttempt>(complete(first, AttemptStatus::Succeeded));
+    ASSERT_EQ(next.size(), 1U);
+    first = next[0];
+    patient += first.request % 2 == 0 ? 1 : 0;
+  }
+  EXPECT_EQ(patient, 3);
+  EXPECT_NE(other.attempt, 0U);
+}
+
+// Guards against queueing a request that cannot meet its deadline.
+TEST_F(DispatcherTest, HopelessRequestIsRejectedAtOnce)
+{
+  add_servers(1, 1);
+  serve(20, 10ms);
+  submit_started();
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_TRUE(select<RejectRequest>(submit({})).empty());
+  }
+  const auto rejects = select<RejectRequest>(submit({ .deadline = now + 15ms }));
+  ASSERT_EQ(rejects.size(), 1U);
+  EXPECT_EQ(rejects[0].reason, RejectReason::Overloaded);
+  EXPECT_GT(rejects[0].retry_after, 0ms);
+}
+
+// Guards against dispatching to a server that stopped renewing or announced its leave.
+TEST_F(DispatcherTest, LeavingOrUnrenewedServerGetsNothingNew)
+{
+  add_servers(2);
+  dispatcher.remove_server("server-0", now);
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(submit_started().server, "server-1");
+  }
+  servers = 0;
+  advance(2001ms);
+  const auto rejects = select<RejectRequest>(submit({}));
+  ASSERT_EQ(rejects.size(), 1U);
+  EXPECT_EQ(rejects[0].reason, RejectReason::NoServer);
+}
+
+// Guards against a second run of a request that may have run.
+TEST_F(DispatcherTest, OnlySafeRetriesAreMade)
+{
+  add_servers(2);
+  const RequestInfo once{ .request_class = RequestClass::NonIdempotent, .idempotent = false };
+  for (const AttemptStatus status :
+       { AttemptStatus::Failed, AttemptStatus::TimedOut, AttemptStatus::Refused }) {
+    const Actions actions = complete(submit_started(once), status);
+    EXPECT_TRUE(select<StartAttempt>(actions).empty());
+    EXPECT_EQ(select<RejectRequest>(actions).size(), 1U);
+  }
+  EXPECT_EQ(
+    select<StartAttempt>(complete(submit_started(once), AttemptStatus::FailedUnstarted)).size(),
+    1U);
+  const StartAttempt first = submit_started();
+  const auto retry = select<StartAttempt>(complete(first, AttemptStatus::Failed));
+  ASSERT_EQ(retry.size(), 1U);
+  EXPECT_NE(retry[0].server, first.server);
+  EXPECT_EQ(retry[0].retries_left, 1U);
+}
+
+// Guards against retries that multiply an outage.
+TEST_F(DispatcherTest, RetryBudgetIsBounded)
+{
+  add_servers(20);
+  for (int i = 0; i < 40; ++i) {
+    complete(submit_started(), AttemptStatus::Failed);
+  }
+  EXPECT_EQ(dispatcher.stats(now).retries, 10U);
+}
+
+// Guards against a server that refuses requests and is offered them all the time.
+TEST_F(DispatcherTest, RefusalWithholdsASlotWithBackOff)
+{
+  add_servers(2, 1);
+  const StartAttempt first = submit_started({ .retries_left = 0 });
+  complete(first, AttemptStatus::Refused);
+  const StartAttempt second = submit_started();
+  EXPECT_NE(second.server, first.server);
+  submit({ .deadline = now + 10s });
+  EXPECT_TRUE(select<StartAttempt>(advance(249ms)).empty());
+  const auto again = select<StartAttempt>(advance(1ms));
+  ASSERT_EQ(again.size(), 1U);
+  EXPECT_EQ(again[0].server, first.server);
+  complete(again[0], AttemptStatus::Refused);
+  EXPECT_EQ(dispatcher.stats(now).in_flight, 1U);
+  EXPECT_TRUE(select<StartAttempt>(advance(499ms)).empty());
+  EXPECT_EQ(select<StartAttempt>(advance(1ms)).size(), 1U);
+}
+
+// Guards against a straggler that keeps its full share of the requests.
+TEST_F(DispatcherTest, StragglerIsLimitedToOneSlot)
+{
+  add_servers(4);
+  std::vector<std::pair<TimePoint, StartAttempt>> running;
+  const auto service_time = [](const StartAttempt& start) {
+    return start.server == "server-0" ? 100ms : 10ms;
+  };
+  int straggler_running = 0;
+  for (int step = 0; step < 3000; ++step) {
+    straggler_running = 0;
+    advance(1ms);
+    for (std::size_t i = 0; i < running.size();) {
+      if (now - running[i].first >= service_time(running[i].second)) {
+        complete(running[i].second, AttemptStatus::Succeeded, service_time(running[i].second));
+        running.erase(running.begin() + static_cast<std::ptrdiff_t>(i));
+      } else {
+        straggler_running += running[i].second.server == "server-0" ? 1 : 0;
+        ++i;
+      }
+    }
+    while (running.size() < 10) {
+      const StartAttempt start = submit_started({ .idempotent = false });
+      if (start.attempt == 0) {
+        break;
+      }
+      running.emplace_back(now, start);
+    }
+  }
+  EXPECT_LE(straggler_running, 1);
+}
+
+// Guards against a cold server that is flooded, and one that stays limited for ever.
+TEST_F(DispatcherTest, JoinedServerStartsWithOneSlot)
+{
+  add_servers(1);
+  advance(5s);
+  add_servers(1);
+  std::vector<StartAttempt> starts;
+  for (int i = 0; i < 6; ++i) {
+    starts.push_back(submit_started());
+  }
+  EXPECT_EQ(dispatcher.stats(now).in_flight, 4U);
+  EXPECT_EQ(select<StartAttempt>(advance(10s)).size(), 0U);
+  for (int i = 0; i < 6; ++i) {
+    submit({});
+  }
+  EXPECT_EQ(dispatcher.stats(now).in_flight, 6U);
+}
+
+// Guards against loss of service when every server fails.
+TEST_F(DispatcherTest, AllServersEjectedStillServes)
+{
+  add_servers(4);
+  for (int i = 0; i < 200; ++i) {
+    const StartAttempt start = submit_started();
+    ASSERT_NE(start.attempt, 0U) << i;
+    Actions actions = complete(start, AttemptStatus::Failed);
+    for (auto retry = select<StartAttempt>(actions); !retry.empty();
+         retry = select<StartAttempt>(actions)) {
+      actions = complete(retry[0], AttemptStatus::Failed);
+    }
+  }
+}
+
+// Guards against a hedge that is late, wasted, or not cancelled when it loses.
+TEST_F(DispatcherTest, SlowAttemptIsHedgedOnAnotherServer)
+{
+  add_servers(3);
+  serve(40, 10ms);
+  const StartAttempt slow = submit_started();
+  const auto hedge = select<StartAttempt>(advance(11ms));
+  ASSERT_EQ(hedge.size(), 1U);
+  EXPECT_TRUE(hedge[0].hedge);
+  EXPECT_NE(hedge[0].server, slow.server);
+  const auto cancelled = select<CancelAttempt>(complete(hedge[0], AttemptStatus::Succeeded));
+  ASSERT_EQ(cancelled.size(), 1U);
+  EXPECT_EQ(cancelled[0].attempt, slow.attempt);
+  EXPECT_EQ(dispatcher.stats(now).in_flight, 1U);
+  complete(slow, AttemptStatus::Cancelled);
+  EXPECT_EQ(dispatcher.stats(now).in_flight, 0U);
+}
+
+// Guards against cancelling a long transfer at the deadline of its header.
+TEST_F(DispatcherTest, DeadlineEndsWithTheHeaderOfTheResponse)
+{
+  add_servers(1);
+  const StartAttempt waiting = submit_started();
+  const StartAttempt transferring = submit_started();
+  dispatcher.responding(transferring.attempt, now);
+  const Actions actions = advance(1s);
+  const auto cancelled = select<CancelAttempt>(actions);
+  ASSERT_EQ(cancelled.size(), 1U);
+  EXPECT_EQ(cancelled[0].attempt, waiting.attempt);
+  const auto rejects = select<RejectRequest>(actions);
+  ASSERT_EQ(rejects.size(), 1U);
+  EXPECT_EQ(rejects[0].request, waiting.request);
+}
+
+// Guards against dispatching more than the share allows, and against lost requests at a handover.
+TEST_F(DispatcherTest, ShareLimitsSlotsAndLosingItRejectsWaitingRequests)
+{
+  add_servers(2);
+  dispatcher.set_share(SlotShare::Pending, now);
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_TRUE(submit({}).empty());
+  }
+  EXPECT_EQ(select<StartAttempt>(dispatcher.set_share(SlotShare::Isolated, now)).size(), 2U);
+  EXPECT_EQ(select<StartAttempt>(dispatcher.set_share(SlotShare::Reduced, now)).size(), 2U);
+  const auto rejects = select<RejectRequest>(dispatcher.set_share(SlotShare::None, now));
+  ASSERT_EQ(rejects.size(), 4U);
+  EXPECT_EQ(rejects[0].reason, RejectReason::NotOwner);
+  EXPECT_EQ(select<RejectRequest>(submit({})).size(), 1U);
+}
+
+// Guards against probing more than the budget allows after a takeover, and against a server that is
+// never tried again because its probe got lost.
+TEST_F(DispatcherTest, SilentServerIsProbedWithinTheBudget)
+{
+  add_servers(1);
+  std::vector<TimePoint> probes;
+  for (int i = 0; i < 600; ++i) {
+    if (!select<SendProbe>(advance(100ms)).empty()) {
+      probes.push_back(now);
+    }
+  }
+  ASSERT_GE(probes.size(), 3U);
+  EXPECT_GE(probes[0] - kStart, 3s);
+  for (std::size_t i = 1; i < probes.size(); ++i) {
+    EXPECT_GE(probes[i] - probes[i - 1], 3s);
+  }
+}
+
+// Guards against work for a caller that went away.
+TEST_F(DispatcherTest, CancelDropsTheRequest)
+{
+  add_servers(1, 1);
+  const StartAttempt running = submit_started();
+  submit({});
+  EXPECT_TRUE(dispatcher.cancel(2, now).empty());
+  EXPECT_EQ(select<CancelAttempt>(dispatcher.cancel(running.request, now)).size(), 1U);
+  EXPECT_TRUE(complete(running, AttemptStatus::Cancelled).empty());
+  EXPECT_EQ(dispatcher.stats(now).queued_urgent, 0U);
+}
+
+} // namespace
+} // namespace lovagehold
--- /dev/null
+++ b/src/libdecision/server_table.cpp
@@ -0,0 +1,357 @@
+#include "server_table.h"
+
+#include <algorithm>
+
+namespace lovagehold {
+
+namespace {
+
+// Without requests for this long, only a probe tells whether a server still works.
+constexpr std::chrono::seconds kSilence{ 10 };
+constexpr std::chrono::seconds kColdSilence{ 1 };
+constexpr int kStragglerFactor = 3;
+// Leaving probation needs a clearly better service time, so that a server does not alternate.
+constexpr int kRecoveredFactor = 2;
+constexpr std::size_t kProbationDivisor = 3;
+// A probe without a result counts as unhealthy after this time.
+constexpr std::chrono::seconds kProbeTimeout{ 2 };
+// An attempt this many times longer than the expected service time blames its server.
+constexpr int kOverdueFactor = 3;
+// A server on probation gets a request at least this often, because only samples can end it.
+constexpr std::chrono::milliseconds kProbationSampleInterval{ 500 };
+
+TokenBucket
+make_probe_bucket(const DispatcherOptions& options, TimePoint now)
+{
+  const double cost = std::chrono::duration<double>(options.probe_cost).count();
+  return { cost > 0 ? options.probe_budget / cost : 0, 1, 0, now };
+}
+
+} // namespace
+
+ServerTable::ServerTable(const DispatcherOptions& options)
+  : m_options(options)
+  , m_rotation(options.seed)
+{
+}
+
+void
+ServerTable::set(const ServerInfo& info, TimePoint now)
+{
+  const auto found = m_index.find(info.id);
+  if (found != m_index.end()) {
+    ServerState& server = m_servers[found->second];
+    if (server.info.incarnation != info.incarnation) {
+      server.start_cold(now);
+    }
+    server.info = info;
+    server.leaving = false;
+    server.last_renewal = now;
+    return;
+  }
+  ServerState server(info, make_probe_bucket(m_options, now), now);
+  // The servers that an owner hears of within the first renewal lifetime served already under its
+  // predecessor; a cold start of all of them would cost two thirds of the capacity.
+  if (!m_first_join) {
+    m_first_join = now;
+  } else if (now - *m_first_join > m_options.renewal_lifetime) {
+    server.start_cold(now);
+  }
+  std::size_t index = m_servers.size();
+  if (m_free.empty()) {
+    m_servers.push_back(std::move(server));
+  } else {
+    index = m_free.back();
+    m_free.pop_back();
+    m_servers[index] = std::move(server);
+  }
+  m_index[info.id] = index;
+}
+
+void
+ServerTable::renew(const ServerId& id, TimePoint now)
+{
+  const auto found = m_index.find(id);
+  if (found != m_index.end()) {
+    m_servers[found->second].last_renewal = now;
+  }
+}
+
+void
+ServerTable::remove(const ServerId& id)
+{
+  const auto found = m_index.find(id);
+  if (found != m_index.end()) {
+    m_servers[found->second].leaving = true;
+    erase_if_drained(found->second);
+  }
+}
+
+void
+ServerTable::erase_if_drained(std::size_t index)
+{
+  ServerState& server = m_servers[index];
+  if (server.leaving && server.in_use == 0) {
+    m_index.erase(server.info.id);
+    m_free.push_back(index);
+  }
+}
+
+bool
+ServerTable::is_eligible(const ServerState& server, TimePoint now) const
+{
+  return !server.leaving && now - server.last_renewal <= m_options.renewal_lifetime;
+}
+
+unsigned
+ServerTable::share_limit(const ServerState& server) const
+{
+  const unsigned held_back = std::min(server.info.slots, 1U);
+  switch (share) {
+    case SlotShare::None:
+    case SlotShare::Pending:
+      return 0;
+    case SlotShare::Isolated:
+      return held_back;
+    case SlotShare::Reduced:
+      return server.info.slots - held_back;
+    case SlotShare::Full:
+      return server.info.slots;
+  }
+  return 0;
+}
+
+bool
+ServerTable::ranks_before(const ServerState& a,
+                          const ServerState& b,
+                          bool panic,
+                          TimePoint now) const
+{
+  if (panic) {
+    // Rotation alone: fewest slots in use would favour servers that fail fast.
+    return false;
+  }
+  const bool a_last = a.on_probation && now - a.last_information() < kProbationSampleInterval;
+  const bool b_last = b.on_probation && now - b.last_information() < kProbationSampleInterval;
+  if (a_last != b_last) {
+    return b_last;
+  }
+  if (a.in_use != b.in_use) {
+    return a.in_use < b.in_use;
+  }
+  return a.speed_class() < b.speed_class();
+}
+
+ServerTable::Choice
+ServerTable::choose(TimePoint now)
+{
+  Choice choice;
+  unsigned out = 0;
+  for (ServerState& server : m_servers) {
+    server.advance(now);
+    if (is_eligible(server, now)) {
+      const unsigned share_slots = share_limit(server);
+      ++choice.eligible;
+      out += server.is_ejected() || (share_slots > 0 && server.slot_limit(share_slots) == 0);
+    }
+  }
+  pick(choice, out > choice.eligible / 2, now);
+  return choice;
+}
+
+void
+ServerTable::pick(Choice& choice, bool panic, TimePoint now)
+{
+  const std::size_t count = m_servers.size();
+  std::size_t index = count == 0 ? 0 : m_rotation % count;
+  for (std::size_t i = 0; i < count; ++i, index = index + 1 == count ? 0 : index + 1) {
+    const ServerState& server = m_servers[index];
+    if (!is_eligible(server, now) || (server.is_ejected() && !panic)) {
+      continue;
+    }
+    const unsigned share_slots = share_limit(server);
+    unsigned limit = server.slot_limit(share_slots);
+    if (panic) {
+      limit = std::max(limit, std::min(share_slots, 1U));
+    }
+    choice.usable_slots += limit;
+    if (server.in_use >= limit) {
+      continue;
+    }
+    choice.idle_slots += limit - server.in_use;
+    if (choice.best == kNone || ranks_before(server, m_servers[choice.best], panic, now)) {
+      choice.alternative = choice.best;
+      choice.best = index;
+    } else if (choice.alternative == kNone ||
+               ranks_before(server, m_servers[choice.alternative], panic, now)) {
+      choice.alternative = index;
+    }
+  }
+}
+
+void
+ServerTable::acquire(std::size_t index)
+{
+  ++m_servers[index].in_use;
+  m_rotation = index + 1;
+}
+
+void
+ServerTable::release(std::size_t index)
+{
+  --m_servers[index].in_use;
+  erase_if_drained(index);
+}
+
+void
+ServerTable::on_success(std::size_t index, Duration service_time, TimePoint now)
+{
+  m_servers[index].on_success(now);
+  m_servers[index].add_service_time(service_time, m_median);
+  // One comparison in as many successes as there are servers keeps its cost constant on average.
+  if (m_until_comparison-- == 0) {
+    compare_service_times(now);
+    m_until_comparison = static_cast<unsigned>(m_index.size());
+  }
+}
+
+void
+ServerTable::on_lost_race(std::size_t index, Duration elapsed)
+{
+  ServerState& server = m_servers[index];
+  if (elapsed > server.service_time()) {
+    server.add_service_time(elapsed, m_median);
+  }
+}
+
+bool
+ServerTable::is_overdue(std::size_t index, Duration elapsed) const
+{
+  const Duration expected = std::max(m_servers[index].service_time(), m_median);
+  return elapsed >= expected * kOverdueFactor;
+}
+
+void
+ServerTable::compare_service_times(TimePoint now)
+{
+  std::vector<Duration> times;
+  std::size_t present = 0;
+  std::size_t on_probation = 0;
+  for (const ServerState& server : m_servers) {
+    if (!is_eligible(server, now)) {
+      continue;
+    }
+    ++present;
+    on_probation += server.on_probation ? 1 : 0;
+    if (server.has_service_time()) {
+      times.push_back(server.service_time());
+    }
+  }
+  if (times.size() < 2) {
+    return;
+  }
+  const auto middle = times.begin() + static_cast<std::ptrdiff_t>((times.size() - 1) / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  m_median = *middle;
+  const std::size_t allowed = std::max<std::size_t>(1, present / kProbationDivisor);
+  for (ServerState& server : m_servers) {
+    if (!is_eligible(server, now) || !server.has_service_time()) {
+      continue;
+    }
+    if (server.on_probation && server.service_time() < m_median * kRecoveredFactor) {
+      server.end_probation(now);
+    } else if (!server.on_probation && on_probation < allowed &&
+               server.service_time() > m_median * kStragglerFactor) {
+      server.start_probation();
+      ++on_probation;
+    }
+  }
+}
+
+void
+ServerTable::on_probe(const ServerId& id, bool healthy, Duration elapsed, TimePoint now)
+{
+  const auto found = m_index.find(id);
+  if (found == m_index.end() || !m_servers[found->second].probe_running) {
+    return;
+  }
+  ServerState& server = m_servers[found->second];
+  // A probe that cost more than declared is paid for in full before the next one.
+  const Duration excess = elapsed - m_options.probe_cost;
+  if (excess > Duration::zero() && m_options.probe_cost.count() > 0) {
+    server.probe_bucket.charge(std::chrono::duration<double>(excess) / m_options.probe_cost, now);
+  }
+  server.on_probe(healthy, now);
+}
+
+std::optional<TimePoint>
+ServerTable::probe_due(const ServerState& server) const
+{
+  const TimePoint token = server.probe_bucket.available_at(1);
+  if (server.probe_running || server.is_ejected() || token == TimePoint::max()) {
+    return std::nullopt;
+  }
+  const Duration silence = server.is_cold() ? kColdSilence : kSilence;
+  return std::max(token, server.last_information() + silence);
+}
+
+void
+ServerTable::check(TimePoint now, Actions& actions)
+{
+  for (ServerState& server : m_servers) {
+    if (!is_eligible(server, now) || share_limit(server) == 0) {
+      continue;
+    }
+    server.advance(now);
+    if (server.probe_running && now - server.probe_sent >= kProbeTimeout) {
+      server.on_probe(false, now);
+    }
+    bool send = false;
+    if (server.awaits_recovery(now) && !server.probe_running) {
+      send = server.probe_bucket.try_take(1, now);
+      if (!send) {
+        server.start_recovery(now);
+      }
+    } else if (const auto due = probe_due(server); due && *due <= now && server.in_use == 0) {
+      send = server.probe_bucket.try_take(1, now);
+    }
+    if (send) {
+      server.probe_running = true;
+      server.probe_sent = now;
+      actions.push_back(SendProbe{ .server = server.info.id, .address = server.info.address });
+    }
+  }
+}
+
+TimePoint
+ServerTable::next_check(TimePoint now) const
+{
+  TimePoint next = TimePoint::max();
+  for (const ServerState& server : m_servers) {
+    if (!is_eligible(server, now) || share_limit(server) == 0) {
+      continue;
+    }
+    if (server.probe_running) {
+      next = std::min(next, server.probe_sent + kProbeTimeout);
+    }
+    if (!server.probe_running || !server.is_ejected()) {
+      next = std::min(next, server.next_change());
+    }
+    if (const auto due = probe_due(server); due && server.in_use == 0) {
+      next = std::min(next, *due);
+    }
+  }
+  return next;
+}
+
+unsigned
+ServerTable::eligible_count(TimePoint now) const
+{
+  unsigned count = 0;
+  for (const ServerState& server : m_servers) {
+    count += is_eligible(server, now) ? 1U : 0U;
+  }
+  return count;
+}
+
+} // namespace lovagehold
