Size the share counters of the ownership test by the enumeration

Cause: the dispatcher gained the share Pending, and the counters of the ownership test were an array of four, which the fifth value overran. Change: the array's size follows the last enumerator.

--- a/src/libcontrol/ownership_model_test.cpp
+++ b/src/libcontrol/ownership_model_test.cpp
@@ -3,6 +3,7 @@
 #include "lovagehold/session_table.h"
 #include "lovagehold/state_machine.h"
 
+#include <array>
 #include <gtest/gtest.h>
 #include <random>
 #include <rapidcheck/gtest.h>
@@ -417,7 +418,7 @@
   void check_shares()
   {
     for (const ServiceName& service : m_services) {
-      int count[4] = {};
+      std::array<int, static_cast<std::size_t>(SlotShare::Full) + 1> count{};
       std::string shares;
       for (const Host& host : m_hosts) {
         const SlotShare share =
