--- /dev/null
+++ b/src/teststand/policies/entry_policies.cpp
@@ -0,0 +1,239 @@
+#include "policies.h"
+
+#include <algorithm>
+#include <deque>
+
+namespace lovagehold::simulation {
+
+namespace {
+
+constexpr std::chrono::milliseconds kReportPeriod{ 100 };
+constexpr std::size_t kProbePool = 16;
+constexpr std::chrono::seconds kProbeLifetime{ 1 };
+constexpr std::uint64_t kRequestsPerProbe = 2;
+
+// Sends each request from its entry host; a failed attempt is repeated once on another choice.
+class EntryPolicy : public Policy
+{
+public:
+  explicit EntryPolicy(World& world)
+    : m_world(world)
+    , m_in_flight(world.scenario.hosts, std::vector<unsigned>(world.servers.size()))
+  {
+  }
+
+  void arrive(const TraceRequest& request) override { attempt(request, 1); }
+
+protected:
+  World& m_world;
+  std::vector<std::vector<unsigned>> m_in_flight;
+
+  virtual std::size_t choose(std::size_t host) = 0;
+
+  std::size_t random_server()
+  {
+    std::uniform_int_distribution<std::size_t> any(0, m_world.servers.size() - 1);
+    std::size_t server = any(m_world.random);
+    while (!m_world.servers[server].is_present()) {
+      server = any(m_world.random);
+    }
+    return server;
+  }
+
+private:
+  void attempt(const TraceRequest& request, int retries)
+  {
+    const std::size_t server = choose(request.host);
+    ++m_in_flight[request.host][server];
+    m_world.send(server, request.work, [this, &request, server, retries](JobStatus status) {
+      --m_in_flight[request.host][server];
+      if (status != JobStatus::Succeeded && retries > 0) {
+        attempt(request, retries - 1);
+      } else {
+        m_world.record(request, status == JobStatus::Succeeded);
+      }
+    });
+  }
+};
+
+class RandomPolicy : public EntryPolicy
+{
+public:
+  using EntryPolicy::EntryPolicy;
+  std::size_t choose(std::size_t) override { return random_server(); }
+};
+
+class RoundRobinPolicy : public EntryPolicy
+{
+public:
+  explicit RoundRobinPolicy(World& world)
+    : EntryPolicy(world)
+    , m_next(world.scenario.hosts)
+  {
+    for (std::size_t& next : m_next) {
+      next = random_server();
+    }
+  }
+
+  std::size_t choose(std::size_t host) override
+  {
+    std::size_t& next = m_next[host];
+    do {
+      next = (next + 1) % m_world.servers.size();
+    } while (!m_world.servers[next].is_present());
+    return next;
+  }
+
+private:
+  std::vector<std::size_t> m_next;
+};
+
+class LeastRequestsPolicy : public EntryPolicy
+{
+public:
+  using EntryPolicy::EntryPolicy;
+  std::size_t choose(std::size_t host) override
+  {
+    const std::vector<unsigned>& counts = m_in_flight[host];
+    // The search starts at a random server, so that ties are spread.
+    std::size_t best = random_server();
+    const std::size_t first = best;
+    for (std::size_t i = 1; i < counts.size(); ++i) {
+      const std::size_t server = (first + i) % counts.size();
+      if (m_world.servers[server].is_present() && counts[server] < counts[best]) {
+        best = server;
+      }
+    }
+    return best;
+  }
+};
+
+class TwoChoicesPolicy : public EntryPolicy
+{
+public:
+  explicit TwoChoicesPolicy(World& world)
+    : EntryPolicy(world)
+    , m_reports(world.servers.size())
+  {
+    report();
+  }
+
+  std::size_t choose(std::size_t) override
+  {
+    const std::size_t a = random_server();
+    const std::size_t b = random_server();
+    return m_reports[b] < m_reports[a] ? b : a;
+  }
+
+private:
+  std::vector<std::size_t> m_reports;
+
+  void report()
+  {
+    std::vector<std::size_t> loads;
+    for (const Server& server : m_world.servers) {
+      loads.push_back(server.load());
+    }
+    m_world.loop.after(m_world.scenario.one_way, [this, loads] { m_reports = loads; });
+    if (m_world.loop.now() < m_world.end()) {
+      m_world.loop.after(kReportPeriod, [this] { report(); });
+    }
+  }
+};
+
+class ProbingPolicy : public EntryPolicy
+{
+public:
+  explicit ProbingPolicy(World& world)
+    : EntryPolicy(world)
+    , m_pools(world.scenario.hosts)
+    , m_requests(world.scenario.hosts)
+  {
+  }
+
+  std::size_t choose(std::size_t host) override
+  {
+    if (++m_requests[host] % kRequestsPerProbe == 0) {
+      probe(host, random_server());
+    }
+    std::deque<Result>& pool = m_pools[host];
+    while (!pool.empty() && m_world.loop.now() - pool.front().time > kProbeLifetime) {
+      pool.pop_front();
+    }
+    Result* best = nullptr;
+    for (Result& result : pool) {
+      if (m_world.servers[result.server].is_present() &&
+          (best == nullptr || result.load < best->load)) {
+        best = &result;
+      }
+    }
+    if (best == nullptr) {
+      return random_server();
+    }
+    // The request adds to the load that the next choice sees.
+    ++best->load;
+    return best->server;
+  }
+
+private:
+  struct Result
+  {
+    std::size_t server = 0;
+    std::size_t load = 0;
+    TimePoint time;
+  };
+  std::vector<std::deque<Result>> m_pools;
+  std::vector<std::uint64_t> m_requests;
+
+  void probe(std::size_t host, std::size_t server)
+  {
+    m_world.send_probe(server, [this, host, server] {
+      std::deque<Result>& pool = m_pools[host];
+      pool.push_back({ server, m_world.servers[server].load(), m_world.loop.now() });
+      if (pool.size() > kProbePool) {
+        pool.pop_front();
+      }
+    });
+  }
+};
+
+template<class T>
+MakePolicy
+make()
+{
+  return [](World& world) { return std::make_unique<T>(world); };
+}
+
+} // namespace
+
+MakePolicy
+make_random()
+{
+  return make<RandomPolicy>();
+}
+
+MakePolicy
+make_round_robin()
+{
+  return make<RoundRobinPolicy>();
+}
+
+MakePolicy
+make_least_requests()
+{
+  return make<LeastRequestsPolicy>();
+}
+
+MakePolicy
+make_two_choices()
+{
+  return make<TwoChoicesPolicy>();
+}
+
+MakePolicy
+make_probing()
+{
+  return make<ProbingPolicy>();
+}
+
+} // namespace lovagehold::simulation
