--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -1,15 +1,21 @@
 #pragma once
 
 #include "lovagehold/command.h"
+#include "lovagehold/consensus_message.h"
 
 #include <variant>
 
 namespace lovagehold {
 
-/// Asks the leader to put a command into the log.
+/// Asks the leader to put a command into the log. Sent again with the same client and id, it is
+/// applied once.
 struct Propose
 {
+  /// Random, new for each process.
+  std::uint64_t client = 0;
   std::uint64_t id = 0;
+  /// The client no longer waits for smaller ids.
+  std::uint64_t lowest_pending = 1;
   Bytes command;
 };
 
@@ -22,39 +28,51 @@
   ApplyResult result;
   /// Set if not decided.
   Error error;
+  /// Set if not decided and the leader is known.
+  std::string leader_address;
 };
 
-/// Asks for all entries from the index on, now and as they are committed.
+/// Asks for all entries from the index on, now and as they are committed; repeated to stay
+/// subscribed.
 struct Subscribe
 {
   std::uint64_t from_index = 1;
+  /// The answer shall contain everything that was acknowledged before.
+  bool confirm = false;
+  /// The next piece of this snapshot is wanted; 0 if none.
+  std::uint64_t snapshot_index = 0;
+  std::uint64_t snapshot_offset = 0;
 };
 
-/// Committed entries in order.
+/// Payloads of committed entries in order, see ReplicatedState; empty for entries without a
+/// command.
 struct Entries
 {
   std::uint64_t first_index = 1;
-  std::vector<Bytes> commands;
+  /// With these entries the subscriber has everything that was acknowledged before it asked.
+  bool confirmed = false;
+  std::vector<Bytes> payloads;
 };
 
-/// State of a subscriber that is too far behind for entries.
+/// Piece of a ReplicatedState's snapshot, for a subscriber that is too far behind for entries.
 struct SnapshotTransfer
 {
   std::uint64_t index = 0;
+  std::uint64_t offset = 0;
+  std::uint64_t total = 0;
   Bytes state;
 };
 
-/// Entry sent to a replica.
-struct Append
+/// A control host whose identity is in no membership that it knows asks to be added.
+struct JoinGroup
 {
-  std::uint64_t index = 0;
-  Bytes command;
-};
-
-/// The replica has synced all entries up to the index.
-struct AppendAck
-{
-  std::uint64_t index = 0;
+  Member member;
+  /// Its log is empty.
+  bool empty = false;
+  /// Random, new for each process.
+  std::uint64_t nonce = 0;
+  /// The last nonce heard from the first control host of the settings.
+  std::uint64_t heard_nonce = 0;
 };
 
 /// A server's renewal, passed on to the owner of its service.
@@ -70,8 +88,8 @@
                                     Subscribe,
                                     Entries,
                                     SnapshotTransfer,
-                                    Append,
-                                    AppendAck,
+                                    JoinGroup,
+                                    ConsensusEnvelope,
                                     ServerRenewal>;
 
 /// CBOR encoding. \return the bytes.
--- a/src/include/lovagehold/control_client.h
+++ b/src/include/lovagehold/control_client.h
@@ -15,16 +15,21 @@
   /// A proposal that has no answer by then fails with Timeout: its effect is not known.
   std::chrono::milliseconds proposal_timeout{ 3000 };
   std::chrono::milliseconds resend_interval{ 200 };
+  /// A control host that has not answered a subscription for this time is replaced by the next.
+  std::chrono::milliseconds subscription_timeout{ 600 };
+  /// Distinguishes this process's proposals from all others'; 0 draws a random one.
+  std::uint64_t client = 0;
 };
 
-/// Follows the replicated state from a host and sends it proposals. Not thread-safe; the time is an
+/// Follows the replicated state from one control host and sends proposals to the leader. Proposals
+/// without an answer are sent again and are still applied once. Not thread-safe; the time is an
 /// argument of each call.
 class ControlClient
 {
 public:
   using Send = std::function<void(const std::string& address, const ClusterMessage&)>;
   using Answer = std::function<void(Result<ApplyResult>)>;
-  /// Called after entries have been applied.
+  /// Called when the state is first confirmed by the leader and after each later change.
   using Applied = std::function<void(const StateMachine&)>;
 
   ControlClient(ControlClientOptions options, Send send, Applied applied);
@@ -39,7 +44,7 @@
   /// Subscribes again and times proposals out; to be called every 100 ms or so.
   void tick(TimePoint now);
 
-  /// Whether any state has been received from control.
+  /// Whether the state has been confirmed by the leader since the start.
   bool ready() const;
 
   const StateMachine& state() const;
--- /dev/null
+++ b/src/include/lovagehold/disk.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "lovagehold/error.h"
+#include "lovagehold/types.h"
+
+#include <string>
+#include <vector>
+
+namespace lovagehold {
+
+/// Files of one folder. Written data is durable only after sync of the file, and created, renamed
+/// or removed names only after sync_folder. Every error has the kind Storage. Not thread-safe.
+class Disk
+{
+public:
+  virtual ~Disk() = default;
+
+  /// Appends the bytes, creating the file if there is none. After an error the file may hold a
+  /// part of them.
+  virtual Result<void> append(const std::string& file, const Bytes& bytes) = 0;
+  virtual Result<void> sync(const std::string& file) = 0;
+  /// \return the whole content.
+  virtual Result<Bytes> read(const std::string& file) = 0;
+  /// Replaces \p to if it exists.
+  virtual Result<void> rename(const std::string& from, const std::string& to) = 0;
+  virtual Result<void> remove(const std::string& file) = 0;
+  /// \return the file names in ascending order.
+  virtual Result<std::vector<std::string>> list() = 0;
+  virtual Result<void> truncate(const std::string& file, std::size_t size) = 0;
+  virtual Result<void> sync_folder() = 0;
+};
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/include/lovagehold/replica.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "lovagehold/cluster_message.h"
+#include "lovagehold/consensus.h"
+#include "lovagehold/replicated_state.h"
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace lovagehold {
+
+struct ReplicaOptions
+{
+  HostId host;
+  std::string address;
+  /// All control hosts of the settings with their cluster addresses. The first one founds the group
+  /// once all of them are found empty.
+  std::vector<std::pair<HostId, std::string>> members;
+  /// The seed is replaced by a random one.
+  ConsensusOptions consensus = {};
+  ReplicatedStateOptions state = {};
+  std::size_t segment_bytes = std::size_t{ 4 } << 20;
+  /// A snapshot is taken once the log has grown by this or by the last snapshot's size.
+  std::size_t snapshot_bytes = std::size_t{ 4 } << 20;
+  /// Bytes of payloads or of a snapshot in one message to a subscriber.
+  std::size_t message_bytes = std::size_t{ 256 } << 10;
+  std::chrono::milliseconds subscription_timeout{ 2000 };
+  std::chrono::milliseconds join_interval{ 200 };
+  /// After a storage failure, until the disk is tried again.
+  std::chrono::milliseconds storage_retry{ 5000 };
+};
+
+struct ReplicaPorts
+{
+  std::function<void(const std::string& address, const ClusterMessage&)> send;
+  /// Runs the function later on the thread that calls the replica. Called from any thread.
+  std::function<void(std::function<void()>)> post;
+  /// Role changes and storage failures, for the log.
+  std::function<void(std::string_view event, std::string_view key, const std::string& value)>
+    report;
+  std::function<TimePoint()> now = [] { return Clock::now(); };
+};
+
+struct ReplicaStatus
+{
+  ConsensusRole role = ConsensusRole::Follower;
+  std::uint64_t term = 0;
+  std::string leader_address;
+  std::uint64_t commit = 0;
+  std::uint64_t applied = 0;
+  Membership membership;
+};
+
+/// A control host's part of the replicated log: drives Consensus with real time and a disk, answers
+/// proposals and feeds subscribers. Writes on its own thread; everything else runs on the thread
+/// that calls it. Not thread-safe.
+class Replica
+{
+public:
+  Replica(ReplicaOptions options, ReplicaPorts ports, std::unique_ptr<Disk> disk);
+  ~Replica();
+
+  /// Reads the disk. \return Corrupt or Storage if it can't be used.
+  Result<void> open();
+
+  /// Handles Propose, Subscribe, JoinGroup and ConsensusEnvelope; ignores the rest.
+  void receive(const std::string& from, const ClusterMessage& message);
+
+  /// To be called every 50 ms or so.
+  void tick();
+
+  /// Whether this host leads the group.
+  bool leads() const;
+
+  ReplicaStatus status() const;
+
+  const StateMachine& machine() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace lovagehold
--- a/src/include/lovagehold/state_machine.h
+++ b/src/include/lovagehold/state_machine.h
@@ -48,6 +48,9 @@
   /// Applies the command at the log index. Indexes grow by one; an index applied before is ignored.
   ApplyResult apply(std::uint64_t index, const Command& command);
 
+  /// Advances the applied index over a log entry without a command to apply.
+  void skip(std::uint64_t index);
+
   std::uint64_t applied_index() const;
 
   /// \return the merged configuration, never null; a new object for each accepted change.
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -11,28 +11,22 @@
 json
 to_fields(const Propose& message)
 {
-  return { { "t", "propose" }, { "id", message.id }, { "command", json::binary(message.command) } };
+  return { { "t", "propose" },
+           { "client", message.client },
+           { "id", message.id },
+           { "lowest", message.lowest_pending },
+           { "command", json::binary(message.command) } };
 }
 
 json
 to_fields(const ProposeReply& message)
 {
   json fields = { { "t", "propose_reply" }, { "id", message.id }, { "decided", message.decided } };
-  const std::optional<Error> error =
-    message.decided ? message.result.error : std::optional<Error>(message.error);
-  if (error) {
-    fields["error"] = { static_cast<int>(error->kind), error->message, error->remedy };
-  }
   if (message.decided) {
-    const ApplyResult& result = message.result;
-    fields["accepted"] = result.accepted;
-    fields["claim"] = static_cast<int>(result.claim);
-    fields["revision"] = result.revision;
-    fields["winner"] = result.winner_file;
-    fields["next"] = result.next_free_number;
-    if (result.answer) {
-      fields["answer"] = *result.answer;
-    }
+    fields["result"] = message.result;
+  } else {
+    fields["error"] = message.error;
+    fields["leader"] = message.leader_address;
   }
   return fields;
 }
@@ -40,19 +34,24 @@
 json
 to_fields(const Subscribe& message)
 {
-  return { { "t", "subscribe" }, { "from", message.from_index } };
+  return { { "t", "subscribe" },
+           { "from", message.from_index },
+           { "confirm", message.confirm },
+           { "snapshot", message.snapshot_index },
+           { "offset", message.snapshot_offset } };
 }
 
 json
 to_fields(const Entries& message)
 {
-  json commands = json::array();
-  for (const Bytes& command : message.commands) {
-    commands.push_back(json::binary(command));
+  json payloads = json::array();
+  for (const Bytes& payload : message.payloads) {
+    payloads.push_back(json::binary(payload));
   }
   return { { "t", "entries" },
            { "first", message.first_index },
-           { "commands", std::move(commands) } };
+           { "confirmed", message.confirmed },
+           { "payloads", std::move(payloads) } };
 }
 
 json
@@ -60,21 +59,27 @@
 {
   return { { "t", "snapshot" },
            { "index", message.index },
+           { "offset", message.offset },
+           { "total", message.total },
            { "state", json::binary(message.state) } };
 }
 
 json
-to_fields(const Append& message)
+to_fields(const JoinGroup& message)
 {
-  return { { "t", "append" },
-           { "index", message.index },
-           { "command", json::binary(message.command) } };
+  return { { "t", "join" },
+           { "id", message.member.id },
+           { "host", message.member.host },
+           { "address", message.member.address },
+           { "empty", message.empty },
+           { "nonce", message.nonce },
+           { "heard", message.heard_nonce } };
 }
 
 json
-to_fields(const AppendAck& message)
+to_fields(const ConsensusEnvelope& envelope)
 {
-  return { { "t", "append_ack" }, { "index", message.index } };
+  return { { "t", "consensus" }, { "envelope", json::binary(encode(envelope)) } };
 }
 
 json
@@ -98,36 +103,36 @@
   ProposeReply reply;
   fields.at("id").get_to(reply.id);
   fields.at("decided").get_to(reply.decided);
-  if (fields.contains("error")) {
-    const json& parts = fields.at("error");
-    Error error{ .kind = static_cast<ErrorKind>(parts.at(0).get<int>()),
-                 .message = parts.at(1).get<std::string>(),
-                 .remedy = parts.at(2).get<std::string>() };
-    if (reply.decided) {
-      reply.result.error = error;
-    }
-    reply.error = std::move(error);
-  }
   if (reply.decided) {
-    fields.at("accepted").get_to(reply.result.accepted);
-    reply.result.claim = static_cast<ClaimStatus>(fields.at("claim").get<int>());
-    fields.at("revision").get_to(reply.result.revision);
-    fields.at("winner").get_to(reply.result.winner_file);
-    fields.at("next").get_to(reply.result.next_free_number);
-    if (fields.contains("answer")) {
-      reply.result.answer = fields.at("answer").get<StoredAnswer>();
-    }
+    fields.at("result").get_to(reply.result);
+  } else {
+    fields.at("error").get_to(reply.error);
+    fields.at("leader").get_to(reply.leader_address);
   }
   return reply;
 }
 
+JoinGroup
+parse_join(const json& fields)
+{
+  JoinGroup join;
+  fields.at("id").get_to(join.member.id);
+  fields.at("host").get_to(join.member.host);
+  fields.at("address").get_to(join.member.address);
+  fields.at("empty").get_to(join.empty);
+  fields.at("nonce").get_to(join.nonce);
+  fields.at("heard").get_to(join.heard_nonce);
+  return join;
+}
+
 Entries
 parse_entries(const json& fields)
 {
   Entries entries;
   fields.at("first").get_to(entries.first_index);
-  for (const json& command : fields.at("commands")) {
-    entries.commands.push_back(get_bytes(command));
+  fields.at("confirmed").get_to(entries.confirmed);
+  for (const json& payload : fields.at("payloads")) {
+    entries.payloads.push_back(get_bytes(payload));
   }
   return entries;
 }
@@ -137,28 +142,34 @@
 {
   const auto type = fields.at("t").get<std::string>();
   if (type == "propose") {
-    return Propose{ .id = fields.at("id").get<std::uint64_t>(),
+    return Propose{ .client = fields.at("client").get<std::uint64_t>(),
+                    .id = fields.at("id").get<std::uint64_t>(),
+                    .lowest_pending = fields.at("lowest").get<std::uint64_t>(),
                     .command = get_bytes(fields.at("command")) };
   }
   if (type == "propose_reply") {
     return parse_reply(fields);
   }
   if (type == "subscribe") {
-    return Subscribe{ .from_index = fields.at("from").get<std::uint64_t>() };
+    return Subscribe{ .from_index = fields.at("from").get<std::uint64_t>(),
+                      .confirm = fields.at("confirm").get<bool>(),
+                      .snapshot_index = fields.at("snapshot").get<std::uint64_t>(),
+                      .snapshot_offset = fields.at("offset").get<std::uint64_t>() };
   }
   if (type == "entries") {
     return parse_entries(fields);
   }
   if (type == "snapshot") {
     return SnapshotTransfer{ .index = fields.at("index").get<std::uint64_t>(),
+                             .offset = fields.at("offset").get<std::uint64_t>(),
+                             .total = fields.at("total").get<std::uint64_t>(),
                              .state = get_bytes(fields.at("state")) };
   }
-  if (type == "append") {
-    return Append{ .index = fields.at("index").get<std::uint64_t>(),
-                   .command = get_bytes(fields.at("command")) };
+  if (type == "join") {
+    return parse_join(fields);
   }
-  if (type == "append_ack") {
-    return AppendAck{ .index = fields.at("index").get<std::uint64_t>() };
+  if (type == "consensus") {
+    return decode_envelope(get_bytes(fields.at("envelope")));
   }
   if (type == "renewal") {
     return ServerRenewal{ .service = fields.at("service").get<std::string>(),
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -1,15 +1,28 @@
 #include "lovagehold/control_client.h"
 
+#include "lovagehold/replicated_state.h"
+
+#include <random>
+
 namespace lovagehold {
 
 namespace {
 
 struct Pending
 {
+  Bytes command;
   ControlClient::Answer answer;
   TimePoint expires;
+  TimePoint resend_at;
 };
 
+std::uint64_t
+random_client()
+{
+  std::random_device device;
+  return std::uniform_int_distribution<std::uint64_t>(1)(device);
+}
+
 } // namespace
 
 struct ControlClient::Impl
@@ -17,58 +30,131 @@
   ControlClientOptions options;
   Send send;
   Applied applied;
-  StateMachine state;
+  ReplicatedState state;
   bool ready = false;
   std::uint64_t next_id = 1;
   std::map<std::uint64_t, Pending> pending;
+  /// Where proposals go: the leader as far as known.
+  std::string proposal_target;
+  std::size_t next_target = 0;
+  /// Position of the control host that entries come from.
+  std::size_t source = 0;
+  TimePoint source_heard;
   std::optional<TimePoint> last_subscribe;
+  SnapshotTransfer incoming;
 
-  void send_all(const ClusterMessage& message)
+  void subscribe(TimePoint now)
   {
-    for (const std::string& address : options.control_addresses) {
-      send(address, message);
-    }
+    last_subscribe = now;
+    send(options.control_addresses[source],
+         Subscribe{ .from_index = state.applied_index() + 1,
+                    .confirm = !ready,
+                    .snapshot_index = incoming.index,
+                    .snapshot_offset = incoming.state.size() });
   }
 
-  void subscribe(TimePoint now)
+  void send_proposal(std::uint64_t id, Pending& proposal, TimePoint now)
   {
-    last_subscribe = now;
-    send_all(Subscribe{ .from_index = state.applied_index() + 1 });
+    proposal.resend_at = now + options.resend_interval;
+    send(proposal_target,
+         Propose{ .client = options.client,
+                  .id = id,
+                  .lowest_pending = pending.begin()->first,
+                  .command = proposal.command });
   }
 
-  void handle(const ProposeReply& reply, TimePoint)
+  void try_next_target()
+  {
+    proposal_target = options.control_addresses[next_target++ % options.control_addresses.size()];
+  }
+
+  void handle(const ProposeReply& reply, TimePoint now)
   {
     const auto found = pending.find(reply.id);
     if (found == pending.end()) {
       return;
     }
+    if (!reply.decided) {
+      // Without a known leader the next resend tries another host.
+      if (!reply.leader_address.empty() && reply.leader_address != proposal_target) {
+        proposal_target = reply.leader_address;
+        send_proposal(reply.id, found->second, now);
+      }
+      return;
+    }
     const Answer answer = std::move(found->second.answer);
     pending.erase(found);
-    answer(reply.decided ? Result<ApplyResult>(reply.result) : Result<ApplyResult>(reply.error));
+    answer(reply.result);
   }
 
   void handle(const Entries& entries, TimePoint now)
   {
-    if (entries.first_index > state.applied_index() + 1) {
+    source_heard = now;
+    const std::uint64_t before = state.applied_index();
+    if (entries.first_index > before + 1) {
       subscribe(now);
       return;
     }
     std::uint64_t index = entries.first_index;
-    for (const Bytes& bytes : entries.commands) {
-      if (const Result<Command> command = decode_command(bytes)) {
-        state.apply(index, command.value());
+    for (const Bytes& payload : entries.payloads) {
+      state.apply(index++, payload);
+    }
+    const bool first = entries.confirmed && !ready;
+    ready = ready || entries.confirmed;
+    if (ready && (first || state.applied_index() > before)) {
+      applied(state.machine());
+    }
+  }
+
+  void handle(const SnapshotTransfer& piece, TimePoint now)
+  {
+    source_heard = now;
+    if (piece.index <= state.applied_index()) {
+      return;
+    }
+    if (piece.index != incoming.index || piece.total != incoming.total) {
+      incoming = { .index = piece.index, .total = piece.total };
+    }
+    if (piece.offset != incoming.state.size()) {
+      return;
+    }
+    incoming.state.insert(incoming.state.end(), piece.state.begin(), piece.state.end());
+    if (incoming.state.size() >= incoming.total) {
+      const Result<void> restored = state.restore(std::exchange(incoming, {}).state);
+      if (restored.has_value() && ready) {
+        applied(state.machine());
       }
-      ++index;
     }
-    ready = true;
-    applied(state);
+    subscribe(now);
   }
 
-  void handle(const SnapshotTransfer& snapshot, TimePoint)
+  void resend(TimePoint now)
   {
-    if (snapshot.index > state.applied_index() && state.restore(snapshot.state).has_value()) {
-      ready = true;
-      applied(state);
+    bool tried = false;
+    for (auto& [id, proposal] : pending) {
+      if (proposal.resend_at <= now && proposal.expires > now) {
+        if (!std::exchange(tried, true)) {
+          try_next_target();
+        }
+        send_proposal(id, proposal, now);
+      }
+    }
+  }
+
+  void expire(TimePoint now)
+  {
+    std::vector<Answer> answers;
+    std::erase_if(pending, [&](auto& entry) {
+      if (entry.second.expires > now) {
+        return false;
+      }
+      answers.push_back(std::move(entry.second.answer));
+      return true;
+    });
+    for (const Answer& answer : answers) {
+      answer(Error{ .kind = ErrorKind::Timeout,
+                    .message = "control did not answer in time",
+                    .remedy = "check with lovagectl status which control hosts are reachable" });
     }
   }
 
@@ -84,6 +170,10 @@
   m_impl->options = std::move(options);
   m_impl->send = std::move(send);
   m_impl->applied = std::move(applied);
+  if (m_impl->options.client == 0) {
+    m_impl->options.client = random_client();
+  }
+  m_impl->try_next_target();
 }
 
 ControlClient::~ControlClient() = default;
@@ -92,8 +182,11 @@
 ControlClient::propose(const Command& command, Answer answer, TimePoint now)
 {
   const std::uint64_t id = m_impl->next_id++;
-  m_impl->pending[id] = { std::move(answer), now + m_impl->options.proposal_timeout };
-  m_impl->send_all(Propose{ .id = id, .command = encode(command) });
+  Pending& proposal = m_impl->pending[id];
+  proposal = { .command = encode(command),
+               .answer = std::move(answer),
+               .expires = now + m_impl->options.proposal_timeout };
+  m_impl->send_proposal(id, proposal, now);
 }
 
 void
@@ -105,22 +198,20 @@
 void
 ControlClient::tick(TimePoint now)
 {
-  const bool due =
-    !m_impl->last_subscribe || now - *m_impl->last_subscribe >= m_impl->options.resend_interval;
-  if (due) {
-    m_impl->subscribe(now);
-  }
-  for (auto entry = m_impl->pending.begin(); entry != m_impl->pending.end();) {
-    if (entry->second.expires > now) {
-      ++entry;
-      continue;
-    }
-    const Answer answer = std::move(entry->second.answer);
-    entry = m_impl->pending.erase(entry);
-    answer(Error{ .kind = ErrorKind::Timeout,
-                  .message = "control did not answer in time",
-                  .remedy = "check with lovagectl status which control hosts are reachable" });
+  Impl& impl = *m_impl;
+  if (impl.last_subscribe && now - impl.source_heard >= impl.options.subscription_timeout) {
+    impl.source = (impl.source + 1) % impl.options.control_addresses.size();
+    impl.source_heard = now;
+    impl.incoming = {};
+    impl.subscribe(now);
+  } else if (!impl.last_subscribe) {
+    impl.source_heard = now;
+    impl.subscribe(now);
+  } else if (now - *impl.last_subscribe >= impl.options.resend_interval) {
+    impl.subscribe(now);
   }
+  impl.resend(now);
+  impl.expire(now);
 }
 
 bool
@@ -132,7 +223,7 @@
 const StateMachine&
 ControlClient::state() const
 {
-  return m_impl->state;
+  return m_impl->state.machine();
 }
 
 } // namespace lovagehold
--- /dev/null
+++ b/src/libcontrol/replica.cpp
@@ -0,0 +1,519 @@
+#include "lovagehold/replica.h"
+
+#include "storage_worker.h"
+
+#include <algorithm>
+#include <random>
+
+namespace lovagehold {
+
+namespace {
+
+std::uint64_t
+random_number()
+{
+  std::random_device device;
+  return std::uniform_int_distribution<std::uint64_t>(1)(device);
+}
+
+const Bytes&
+payload_of(const LogEntry& entry)
+{
+  static const Bytes none;
+  return entry.kind == EntryKind::Command && entry.payload ? *entry.payload : none;
+}
+
+} // namespace
+
+struct Replica::Impl
+{
+  using ProposalId = std::pair<std::uint64_t, std::uint64_t>;
+
+  struct Subscription
+  {
+    std::uint64_t next = 1;
+    /// from_index of the last request: asked twice from the same index, entries were lost.
+    std::uint64_t last_from = 0;
+    TimePoint expires;
+  };
+
+  /// A subscriber that gets its entries once the state includes a leader-confirmed index.
+  struct Confirmation
+  {
+    std::string subscriber;
+    std::uint64_t from_index = 1;
+    std::optional<std::uint64_t> needed;
+    TimePoint expires;
+  };
+
+  ReplicaOptions options;
+  ReplicaPorts ports;
+  std::unique_ptr<Disk> disk;
+  LogStorage storage;
+  std::unique_ptr<Consensus> consensus;
+  ReplicatedState state;
+  std::uint64_t nonce = random_number();
+  std::uint64_t heard_nonce = 0;
+  std::map<HostId, Member> empty_members;
+  std::map<MemberId, std::string> addresses;
+  std::map<ProposalId, std::string> waiting;
+  std::vector<Payload> queue;
+  bool flush_posted = false;
+  std::uint64_t submitted = 0;
+  std::uint64_t written = 0;
+  std::map<std::string, Subscription> subscriptions;
+  std::map<std::uint64_t, Confirmation> confirmations;
+  std::uint64_t next_read = 1;
+  TimePoint join_at;
+  std::optional<TimePoint> storage_retry_at;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  // Last, so that its thread ends before what it uses.
+  std::unique_ptr<StorageWorker> worker;
+
+  Impl(ReplicaOptions given, ReplicaPorts given_ports, std::unique_ptr<Disk> given_disk)
+    : options(std::move(given))
+    , ports(std::move(given_ports))
+    , disk(std::move(given_disk))
+    , storage({ .segment_bytes = options.segment_bytes, .make_identity = random_number }, *disk)
+    , state(options.state)
+  {
+  }
+
+  void post(std::function<void()> function)
+  {
+    ports.post([guard = std::weak_ptr<bool>(alive), function = std::move(function)] {
+      if (guard.lock()) {
+        function();
+      }
+    });
+  }
+
+  Result<void> open()
+  {
+    BOOST_OUTCOME_TRY(restored, storage.open());
+    if (restored.snapshot && restored.snapshot->last.index > state.applied_index()) {
+      BOOST_OUTCOME_TRYV(state.restore(restored.snapshot->state));
+    }
+    if (restored.truncated_bytes > 0) {
+      ports.report("log_tail_truncated", "bytes", std::to_string(restored.truncated_bytes));
+    }
+    ConsensusOptions consensus_options = options.consensus;
+    consensus_options.seed = random_number();
+    consensus = std::make_unique<Consensus>(consensus_options, std::move(restored), ports.now());
+    submitted = 0;
+    written = 0;
+    if (worker) {
+      worker->restart();
+    } else {
+      worker = std::make_unique<StorageWorker>(
+        storage, [this](const Result<void>& result, std::uint64_t token) {
+          post([this, result, token] { on_written(result, token); });
+        });
+    }
+    return boost::outcome_v2::success();
+  }
+
+  void on_written(const Result<void>& result, std::uint64_t token)
+  {
+    if (result.has_error()) {
+      ports.report("storage_failed", "reason", result.error().message);
+      storage_retry_at = ports.now() + options.storage_retry;
+      perform(consensus->storage_failed(ports.now()));
+      return;
+    }
+    written = token;
+    perform(consensus->storage_done(token, ports.now()));
+    flush();
+  }
+
+  std::string address_of(MemberId id) const
+  {
+    for (const Member& member : consensus->membership()) {
+      if (member.id == id) {
+        return member.address;
+      }
+    }
+    const auto heard = addresses.find(id);
+    return heard == addresses.end() ? "" : heard->second;
+  }
+
+  void perform(Effects effects)
+  {
+    for (ConsensusEnvelope& envelope : effects.messages) {
+      const std::string address = address_of(envelope.to);
+      if (!address.empty()) {
+        ports.send(address, std::move(envelope));
+      }
+    }
+    if (!effects.records.empty()) {
+      submitted = effects.token;
+      worker->submit(std::move(effects.records), effects.token);
+    }
+    if (effects.install && effects.install->last.index > state.applied_index()) {
+      const Result<void> restored = state.restore(effects.install->state);
+      if (restored.has_error()) {
+        ports.report("snapshot_refused", "reason", restored.error().message);
+      }
+    }
+    for (const LogEntry& entry : effects.committed) {
+      apply(entry);
+    }
+    for (const ReadResult& read : effects.reads) {
+      on_read(read);
+    }
+    if (effects.role_changed) {
+      on_role_change();
+    }
+    if (effects.install || !effects.committed.empty()) {
+      confirm_subscribers();
+      feed_subscribers();
+      maybe_compact();
+    }
+  }
+
+  void apply(const LogEntry& entry)
+  {
+    const auto applied = state.apply(entry.index, payload_of(entry));
+    if (!applied) {
+      return;
+    }
+    const auto waiter = waiting.find({ applied->client, applied->id });
+    if (waiter != waiting.end()) {
+      ports.send(waiter->second,
+                 ProposeReply{ .id = applied->id, .decided = true, .result = applied->result });
+      waiting.erase(waiter);
+    }
+  }
+
+  void maybe_compact()
+  {
+    const auto snapshot = consensus->snapshot();
+    const std::size_t limit =
+      std::max(options.snapshot_bytes, snapshot ? snapshot->state.size() : 0);
+    if (consensus->log_bytes() >= limit) {
+      perform(consensus->compact(state.applied_index(), state.snapshot(), ports.now()));
+    }
+  }
+
+  void refuse(const std::string& to, std::uint64_t id) const
+  {
+    ports.send(
+      to,
+      ProposeReply{ .id = id,
+                    .error = { .kind = ErrorKind::NotLeader,
+                               .message = options.host + " does not lead the control group",
+                               .remedy = "ask the leader" },
+                    .leader_address = address_of(consensus->leader()) });
+  }
+
+  void on_role_change()
+  {
+    ports.report("control_role",
+                 "role",
+                 std::string(to_string(consensus->role())) + " term " +
+                   std::to_string(consensus->term()) + " leader " +
+                   address_of(consensus->leader()));
+    if (consensus->role() == ConsensusRole::Leader) {
+      return;
+    }
+    queue.clear();
+    for (const auto& [proposal, from] : std::exchange(waiting, {})) {
+      refuse(from, proposal.second);
+    }
+  }
+
+  void handle(const std::string& from, const Propose& message)
+  {
+    if (consensus->role() != ConsensusRole::Leader) {
+      refuse(from, message.id);
+      return;
+    }
+    if (const ApplyResult* known = state.find_result(message.client, message.id)) {
+      ports.send(from, ProposeReply{ .id = message.id, .decided = true, .result = *known });
+      return;
+    }
+    const bool is_new = waiting.insert_or_assign({ message.client, message.id }, from).second;
+    if (!is_new) {
+      return;
+    }
+    queue.push_back(
+      std::make_shared<const Bytes>(encode(Proposal{ .client = message.client,
+                                                     .id = message.id,
+                                                     .lowest_pending = message.lowest_pending,
+                                                     .command = message.command })));
+    if (!flush_posted) {
+      flush_posted = true;
+      post([this] {
+        flush_posted = false;
+        flush();
+      });
+    }
+  }
+
+  // Proposals that arrive during a write wait for its end, so that they share the next one.
+  void flush()
+  {
+    if (!queue.empty() && written == submitted) {
+      perform(consensus->propose(std::exchange(queue, {}), ports.now()));
+    }
+  }
+
+  void handle(const std::string& from, const ConsensusEnvelope& envelope)
+  {
+    addresses[envelope.from] = from;
+    perform(consensus->step(envelope, ports.now()));
+  }
+
+  void handle(const std::string&, const JoinGroup& join)
+  {
+    if (!options.members.empty() && join.member.host == options.members.front().first) {
+      heard_nonce = join.nonce;
+    }
+    if (consensus->last_index() > 0) {
+      perform(consensus->add_learner(join.member, ports.now()));
+      return;
+    }
+    if (join.empty && join.heard_nonce == nonce) {
+      empty_members[join.member.host] = join.member;
+    }
+  }
+
+  Member own_member() const
+  {
+    return { .id = consensus->self(), .host = options.host, .address = options.address };
+  }
+
+  // A wiped first host must not found a second group, so every host has to say that it is empty,
+  // and to this process: the nonce excludes messages from an earlier start.
+  void found_if_all_empty()
+  {
+    if (options.members.front().first != options.host || consensus->last_index() > 0) {
+      return;
+    }
+    Membership membership;
+    for (const auto& [host, address] : options.members) {
+      const auto empty = empty_members.find(host);
+      if (host != options.host && empty == empty_members.end()) {
+        return;
+      }
+      membership.push_back(host == options.host ? own_member() : empty->second);
+      membership.back().voter = true;
+    }
+    perform(consensus->found(membership, ports.now()));
+    ports.report("group_founded", "members", std::to_string(membership.size()));
+  }
+
+  bool is_member() const
+  {
+    const Membership& members = consensus->membership();
+    return std::any_of(members.begin(), members.end(), [this](const Member& member) {
+      return member.id == consensus->self();
+    });
+  }
+
+  void ask_to_join(TimePoint now)
+  {
+    if (is_member() || now < join_at) {
+      return;
+    }
+    join_at = now + options.join_interval;
+    for (const auto& [host, address] : options.members) {
+      if (host != options.host) {
+        ports.send(address,
+                   JoinGroup{ .member = own_member(),
+                              .empty = consensus->last_index() == 0,
+                              .nonce = nonce,
+                              .heard_nonce = heard_nonce });
+      }
+    }
+    found_if_all_empty();
+  }
+
+  void handle(const std::string& from, const Subscribe& message)
+  {
+    // A host without contact to the group may be behind; the subscriber turns to another one.
+    if (!consensus->in_contact()) {
+      return;
+    }
+    if (message.from_index < consensus->first_index()) {
+      send_snapshot(from, message);
+    } else if (message.confirm) {
+      const std::uint64_t id = next_read++;
+      confirmations[id] = { .subscriber = from,
+                            .from_index = message.from_index,
+                            .expires = ports.now() + options.subscription_timeout };
+      perform(consensus->read(id, ports.now()));
+    } else {
+      subscribe(from, message.from_index, false);
+    }
+  }
+
+  void send_snapshot(const std::string& to, const Subscribe& message) const
+  {
+    const auto snapshot = consensus->snapshot();
+    if (!snapshot) {
+      return;
+    }
+    const Bytes& whole = snapshot->state;
+    const bool continues = message.snapshot_index == snapshot->last.index;
+    const std::size_t start =
+      continues ? std::min<std::size_t>(message.snapshot_offset, whole.size()) : 0;
+    const std::size_t end = std::min(whole.size(), start + options.message_bytes);
+    ports.send(
+      to,
+      SnapshotTransfer{ .index = snapshot->last.index,
+                        .offset = start,
+                        .total = whole.size(),
+                        .state = Bytes(whole.begin() + static_cast<std::ptrdiff_t>(start),
+                                       whole.begin() + static_cast<std::ptrdiff_t>(end)) });
+  }
+
+  void on_read(const ReadResult& read)
+  {
+    const auto found = confirmations.find(read.id);
+    if (found == confirmations.end()) {
+      return;
+    }
+    if (!read.confirmed) {
+      confirmations.erase(found);
+      return;
+    }
+    found->second.needed = read.index;
+    confirm_subscribers();
+  }
+
+  void confirm_subscribers()
+  {
+    for (auto entry = confirmations.begin(); entry != confirmations.end();) {
+      const Confirmation confirmation = entry->second;
+      if (!confirmation.needed || *confirmation.needed > state.applied_index()) {
+        ++entry;
+        continue;
+      }
+      entry = confirmations.erase(entry);
+      subscribe(confirmation.subscriber, confirmation.from_index, true);
+    }
+  }
+
+  void subscribe(const std::string& subscriber, std::uint64_t from_index, bool confirmed)
+  {
+    const auto [entry, is_new] = subscriptions.try_emplace(subscriber);
+    Subscription& subscription = entry->second;
+    if (is_new || subscription.last_from == from_index || from_index > subscription.next) {
+      subscription.next = from_index;
+    }
+    subscription.last_from = from_index;
+    subscription.expires = ports.now() + options.subscription_timeout;
+    // At least one message, which tells the subscriber that this host is in contact.
+    while (send_entries(subscriber, subscription, confirmed) &&
+           subscription.next <= state.applied_index()) {
+    }
+  }
+
+  bool send_entries(const std::string& to, Subscription& subscription, bool confirmed) const
+  {
+    if (subscription.next < consensus->first_index()) {
+      // The subscriber's next request is answered with the snapshot.
+      return false;
+    }
+    Entries entries{ .first_index = subscription.next };
+    std::size_t bytes = 0;
+    while (subscription.next <= state.applied_index() && bytes < options.message_bytes) {
+      entries.payloads.push_back(payload_of(consensus->entry(subscription.next++)));
+      bytes += entries.payloads.back().size();
+    }
+    entries.confirmed = confirmed && subscription.next > state.applied_index();
+    ports.send(to, std::move(entries));
+    return true;
+  }
+
+  void feed_subscribers()
+  {
+    for (auto& [address, subscription] : subscriptions) {
+      while (subscription.next <= state.applied_index() &&
+             send_entries(address, subscription, false)) {
+      }
+    }
+  }
+
+  void tick()
+  {
+    const TimePoint now = ports.now();
+    if (storage_retry_at && now >= *storage_retry_at) {
+      retry_storage(now);
+    }
+    perform(consensus->tick(now));
+    ask_to_join(now);
+    const auto expired = [&](const auto& entry) { return entry.second.expires < now; };
+    std::erase_if(subscriptions, expired);
+    std::erase_if(confirmations, expired);
+  }
+
+  void retry_storage(TimePoint now)
+  {
+    storage_retry_at.reset();
+    const Result<void> opened = open();
+    if (opened.has_error()) {
+      ports.report("storage_failed", "reason", opened.error().message);
+      storage_retry_at = now + options.storage_retry;
+      return;
+    }
+    ports.report("storage_recovered", "applied", std::to_string(state.applied_index()));
+  }
+
+  template<class Other>
+  void handle(const std::string&, const Other&)
+  {
+  }
+};
+
+Replica::Replica(ReplicaOptions options, ReplicaPorts ports, std::unique_ptr<Disk> disk)
+  : m_impl(std::make_unique<Impl>(std::move(options), std::move(ports), std::move(disk)))
+{
+}
+
+Replica::~Replica() = default;
+
+Result<void>
+Replica::open()
+{
+  return m_impl->open();
+}
+
+void
+Replica::receive(const std::string& from, const ClusterMessage& message)
+{
+  std::visit([&](const auto& typed) { m_impl->handle(from, typed); }, message);
+}
+
+void
+Replica::tick()
+{
+  m_impl->tick();
+}
+
+bool
+Replica::leads() const
+{
+  return m_impl->consensus->role() == ConsensusRole::Leader;
+}
+
+ReplicaStatus
+Replica::status() const
+{
+  const Consensus& consensus = *m_impl->consensus;
+  return { .role = consensus.role(),
+           .term = consensus.term(),
+           .leader_address = m_impl->address_of(consensus.leader()),
+           .commit = consensus.commit_index(),
+           .applied = m_impl->state.applied_index(),
+           .membership = consensus.membership() };
+}
+
+const StateMachine&
+Replica::machine() const
+{
+  return m_impl->state.machine();
+}
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libstate/consensus_replication.cpp
@@ -0,0 +1,402 @@
+#include "consensus_impl.h"
+
+#include <algorithm>
+
+namespace lovagehold {
+
+void
+Consensus::Impl::append(EntryKind kind, Payload payload)
+{
+  const LogEntry entry{
+    .index = log.last_index() + 1, .term = vote.term, .kind = kind, .payload = std::move(payload)
+  };
+  log.put(entry);
+  record(entry);
+}
+
+void
+Consensus::Impl::update_peers()
+{
+  std::map<MemberId, Peer> next;
+  for (const Member& member : log.membership()) {
+    if (member.id == self) {
+      continue;
+    }
+    const auto known = peers.find(member.id);
+    next[member.id] = known != peers.end()
+                        ? std::move(known->second)
+                        : Peer{ .next = log.last_index() + 1, .last_reply = clock };
+  }
+  peers = std::move(next);
+}
+
+void
+Consensus::Impl::replicate()
+{
+  for (auto& [id, peer] : peers) {
+    send_entries(id, peer);
+  }
+}
+
+void
+Consensus::Impl::heartbeat()
+{
+  heartbeat_at = clock + options.heartbeat;
+  ++round;
+  for (auto& [id, peer] : peers) {
+    // The position that a heartbeat names shows the member whether earlier messages were lost.
+    if (peer.snapshot) {
+      if (clock - peer.snapshot_sent >= 2 * options.heartbeat) {
+        send_chunk(id, peer);
+      }
+    } else {
+      send_batch(id, peer, true);
+      send_entries(id, peer);
+    }
+  }
+  answer_reads();
+}
+
+void
+Consensus::Impl::send_entries(MemberId to, Peer& peer)
+{
+  while (!peer.snapshot && peer.next <= log.last_index() &&
+         peer.next <= peer.match + options.window_entries && send_batch(to, peer, false)) {
+  }
+}
+
+bool
+Consensus::Impl::send_batch(MemberId to, Peer& peer, bool force)
+{
+  if (!log.has_term(peer.next - 1)) {
+    peer.snapshot = log.snapshot();
+    peer.snapshot_offset = 0;
+    send_chunk(to, peer);
+    return false;
+  }
+  AppendRequest request{
+    .term = vote.term,
+    .previous = { .index = peer.next - 1, .term = log.term_at(peer.next - 1) },
+    .commit = commit,
+    .round = round,
+  };
+  std::size_t bytes = 0;
+  while (!force && peer.next <= log.last_index()) {
+    const LogEntry& entry = log.at(peer.next);
+    bytes += entry.payload ? entry.payload->size() : 0;
+    if (!request.entries.empty() && bytes > options.message_bytes) {
+      break;
+    }
+    request.entries.push_back(entry);
+    ++peer.next;
+  }
+  send(to, std::move(request));
+  return true;
+}
+
+void
+Consensus::Impl::send_chunk(MemberId to, Peer& peer)
+{
+  const StateSnapshot& snapshot = *peer.snapshot;
+  const std::size_t start = std::min(peer.snapshot_offset, snapshot.state.size());
+  const std::size_t length = std::min(options.message_bytes, snapshot.state.size() - start);
+  const auto begin = snapshot.state.begin() + static_cast<std::ptrdiff_t>(start);
+  peer.snapshot_sent = clock;
+  send(to,
+       SnapshotChunk{ .term = vote.term,
+                      .last = snapshot.last,
+                      .membership = snapshot.membership,
+                      .offset = start,
+                      .total = snapshot.state.size(),
+                      .data = Bytes(begin, begin + static_cast<std::ptrdiff_t>(length)) });
+}
+
+void
+Consensus::Impl::advance_commit()
+{
+  std::vector<std::uint64_t> held;
+  for (const Member& member : log.membership()) {
+    if (member.voter) {
+      const auto peer = peers.find(member.id);
+      held.push_back(member.id == self ? durable : peer == peers.end() ? 0 : peer->second.match);
+    }
+  }
+  if (held.empty()) {
+    return;
+  }
+  const std::size_t needed = held.size() / 2;
+  std::nth_element(held.begin(), held.begin() + needed, held.end(), std::greater<>());
+  const std::uint64_t index = held[needed];
+  // Entries of earlier terms could still be replaced; they are committed with one of this term.
+  if (index > commit && (log.term_at(index) == vote.term || options.faults.commit_earlier_term)) {
+    set_commit(index);
+  }
+}
+
+void
+Consensus::Impl::set_commit(std::uint64_t index)
+{
+  commit = std::max(commit, std::min(index, log.last_index()));
+  while (emitted < commit) {
+    effects.committed.push_back(log.at(++emitted));
+  }
+  if (role == ConsensusRole::Leader) {
+    answer_reads();
+  }
+}
+
+bool
+Consensus::Impl::may_change_membership() const
+{
+  return role == ConsensusRole::Leader && log.membership_index() <= commit &&
+         log.has_term(commit) && log.term_at(commit) == vote.term;
+}
+
+void
+Consensus::Impl::change_membership(const Membership& next)
+{
+  append(EntryKind::MembershipChange, std::make_shared<const Bytes>(encode(next)));
+  update_peers();
+  replicate();
+}
+
+void
+Consensus::Impl::promote_learner()
+{
+  if (!may_change_membership()) {
+    return;
+  }
+  Membership next = log.membership();
+  const auto voters =
+    std::count_if(next.begin(), next.end(), [](const Member& m) { return m.voter; });
+  if (static_cast<std::size_t>(voters) >= options.voters) {
+    return;
+  }
+  for (Member& member : next) {
+    const auto peer = peers.find(member.id);
+    if (!member.voter && peer != peers.end() && peer->second.match >= commit) {
+      member.voter = true;
+      change_membership(next);
+      return;
+    }
+  }
+}
+
+void
+Consensus::Impl::start_read(MemberId requester, std::uint64_t id)
+{
+  // Before an entry of the own term is committed, the leader does not know what is.
+  const bool known = log.has_term(commit) && log.term_at(commit) == vote.term;
+  if (!known) {
+    if (requester == self) {
+      effects.reads.push_back({ .id = id });
+    } else {
+      send(requester, ReadReply{ .id = id });
+    }
+    return;
+  }
+  reads.push_back({ .requester = requester, .id = id, .index = commit, .round = round + 1 });
+  heartbeat();
+}
+
+void
+Consensus::Impl::answer_reads()
+{
+  while (!reads.empty()) {
+    const PendingRead read = reads.front();
+    std::set<MemberId> confirmed{ self };
+    for (const auto& [id, peer] : peers) {
+      if (peer.round >= read.round) {
+        confirmed.insert(id);
+      }
+    }
+    if (!majority(confirmed)) {
+      return;
+    }
+    reads.pop_front();
+    if (read.requester == self) {
+      effects.reads.push_back({ .id = read.id, .confirmed = true, .index = read.index });
+    } else {
+      send(read.requester, ReadReply{ .id = read.id, .confirmed = true, .index = read.index });
+    }
+  }
+}
+
+void
+Consensus::Impl::handle(MemberId from, const ReadRequest& request)
+{
+  if (role == ConsensusRole::Leader) {
+    start_read(from, request.id);
+  } else {
+    send(from, ReadReply{ .id = request.id });
+  }
+}
+
+void
+Consensus::Impl::handle(MemberId, const ReadReply& reply)
+{
+  effects.reads.push_back({ .id = reply.id, .confirmed = reply.confirmed, .index = reply.index });
+}
+
+void
+Consensus::Impl::accept_leader(std::uint64_t term, MemberId from)
+{
+  if (term > vote.term || role != ConsensusRole::Follower || leader != from) {
+    become_follower(term, from);
+    incoming = {};
+  }
+  leader_heard = clock;
+  start_election_timer();
+}
+
+std::uint64_t
+Consensus::Impl::conflict_hint(std::uint64_t index) const
+{
+  if (index > log.last_index()) {
+    return log.last_index();
+  }
+  // Skips the whole conflicting term, so that one round trip is needed per term, not per entry.
+  const std::uint64_t term = log.term_at(index);
+  while (index > commit && log.has_term(index) && log.term_at(index) == term) {
+    --index;
+  }
+  return std::max(index, commit);
+}
+
+void
+Consensus::Impl::store_entries(const std::vector<LogEntry>& entries)
+{
+  for (const LogEntry& entry : entries) {
+    const bool held = entry.index <= commit ||
+                      (entry.index <= log.last_index() && log.term_at(entry.index) == entry.term);
+    if (!held) {
+      log.put(entry);
+      record(entry);
+    }
+  }
+}
+
+void
+Consensus::Impl::handle(MemberId from, const AppendRequest& request)
+{
+  AppendReply reply{ .term = vote.term, .round = request.round };
+  if (request.term < vote.term) {
+    send_after_sync(from, reply);
+    return;
+  }
+  accept_leader(request.term, from);
+  reply.term = vote.term;
+  const std::uint64_t previous = request.previous.index;
+  // Everything up to the commit index equals the leader's.
+  const bool matches = previous <= commit ||
+                       (log.has_term(previous) && log.term_at(previous) == request.previous.term);
+  if (!matches) {
+    reply.index = conflict_hint(previous);
+    send_after_sync(from, reply);
+    return;
+  }
+  store_entries(request.entries);
+  reply.success = true;
+  reply.index = previous + request.entries.size();
+  set_commit(std::min(request.commit, reply.index));
+  send_after_sync(from, reply);
+}
+
+void
+Consensus::Impl::handle(MemberId from, const AppendReply& reply)
+{
+  if (newer_term(reply.term) || role != ConsensusRole::Leader || reply.term != vote.term) {
+    return;
+  }
+  const auto found = peers.find(from);
+  if (found == peers.end()) {
+    return;
+  }
+  Peer& peer = found->second;
+  peer.last_reply = clock;
+  peer.round = std::max(peer.round, reply.round);
+  if (reply.success) {
+    peer.match = std::max(peer.match, reply.index);
+    peer.next = std::max(peer.next, peer.match + 1);
+    advance_commit();
+  } else {
+    peer.next = std::max(peer.match + 1, std::min(peer.next, reply.index + 1));
+  }
+  send_entries(from, peer);
+  answer_reads();
+}
+
+void
+Consensus::Impl::handle(MemberId from, const SnapshotChunk& chunk)
+{
+  if (chunk.term < vote.term) {
+    send_after_sync(from, AppendReply{ .term = vote.term });
+    return;
+  }
+  accept_leader(chunk.term, from);
+  SnapshotReply reply{ .term = vote.term, .index = chunk.last.index, .received = chunk.total };
+  if (chunk.last.index > commit) {
+    if (incoming.last.index != chunk.last.index || incoming.last.term != chunk.last.term) {
+      incoming = { .last = chunk.last, .membership = chunk.membership };
+    }
+    if (chunk.offset == incoming.state.size()) {
+      incoming.state.insert(incoming.state.end(), chunk.data.begin(), chunk.data.end());
+    }
+    reply.received = incoming.state.size();
+    if (reply.received >= chunk.total) {
+      install_incoming();
+    }
+  }
+  send_after_sync(from, reply);
+}
+
+void
+Consensus::Impl::install_incoming()
+{
+  const auto snapshot = std::make_shared<const StateSnapshot>(std::exchange(incoming, {}));
+  const std::uint64_t index = snapshot->last.index;
+  const bool contained = log.has_term(index) && log.term_at(index) == snapshot->last.term;
+  if (contained) {
+    log.compact(snapshot, options.trailing_entries);
+  } else {
+    log.reset(snapshot);
+  }
+  commit = index;
+  emitted = index;
+  effects.committed.clear();
+  effects.install = snapshot;
+  record(SaveSnapshot{ .snapshot = snapshot, .drop_log = !contained });
+  for (PendingWrite& write : writes) {
+    write.last_index = contained ? write.last_index : std::min(write.last_index, index);
+  }
+  durable = contained ? durable : index;
+}
+
+void
+Consensus::Impl::handle(MemberId from, const SnapshotReply& reply)
+{
+  if (newer_term(reply.term) || role != ConsensusRole::Leader || reply.term != vote.term) {
+    return;
+  }
+  const auto found = peers.find(from);
+  if (found == peers.end()) {
+    return;
+  }
+  Peer& peer = found->second;
+  peer.last_reply = clock;
+  if (!peer.snapshot || peer.snapshot->last.index != reply.index) {
+    return;
+  }
+  if (reply.received < peer.snapshot->state.size()) {
+    peer.snapshot_offset = reply.received;
+    send_chunk(from, peer);
+    return;
+  }
+  peer.match = std::max(peer.match, reply.index);
+  peer.next = peer.match + 1;
+  peer.snapshot.reset();
+  advance_commit();
+  send_entries(from, peer);
+}
+
+} // namespace lovagehold
--- a/src/libstate/json_fields.h
+++ b/src/libstate/json_fields.h
@@ -68,4 +68,50 @@
   json.at("truncated").get_to(answer.truncated);
 }
 
+inline void
+to_json(nlohmann::json& json, const Error& error)
+{
+  json = { static_cast<int>(error.kind), error.message, error.remedy };
+}
+
+inline void
+from_json(const nlohmann::json& json, Error& error)
+{
+  error.kind = static_cast<ErrorKind>(json.at(0).get<int>());
+  json.at(1).get_to(error.message);
+  json.at(2).get_to(error.remedy);
+}
+
+inline void
+to_json(nlohmann::json& json, const ApplyResult& result)
+{
+  json = { { "accepted", result.accepted },
+           { "claim", static_cast<int>(result.claim) },
+           { "revision", result.revision },
+           { "winner", result.winner_file },
+           { "next", result.next_free_number } };
+  if (result.error) {
+    json["error"] = *result.error;
+  }
+  if (result.answer) {
+    json["answer"] = *result.answer;
+  }
+}
+
+inline void
+from_json(const nlohmann::json& json, ApplyResult& result)
+{
+  json.at("accepted").get_to(result.accepted);
+  result.claim = static_cast<ClaimStatus>(json.at("claim").get<int>());
+  json.at("revision").get_to(result.revision);
+  json.at("winner").get_to(result.winner_file);
+  json.at("next").get_to(result.next_free_number);
+  if (json.contains("error")) {
+    result.error = json.at("error").get<Error>();
+  }
+  if (json.contains("answer")) {
+    result.answer = json.at("answer").get<StoredAnswer>();
+  }
+}
+
 } // namespace lovagehold
--- a/src/libstate/state_machine.cpp
+++ b/src/libstate/state_machine.cpp
@@ -238,6 +238,12 @@
   return std::visit([this](const auto& typed) { return m_impl->apply_one(typed); }, command);
 }
 
+void
+StateMachine::skip(std::uint64_t index)
+{
+  m_impl->applied = std::max(m_impl->applied, index);
+}
+
 std::uint64_t
 StateMachine::applied_index() const
 {
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include "libstate/json_fields.h"
+#include "lovagehold/file_disk.h"
 #include "lovagehold/home_selector.h"
 
 #include <boost/asio/post.hpp>
@@ -63,14 +64,12 @@
       boost::asio::post(m_context,
                         [this, from, bytes = std::move(bytes)] { receive(from, bytes); });
     });
-  PrimaryLogOptions log_options{ .self = m_settings.host, .data_folder = m_settings.data_folder };
   ControlClientOptions client_options;
   for (const ControlPeer& peer : m_settings.control_peers) {
-    log_options.members.emplace_back(peer.id, peer.cluster_address);
     client_options.control_addresses.push_back(peer.cluster_address);
   }
   if (m_settings.control_role) {
-    m_primary_log = std::make_unique<PrimaryLog>(std::move(log_options), send_hook);
+    m_replica = make_replica();
   }
   m_client = std::make_unique<ControlClient>(
     std::move(client_options), send_hook, [this](const StateMachine& state) { on_applied(state); });
@@ -111,8 +110,8 @@
 Result<void>
 Node::run()
 {
-  if (m_primary_log) {
-    BOOST_OUTCOME_TRYV(m_primary_log->open());
+  if (m_replica) {
+    BOOST_OUTCOME_TRYV(m_replica->open());
   }
   std::string error;
   if (!m_transport->start(error)) {
@@ -136,6 +135,27 @@
   return boost::outcome_v2::success();
 }
 
+std::unique_ptr<Replica>
+Node::make_replica()
+{
+  ReplicaOptions options{ .host = m_settings.host, .address = m_settings.cluster_address };
+  for (const ControlPeer& peer : m_settings.control_peers) {
+    options.members.emplace_back(peer.id, peer.cluster_address);
+  }
+  ReplicaPorts ports;
+  ports.send = [this](const std::string& address, const ClusterMessage& message) {
+    send(address, message);
+  };
+  ports.post = [this](std::function<void()> function) {
+    boost::asio::post(m_context, std::move(function));
+  };
+  ports.report = [this](std::string_view event, std::string_view key, const std::string& value) {
+    m_log.info(event, { { key, value } });
+  };
+  return std::make_unique<Replica>(
+    std::move(options), std::move(ports), std::make_unique<FileDisk>(m_settings.data_folder));
+}
+
 void
 Node::send(const std::string& address, const ClusterMessage& message)
 {
@@ -156,8 +176,8 @@
     m_log.warn("message_refused", { { "peer", from }, { "reason", message.error().message } });
     return;
   }
-  if (m_primary_log) {
-    m_primary_log->receive(from, message.value());
+  if (m_replica) {
+    m_replica->receive(from, message.value());
   }
   m_client->receive(from, message.value(), Clock::now());
   const auto* renewal = std::get_if<ServerRenewal>(&message.value());
@@ -233,6 +253,9 @@
 void
 Node::tick(TimePoint now)
 {
+  if (m_replica) {
+    m_replica->tick();
+  }
   m_client->tick(now);
   if (m_client->ready() && m_entry && !m_leaving) {
     announce_host();
--- a/src/lovagehold/node.h
+++ b/src/lovagehold/node.h
@@ -5,7 +5,7 @@
 #include "lovagehold/control_client.h"
 #include "lovagehold/entry_service.h"
 #include "lovagehold/event_log.h"
-#include "lovagehold/primary_log.h"
+#include "lovagehold/replica.h"
 #include "lovagehold/settings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -28,6 +28,7 @@
   Result<void> run();
 
 private:
+  std::unique_ptr<Replica> make_replica();
   void send(const std::string& address, const ClusterMessage& message);
   void receive(const std::string& from, const Bytes& bytes);
   void propose(const Command& command, ControlClient::Answer answer);
@@ -50,7 +51,7 @@
   boost::asio::signal_set m_signals;
   boost::asio::steady_timer m_timer;
   std::unique_ptr<ClusterTransport> m_transport;
-  std::unique_ptr<PrimaryLog> m_primary_log;
+  std::unique_ptr<Replica> m_replica;
   std::unique_ptr<ControlClient> m_client;
   std::unique_ptr<EntryService> m_entry;
   std::unique_ptr<AdminServer> m_admin;
