--- a/src/include/lovagehold/membership.h
+++ b/src/include/lovagehold/membership.h
@@ -7,7 +7,7 @@
 namespace lovagehold {
 
 /// A live host of a membership view.
-struct Member
+struct HostMember
 {
   HostInfo host;
   /// View in which this incarnation joined.
@@ -26,11 +26,11 @@
 };
 
 /// The replicated membership as of one view.
-struct Membership
+struct MembershipView
 {
   /// Log index of the last membership command; names the view.
   std::uint64_t view = 0;
-  std::vector<Member> members;
+  std::vector<HostMember> members;
   std::vector<DepartedHost> unreleased;
 };
 
--- a/src/include/lovagehold/ownership_tracker.h
+++ b/src/include/lovagehold/ownership_tracker.h
@@ -50,7 +50,7 @@
 
   /// Takes up an applied view. The caller stops the lost services, as take_changes() names them,
   /// before it calls tick() again, because the next heartbeat acknowledges the view.
-  void set_membership(const Membership& membership, TimePoint now);
+  void set_membership(const MembershipView& membership, TimePoint now);
 
   /// Takes up the declared services.
   void set_services(const std::vector<ServiceName>& services, TimePoint now);
@@ -107,9 +107,9 @@
   void refresh(TimePoint now);
   void set_share(const ServiceName& name, Service& service, SlotShare share);
   void end_session(std::uint64_t ended_incarnation);
-  void update_membership_of_self(const Membership& membership);
-  void update_predecessors(const Membership& membership, TimePoint now);
-  void update_owners(const Membership& membership);
+  void update_membership_of_self(const MembershipView& membership);
+  void update_predecessors(const MembershipView& membership, TimePoint now);
+  void update_owners(const MembershipView& membership);
   void select_owner_of(const ServiceName& name, Service& service);
   void offer_owner(const ServiceName& name, Service& service, const HostId& host);
   void set_owner(const ServiceName& name,
--- a/src/include/lovagehold/session_table.h
+++ b/src/include/lovagehold/session_table.h
@@ -48,7 +48,7 @@
   void confirm_leadership(TimePoint at);
 
   /// Takes up a view. New members get a full lease.
-  void set_membership(const Membership& membership, TimePoint now);
+  void set_membership(const MembershipView& membership, TimePoint now);
 
   /// Renews the session of the host.
   /// \return the reply; nothing if this process may not answer as leader.
--- a/src/include/lovagehold/state_machine.h
+++ b/src/include/lovagehold/state_machine.h
@@ -49,6 +49,9 @@
   /// Applies the command at the log index. Indexes grow by one; an index applied before is ignored.
   ApplyResult apply(std::uint64_t index, const Command& command);
 
+  /// Advances the applied index over a log entry without a command to apply.
+  void skip(std::uint64_t index);
+
   std::uint64_t applied_index() const;
 
   /// \return the merged configuration, never null; a new object for each accepted change.
@@ -71,7 +74,7 @@
   std::uint64_t view() const;
 
   /// \return members of the current view and the hosts that left without a release.
-  Membership membership() const;
+  MembershipView membership() const;
 
   /// Whether the host that left last under this id released its services.
   bool left_released(const HostId& id) const;
--- a/src/libcontrol/ownership_model_test.cpp
+++ b/src/libcontrol/ownership_model_test.cpp
@@ -447,7 +447,7 @@
   std::array<Host, kHosts> m_hosts;
   std::vector<ServiceName> m_services;
   StateMachine m_state;
-  std::vector<Membership> m_log;
+  std::vector<MembershipView> m_log;
   std::vector<Timed> m_proposals;
   std::vector<Timed> m_leader_proposals;
   std::string m_violation;
--- a/src/libcontrol/ownership_tracker.cpp
+++ b/src/libcontrol/ownership_tracker.cpp
@@ -64,7 +64,7 @@
 }
 
 void
-OwnershipTracker::set_membership(const Membership& membership, TimePoint now)
+OwnershipTracker::set_membership(const MembershipView& membership, TimePoint now)
 {
   if (membership.view <= m_view) {
     return;
@@ -245,12 +245,12 @@
 }
 
 void
-OwnershipTracker::update_membership_of_self(const Membership& membership)
+OwnershipTracker::update_membership_of_self(const MembershipView& membership)
 {
   const auto self =
     std::find_if(membership.members.begin(),
                  membership.members.end(),
-                 [this](const Member& member) { return member.host.id == m_options.self; });
+                 [this](const HostMember& member) { return member.host.id == m_options.self; });
   if (self != membership.members.end()) {
     if (self->host.incarnation == m_options.incarnation) {
       m_member = true;
@@ -272,7 +272,7 @@
 }
 
 void
-OwnershipTracker::update_predecessors(const Membership& membership, TimePoint now)
+OwnershipTracker::update_predecessors(const MembershipView& membership, TimePoint now)
 {
   // The departed host counts its isolation by a clock that may be slow, this host by one that may
   // be fast.
@@ -290,10 +290,10 @@
 }
 
 void
-OwnershipTracker::update_owners(const Membership& membership)
+OwnershipTracker::update_owners(const MembershipView& membership)
 {
   std::map<HostId, std::uint64_t> hosts;
-  for (const Member& member : membership.members) {
+  for (const HostMember& member : membership.members) {
     if (!member.host.caller_address.empty()) {
       hosts[member.host.id] = member.host.incarnation;
     }
--- a/src/libcontrol/session_table.cpp
+++ b/src/libcontrol/session_table.cpp
@@ -54,14 +54,14 @@
 }
 
 void
-SessionTable::set_membership(const Membership& membership, TimePoint now)
+SessionTable::set_membership(const MembershipView& membership, TimePoint now)
 {
   if (membership.view == m_view) {
     return;
   }
   m_view = membership.view;
   std::unordered_set<HostId> present;
-  for (const Member& member : membership.members) {
+  for (const HostMember& member : membership.members) {
     present.insert(member.host.id);
     const auto [found, added] = m_sessions.try_emplace(member.host.id);
     Session& session = found->second;
--- a/src/libstate/state_machine.cpp
+++ b/src/libstate/state_machine.cpp
@@ -296,6 +296,12 @@
   return std::visit([this](const auto& typed) { return m_impl->apply_one(typed); }, command);
 }
 
+void
+StateMachine::skip(std::uint64_t index)
+{
+  m_impl->applied = std::max(m_impl->applied, index);
+}
+
 std::uint64_t
 StateMachine::applied_index() const
 {
@@ -383,10 +389,10 @@
   return found != m_impl->departed.end() && found->second.released;
 }
 
-Membership
+MembershipView
 StateMachine::membership() const
 {
-  Membership membership{ .view = m_impl->view };
+  MembershipView membership{ .view = m_impl->view };
   for (const auto& [id, host] : m_impl->hosts) {
     membership.members.push_back({ host, m_impl->joined_views.at(id) });
   }
--- a/src/teststand/capacity_bench.cpp
+++ b/src/teststand/capacity_bench.cpp
@@ -197,10 +197,10 @@
   measure("propose_claim", Propose{ .id = 1234567, .command = encode(Command(make_claim(1))) });
   measure("propose_reply", ProposeReply{ .id = 1234567, .decided = true });
   measure("entry_server_join",
-          Entries{ .first_index = 1234567, .commands = { encode(Command(JoinServer{ server })) } });
+          Entries{ .first_index = 1234567, .payloads = { encode(Command(JoinServer{ server })) } });
   measure(
     "entry_change",
-    Entries{ .first_index = 1234567, .commands = { encode(Command(make_change(53000, 1))) } });
+    Entries{ .first_index = 1234567, .payloads = { encode(Command(make_change(53000, 1))) } });
 }
 
 // Processor time of both ends for messages between two processes' transports.
