Check declarations and settings strictly

Cause: the parsers stopped at the first mistake, ignored unknown keys and merged all files again for each change. Change: a strict YAML reader reports every mistake with file, line, key and remedy; DeclarationMerger adds one file at a time and records which file set each value.

--- /dev/null
+++ b/src/include/lovagehold/declaration_merger.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "lovagehold/config_parser.h"
+
+namespace lovagehold {
+
+/// For each service, the file that set each value, by dotted key ("kinds.read.deadline").
+using Origins = std::map<ServiceName, std::map<std::string, std::string>>;
+
+/// Merges declaration files one by one. The cost of adding a file depends on the services that it
+/// names, not on the files merged before. Not thread-safe.
+class DeclarationMerger
+{
+public:
+  DeclarationMerger() = default;
+  /// Goes on from a configuration merged earlier.
+  DeclarationMerger(Configuration configuration, Origins origins);
+
+  /// Merges the file over the ones before.
+  /// \return all mistakes of the file; the configuration is unchanged if there are any
+  std::vector<Mistake> add(const DeclarationFile& file);
+
+  const Configuration& configuration() const { return m_configuration; }
+  const Origins& origins() const { return m_origins; }
+
+private:
+  Configuration m_configuration;
+  Origins m_origins;
+};
+
+/// Order in which files are merged: by change number, then by name, so that 9-a.yaml precedes
+/// 10-b.yaml.
+bool merges_before(const std::string& file_name, const std::string& other);
+
+} // namespace lovagehold
--- a/src/libconfig/config_parser.cpp
+++ b/src/libconfig/config_parser.cpp
@@ -1,50 +1,34 @@
 #include "lovagehold/config_parser.h"
 
+#include "lovagehold/declaration_merger.h"
+
 #include <algorithm>
-#include <yaml-cpp/yaml.h>
 
 namespace lovagehold {
 
 namespace {
 
-RequestKind
-parse_kind(const std::string& name, const YAML::Node& node)
-{
-  RequestKind kind;
-  kind.name = name;
-  const std::string treat = node["treat"].as<std::string>("urgent");
-  if (treat == "patient") {
-    kind.request_class = RequestClass::Patient;
-  } else if (treat == "non-idempotent") {
-    kind.request_class = RequestClass::NonIdempotent;
-    kind.idempotent = false;
-  }
-  if (node["methods"]) {
-    kind.methods = node["methods"].as<std::vector<std::string>>();
-  }
-  kind.path_prefix = node["path"].as<std::string>("/");
-  kind.deadline = std::chrono::milliseconds(node["deadline_ms"].as<unsigned>(1000));
-  return kind;
-}
+// 15 digits leave room for dates with times and for the number after the largest.
+constexpr std::size_t kNumberDigits = 15;
 
 void
-merge_service(Configuration& configuration, const std::string& name, const YAML::Node& node)
+check_numbers(const std::vector<DeclarationFile>& sorted, std::vector<Mistake>& mistakes)
 {
-  if (node.IsNull()) {
-    configuration.services.erase(name);
-    return;
-  }
-  ServiceDeclaration& service = configuration.services[name];
-  service.name = name;
-  for (const auto& entry : node["kinds"]) {
-    const auto kind_name = entry.first.as<std::string>();
-    auto& kinds = service.kinds;
-    kinds.erase(std::remove_if(kinds.begin(),
-                               kinds.end(),
-                               [&](const RequestKind& kind) { return kind.name == kind_name; }),
-                kinds.end());
-    if (!entry.second.IsNull()) {
-      kinds.push_back(parse_kind(kind_name, entry.second));
+  std::map<std::uint64_t, std::string> used;
+  for (const DeclarationFile& file : sorted) {
+    const Result<std::uint64_t> number = change_number(file.name);
+    if (number.has_error()) {
+      mistakes.push_back(
+        { .file = file.name, .message = number.error().message, .remedy = number.error().remedy });
+      continue;
+    }
+    const auto [first, inserted] = used.emplace(number.value(), file.name);
+    if (!inserted) {
+      mistakes.push_back(
+        { .file = file.name,
+          .message =
+            "number " + std::to_string(number.value()) + " is also used by " + first->second,
+          .remedy = "rename one of the two; control accepts only one file for each number" });
     }
   }
 }
@@ -54,8 +38,9 @@
 std::string
 to_string(const Mistake& mistake)
 {
-  return mistake.file + ":" + std::to_string(mistake.line) + ": " + mistake.key + ": " +
-         mistake.message + "; " + mistake.remedy;
+  const std::string line = mistake.line == 0 ? "" : ":" + std::to_string(mistake.line);
+  const std::string key = mistake.key.empty() ? "" : mistake.key + ": ";
+  return mistake.file + line + ": " + key + mistake.message + "; " + mistake.remedy;
 }
 
 Result<std::uint64_t>
@@ -64,7 +49,7 @@
   const std::size_t digits = file_name.find_first_not_of("0123456789");
   const bool is_yaml =
     file_name.size() > 5 && file_name.compare(file_name.size() - 5, 5, ".yaml") == 0;
-  if (digits == 0 || digits == std::string::npos || digits > 18 || !is_yaml) {
+  if (digits == 0 || digits == std::string::npos || digits > kNumberDigits || !is_yaml) {
     return Error{ .kind = ErrorKind::InvalidArgument,
                   .message = "file name '" + file_name + "' has no change number",
                   .remedy = "name it NUMBER-WHAT.yaml, for example 0012-slot-desk.yaml" };
@@ -75,20 +60,18 @@
 MergeOutcome
 merge_declarations(const std::vector<DeclarationFile>& files)
 {
+  std::vector<DeclarationFile> sorted = files;
+  std::sort(sorted.begin(), sorted.end(), [](const auto& a, const auto& b) {
+    return merges_before(a.name, b.name);
+  });
   MergeOutcome outcome;
-  for (const DeclarationFile& file : files) {
-    try {
-      const YAML::Node root = YAML::Load(file.content);
-      for (const auto& entry : root["services"]) {
-        merge_service(outcome.configuration, entry.first.as<std::string>(), entry.second);
-      }
-    } catch (const YAML::Exception& exception) {
-      outcome.mistakes.push_back({ .file = file.name,
-                                   .line = static_cast<unsigned>(exception.mark.line + 1),
-                                   .message = exception.msg,
-                                   .remedy = "correct the YAML" });
-    }
+  check_numbers(sorted, outcome.mistakes);
+  DeclarationMerger merger;
+  for (const DeclarationFile& file : sorted) {
+    const std::vector<Mistake> found = merger.add(file);
+    outcome.mistakes.insert(outcome.mistakes.end(), found.begin(), found.end());
   }
+  outcome.configuration = merger.configuration();
   return outcome;
 }
 
