Bound the replicated state and check it against an oracle

Cause: the state machine kept all changes and merged them again for each one, scanned all claims for expiry and departed holders, and accepted delayed joins and claims of hosts that had left. Change: ConfigStore folds older changes into a base, ClaimStore has indexes on expiry and holder and reserves room for outcomes, Directory remembers departed incarnations. A RapidCheck test compares command sequences with a plain oracle; 15 deliberate faults are each found. OutcomeKind::Unknown and ClaimKey::holder_incarnation are new. Before: each change merged all files.

--- a/src/include/lovagehold/command.h
+++ b/src/include/lovagehold/command.h
@@ -30,16 +30,22 @@
   /// Unique over all attempts of all hosts.
   std::string attempt;
   HostId holder;
+  /// Incarnation of the holder; 0 if not known. A claim of an earlier incarnation is refused.
+  std::uint64_t holder_incarnation = 0;
   WallTime now{};
   std::chrono::hours keep{ 24 };
 };
 
 enum class OutcomeKind
 {
-  Done,   ///< the server answered; the answer is stored
-  NotRun, ///< the first byte never went out; the key is free again
+  Done,    ///< the server answered; the answer is stored
+  NotRun,  ///< the first byte never went out; the key is free again
+  Unknown, ///< it may have run; the attempt ended without an answer
 };
 
+/// Larger bodies are not stored; the answer is marked truncated.
+constexpr std::size_t kStoredAnswerBytes = std::size_t{ 64 } << 10;
+
 /// An answer kept for callers that ask again.
 struct StoredAnswer
 {
@@ -119,8 +125,8 @@
   bool accepted = false;
   /// Set if not accepted.
   std::optional<Error> error;
-  /// Set for ClaimKey.
-  ClaimStatus claim = ClaimStatus::Granted;
+  /// Set for ClaimKey. Never Granted unless a command granted it.
+  ClaimStatus claim = ClaimStatus::Unknown;
   /// Set for ClaimKey with status Done.
   std::optional<StoredAnswer> answer;
   /// Set for SubmitChange: the revision that the change has or, on conflict, the winner's.
--- a/src/include/lovagehold/state_machine.h
+++ b/src/include/lovagehold/state_machine.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lovagehold/command.h"
-#include "lovagehold/declaration.h"
+#include "lovagehold/declaration_merger.h"
 
 #include <map>
 #include <memory>
@@ -27,12 +27,31 @@
   std::optional<StoredAnswer> answer;
 };
 
+/// Room that the claims take.
+struct ClaimUsage
+{
+  std::size_t entries = 0;
+  /// Entries whose attempt has not ended.
+  std::size_t open = 0;
+  /// Names and answers, and the room reserved for the answers of open entries.
+  std::size_t bytes = 0;
+};
+
+/// Limits of the state; equal on all replicas.
 struct StateMachineOptions
 {
   /// Keys kept at most; claims past it are refused.
   std::size_t claim_capacity = 1'000'000;
-  /// Bytes of stored answers kept at most.
+  /// Bytes of stored answers kept at most; each open claim reserves kStoredAnswerBytes of it.
   std::size_t answer_bytes = std::size_t{ 1 } << 30;
+  /// Changes that keep their content; older ones are folded into a base.
+  std::size_t history_count = 1000;
+  std::size_t history_bytes = std::size_t{ 4 } << 20;
+  /// Folded changes whose number, name and content hash are kept, so that a resent one gets its
+  /// first answer; smaller numbers are refused. About 9 h at 53,000 changes a day.
+  std::size_t folded_count = 20'000;
+  /// Hosts, and servers, that left and whose incarnation is remembered.
+  std::size_t departed_limit = 20'000;
 };
 
 /// The replicated state: configuration changes, claims, servers and hosts. Deterministic: equal
@@ -53,8 +72,15 @@
   /// \return the merged configuration, never null; a new object for each accepted change.
   std::shared_ptr<const Configuration> configuration() const;
 
+  /// \return changes that still have their content, by number.
   std::vector<ChangeRecord> changes() const;
 
+  /// Which file set each value of the merged configuration.
+  const Origins& origins() const;
+
+  /// \return one more than the largest number used.
+  std::uint64_t next_free_number() const;
+
   /// \return servers of the service that have joined and not left.
   std::vector<ServerInfo> servers(const ServiceName& service) const;
 
@@ -66,6 +92,8 @@
   /// \return status of the key; nothing if it was never claimed or is free again.
   std::optional<KeyStatus> key_status(const ServiceName& service, const std::string& key) const;
 
+  ClaimUsage claim_usage() const;
+
   /// Log index of the last JoinHost or LeaveHost; names the membership view.
   std::uint64_t view() const;
 
--- /dev/null
+++ b/src/libstate/claim_store.cpp
@@ -0,0 +1,244 @@
+#include "claim_store.h"
+
+#include "apply_results.h"
+#include "json_fields.h"
+
+namespace lovagehold {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kContentTypeBytes = 256;
+// A stored body, its content type and the fixed parts of an entry.
+constexpr std::size_t kReservedBytes = kStoredAnswerBytes + kContentTypeBytes;
+
+StoredAnswer
+limit(StoredAnswer answer)
+{
+  if (answer.truncated || answer.body.size() > kStoredAnswerBytes) {
+    answer.body.clear();
+    answer.truncated = true;
+  }
+  if (answer.content_type.size() > kContentTypeBytes) {
+    answer.content_type.clear();
+  }
+  return answer;
+}
+
+bool
+equal(const StoredAnswer& a, const StoredAnswer& b)
+{
+  return a.status == b.status && a.content_type == b.content_type && a.body == b.body &&
+         a.truncated == b.truncated;
+}
+
+} // namespace
+
+ClaimStore::ClaimStore(const StateMachineOptions& options)
+  : m_capacity(options.claim_capacity)
+  , m_byte_limit(options.answer_bytes)
+{
+}
+
+std::size_t
+ClaimStore::size_of(const KeyId& id, const Entry& entry)
+{
+  const std::size_t names =
+    id.first.size() + id.second.size() + entry.attempt.size() + entry.holder.size();
+  const bool open = entry.status == ClaimStatus::InProgress;
+  return names +
+         (open ? kReservedBytes : entry.answer.body.size() + entry.answer.content_type.size());
+}
+
+void
+ClaimStore::insert(KeyId id, Entry entry)
+{
+  const auto inserted = m_entries.emplace(std::move(id), std::move(entry)).first;
+  m_bytes += size_of(inserted->first, inserted->second);
+  if (inserted->second.status == ClaimStatus::InProgress) {
+    m_open[inserted->second.holder].insert(&inserted->first);
+  } else {
+    m_expiry.emplace(inserted->second.expires, &inserted->first);
+  }
+}
+
+void
+ClaimStore::erase(Entries::iterator entry)
+{
+  m_bytes -= size_of(entry->first, entry->second);
+  m_expiry.erase({ entry->second.expires, &entry->first });
+  m_entries.erase(entry);
+}
+
+// Takes the claim out of the index of open ones.
+void
+ClaimStore::close(Entries::iterator entry)
+{
+  const auto of_holder = m_open.find(entry->second.holder);
+  of_holder->second.erase(&entry->first);
+  if (of_holder->second.empty()) {
+    m_open.erase(of_holder);
+  }
+}
+
+void
+ClaimStore::end(Entries::iterator entry, ClaimStatus status)
+{
+  m_bytes -= size_of(entry->first, entry->second);
+  entry->second.status = status;
+  m_bytes += size_of(entry->first, entry->second);
+  m_expiry.emplace(entry->second.expires, &entry->first);
+}
+
+ApplyResult
+ClaimStore::claim(const ClaimKey& claim)
+{
+  ApplyResult result = accept();
+  const auto found = m_entries.find({ claim.service, claim.key });
+  if (found != m_entries.end()) {
+    const Entry& entry = found->second;
+    result.claim = entry.status;
+    if (entry.digest != claim.body_digest) {
+      result.claim = ClaimStatus::DigestDiffers;
+    } else if (entry.status == ClaimStatus::Done) {
+      result.answer = entry.answer;
+    } else if (entry.status == ClaimStatus::InProgress && entry.attempt == claim.attempt) {
+      result.claim = ClaimStatus::Granted;
+    }
+    return result;
+  }
+  KeyId id{ claim.service, claim.key };
+  Entry entry{ .digest = claim.body_digest,
+               .attempt = claim.attempt,
+               .holder = claim.holder,
+               .expires = claim.now + claim.keep };
+  if (m_entries.size() >= m_capacity || m_bytes + size_of(id, entry) > m_byte_limit) {
+    result.claim = ClaimStatus::StoreFull;
+    return result;
+  }
+  insert(std::move(id), std::move(entry));
+  result.claim = ClaimStatus::Granted;
+  return result;
+}
+
+ApplyResult
+ClaimStore::record(const RecordOutcome& record)
+{
+  const auto found = m_entries.find({ record.service, record.key });
+  if (found == m_entries.end()) {
+    return reject({ .kind = ErrorKind::NotFound,
+                    .message = "key " + record.key + " of " + record.service + " is not claimed",
+                    .remedy = "claim the key before the request is sent" });
+  }
+  Entry& entry = found->second;
+  const StoredAnswer answer = limit(record.answer);
+  // The same outcome sent again, because the first result was lost, gets the first result.
+  const bool again = record.outcome == OutcomeKind::Done && entry.status == ClaimStatus::Done &&
+                     equal(answer, entry.answer);
+  if (entry.attempt == record.attempt && again) {
+    return accept();
+  }
+  if (entry.attempt != record.attempt || entry.status != ClaimStatus::InProgress) {
+    return reject({ .kind = ErrorKind::Conflict,
+                    .message = "attempt " + record.attempt + " does not hold key " + record.key,
+                    .remedy = "ask for the status of the key" });
+  }
+  close(found);
+  if (record.outcome == OutcomeKind::NotRun) {
+    erase(found);
+  } else if (record.outcome == OutcomeKind::Unknown) {
+    end(found, ClaimStatus::Unknown);
+  } else {
+    m_bytes -= size_of(found->first, entry);
+    entry.answer = answer;
+    m_bytes += size_of(found->first, entry);
+    end(found, ClaimStatus::Done);
+  }
+  return accept();
+}
+
+void
+ClaimStore::mark_holder_gone(const HostId& holder)
+{
+  const auto of_holder = m_open.find(holder);
+  if (of_holder == m_open.end()) {
+    return;
+  }
+  for (const KeyId* id : of_holder->second) {
+    end(m_entries.find(*id), ClaimStatus::Unknown);
+  }
+  m_open.erase(of_holder);
+}
+
+void
+ClaimStore::expire(WallTime now)
+{
+  while (!m_expiry.empty() && m_expiry.begin()->first <= now) {
+    erase(m_entries.find(*m_expiry.begin()->second));
+  }
+}
+
+std::optional<KeyStatus>
+ClaimStore::status(const ServiceName& service, const std::string& key) const
+{
+  const auto found = m_entries.find({ service, key });
+  if (found == m_entries.end()) {
+    return std::nullopt;
+  }
+  const Entry& entry = found->second;
+  KeyStatus status{ .status = entry.status, .attempt = entry.attempt };
+  if (entry.status == ClaimStatus::Done) {
+    status.answer = entry.answer;
+  }
+  return status;
+}
+
+ClaimUsage
+ClaimStore::usage() const
+{
+  ClaimUsage usage{ .entries = m_entries.size(), .bytes = m_bytes };
+  for (const auto& [holder, keys] : m_open) {
+    usage.open += keys.size();
+  }
+  return usage;
+}
+
+json
+ClaimStore::snapshot() const
+{
+  json claims = json::array();
+  for (const auto& [id, entry] : m_entries) {
+    const Bytes digest(entry.digest.begin(), entry.digest.end());
+    claims.push_back({ id.first,
+                       id.second,
+                       json::binary(digest),
+                       entry.attempt,
+                       entry.holder,
+                       static_cast<int>(entry.status),
+                       entry.answer,
+                       entry.expires.time_since_epoch().count() });
+  }
+  return claims;
+}
+
+void
+ClaimStore::restore(const json& fields)
+{
+  for (const json& claim : fields) {
+    Entry entry;
+    const auto& digest = claim.at(2).get_binary();
+    if (digest.size() != entry.digest.size()) {
+      throw std::invalid_argument("digest has the wrong size");
+    }
+    std::copy(digest.begin(), digest.end(), entry.digest.begin());
+    claim.at(3).get_to(entry.attempt);
+    claim.at(4).get_to(entry.holder);
+    entry.status = static_cast<ClaimStatus>(claim.at(5).get<int>());
+    claim.at(6).get_to(entry.answer);
+    entry.expires = WallTime(std::chrono::milliseconds(claim.at(7).get<std::int64_t>()));
+    insert({ claim.at(0).get<std::string>(), claim.at(1).get<std::string>() }, std::move(entry));
+  }
+}
+
+} // namespace lovagehold
--- a/src/libstate/command_codec.cpp
+++ b/src/libstate/command_codec.cpp
@@ -37,6 +37,7 @@
            { "digest", json::binary(digest) },
            { "attempt", claim.attempt },
            { "holder", claim.holder },
+           { "holder_inc", claim.holder_incarnation },
            { "now", to_millis(claim.now) },
            { "keep_h", claim.keep.count() } };
 }
@@ -48,7 +49,7 @@
            { "service", record.service },
            { "key", record.key },
            { "attempt", record.attempt },
-           { "done", record.outcome == OutcomeKind::Done },
+           { "outcome", static_cast<int>(record.outcome) },
            { "answer", record.answer },
            { "now", to_millis(record.now) } };
 }
@@ -102,6 +103,7 @@
   std::copy(digest.begin(), digest.end(), claim.body_digest.begin());
   fields.at("attempt").get_to(claim.attempt);
   fields.at("holder").get_to(claim.holder);
+  claim.holder_incarnation = fields.value("holder_inc", claim.holder_incarnation);
   claim.now = from_millis(fields.at("now"));
   claim.keep = std::chrono::hours(fields.at("keep_h").get<std::int64_t>());
   return claim;
@@ -114,7 +116,11 @@
   fields.at("service").get_to(record.service);
   fields.at("key").get_to(record.key);
   fields.at("attempt").get_to(record.attempt);
-  record.outcome = fields.at("done").get<bool>() ? OutcomeKind::Done : OutcomeKind::NotRun;
+  const int outcome = fields.at("outcome").get<int>();
+  if (outcome < 0 || outcome > static_cast<int>(OutcomeKind::Unknown)) {
+    throw std::invalid_argument("unknown outcome " + std::to_string(outcome));
+  }
+  record.outcome = static_cast<OutcomeKind>(outcome);
   fields.at("answer").get_to(record.answer);
   record.now = from_millis(fields.at("now"));
   return record;
--- /dev/null
+++ b/src/libstate/directory.cpp
@@ -0,0 +1,230 @@
+#include "directory.h"
+
+#include "apply_results.h"
+#include "json_fields.h"
+
+namespace lovagehold {
+
+namespace {
+
+using nlohmann::json;
+
+ApplyResult
+reject_older(const std::string& what)
+{
+  return reject({ .kind = ErrorKind::Conflict,
+                  .message = "a later incarnation of " + what + " is known",
+                  .remedy = "restart the process so that it announces a larger incarnation" });
+}
+
+} // namespace
+
+template<class Key>
+void
+Directory::Departures<Key>::add(const Key& key, const Departed& departed, std::size_t limit)
+{
+  remove(key);
+  by_key[key] = departed;
+  by_index[departed.index] = key;
+  while (by_index.size() > limit) {
+    by_key.erase(by_index.begin()->second);
+    by_index.erase(by_index.begin());
+  }
+}
+
+template<class Key>
+void
+Directory::Departures<Key>::remove(const Key& key)
+{
+  const auto found = by_key.find(key);
+  if (found != by_key.end()) {
+    by_index.erase(found->second.index);
+    by_key.erase(found);
+  }
+}
+
+template<class Key>
+const Directory::Departed*
+Directory::Departures<Key>::find(const Key& key) const
+{
+  const auto found = by_key.find(key);
+  return found == by_key.end() ? nullptr : &found->second;
+}
+
+Directory::Directory(const StateMachineOptions& options)
+  : m_departed_limit(options.departed_limit)
+{
+}
+
+ApplyResult
+Directory::join(const ServerInfo& server, std::uint64_t)
+{
+  const ServerKey key{ server.service, server.id };
+  const Departed* departed = m_left_servers.find(key);
+  // Servers that announce no incarnation (0) may return; the renewal rule guards against a delayed
+  // announcement.
+  if (departed != nullptr && server.incarnation != 0 &&
+      server.incarnation <= departed->incarnation) {
+    return reject_older("server " + server.id);
+  }
+  auto& of_service = m_servers[server.service];
+  const auto known = of_service.find(server.id);
+  if (known != of_service.end() && known->second.incarnation > server.incarnation) {
+    return reject_older("server " + server.id);
+  }
+  of_service[server.id] = server;
+  m_left_servers.remove(key);
+  return accept();
+}
+
+ApplyResult
+Directory::leave(const LeaveServer& leave, std::uint64_t index)
+{
+  const auto of_service = m_servers.find(leave.service);
+  if (of_service == m_servers.end()) {
+    return accept();
+  }
+  const auto found = of_service->second.find(leave.id);
+  if (found == of_service->second.end() || found->second.incarnation > leave.incarnation) {
+    return accept();
+  }
+  // A leave without an incarnation names the largest; only the known one has left then.
+  m_left_servers.add({ leave.service, leave.id },
+                     { .incarnation = found->second.incarnation, .index = index },
+                     m_departed_limit);
+  of_service->second.erase(found);
+  if (of_service->second.empty()) {
+    m_servers.erase(of_service);
+  }
+  return accept();
+}
+
+ApplyResult
+Directory::join(const HostInfo& host, std::uint64_t index, bool& replaced)
+{
+  const auto known = m_hosts.find(host.id);
+  const Departed* departed = m_left_hosts.find(host.id);
+  if ((known != m_hosts.end() && known->second.incarnation > host.incarnation) ||
+      (departed != nullptr && departed->incarnation > host.incarnation)) {
+    return reject_older("host " + host.id);
+  }
+  if (known != m_hosts.end() && known->second == host) {
+    return accept();
+  }
+  replaced = known == m_hosts.end() || known->second.incarnation < host.incarnation;
+  m_hosts[host.id] = host;
+  m_view = index;
+  return accept();
+}
+
+ApplyResult
+Directory::leave(const LeaveHost& leave, std::uint64_t index, bool& left)
+{
+  const auto found = m_hosts.find(leave.id);
+  if (found == m_hosts.end() || found->second.incarnation > leave.incarnation) {
+    return accept();
+  }
+  m_left_hosts.add(
+    leave.id,
+    { .incarnation = found->second.incarnation, .released = leave.released, .index = index },
+    m_departed_limit);
+  m_hosts.erase(found);
+  m_view = index;
+  left = true;
+  return accept();
+}
+
+std::vector<ServerInfo>
+Directory::servers(const ServiceName& service) const
+{
+  std::vector<ServerInfo> found;
+  const auto of_service = m_servers.find(service);
+  if (of_service != m_servers.end()) {
+    for (const auto& [id, server] : of_service->second) {
+      found.push_back(server);
+    }
+  }
+  return found;
+}
+
+std::vector<ServerInfo>
+Directory::all_servers() const
+{
+  std::vector<ServerInfo> all;
+  for (const auto& [service, of_service] : m_servers) {
+    for (const auto& [id, server] : of_service) {
+      all.push_back(server);
+    }
+  }
+  return all;
+}
+
+std::vector<HostInfo>
+Directory::hosts() const
+{
+  std::vector<HostInfo> live;
+  for (const auto& [id, host] : m_hosts) {
+    live.push_back(host);
+  }
+  return live;
+}
+
+bool
+Directory::left_released(const HostId& id) const
+{
+  const Departed* departed = m_left_hosts.find(id);
+  return departed != nullptr && departed->released;
+}
+
+bool
+Directory::may_hold(const HostId& id, std::uint64_t incarnation) const
+{
+  const auto joined = m_hosts.find(id);
+  if (joined != m_hosts.end()) {
+    return incarnation == 0 || incarnation >= joined->second.incarnation;
+  }
+  return m_left_hosts.find(id) == nullptr;
+}
+
+json
+Directory::snapshot() const
+{
+  json left_hosts = json::array();
+  for (const auto& [id, departed] : m_left_hosts.by_key) {
+    left_hosts.push_back({ id, departed.incarnation, departed.released, departed.index });
+  }
+  json left_servers = json::array();
+  for (const auto& [key, departed] : m_left_servers.by_key) {
+    left_servers.push_back({ key.first, key.second, departed.incarnation, departed.index });
+  }
+  return { { "view", m_view },
+           { "servers", all_servers() },
+           { "hosts", hosts() },
+           { "left_hosts", std::move(left_hosts) },
+           { "left_servers", std::move(left_servers) } };
+}
+
+void
+Directory::restore(const json& fields)
+{
+  fields.at("view").get_to(m_view);
+  for (const auto& server : fields.at("servers").get<std::vector<ServerInfo>>()) {
+    m_servers[server.service][server.id] = server;
+  }
+  for (const auto& host : fields.at("hosts").get<std::vector<HostInfo>>()) {
+    m_hosts[host.id] = host;
+  }
+  for (const json& left : fields.at("left_hosts")) {
+    const Departed departed{ .incarnation = left.at(1),
+                             .released = left.at(2),
+                             .index = left.at(3) };
+    m_left_hosts.add(left.at(0).get<std::string>(), departed, m_departed_limit);
+  }
+  for (const json& left : fields.at("left_servers")) {
+    const Departed departed{ .incarnation = left.at(2), .index = left.at(3) };
+    const ServerKey key{ left.at(0).get<std::string>(), left.at(1).get<std::string>() };
+    m_left_servers.add(key, departed, m_departed_limit);
+  }
+}
+
+} // namespace lovagehold
--- a/src/libstate/state_machine.cpp
+++ b/src/libstate/state_machine.cpp
@@ -1,9 +1,9 @@
 #include "lovagehold/state_machine.h"
 
-#include "json_fields.h"
-#include "lovagehold/config_parser.h"
-
-#include <algorithm>
+#include "apply_results.h"
+#include "claim_store.h"
+#include "config_store.h"
+#include "directory.h"
 
 namespace lovagehold {
 
@@ -11,217 +11,79 @@
 
 using nlohmann::json;
 
-using KeyId = std::pair<ServiceName, std::string>;
-
-struct ClaimEntry
-{
-  Digest digest{};
-  std::string attempt;
-  HostId holder;
-  bool holder_gone = false;
-  bool done = false;
-  StoredAnswer answer;
-  WallTime expires{};
-};
-
-ApplyResult
-accept()
-{
-  ApplyResult result;
-  result.accepted = true;
-  return result;
-}
-
-ApplyResult
-reject(Error error)
-{
-  ApplyResult result;
-  result.error = std::move(error);
-  return result;
-}
-
-std::vector<DeclarationFile>
-to_files(const std::map<std::uint64_t, ChangeRecord>& changes)
-{
-  std::vector<DeclarationFile> files;
-  files.reserve(changes.size());
-  for (const auto& [number, change] : changes) {
-    files.push_back({ change.file_name, change.content });
-  }
-  std::sort(
-    files.begin(), files.end(), [](const auto& a, const auto& b) { return a.name < b.name; });
-  return files;
-}
+constexpr int kSnapshotVersion = 2;
 
 } // namespace
 
 struct StateMachine::Impl
 {
-  StateMachineOptions options;
-  std::uint64_t applied = 0;
-  std::uint64_t view = 0;
-  std::map<std::uint64_t, ChangeRecord> changes;
-  std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
-  std::map<ServiceName, std::map<ServerId, ServerInfo>> servers;
-  std::map<HostId, HostInfo> hosts;
-  std::map<HostId, bool> released;
-  std::map<KeyId, ClaimEntry> claims;
-
-  ApplyResult conflict(const ChangeRecord& winner) const
+  explicit Impl(const StateMachineOptions& limits)
+    : options(limits)
+    , config(limits)
+    , claims(limits)
+    , directory(limits)
   {
-    ApplyResult result = reject(
-      { .kind = ErrorKind::Conflict,
-        .message = "number " + std::to_string(winner.number) + " is taken by " + winner.file_name,
-        .remedy = "rename the file to number " + std::to_string(changes.rbegin()->first + 1) });
-    result.revision = winner.revision;
-    result.winner_file = winner.file_name;
-    result.next_free_number = changes.rbegin()->first + 1;
-    return result;
   }
 
-  ApplyResult apply_one(const SubmitChange& change)
-  {
-    const auto taken = changes.find(change.number);
-    if (taken != changes.end()) {
-      const ChangeRecord& winner = taken->second;
-      if (winner.file_name != change.file_name || winner.content != change.content) {
-        return conflict(winner);
-      }
-      ApplyResult again = accept();
-      again.revision = winner.revision;
-      return again;
-    }
-    std::map<std::uint64_t, ChangeRecord> next = changes;
-    next[change.number] = { .number = change.number,
-                            .revision = applied,
-                            .file_name = change.file_name,
-                            .content = change.content };
-    MergeOutcome merged = merge_declarations(to_files(next));
-    if (!merged.mistakes.empty()) {
-      return reject({ .kind = ErrorKind::InvalidArgument,
-                      .message = to_string(merged.mistakes.front()),
-                      .remedy = "run lovagehold --check on the folder" });
-    }
-    merged.configuration.revision = applied;
-    configuration = std::make_shared<Configuration>(std::move(merged.configuration));
-    changes = std::move(next);
-    ApplyResult result = accept();
-    result.revision = applied;
-    return result;
-  }
+  StateMachineOptions options;
+  std::uint64_t applied = 0;
+  ConfigStore config;
+  ClaimStore claims;
+  Directory directory;
+
+  ApplyResult apply_one(const SubmitChange& change) { return config.submit(change, applied); }
 
   ApplyResult apply_one(const ClaimKey& claim)
   {
-    ApplyResult result = accept();
-    const auto found = claims.find({ claim.service, claim.key });
-    if (found == claims.end()) {
-      if (claims.size() >= options.claim_capacity) {
-        result.claim = ClaimStatus::StoreFull;
-        return result;
-      }
-      ClaimEntry entry{ .digest = claim.body_digest,
-                        .attempt = claim.attempt,
-                        .holder = claim.holder };
-      entry.expires = claim.now + claim.keep;
-      claims[{ claim.service, claim.key }] = std::move(entry);
-      result.claim = ClaimStatus::Granted;
+    // A claim that was proposed before its holder's end and committed after it would stay open for
+    // ever.
+    if (!directory.may_hold(claim.holder, claim.holder_incarnation)) {
+      ApplyResult result =
+        reject({ .kind = ErrorKind::Conflict,
+                 .message = "host " + claim.holder + " has left and can't claim keys",
+                 .remedy = "send the request again; another host serves it" });
+      result.claim = ClaimStatus::StoreFull;
       return result;
     }
-    const ClaimEntry& entry = found->second;
-    if (entry.digest != claim.body_digest) {
-      result.claim = ClaimStatus::DigestDiffers;
-    } else if (entry.done) {
-      result.claim = ClaimStatus::Done;
-      result.answer = entry.answer;
-    } else if (entry.attempt == claim.attempt) {
-      result.claim = ClaimStatus::Granted;
-    } else {
-      result.claim = entry.holder_gone ? ClaimStatus::Unknown : ClaimStatus::InProgress;
-    }
-    return result;
+    return claims.claim(claim);
   }
 
-  ApplyResult apply_one(const RecordOutcome& record)
-  {
-    const auto found = claims.find({ record.service, record.key });
-    if (found == claims.end() || found->second.attempt != record.attempt || found->second.done) {
-      return reject({ .kind = ErrorKind::Conflict,
-                      .message = "attempt " + record.attempt + " does not hold key " + record.key,
-                      .remedy = "ask for the status of the key" });
-    }
-    if (record.outcome == OutcomeKind::NotRun) {
-      claims.erase(found);
-      return accept();
-    }
-    found->second.done = true;
-    found->second.answer = record.answer;
-    return accept();
-  }
+  ApplyResult apply_one(const RecordOutcome& record) { return claims.record(record); }
 
-  ApplyResult apply_one(const JoinServer& join)
-  {
-    ServerInfo& entry = servers[join.server.service][join.server.id];
-    if (entry.incarnation > join.server.incarnation) {
-      return reject({ .kind = ErrorKind::Conflict,
-                      .message = "a newer incarnation of server " + join.server.id + " has joined",
-                      .remedy = "announce with a larger incarnation" });
-    }
-    entry = join.server;
-    return accept();
-  }
+  ApplyResult apply_one(const JoinServer& join) { return directory.join(join.server, applied); }
 
-  ApplyResult apply_one(const LeaveServer& leave)
-  {
-    auto& of_service = servers[leave.service];
-    const auto found = of_service.find(leave.id);
-    if (found != of_service.end() && found->second.incarnation <= leave.incarnation) {
-      of_service.erase(found);
-    }
-    return accept();
-  }
+  ApplyResult apply_one(const LeaveServer& leave) { return directory.leave(leave, applied); }
 
   ApplyResult apply_one(const JoinHost& join)
   {
-    mark_holder_gone(join.host.id);
-    hosts[join.host.id] = join.host;
-    view = applied;
-    return accept();
+    bool replaced = false;
+    ApplyResult result = directory.join(join.host, applied, replaced);
+    if (replaced) {
+      claims.mark_holder_gone(join.host.id);
+    }
+    return result;
   }
 
   ApplyResult apply_one(const LeaveHost& leave)
   {
-    const auto found = hosts.find(leave.id);
-    if (found == hosts.end() || found->second.incarnation > leave.incarnation) {
-      return accept();
+    bool left = false;
+    ApplyResult result = directory.leave(leave, applied, left);
+    if (left) {
+      claims.mark_holder_gone(leave.id);
     }
-    hosts.erase(found);
-    released[leave.id] = leave.released;
-    mark_holder_gone(leave.id);
-    view = applied;
-    return accept();
+    return result;
   }
 
   ApplyResult apply_one(const ExpireOutcomes& expire)
   {
-    for (auto entry = claims.begin(); entry != claims.end();) {
-      const bool ended = entry->second.done || entry->second.holder_gone;
-      entry = ended && entry->second.expires <= expire.now ? claims.erase(entry) : std::next(entry);
-    }
+    claims.expire(expire.now);
     return accept();
   }
-
-  void mark_holder_gone(const HostId& host)
-  {
-    for (auto& [key, entry] : claims) {
-      entry.holder_gone = entry.holder_gone || (!entry.done && entry.holder == host);
-    }
-  }
 };
 
 StateMachine::StateMachine(StateMachineOptions options)
-  : m_impl(std::make_unique<Impl>())
+  : m_impl(std::make_unique<Impl>(options))
 {
-  m_impl->options = options;
 }
 
 StateMachine::~StateMachine() = default;
@@ -247,155 +109,97 @@
 std::shared_ptr<const Configuration>
 StateMachine::configuration() const
 {
-  return m_impl->configuration;
+  return m_impl->config.configuration();
+}
+
+const Origins&
+StateMachine::origins() const
+{
+  return m_impl->config.origins();
+}
+
+std::uint64_t
+StateMachine::next_free_number() const
+{
+  return m_impl->config.next_free_number();
 }
 
 std::vector<ChangeRecord>
 StateMachine::changes() const
 {
-  std::vector<ChangeRecord> records;
-  for (const auto& [number, change] : m_impl->changes) {
-    records.push_back(change);
-  }
-  return records;
+  return m_impl->config.changes();
 }
 
 std::vector<ServerInfo>
 StateMachine::servers(const ServiceName& service) const
 {
-  std::vector<ServerInfo> found;
-  const auto of_service = m_impl->servers.find(service);
-  if (of_service != m_impl->servers.end()) {
-    for (const auto& [id, server] : of_service->second) {
-      found.push_back(server);
-    }
-  }
-  return found;
+  return m_impl->directory.servers(service);
 }
 
 std::vector<ServerInfo>
 StateMachine::all_servers() const
 {
-  std::vector<ServerInfo> all;
-  for (const auto& [service, of_service] : m_impl->servers) {
-    for (const auto& [id, server] : of_service) {
-      all.push_back(server);
-    }
-  }
-  return all;
+  return m_impl->directory.all_servers();
 }
 
 std::vector<HostInfo>
 StateMachine::hosts() const
 {
-  std::vector<HostInfo> live;
-  for (const auto& [id, host] : m_impl->hosts) {
-    live.push_back(host);
-  }
-  return live;
+  return m_impl->directory.hosts();
 }
 
 std::optional<KeyStatus>
 StateMachine::key_status(const ServiceName& service, const std::string& key) const
 {
-  const auto found = m_impl->claims.find({ service, key });
-  if (found == m_impl->claims.end()) {
-    return std::nullopt;
-  }
-  KeyStatus status{ .status = ClaimStatus::InProgress, .attempt = found->second.attempt };
-  if (found->second.done) {
-    status.status = ClaimStatus::Done;
-    status.answer = found->second.answer;
-  } else if (found->second.holder_gone) {
-    status.status = ClaimStatus::Unknown;
-  }
-  return status;
+  return m_impl->claims.status(service, key);
+}
+
+ClaimUsage
+StateMachine::claim_usage() const
+{
+  return m_impl->claims.usage();
 }
 
 std::uint64_t
 StateMachine::view() const
 {
-  return m_impl->view;
+  return m_impl->directory.view();
 }
 
 bool
 StateMachine::left_released(const HostId& id) const
 {
-  const auto found = m_impl->released.find(id);
-  return found != m_impl->released.end() && found->second;
+  return m_impl->directory.left_released(id);
 }
 
 Bytes
 StateMachine::snapshot() const
 {
-  json changes = json::array();
-  for (const auto& [number, change] : m_impl->changes) {
-    changes.push_back({ number, change.revision, change.file_name, change.content });
-  }
-  json claims = json::array();
-  for (const auto& [key, entry] : m_impl->claims) {
-    const Bytes digest(entry.digest.begin(), entry.digest.end());
-    claims.push_back({ key.first,
-                       key.second,
-                       json::binary(digest),
-                       entry.attempt,
-                       entry.holder,
-                       entry.holder_gone,
-                       entry.done,
-                       entry.answer,
-                       entry.expires.time_since_epoch().count() });
-  }
-  const json whole = { { "applied", m_impl->applied }, { "view", m_impl->view },
-                       { "changes", changes },         { "servers", all_servers() },
-                       { "hosts", hosts() },           { "released", m_impl->released },
-                       { "claims", std::move(claims) } };
+  const json whole = { { "version", kSnapshotVersion },
+                       { "applied", m_impl->applied },
+                       { "config", m_impl->config.snapshot() },
+                       { "claims", m_impl->claims.snapshot() },
+                       { "directory", m_impl->directory.snapshot() } };
   return json::to_cbor(whole);
 }
 
 Result<void>
 StateMachine::restore(const Bytes& snapshot)
 {
-  auto next = std::make_unique<Impl>();
-  next->options = m_impl->options;
+  auto next = std::make_unique<Impl>(m_impl->options);
   try {
     const json whole = json::from_cbor(snapshot);
-    whole.at("applied").get_to(next->applied);
-    whole.at("view").get_to(next->view);
-    std::uint64_t revision = 0;
-    for (const json& change : whole.at("changes")) {
-      ChangeRecord record{ .number = change.at(0), .revision = change.at(1) };
-      change.at(2).get_to(record.file_name);
-      change.at(3).get_to(record.content);
-      revision = std::max(revision, record.revision);
-      next->changes[record.number] = record;
-    }
-    MergeOutcome merged = merge_declarations(to_files(next->changes));
-    merged.configuration.revision = revision;
-    next->configuration = std::make_shared<Configuration>(std::move(merged.configuration));
-    for (const auto& server : whole.at("servers").get<std::vector<ServerInfo>>()) {
-      next->servers[server.service][server.id] = server;
-    }
-    for (const auto& host : whole.at("hosts").get<std::vector<HostInfo>>()) {
-      next->hosts[host.id] = host;
-    }
-    whole.at("released").get_to(next->released);
-    for (const json& claim : whole.at("claims")) {
-      ClaimEntry entry;
-      const auto& digest = claim.at(2).get_binary();
-      std::copy_n(
-        digest.begin(), std::min(digest.size(), entry.digest.size()), entry.digest.begin());
-      claim.at(3).get_to(entry.attempt);
-      claim.at(4).get_to(entry.holder);
-      claim.at(5).get_to(entry.holder_gone);
-      claim.at(6).get_to(entry.done);
-      claim.at(7).get_to(entry.answer);
-      entry.expires = WallTime(std::chrono::milliseconds(claim.at(8).get<std::int64_t>()));
-      next->claims[{ claim.at(0).get<std::string>(), claim.at(1).get<std::string>() }] = entry;
+    if (whole.at("version").get<int>() != kSnapshotVersion) {
+      throw std::invalid_argument("its version is not " + std::to_string(kSnapshotVersion));
     }
+    whole.at("applied").get_to(next->applied);
+    next->config.restore(whole.at("config"));
+    next->claims.restore(whole.at("claims"));
+    next->directory.restore(whole.at("directory"));
   } catch (const std::exception& exception) {
     return Error{ .kind = ErrorKind::Protocol,
                   .message = std::string("not a snapshot: ") + exception.what(),
-                  .remedy = "fetch the snapshot again" };
+                  .remedy = "fetch the snapshot again; all hosts must run compatible versions" };
   }
   m_impl = std::move(next);
   return boost::outcome_v2::success();
--- /dev/null
+++ b/src/libstate/state_oracle.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "lovagehold/state_machine.h"
+
+#include <set>
+
+namespace lovagehold::testing_oracle {
+
+/// Sizes small enough that short command sequences reach every limit.
+inline constexpr StateMachineOptions kSmallLimits{ .claim_capacity = 3,
+                                                   .answer_bytes = 3 * kStoredAnswerBytes,
+                                                   .history_count = 2,
+                                                   .folded_count = 2 };
+
+/// The rules of the replicated state written the plainest way: full merges, no indexes, no folding.
+/// Only for tests.
+class Oracle
+{
+public:
+  ApplyResult apply(std::uint64_t index, const Command& command);
+
+  Configuration configuration() const;
+  std::optional<KeyStatus> key_status(const std::string& key) const;
+  std::map<HostId, std::uint64_t> hosts;
+  std::map<ServerId, std::uint64_t> servers;
+
+private:
+  struct Change
+  {
+    std::string file_name;
+    std::string content;
+    std::uint64_t revision = 0;
+  };
+  struct Claim
+  {
+    Digest digest{};
+    std::string attempt;
+    HostId holder;
+    ClaimStatus status = ClaimStatus::InProgress;
+    StoredAnswer answer;
+    WallTime expires{};
+  };
+
+  ApplyResult apply_one(const SubmitChange& change);
+  ApplyResult apply_one(const ClaimKey& claim);
+  ApplyResult apply_one(const RecordOutcome& record);
+  ApplyResult apply_one(const JoinServer& join);
+  ApplyResult apply_one(const LeaveServer& leave);
+  ApplyResult apply_one(const JoinHost& join);
+  ApplyResult apply_one(const LeaveHost& leave);
+  ApplyResult apply_one(const ExpireOutcomes& expire);
+  void end_claims_of(const HostId& host);
+
+  std::uint64_t m_index = 0;
+  std::map<std::uint64_t, Change> m_changes;
+  // Numbers whose content, and whose first answer, the state still has.
+  std::set<std::uint64_t> m_recent;
+  std::set<std::uint64_t> m_remembered;
+  std::uint64_t m_floor = 0;
+  std::uint64_t m_revision = 0;
+  std::map<std::string, Claim> m_claims;
+  std::map<HostId, std::uint64_t> m_left_hosts;
+  std::map<ServerId, std::uint64_t> m_left_servers;
+};
+
+} // namespace lovagehold::testing_oracle
--- /dev/null
+++ b/src/libstate/state_property_test.cpp
@@ -0,0 +1,313 @@
+#include "config_json.h"
+#include "state_oracle.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace lovagehold {
+namespace {
+
+using nlohmann::json;
+using testing_oracle::kSmallLimits;
+using testing_oracle::Oracle;
+
+constexpr std::uint64_t kSeed = 20261204;
+constexpr int kSequences = 400;
+constexpr int kSteps = 60;
+
+/// One step: a command, or a snapshot with restore, made from small numbers so that steps collide.
+struct Step
+{
+  int action = 0;
+  std::uint64_t a = 0;
+  std::uint64_t b = 0;
+  std::uint64_t c = 0;
+};
+
+void
+showValue(const Step& step, std::ostream& out)
+{
+  out << "{" << step.action << ", " << step.a << ", " << step.b << ", " << step.c << "}";
+}
+
+constexpr int kSnapshotAction = 9;
+
+const std::vector<std::string> kContents{
+  "services: {a: {kinds: {k: {treat: patient, deadline: 2s}}}}",
+  "services: {a: {kinds: {k: {deadline: 5s}}}, b: {error_budget: 0.01}}",
+  "services: {a: null}",
+  "services: {a: {kindz: 1}}",
+};
+
+Command
+make_command(const Step& step)
+{
+  const std::string letter(1, static_cast<char>('a' + step.b % 2));
+  const std::string host = "h" + std::to_string(step.a % 2);
+  const std::string key = "k" + std::to_string(step.a % 4);
+  const std::string attempt = "t" + std::to_string(step.b % 4);
+  const WallTime now{ std::chrono::hours(step.c) };
+  switch (step.action) {
+    case 0:
+    case 1: {
+      const std::uint64_t number = 1 + step.a % 9;
+      return SubmitChange{ .number = number,
+                           .file_name = std::to_string(number) + "-" + letter + ".yaml",
+                           .content = kContents[step.c % kContents.size()] };
+    }
+    case 2:
+    case 3: {
+      ClaimKey claim{ .service = "s",
+                      .key = key,
+                      .attempt = attempt,
+                      .holder = "h" + std::to_string(step.b % 2),
+                      .holder_incarnation = 1 + step.c % 3,
+                      .now = now,
+                      .keep = std::chrono::hours(1) };
+      claim.body_digest[0] = step.c == 7 ? 1 : 0;
+      return claim;
+    }
+    case 4:
+      return RecordOutcome{ .service = "s",
+                            .key = key,
+                            .attempt = attempt,
+                            .outcome = static_cast<OutcomeKind>(step.c % 3),
+                            .answer = { .status = 200 + static_cast<unsigned>(step.c / 3) },
+                            .now = now };
+    case 5:
+      return JoinHost{ { .id = host, .incarnation = 1 + step.c % 3 } };
+    case 6:
+      return LeaveHost{ .id = host, .incarnation = 1 + step.c % 3, .released = step.b % 2 == 0 };
+    case 7:
+      if (step.b % 2 == 0) {
+        return JoinServer{ { .service = "s", .id = host, .incarnation = step.c % 3 } };
+      }
+      return LeaveServer{ .service = "s", .id = host, .incarnation = step.c % 3 };
+    default:
+      return ExpireOutcomes{ .now = now };
+  }
+}
+
+/// Deliberate faults; each must be found by the comparison with the oracle.
+enum class Fault
+{
+  None,
+  SecondWinner,
+  ConflictWithoutWinner,
+  ConflictWithoutNextNumber,
+  ResentChangeGetsNewRevision,
+  MistakesAccepted,
+  KeyGrantedTwice,
+  KeyKeptAfterNotRun,
+  EndedAttemptRecords,
+  EarlierIncarnationWins,
+  LeaveOfEarlierIncarnationCounts,
+  HolderNeverGone,
+  ExpiryEndsOpenClaims,
+  SnapshotLosesClaims,
+  SnapshotLosesHistory,
+  SnapshotLosesDepartures,
+};
+constexpr Fault kLastFault = Fault::SnapshotLosesDepartures;
+
+class Subject
+{
+public:
+  explicit Subject(Fault fault)
+    : m_fault(fault)
+  {
+  }
+
+  const StateMachine& state() const { return m_state; }
+
+  ApplyResult apply(std::uint64_t index, Command command)
+  {
+    spoil_command(command);
+    if (skipped(command)) {
+      ApplyResult result;
+      result.accepted = true;
+      return result;
+    }
+    ApplyResult result = m_state.apply(index, command);
+    spoil_result(index, command, result);
+    return result;
+  }
+
+  // Restores into a new machine; \return whether its snapshot has the same bytes.
+  bool restart()
+  {
+    const Bytes before = m_state.snapshot();
+    json whole = json::from_cbor(before);
+    if (m_fault == Fault::SnapshotLosesClaims) {
+      whole["claims"] = json::array();
+    } else if (m_fault == Fault::SnapshotLosesHistory) {
+      whole["config"]["changes"] = json::array();
+    } else if (m_fault == Fault::SnapshotLosesDepartures) {
+      whole["directory"]["left_hosts"] = json::array();
+    }
+    StateMachine next(kSmallLimits);
+    if (next.restore(json::to_cbor(whole)).has_error()) {
+      return false;
+    }
+    m_state = std::move(next);
+    return m_fault != Fault::None || m_state.snapshot() == before;
+  }
+
+private:
+  void spoil_command(Command& command)
+  {
+    if (auto* join = std::get_if<JoinHost>(&command);
+        join != nullptr && m_fault == Fault::EarlierIncarnationWins) {
+      join->host.incarnation = 3;
+    }
+    if (auto* leave = std::get_if<LeaveHost>(&command);
+        leave != nullptr && m_fault == Fault::LeaveOfEarlierIncarnationCounts) {
+      leave->incarnation = 3;
+    }
+    auto* claim = std::get_if<ClaimKey>(&command);
+    if (claim != nullptr && m_fault == Fault::HolderNeverGone) {
+      claim->holder = "nobody";
+    }
+  }
+
+  bool skipped(const Command& command) const
+  {
+    const auto* record = std::get_if<RecordOutcome>(&command);
+    return record != nullptr && m_fault == Fault::KeyKeptAfterNotRun &&
+           record->outcome == OutcomeKind::NotRun &&
+           m_state.key_status("s", record->key).has_value() &&
+           m_state.key_status("s", record->key)->attempt == record->attempt;
+  }
+
+  void spoil_result(std::uint64_t index, const Command& command, ApplyResult& result)
+  {
+    const bool conflict = result.error && !result.winner_file.empty();
+    if (m_fault == Fault::SecondWinner && conflict) {
+      result = {};
+      result.accepted = true;
+      result.revision = index;
+    } else if (m_fault == Fault::ConflictWithoutWinner) {
+      result.winner_file.clear();
+    } else if (m_fault == Fault::ConflictWithoutNextNumber) {
+      result.next_free_number = 0;
+    } else if (m_fault == Fault::ResentChangeGetsNewRevision && result.revision != 0) {
+      result.revision = index;
+    } else if (m_fault == Fault::MistakesAccepted && std::get_if<SubmitChange>(&command) &&
+               result.error) {
+      result.error.reset();
+      result.accepted = true;
+    } else if (m_fault == Fault::KeyGrantedTwice && result.claim == ClaimStatus::InProgress) {
+      result.claim = ClaimStatus::Granted;
+    } else if (m_fault == Fault::EndedAttemptRecords && std::get_if<RecordOutcome>(&command)) {
+      result.error.reset();
+      result.accepted = true;
+    } else if (m_fault == Fault::ExpiryEndsOpenClaims && std::get_if<ExpireOutcomes>(&command)) {
+      for (const char* host : { "h0", "h1" }) {
+        m_state.apply(index + 1, LeaveHost{ .id = host, .incarnation = 9 });
+      }
+    }
+  }
+
+  Fault m_fault;
+  StateMachine m_state{ kSmallLimits };
+};
+
+void
+compare_result(const ApplyResult& got, const ApplyResult& expected)
+{
+  RC_ASSERT(got.accepted == expected.accepted);
+  RC_ASSERT(got.error.has_value() == expected.error.has_value());
+  if (got.error) {
+    RC_ASSERT(got.error->kind == expected.error->kind);
+    RC_ASSERT(!got.error->message.empty() && !got.error->remedy.empty());
+  }
+  RC_ASSERT(got.claim == expected.claim);
+  RC_ASSERT(got.answer.has_value() == expected.answer.has_value());
+  RC_ASSERT(!got.answer || got.answer->status == expected.answer->status);
+  RC_ASSERT(got.revision == expected.revision);
+  RC_ASSERT(got.winner_file == expected.winner_file);
+  RC_ASSERT(got.next_free_number == expected.next_free_number);
+}
+
+void
+compare_state(const StateMachine& state, const Oracle& oracle)
+{
+  RC_ASSERT(json(*state.configuration()) == json(oracle.configuration()));
+  std::map<HostId, std::uint64_t> hosts;
+  for (const HostInfo& host : state.hosts()) {
+    hosts[host.id] = host.incarnation;
+  }
+  RC_ASSERT(hosts == oracle.hosts);
+  std::map<ServerId, std::uint64_t> servers;
+  for (const ServerInfo& server : state.servers("s")) {
+    servers[server.id] = server.incarnation;
+  }
+  RC_ASSERT(servers == oracle.servers);
+  for (const char* key : { "k0", "k1", "k2", "k3" }) {
+    const auto got = state.key_status("s", key);
+    const auto expected = oracle.key_status(key);
+    RC_ASSERT(got.has_value() == expected.has_value());
+    RC_ASSERT(!got || (got->status == expected->status && got->attempt == expected->attempt));
+  }
+  const ClaimUsage usage = state.claim_usage();
+  RC_ASSERT(usage.entries <= kSmallLimits.claim_capacity);
+  RC_ASSERT(usage.bytes <= kSmallLimits.answer_bytes);
+}
+
+void
+run_steps(Fault fault, const std::vector<Step>& steps)
+{
+  Subject subject(fault);
+  Oracle oracle;
+  std::uint64_t index = 0;
+  for (const Step& step : steps) {
+    index += 2;
+    if (step.action == kSnapshotAction) {
+      RC_ASSERT(subject.restart());
+    } else {
+      const Command command = make_command(step);
+      compare_result(subject.apply(index, command), oracle.apply(index, command));
+    }
+    compare_state(subject.state(), oracle);
+  }
+}
+
+// The result of random command sequences against the oracle; always the same sequences.
+rc::detail::TestResult
+check_against_oracle(Fault fault)
+{
+  const rc::detail::TestParams params{ .seed = kSeed,
+                                       .maxSuccess = kSequences,
+                                       .disableShrinking = fault != Fault::None };
+  const auto step = rc::gen::build<Step>(rc::gen::set(&Step::action, rc::gen::inRange(0, 10)),
+                                         rc::gen::set(&Step::a, rc::gen::inRange(0, 9)),
+                                         rc::gen::set(&Step::b, rc::gen::inRange(0, 8)),
+                                         rc::gen::set(&Step::c, rc::gen::inRange(0, 9)));
+  return rc::detail::checkTestable(
+    [&] { run_steps(fault, *rc::gen::container<std::vector<Step>>(kSteps, step)); },
+    rc::detail::TestMetadata{},
+    params);
+}
+
+// Guards against two winners of a number, a resent change answered anew, a key granted to two
+// attempts, an outcome recorded after NotRun, an earlier incarnation winning, and a snapshot that
+// differs from the state.
+TEST(StateProperty, EqualsTheOracle)
+{
+  const rc::detail::TestResult result = check_against_oracle(Fault::None);
+  std::ostringstream text;
+  rc::detail::printResultMessage(result, text);
+  EXPECT_TRUE(result.is<rc::detail::SuccessResult>()) << text.str();
+}
+
+// Guards against a comparison that can't fail: each deliberate fault must be found.
+TEST(StateProperty, FindsEachDeliberateFault)
+{
+  for (int fault = 1; fault <= static_cast<int>(kLastFault); ++fault) {
+    const rc::detail::TestResult result = check_against_oracle(static_cast<Fault>(fault));
+    EXPECT_TRUE(result.is<rc::detail::FailureResult>()) << "fault " << fault << " was not found";
+  }
+}
+
+} // namespace
+} // namespace lovagehold
