Give operators subcommands, a check and admin pages

Cause: lovagectl printed raw pages and could only apply, and a file could be checked only by starting a process with it. Before: 3 subcommands. Conclusion: the admin pages left node.cpp, which keeps only wiring.

--- a/src/include/lovagehold/state_machine.h
+++ b/src/include/lovagehold/state_machine.h
@@ -75,6 +75,9 @@
   /// \return changes that still have their content, by number.
   std::vector<ChangeRecord> changes() const;
 
+  /// \return the largest number whose change has been folded; nothing if none has.
+  std::optional<std::uint64_t> folded_through() const;
+
   /// Which file set each value of the merged configuration.
   const Origins& origins() const;
 
--- a/src/libstate/config_store.h
+++ b/src/libstate/config_store.h
@@ -22,6 +22,10 @@
   /// \return changes that still have their content, by number.
   std::vector<ChangeRecord> changes() const;
   std::uint64_t next_free_number() const;
+  std::optional<std::uint64_t> folded_through() const
+  {
+    return m_has_base ? std::optional<std::uint64_t>(m_base_number) : std::nullopt;
+  }
 
   nlohmann::json snapshot() const;
   /// Throws if the fields are no snapshot.
--- a/src/libstate/state_machine.cpp
+++ b/src/libstate/state_machine.cpp
@@ -118,6 +118,12 @@
   return m_impl->config.origins();
 }
 
+std::optional<std::uint64_t>
+StateMachine::folded_through() const
+{
+  return m_impl->config.folded_through();
+}
+
 std::uint64_t
 StateMachine::next_free_number() const
 {
--- /dev/null
+++ b/src/lovagectl/config_commands.cpp
@@ -0,0 +1,234 @@
+#include "commands.h"
+#include "libstate/config_json.h"
+#include "lovagehold/declaration_folder.h"
+#include "lovagehold/declaration_merger.h"
+
+#include <iostream>
+#include <set>
+
+namespace lovagehold {
+
+namespace {
+
+using nlohmann::json;
+
+// The values of a service by the dotted keys that declarations use.
+std::map<std::string, std::string>
+flatten(const json& service)
+{
+  std::map<std::string, std::string> values;
+  for (const auto& [key, value] : service.items()) {
+    if (key == "kinds") {
+      for (const json& kind : value) {
+        for (const auto& [kind_key, kind_value] : kind.items()) {
+          if (kind_key != "name") {
+            values["kinds." + kind["name"].get<std::string>() + "." + kind_key] = kind_value.dump();
+          }
+        }
+      }
+    } else if (key != "origins") {
+      values[key] = value.dump();
+    }
+  }
+  return values;
+}
+
+// Values carry their unit in the key on the page ("deadline_ms"); origins use the declared key.
+std::string
+find_origin(const json& origins, const std::string& key)
+{
+  for (const char* unit : { "", "_ms", "_us", "_h" }) {
+    const std::string suffix = unit;
+    if (key.size() > suffix.size() &&
+        key.compare(key.size() - suffix.size(), suffix.size(), suffix) == 0) {
+      const auto found = origins.find(key.substr(0, key.size() - suffix.size()));
+      if (found != origins.end()) {
+        return found->get<std::string>();
+      }
+    }
+  }
+  return "default";
+}
+
+void
+print_difference(const std::string& service, const json& before, const json& after)
+{
+  const auto old_values = flatten(before);
+  const auto new_values = flatten(after);
+  std::set<std::string> keys;
+  for (const auto& [key, value] : old_values) {
+    keys.insert(key);
+  }
+  for (const auto& [key, value] : new_values) {
+    keys.insert(key);
+  }
+  for (const std::string& key : keys) {
+    const auto was = old_values.find(key);
+    const auto is = new_values.find(key);
+    if (was == old_values.end()) {
+      std::cout << "  + " << service << "." << key << " = " << is->second << "\n";
+    } else if (is == new_values.end()) {
+      std::cout << "  - " << service << "." << key << " = " << was->second << "\n";
+    } else if (was->second != is->second) {
+      std::cout << "  ~ " << service << "." << key << ": " << was->second << " -> " << is->second
+                << "\n";
+    }
+  }
+}
+
+// Prints how files stand to the accepted ones. \return the files that would be sent.
+std::vector<DeclarationFile>
+compare_files(const json& history, const std::vector<DeclarationFile>& files)
+{
+  std::vector<DeclarationFile> pending;
+  std::map<std::uint64_t, json> accepted;
+  for (const json& change : history["changes"]) {
+    accepted[change["number"]] = change;
+  }
+  const json& folded = history["folded_through"];
+  for (const DeclarationFile& file : files) {
+    const Result<std::uint64_t> number = change_number(file.name);
+    const bool old = folded.is_number() && number.value() <= folded.get<std::uint64_t>();
+    const auto found = accepted.find(number.value());
+    if (found == accepted.end() && !old) {
+      std::cout << "+ " << file.name << ": not accepted yet\n";
+      pending.push_back(file);
+    } else if (found != accepted.end()) {
+      const json& change = found->second;
+      if (change["file"] != file.name) {
+        std::cout << "! " << file.name << ": number " << number.value() << " is taken by "
+                  << change["file"].get<std::string>() << "; next free number is "
+                  << history["next_free_number"] << "\n";
+      } else if (change["content"] != file.content) {
+        std::cout << "! " << file.name << ": was accepted with other content; put the change into "
+                  << "a new file with number " << history["next_free_number"] << "\n";
+      }
+      accepted.erase(found);
+    }
+  }
+  for (const auto& [number, change] : accepted) {
+    std::cout << "- " << change["file"].get<std::string>() << ": accepted, but not in the folder\n";
+  }
+  return pending;
+}
+
+} // namespace
+
+int
+diff_command(const Invocation& invocation)
+{
+  const auto files = read_declaration_folder(invocation.operands[0]);
+  if (files.has_error()) {
+    report(files.error());
+    return kExitWrongUse;
+  }
+  const MergeOutcome checked = merge_declarations(files.value());
+  for (const Mistake& mistake : checked.mistakes) {
+    std::cerr << to_string(mistake) << "\n";
+  }
+  if (!checked.mistakes.empty()) {
+    return kExitRefused;
+  }
+  const Result<json> history = fetch_page(invocation.admin, "/config/changes");
+  const Result<json> shown = fetch_page(invocation.admin, "/config/show");
+  if (history.has_error() || shown.has_error()) {
+    return report(history.has_error() ? history.error() : shown.error());
+  }
+  const auto pending = compare_files(history.value(), files.value());
+  const auto current = shown.value().get<Configuration>();
+  DeclarationMerger merger(current, {});
+  for (const DeclarationFile& file : pending) {
+    for (const Mistake& mistake : merger.add(file)) {
+      std::cerr << to_string(mistake) << "\n";
+    }
+  }
+  std::cout << pending.size() << " files to apply";
+  std::cout << (pending.empty() ? "\n" : "; in the merged configuration:\n");
+  const json before = current.services;
+  const json after = merger.configuration().services;
+  std::set<std::string> names;
+  for (const json* side : { &before, &after }) {
+    for (const auto& [name, service] : side->items()) {
+      names.insert(name);
+    }
+  }
+  for (const std::string& name : names) {
+    print_difference(name, before.value(name, json::object()), after.value(name, json::object()));
+  }
+  return kExitDone;
+}
+
+int
+history_command(const Invocation& invocation)
+{
+  const Result<json> history = fetch_page(invocation.admin, "/config/changes");
+  if (history.has_error()) {
+    return report(history.error());
+  }
+  const json& page = history.value();
+  if (invocation.as_json) {
+    std::cout << page.dump(2) << "\n";
+    return kExitDone;
+  }
+  std::vector<std::vector<std::string>> rows{ { "NUMBER", "REVISION", "FILE" } };
+  for (const json& change : page["changes"]) {
+    rows.push_back(
+      { change["number"].dump(), change["revision"].dump(), change["file"].get<std::string>() });
+  }
+  print_table(rows);
+  if (page["folded_through"].is_number()) {
+    std::cout << "changes up to number " << page["folded_through"] << " are folded into the base\n";
+  }
+  std::cout << "next free number: " << page["next_free_number"] << "\n";
+  return kExitDone;
+}
+
+int
+show_command(const Invocation& invocation)
+{
+  std::string target = "/config/show";
+  if (!invocation.operands.empty()) {
+    target += "?service=" + percent_encode(invocation.operands[0]);
+  }
+  const Result<json> shown = fetch_page(invocation.admin, target);
+  if (shown.has_error()) {
+    return report(shown.error());
+  }
+  if (invocation.as_json) {
+    std::cout << shown.value().dump(2) << "\n";
+    return kExitDone;
+  }
+  std::cout << "revision " << shown.value()["revision"] << "\n";
+  for (const auto& [name, service] : shown.value()["services"].items()) {
+    std::cout << "\n" << name << "\n";
+    std::vector<std::vector<std::string>> rows;
+    for (const auto& [key, value] : flatten(service)) {
+      rows.push_back({ "  " + key, value, find_origin(service["origins"], key) });
+    }
+    print_table(rows);
+  }
+  return kExitDone;
+}
+
+int
+key_command(const Invocation& invocation)
+{
+  const Result<json> page = fetch_page(invocation.admin,
+                                       "/keys?service=" + percent_encode(invocation.operands[0]) +
+                                         "&key=" + percent_encode(invocation.operands[1]));
+  if (page.has_error()) {
+    return report(page.error());
+  }
+  if (invocation.as_json) {
+    std::cout << page.value().dump(2) << "\n";
+    return kExitDone;
+  }
+  std::vector<std::vector<std::string>> rows;
+  for (const auto& [name, value] : page.value().items()) {
+    rows.push_back({ name, value.is_string() ? value.get<std::string>() : value.dump() });
+  }
+  print_table(rows);
+  return kExitDone;
+}
+
+} // namespace lovagehold
--- a/src/lovagectl/main.cpp
+++ b/src/lovagectl/main.cpp
@@ -1,107 +1,103 @@
-#include "admin_client.h"
-#include "lovagehold/config_parser.h"
+#include "commands.h"
 
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
 #include <iostream>
-#include <nlohmann/json.hpp>
-#include <sstream>
 #include <tclap/CmdLine.h>
 
 namespace {
 
-using nlohmann::json;
+using namespace lovagehold;
 
-constexpr int kExitDone = 0;
-constexpr int kExitRefused = 1;
-constexpr int kExitWrongUse = 2;
-constexpr int kExitNotReachable = 3;
-constexpr std::chrono::milliseconds kTimeout{ 5000 };
+constexpr const char* kHelp = R"(lovagectl: operators' command of lovagehold
 
-int
-report(const lovagehold::Error& error)
-{
-  std::cerr << "lovagectl: " << error.message << "; " << error.remedy << "\n";
-  return error.kind == lovagehold::ErrorKind::Unavailable ? kExitNotReachable : kExitRefused;
-}
+Usage: lovagectl [--admin IP:port] COMMAND [options]
 
-std::vector<std::filesystem::path>
-list_changes(const std::string& folder)
-{
-  std::vector<std::filesystem::path> files;
-  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
-    if (entry.path().extension() == ".yaml") {
-      files.push_back(entry.path());
-    }
-  }
-  std::sort(files.begin(), files.end());
-  return files;
-}
+Configuration:
+  apply FOLDER           send the changes that are not accepted yet
+      --wait             return when the revision is in force on every reachable host
+      --wait-limit N     seconds that --wait waits at most (30)
+  diff FOLDER            what apply would change
+  history                accepted changes and the next free number
+  show [SERVICE]         merged configuration and the file that set each value
 
-int
-apply_file(const std::string& admin, const std::filesystem::path& path)
+Operation:
+  status                 hosts, the revision in force and whether they are up to date
+  timeline               events of all hosts in causal order
+      --format FORMAT    text, json or chrome (text)
+  key SERVICE KEY        outcome of a non-idempotent request
+
+General:
+  -a, --admin IP:port    admin address of any host (127.0.0.1:7082)
+      --json             print JSON (history, show, status, key)
+  -h, --help             print this text
+      --version          print the version
+
+Exit codes: 0 done, 1 refused, 2 wrong use, 3 not reachable.
+)";
+
+// Prints our grouped text in place of the generated one.
+class HelpOutput : public TCLAP::StdOutput
 {
-  std::ifstream file(path);
-  std::ostringstream content;
-  content << file.rdbuf();
-  const json body = { { "file", path.filename().string() }, { "content", content.str() } };
-  const auto answer =
-    lovagehold::ask_admin(admin, "POST", "/config/changes", body.dump(), kTimeout);
-  if (answer.has_error()) {
-    return report(answer.error());
+public:
+  void usage(TCLAP::CmdLineInterface&) override { std::cout << kHelp; }
+  void version(TCLAP::CmdLineInterface& command) override
+  {
+    std::cout << "lovagectl " << command.getVersion() << "\n";
   }
-  const json fields = json::parse(answer.value().body, nullptr, false);
-  if (answer.value().status != 200) {
-    std::cerr << path.filename().string() << ": " << fields.value("error", "refused") << "; "
-              << fields.value("remedy", "") << "\n";
-    return answer.value().status == 503 ? kExitNotReachable : kExitRefused;
-  }
-  std::cout << path.filename().string() << ": accepted, revision " << fields["revision"] << "\n";
-  return kExitDone;
-}
+};
 
-int
-apply_folder(const std::string& admin, const std::string& folder)
+struct CommandEntry
 {
-  if (!std::filesystem::is_directory(folder)) {
-    std::cerr << "lovagectl: '" << folder << "' is no folder; give the declaration folder\n";
-    return kExitWrongUse;
-  }
-  for (const auto& path : list_changes(folder)) {
-    const int code = apply_file(admin, path);
-    if (code != kExitDone) {
-      return code;
-    }
-  }
-  return kExitDone;
-}
+  const char* name;
+  std::size_t least_operands;
+  std::size_t most_operands;
+  /// Options that the command takes besides --admin.
+  std::vector<std::string> options;
+  int (*run)(const Invocation&);
+};
+
+const std::vector<CommandEntry> kCommands{
+  { "apply", 1, 1, { "wait", "wait-limit" }, apply_command },
+  { "diff", 1, 1, {}, diff_command },
+  { "history", 0, 0, { "json" }, history_command },
+  { "show", 0, 1, { "json" }, show_command },
+  { "status", 0, 0, { "json" }, status_command },
+  { "timeline", 0, 0, { "format" }, timeline_command },
+  { "key", 2, 2, { "json" }, key_command },
+};
 
 int
-print_page(const std::string& admin, const std::string& target)
+report_wrong_use(const std::string& message)
 {
-  const auto answer = lovagehold::ask_admin(admin, "GET", target, "", kTimeout);
-  if (answer.has_error()) {
-    return report(answer.error());
-  }
-  std::cout << json::parse(answer.value().body, nullptr, false).dump(2) << "\n";
-  return kExitDone;
+  std::cerr << "lovagectl: " << message << "; see lovagectl --help\n";
+  return kExitWrongUse;
 }
 
 int
-run(const std::string& admin, const std::vector<std::string>& words)
+dispatch(const std::string& name,
+         const Invocation& invocation,
+         const std::vector<std::string>& options)
 {
-  if (words.size() == 2 && words[0] == "apply") {
-    return apply_folder(admin, words[1]);
+  const auto command = std::find_if(
+    kCommands.begin(), kCommands.end(), [&](const auto& entry) { return entry.name == name; });
+  if (command == kCommands.end()) {
+    return report_wrong_use("unknown command '" + name + "'");
   }
-  if (words.size() == 1 && words[0] == "status") {
-    return print_page(admin, "/status");
+  const std::size_t count = invocation.operands.size();
+  if (count < command->least_operands || count > command->most_operands) {
+    return report_wrong_use("'" + name + "' takes " + std::to_string(command->least_operands) +
+                            (command->most_operands > command->least_operands
+                               ? " to " + std::to_string(command->most_operands)
+                               : "") +
+                            " operands, not " + std::to_string(count));
   }
-  if (words.size() == 1 && words[0] == "timeline") {
-    return print_page(admin, "/events");
+  for (const std::string& option : options) {
+    const auto& known = command->options;
+    if (std::find(known.begin(), known.end(), option) == known.end()) {
+      return report_wrong_use("'" + name + "' takes no --" + option);
+    }
   }
-  std::cerr << "lovagectl: unknown command; see lovagectl --help\n";
-  return kExitWrongUse;
+  return command->run(invocation);
 }
 
 } // namespace
@@ -110,20 +106,38 @@
 main(int argc, char** argv)
 {
   try {
-    TCLAP::CmdLine command("lovagectl: operators' command of lovagehold. Commands: apply FOLDER, "
-                           "status, timeline",
-                           ' ',
-                           LOVAGEHOLD_VERSION);
-    TCLAP::ValueArg<std::string> admin(
-      "a", "admin", "admin address of any host", false, "127.0.0.1:7082", "IP:port", command);
-    TCLAP::UnlabeledMultiArg<std::string> words("command", "what to do", true, "command", command);
+    TCLAP::CmdLine command("lovagectl", ' ', LOVAGEHOLD_VERSION);
+    HelpOutput output;
+    command.setOutput(&output);
     command.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> admin(
+      "a", "admin", "admin address", false, "127.0.0.1:7082", "IP:port", command);
+    TCLAP::SwitchArg wait("", "wait", "wait until in force", command);
+    TCLAP::ValueArg<unsigned> limit("", "wait-limit", "seconds", false, 30, "N", command);
+    TCLAP::SwitchArg as_json("", "json", "print JSON", command);
+    std::vector<std::string> formats{ "text", "json", "chrome" };
+    TCLAP::ValuesConstraint<std::string> allowed(formats);
+    TCLAP::ValueArg<std::string> format("", "format", "format", false, "text", &allowed, command);
+    TCLAP::UnlabeledMultiArg<std::string> words("command", "command", false, "command", command);
     command.parse(argc, argv);
-    return run(admin.getValue(), words.getValue());
+    if (words.getValue().empty()) {
+      return report_wrong_use("no command");
+    }
+    Invocation invocation{ .admin = admin.getValue(),
+                           .operands = { words.getValue().begin() + 1, words.getValue().end() },
+                           .wait = wait.getValue(),
+                           .wait_limit = std::chrono::seconds(limit.getValue()),
+                           .as_json = as_json.getValue(),
+                           .format = format.getValue() };
+    std::vector<std::string> options;
+    for (const TCLAP::Arg* arg : std::vector<TCLAP::Arg*>{ &wait, &limit, &as_json, &format }) {
+      if (arg->isSet()) {
+        options.push_back(arg->getName());
+      }
+    }
+    return dispatch(words.getValue().front(), invocation, options);
   } catch (const TCLAP::ArgException& exception) {
-    std::cerr << "lovagectl: " << exception.error() << " " << exception.argId()
-              << "; see lovagectl --help\n";
-    return kExitWrongUse;
+    return report_wrong_use(exception.error() + " " + exception.argId());
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus();
   }
--- /dev/null
+++ b/src/lovagectl/status_command.cpp
@@ -0,0 +1,77 @@
+#include "commands.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace lovagehold {
+
+namespace {
+
+using nlohmann::json;
+
+std::string
+describe(const HostAnswer& host, std::uint64_t latest)
+{
+  if (!host.answered) {
+    return "not heard from";
+  }
+  if (!host.page.value("ready", false)) {
+    return "not ready";
+  }
+  if (host.page.value("stale", false)) {
+    return "stale";
+  }
+  return host.page.value("revision", std::uint64_t{ 0 }) < latest ? "behind" : "ready";
+}
+
+} // namespace
+
+int
+status_command(const Invocation& invocation)
+{
+  const auto hosts = ask_hosts(invocation.admin, "/status");
+  if (hosts.has_error()) {
+    return report(hosts.error());
+  }
+  std::uint64_t latest = 0;
+  for (const HostAnswer& host : hosts.value()) {
+    if (host.answered) {
+      latest = std::max(latest, host.page.value("revision", std::uint64_t{ 0 }));
+    }
+  }
+  json page = { { "revision", latest }, { "hosts", json::array() } };
+  std::vector<std::vector<std::string>> rows{
+    { "HOST", "DOMAIN", "REVISION", "STATE", "SERVICES OWNED", "IN FLIGHT" }
+  };
+  for (const HostAnswer& host : hosts.value()) {
+    const std::string state = describe(host, latest);
+    std::size_t owned = 0;
+    std::size_t in_flight = 0;
+    if (host.answered) {
+      for (const auto& [name, service] : host.page["services"].items()) {
+        ++owned;
+        in_flight += service.value("in_flight", std::size_t{ 0 });
+      }
+    }
+    const std::string revision =
+      host.answered ? std::to_string(host.page.value("revision", std::uint64_t{ 0 })) : "-";
+    page["hosts"].push_back({ { "host", host.id },
+                              { "failure_domain", host.failure_domain },
+                              { "state", state },
+                              { "status", host.answered ? host.page : json() } });
+    rows.push_back({ host.id,
+                     host.failure_domain.empty() ? "-" : host.failure_domain,
+                     revision,
+                     state,
+                     host.answered ? std::to_string(owned) : "-",
+                     host.answered ? std::to_string(in_flight) : "-" });
+  }
+  if (invocation.as_json) {
+    std::cout << page.dump(2) << "\n";
+  } else {
+    print_table(rows);
+  }
+  return kExitDone;
+}
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/lovagehold/admin_pages.cpp
@@ -0,0 +1,257 @@
+#include "admin_pages.h"
+
+#include "libstate/config_json.h"
+#include "libstate/json_fields.h"
+#include "lovagehold/config_parser.h"
+
+namespace lovagehold {
+
+namespace {
+
+using nlohmann::json;
+
+int
+hex_value(char digit)
+{
+  if (digit >= '0' && digit <= '9') {
+    return digit - '0';
+  }
+  const char lower = static_cast<char>(digit | 0x20);
+  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+std::string
+percent_decode(const std::string& text)
+{
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const bool escape = text[i] == '%' && i + 2 < text.size() && hex_value(text[i + 1]) >= 0 &&
+                        hex_value(text[i + 2]) >= 0;
+    if (escape) {
+      decoded += static_cast<char>(hex_value(text[i + 1]) * 16 + hex_value(text[i + 2]));
+      i += 2;
+    } else {
+      decoded += text[i];
+    }
+  }
+  return decoded;
+}
+
+std::string
+query_value(const std::string& query, const std::string& name)
+{
+  std::size_t start = 0;
+  while (start < query.size()) {
+    const std::size_t end = std::min(query.find('&', start), query.size());
+    const std::string pair = query.substr(start, end - start);
+    if (pair.compare(0, name.size() + 1, name + "=") == 0) {
+      return percent_decode(pair.substr(name.size() + 1));
+    }
+    start = end + 1;
+  }
+  return "";
+}
+
+// Operators' data may hold bytes that are no UTF-8; a page is made from them all the same.
+std::string
+dump(const json& page)
+{
+  return page.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+const char*
+to_string(ClaimStatus status)
+{
+  switch (status) {
+    case ClaimStatus::Done:
+      return "done";
+    case ClaimStatus::InProgress:
+      return "in-progress";
+    default:
+      return "unknown";
+  }
+}
+
+} // namespace
+
+AdminResponse
+make_status_page(const StatusInput& input, const StateMachine& state)
+{
+  json services = json::object();
+  for (const auto& [name, stats] : input.services) {
+    services[name] = { { "queued_urgent", stats.queued_urgent },
+                       { "queued_patient", stats.queued_patient },
+                       { "in_flight", stats.in_flight },
+                       { "servers", stats.servers },
+                       { "eligible_servers", stats.eligible_servers } };
+  }
+  const ClaimUsage claims = state.claim_usage();
+  const json page = {
+    { "host", input.host },
+    { "revision", state.configuration()->revision },
+    { "applied", state.applied_index() },
+    { "ready", input.ready },
+    { "stale", input.stale },
+    { "hosts", state.hosts() },
+    { "services", services },
+    { "claims",
+      { { "entries", claims.entries }, { "open", claims.open }, { "bytes", claims.bytes } } }
+  };
+  return { .body = dump(page) };
+}
+
+AdminResponse
+make_event_page(const std::vector<Event>& events)
+{
+  json page = json::array();
+  for (const Event& event : events) {
+    json fields = json::object();
+    for (const auto& [key, value] : event.fields) {
+      fields[key] = value;
+    }
+    page.push_back({ { "time_ms", event.time.time_since_epoch().count() },
+                     { "host", event.host },
+                     { "event", event.name },
+                     { "fields", fields } });
+  }
+  return { .body = dump(page) };
+}
+
+AdminResponse
+make_history_page(const StateMachine& state)
+{
+  json changes = json::array();
+  for (const ChangeRecord& change : state.changes()) {
+    changes.push_back({ { "number", change.number },
+                        { "revision", change.revision },
+                        { "file", change.file_name },
+                        { "content", change.content } });
+  }
+  json page = { { "revision", state.configuration()->revision },
+                { "next_free_number", state.next_free_number() },
+                { "folded_through", nullptr },
+                { "changes", changes } };
+  if (const auto folded = state.folded_through()) {
+    page["folded_through"] = *folded;
+  }
+  return { .body = dump(page) };
+}
+
+AdminResponse
+make_config_page(const StateMachine& state, const std::string& query)
+{
+  const std::string service = query_value(query, "service");
+  const auto configuration = state.configuration();
+  json services = json::object();
+  for (const auto& [name, declaration] : configuration->services) {
+    if (service.empty() || service == name) {
+      services[name] = declaration;
+      const auto origins = state.origins().find(name);
+      services[name]["origins"] =
+        origins == state.origins().end() ? std::map<std::string, std::string>() : origins->second;
+    }
+  }
+  if (!service.empty() && services.empty()) {
+    return make_admin_error({ .kind = ErrorKind::NotFound,
+                              .message = "no service '" + service + "' is declared",
+                              .remedy = "list the services with lovagectl show" });
+  }
+  return { .body = dump({ { "revision", configuration->revision }, { "services", services } }) };
+}
+
+AdminResponse
+make_key_page(const StateMachine& state, const std::string& query)
+{
+  const std::string service = query_value(query, "service");
+  const std::string key = query_value(query, "key");
+  const auto status = state.key_status(service, key);
+  if (!status) {
+    return make_admin_error({ .kind = ErrorKind::NotFound,
+                              .message = "key '" + key + "' of service '" + service +
+                                         "' is not claimed: it never ran, or its retention is over",
+                              .remedy = "check the service and the key" });
+  }
+  json page = { { "service", service },
+                { "key", key },
+                { "outcome", to_string(status->status) },
+                { "attempt", status->attempt } };
+  if (status->answer) {
+    page["status"] = status->answer->status;
+    page["content_type"] = status->answer->content_type;
+    page["body_bytes"] = status->answer->body.size();
+    page["truncated"] = status->answer->truncated;
+  }
+  return { .body = dump(page) };
+}
+
+Result<SubmitChange>
+parse_change(const AdminRequest& request)
+{
+  SubmitChange change;
+  try {
+    const json fields = json::parse(request.body);
+    fields.at("file").get_to(change.file_name);
+    fields.at("content").get_to(change.content);
+  } catch (const std::exception& exception) {
+    return Error{ .kind = ErrorKind::InvalidArgument,
+                  .message = exception.what(),
+                  .remedy = "send JSON with file and content" };
+  }
+  BOOST_OUTCOME_TRY(number, change_number(change.file_name));
+  change.number = number;
+  return change;
+}
+
+AdminResponse
+make_change_response(const Result<ApplyResult>& result)
+{
+  if (result.has_error()) {
+    return make_admin_error(result.error());
+  }
+  const ApplyResult& applied = result.value();
+  if (!applied.error) {
+    return { .body = dump({ { "revision", applied.revision } }) };
+  }
+  AdminResponse response = make_admin_error(*applied.error);
+  if (applied.error->kind == ErrorKind::Conflict) {
+    json body = json::parse(response.body);
+    body["winner"] = applied.winner_file;
+    body["winner_revision"] = applied.revision;
+    body["next_free_number"] = applied.next_free_number;
+    response.body = dump(body);
+  }
+  return response;
+}
+
+AdminResponse
+make_admin_error(const Error& error)
+{
+  const unsigned status = error.kind == ErrorKind::Conflict          ? 409
+                          : error.kind == ErrorKind::InvalidArgument ? 400
+                          : error.kind == ErrorKind::NotFound        ? 404
+                                                                     : 503;
+  return { .status = status,
+           .body = dump({ { "kind", lovagehold::to_string(error.kind) },
+                          { "error", error.message },
+                          { "remedy", error.remedy } }) };
+}
+
+std::optional<AdminResponse>
+make_state_page(const AdminRequest& request, const StateMachine& state)
+{
+  if (request.method != "GET") {
+    return std::nullopt;
+  }
+  if (request.path == "/config/changes") {
+    return make_history_page(state);
+  }
+  if (request.path == "/config/show") {
+    return make_config_page(state, request.query);
+  }
+  if (request.path == "/keys") {
+    return make_key_page(state, request.query);
+  }
+  return std::nullopt;
+}
+
+} // namespace lovagehold
--- a/src/lovagehold/main.cpp
+++ b/src/lovagehold/main.cpp
@@ -1,49 +1,76 @@
+#include "check_command.h"
+#include "lovagehold/declaration_folder.h"
 #include "node.h"
 
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <tclap/CmdLine.h>
 
 namespace {
 
-constexpr int kExitRefused = 1;
-constexpr int kExitWrongUse = 2;
+using namespace lovagehold;
 
-std::optional<std::string>
-read_file(const std::string& path)
+constexpr const char* kHelp = R"(lovagehold: load balancer process of one host
+
+Usage:
+  lovagehold --settings FILE
+  lovagehold --check [--settings FILE] [--declarations FOLDER]
+
+Run:
+  -s, --settings FILE        settings of this process (YAML)
+
+Check (starts nothing):
+  -c, --check                print every mistake in the files named and exit
+  -d, --declarations FOLDER  folder of declaration files to check
+
+Information:
+  -h, --help                 print this text
+      --version              print the version
+
+Exit codes: 0 done, 1 refused (mistakes, or the process can't start),
+2 wrong use, 3 not reachable. Examples of all files are in examples/.
+)";
+
+// Prints our grouped text in place of the generated one.
+class HelpOutput : public TCLAP::StdOutput
 {
-  std::ifstream file(path);
-  if (!file) {
-    return std::nullopt;
+public:
+  void usage(TCLAP::CmdLineInterface&) override { std::cout << kHelp; }
+  void version(TCLAP::CmdLineInterface& command) override
+  {
+    std::cout << "lovagehold " << command.getVersion() << "\n";
   }
-  std::ostringstream content;
-  content << file.rdbuf();
-  return content.str();
-}
+};
 
 int
 run(const std::string& settings_path)
 {
-  const auto content = read_file(settings_path);
-  if (!content) {
-    std::cerr << "lovagehold: can't read " << settings_path << "; give a readable settings file\n";
-    return kExitWrongUse;
+  const Result<std::string> content = read_text_file(settings_path);
+  if (content.has_error()) {
+    std::cerr << "lovagehold: " << content.error().message << "; " << content.error().remedy
+              << "\n";
+    return ExitWrongUse;
   }
-  lovagehold::SettingsOutcome parsed = lovagehold::parse_settings(settings_path, *content);
-  for (const lovagehold::Mistake& mistake : parsed.mistakes) {
+  SettingsOutcome parsed = parse_settings(settings_path, content.value());
+  for (const Mistake& mistake : parsed.mistakes) {
     std::cerr << to_string(mistake) << "\n";
   }
   if (!parsed.mistakes.empty()) {
-    return kExitRefused;
+    return ExitRefused;
   }
-  lovagehold::Node node(std::move(parsed.settings));
-  const lovagehold::Result<void> ended = node.run();
+  Node node(std::move(parsed.settings));
+  const Result<void> ended = node.run();
   if (ended.has_error()) {
     std::cerr << "lovagehold: " << ended.error().message << "; " << ended.error().remedy << "\n";
-    return kExitRefused;
+    return ExitRefused;
   }
-  return 0;
+  return ExitDone;
+}
+
+int
+report_wrong_use(const std::string& message)
+{
+  std::cerr << "lovagehold: " << message << "; see lovagehold --help\n";
+  return ExitWrongUse;
 }
 
 } // namespace
@@ -52,16 +79,29 @@
 main(int argc, char** argv)
 {
   try {
-    TCLAP::CmdLine command("lovagehold: load balancer process", ' ', LOVAGEHOLD_VERSION);
-    TCLAP::ValueArg<std::string> settings(
-      "s", "settings", "settings of this process (YAML)", true, "", "file", command);
+    TCLAP::CmdLine command("lovagehold", ' ', LOVAGEHOLD_VERSION);
+    HelpOutput output;
+    command.setOutput(&output);
     command.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> settings(
+      "s", "settings", "settings of this process", false, "", "FILE", command);
+    TCLAP::SwitchArg check("c", "check", "check files", command);
+    TCLAP::ValueArg<std::string> declarations(
+      "d", "declarations", "folder of declarations", false, "", "FOLDER", command);
     command.parse(argc, argv);
+    if (check.isSet()) {
+      if (!settings.isSet() && !declarations.isSet()) {
+        return report_wrong_use("--check needs --settings FILE or --declarations FOLDER");
+      }
+      return check_files(settings.getValue(), declarations.getValue());
+    }
+    if (declarations.isSet() || !settings.isSet()) {
+      return report_wrong_use(declarations.isSet() ? "--declarations is used only with --check"
+                                                   : "--settings FILE is missing");
+    }
     return run(settings.getValue());
   } catch (const TCLAP::ArgException& exception) {
-    std::cerr << "lovagehold: " << exception.error() << " " << exception.argId()
-              << "; see lovagehold --help\n";
-    return kExitWrongUse;
+    return report_wrong_use(exception.error() + " " + exception.argId());
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus();
   }
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -1,6 +1,6 @@
 #include "node.h"
 
-#include "libstate/json_fields.h"
+#include "admin_pages.h"
 #include "lovagehold/home_selector.h"
 
 #include <boost/asio/post.hpp>
@@ -9,8 +9,6 @@
 
 namespace {
 
-using nlohmann::json;
-
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
 constexpr std::chrono::seconds kDrainLimit{ 120 };
 constexpr std::size_t kHomeCount = 3;
@@ -32,19 +30,6 @@
            .admin_address = settings.admin_address };
 }
 
-AdminResponse
-make_admin_error(const Error& error)
-{
-  const unsigned status = error.kind == ErrorKind::Conflict          ? 409
-                          : error.kind == ErrorKind::InvalidArgument ? 400
-                                                                     : 503;
-  return { .status = status,
-           .body = json{ { "kind", to_string(error.kind) },
-                         { "error", error.message },
-                         { "remedy", error.remedy } }
-                     .dump() };
-}
-
 } // namespace
 
 Node::Node(Settings settings)
@@ -249,77 +234,41 @@
     reply(event_page());
   } else if (request.path == "/config/changes" && request.method == "POST") {
     submit_change(request, reply);
+  } else if (auto page = make_state_page(request, m_client->state())) {
+    reply(std::move(*page));
   } else {
-    reply({ .status = 404, .body = R"({"error":"no such page"})" });
+    reply(make_admin_error({ .kind = ErrorKind::NotFound,
+                             .message = "no page " + request.method + " " + request.path,
+                             .remedy = "use lovagectl of the same version" }));
   }
 }
 
 void
 Node::submit_change(const AdminRequest& request, const AdminServer::Reply& reply)
 {
-  SubmitChange change;
-  try {
-    const json fields = json::parse(request.body);
-    fields.at("file").get_to(change.file_name);
-    fields.at("content").get_to(change.content);
-  } catch (const std::exception& exception) {
-    reply(make_admin_error({ .kind = ErrorKind::InvalidArgument,
-                             .message = exception.what(),
-                             .remedy = "send JSON with file and content" }));
-    return;
-  }
-  const Result<std::uint64_t> number = change_number(change.file_name);
-  if (number.has_error()) {
-    reply(make_admin_error(number.error()));
+  const Result<SubmitChange> change = parse_change(request);
+  if (change.has_error()) {
+    reply(make_admin_error(change.error()));
     return;
   }
-  change.number = number.value();
-  propose(change, [reply](const Result<ApplyResult>& result) {
-    if (result.has_error() || result.value().error) {
-      reply(make_admin_error(result.has_error() ? result.error() : *result.value().error));
-      return;
-    }
-    reply({ .body = json{ { "revision", result.value().revision } }.dump() });
-  });
+  propose(change.value(),
+          [reply](const Result<ApplyResult>& result) { reply(make_change_response(result)); });
 }
 
 AdminResponse
 Node::status_page() const
 {
-  json services = json::object();
+  StatusInput input{ .host = m_settings.host, .ready = m_client->ready() };
   if (m_entry) {
-    for (const auto& [name, stats] : m_entry->services().stats(Clock::now())) {
-      services[name] = { { "queued_urgent", stats.queued_urgent },
-                         { "queued_patient", stats.queued_patient },
-                         { "in_flight", stats.in_flight },
-                         { "servers", stats.servers },
-                         { "eligible_servers", stats.eligible_servers } };
-    }
+    input.services = m_entry->services().stats(Clock::now());
   }
-  const StateMachine& state = m_client->state();
-  const json page = {
-    { "host", m_settings.host },          { "revision", state.configuration()->revision },
-    { "applied", state.applied_index() }, { "ready", m_client->ready() },
-    { "hosts", state.hosts() },           { "services", services }
-  };
-  return { .body = page.dump() };
+  return make_status_page(input, m_client->state());
 }
 
 AdminResponse
 Node::event_page() const
 {
-  json events = json::array();
-  for (const Event& event : m_log.recent()) {
-    json fields = json::object();
-    for (const auto& [key, value] : event.fields) {
-      fields[key] = value;
-    }
-    events.push_back({ { "time_ms", event.time.time_since_epoch().count() },
-                       { "host", event.host },
-                       { "event", event.name },
-                       { "fields", fields } });
-  }
-  return { .body = events.dump() };
+  return make_event_page(m_log.recent());
 }
 
 void
