--- a/src/libconfig/settings.cpp
+++ b/src/libconfig/settings.cpp
@@ -239,10 +239,13 @@
     }
     const auto& peers = m_settings.control_peers;
     const YAML::Node node = m_root["control"];
-    if (peers.empty()) {
+    if (node.size() == 0) {
       m_reader.report(node, "control", "is empty", "list the control hosts, 3 or 5 of them");
       return;
     }
+    if (peers.empty()) {
+      return;
+    }
     if (peers.size() % 2 == 0) {
       m_reader.report(node,
                       "control",
--- a/src/libconfig/yaml_reader.cpp
+++ b/src/libconfig/yaml_reader.cpp
@@ -100,6 +100,18 @@
   return text.str();
 }
 
+// \param line from 0
+bool
+indented_with_tab(const std::string& content, int line)
+{
+  std::istringstream lines(content);
+  std::string text;
+  for (int i = 0; i <= line; ++i) {
+    std::getline(lines, text);
+  }
+  return text.substr(0, text.find_first_not_of(" \t")).find('\t') != std::string::npos;
+}
+
 bool
 is_address(const std::string& text)
 {
@@ -166,10 +178,13 @@
                            .message = "the file is empty",
                            .remedy = "compare it with the files in examples/" });
   } catch (const YAML::Exception& exception) {
-    m_mistakes.push_back({ .file = m_file,
-                           .line = static_cast<unsigned>(exception.mark.line + 1),
-                           .message = "not valid YAML: " + exception.msg,
-                           .remedy = "correct the indentation, quotes or brackets of this line" });
+    m_mistakes.push_back(
+      { .file = m_file,
+        .line = static_cast<unsigned>(exception.mark.line + 1),
+        .message = "not valid YAML: " + exception.msg,
+        .remedy = indented_with_tab(content, exception.mark.line)
+                    ? "indent with spaces; YAML allows no tabs"
+                    : "correct the indentation, quotes or brackets of this line" });
   }
   return std::nullopt;
 }
--- a/src/lovagehold/check_command.cpp
+++ b/src/lovagehold/check_command.cpp
@@ -9,12 +9,6 @@
 
 namespace {
 
-std::string
-base_name(const std::string& path)
-{
-  return path.substr(path.rfind('/') + 1);
-}
-
 int
 report_unreadable(const Error& error)
 {
@@ -34,7 +28,7 @@
     if (content.has_error()) {
       return report_unreadable(content.error());
     }
-    const SettingsOutcome outcome = parse_settings(base_name(settings), content.value());
+    const SettingsOutcome outcome = parse_settings(settings, content.value());
     mistakes = outcome.mistakes;
     checked = "settings of " + outcome.settings.host;
   }
--- a/src/lovagehold/main.cpp
+++ b/src/lovagehold/main.cpp
@@ -101,7 +101,9 @@
     }
     return run(settings.getValue());
   } catch (const TCLAP::ArgException& exception) {
-    return report_wrong_use(exception.error() + " " + exception.argId());
+    // TCLAP puts "Argument: " before the name.
+    const std::string argument = exception.argId();
+    return report_wrong_use(exception.error() + " " + argument.substr(argument.find(' ') + 1));
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus();
   }
--- /dev/null
+++ b/testsuite/operator/run.sh
@@ -0,0 +1,84 @@
+#!/usr/bin/env bash
+# Every lovagectl subcommand against three real hosts: what operators see, and the exit codes.
+HERE=$(cd "$(dirname "$0")" && pwd)
+BUILD=$(cd "${1:-$HERE/../../build}" && pwd)
+WORK=$(mktemp -d)
+. "$HERE/../lib.sh"
+trap 'stop_all; rm -rf "$WORK"' EXIT
+BIN="$BUILD/src"
+ADMIN=$NET.1.1:7082
+ctl() { "$BIN/lovagectl/lovagectl" --admin "$ADMIN" "$@"; }
+run() { # run CODE PATTERN ARGUMENTS...: checks the exit code and that the output has the pattern
+  local code="$1" pattern="$2" output
+  shift 2
+  output=$(ctl "$@" 2>&1)
+  local got=$?
+  if [ "$got" = "$code" ] && grep -qE -- "$pattern" <<<"$output"; then
+    echo "ok: lovagectl $* (exit $code, $pattern)"
+  else
+    echo "FAILED: lovagectl $*: exit code $got, not $code with '$pattern':"
+    echo "$output"
+    FAILED=1
+  fi
+}
+
+run 3 "does not answer" status
+for n in 1 2 3; do
+  write_settings "$n" "domain-$n" "entry, control" 3
+  start "host-$n" "$BIN/lovagehold/lovagehold" --settings "$WORK/host-$n.yaml"
+  [ "$n" = 3 ] && THIRD_PID=$LAST_PID
+done
+ready() { ctl status 2>/dev/null | grep -c ready | grep -q 3; }
+await "three hosts are ready" ready
+
+DECLARATIONS="$WORK/declarations"
+cp -r "$HERE/../../examples/fbsa/declarations" "$DECLARATIONS"
+run 0 "\+ 0005-stem-ledger-deadline.yaml: not accepted yet" diff "$DECLARATIONS"
+run 0 "is in force on 3 of 3 hosts" apply "$DECLARATIONS" --wait
+run 0 "0 accepted now, 5 accepted before" apply "$DECLARATIONS"
+run 0 "^0 files to apply" diff "$DECLARATIONS"
+run 0 "next free number: 6" history
+run 0 "kinds.confirm.deadline_ms +5000 +0005-stem-ledger-deadline.yaml" show stem-ledger
+run 0 "probe_budget +0.002 +default" show stem-ledger
+run 1 "no service 'x y' is declared" show "x y"
+
+mkdir "$WORK/rival" "$WORK/wrong"
+echo "services: {rival: {}}" >"$WORK/rival/0005-rival.yaml"
+run 1 "number 5 is taken by 0005-stem-ledger-deadline.yaml \(revision [0-9]+\); next free number is 6" \
+  apply "$WORK/rival"
+run 0 "next free number: 6" history
+echo "services: {wrong: {kindz: 1}}" >"$WORK/wrong/0007-wrong.yaml"
+run 1 "0007-wrong.yaml:1: services.wrong.kindz: unknown key; did you mean 'kinds'" apply "$WORK/wrong"
+mv "$WORK/rival/0005-rival.yaml" "$WORK/rival/0006-rival.yaml"
+run 0 "\+ rival.error_budget = 0.001" diff "$WORK/rival"
+run 0 "0006-rival.yaml: accepted" apply "$WORK/rival"
+
+start standin "$BIN/teststand/standin_server" --service stem-ledger --id s1 --address "$NET.2.1:8001" \
+  --entry "$NET.1.1:7080"
+sent() {
+  python3 - "$NET.1.1:7080" <<'PY'
+import sys, urllib.request
+r = urllib.request.Request("http://%s/stems" % sys.argv[1], data=b"x", method="POST",
+                           headers={"Lovagehold-Service": "stem-ledger", "Idempotency-Key": "k 1/2"})
+print(urllib.request.urlopen(r, timeout=5).status)
+PY
+}
+await "a request with a key is answered" sent
+run 0 "outcome +done" key stem-ledger "k 1/2"
+run 1 "is not claimed" key stem-ledger other
+
+run 0 "host-2 started" timeline
+check "the Chrome trace is JSON" sh -c "'$BIN/lovagectl/lovagectl' --admin $ADMIN timeline --format chrome | python3 -m json.tool >/dev/null"
+run 2 "takes no --wait" status --wait
+run 2 "takes 1 operands, not 0" apply
+run 2 "unknown command 'aply'" aply
+
+kill -KILL "$THIRD_PID"
+run 0 "host-3 +domain-3 +- +not heard from" status
+state_of() { ctl status --json | json_field "[h['state'] for h in d['hosts'] if h['host'] == 'host-3'][0]"; }
+check "status --json says so too" test "$(state_of)" = "not heard from"
+echo "services: {rival: null}" >"$WORK/rival/0007-rival.yaml"
+run 0 "host-3: not heard from" apply "$WORK/rival" --wait
+
+[ "$FAILED" = 0 ] && echo "operator: all checks passed" || { echo "operator: checks failed"; tail -n 5 "$WORK"/*.log; }
+exit "$FAILED"
