Fuzz the replicated log against an oracle

Cause: the protocol's failure cases were not tested.

Change: fake disk and network with crash at any write, wiped disks, partitions, one-way cuts, pauses, clock steps, failing and full disks; RapidCheck generates schedules for groups of 3 and 5. The oracle knows every committed entry, every acknowledged command, the leader of each term and what a promoted member holds. Six deliberate faults prove that the checks notice them. make fuzz runs longer with a random seed that it prints.

Found and fixed: a wiped host that stored a membership entry which was never committed took itself for a member and was never contacted again. A member without contact to a leader now asks to join as well.

Faults are noticed within 5000 schedules.

Conclusion: the fixed seed is part of the unit tests.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD_TYPE ?= RelWithDebInfo
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build format lint unit test demo bench capacity soak asan tsan clean
+.PHONY: all deps build format lint unit test demo fuzz bench capacity soak asan tsan clean
 
 all: build
 
@@ -34,6 +34,9 @@
 demo: build
 	testsuite/demo/run.sh $(BUILD)
 
+fuzz: build
+	src/build-scripts/fuzz.sh $(BUILD)
+
 bench: build
 	src/build-scripts/bench.sh $(BUILD)
 
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -311,9 +311,11 @@
     });
   }
 
+  // The membership in the own log may never have been committed: a member that no leader sends to
+  // asks as well.
   void ask_to_join(TimePoint now)
   {
-    if (is_member() || now < join_at) {
+    if ((is_member() && consensus->in_contact()) || now < join_at) {
       return;
     }
     join_at = now + options.join_interval;
--- /dev/null
+++ b/src/libstate/consensus_fuzz_test.cpp
@@ -0,0 +1,161 @@
+#include "testing/group_harness.h"
+
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <iostream>
+#include <rapidcheck.h>
+
+namespace lovagehold::testing {
+
+// Found by name lookup when RapidCheck prints a failing schedule.
+static void
+showValue(const Op& op, std::ostream& stream)
+{
+  stream << static_cast<int>(op.kind) << "/" << op.node << "/" << op.argument;
+}
+
+namespace {
+
+constexpr int kSequences = 8000;
+constexpr std::uint64_t kSeed = 20261204;
+// Sequences within which each deliberate fault has to be noticed.
+constexpr int kFaultSequences = 5000;
+constexpr int kMaxOps = 60;
+
+std::uint64_t
+from_environment(const char* name, std::uint64_t fallback)
+{
+  const char* value = std::getenv(name);
+  return value == nullptr ? fallback : std::strtoull(value, nullptr, 10);
+}
+
+rc::Gen<Op>
+make_op(bool contested)
+{
+  // Time passes and commands arrive more often than anything fails.
+  const auto mixed = rc::gen::weightedElement<OpKind>({ { 24, OpKind::Run },
+                                                        { 12, OpKind::Propose },
+                                                        { 3, OpKind::Isolate },
+                                                        { 1, OpKind::IsolateLeader },
+                                                        { 1, OpKind::IsolateNextLeader },
+                                                        { 2, OpKind::Reconnect },
+                                                        { 2, OpKind::CutOneWay },
+                                                        { 4, OpKind::Heal },
+                                                        { 2, OpKind::Crash },
+                                                        { 3, OpKind::CrashAtWrite },
+                                                        { 5, OpKind::Restart },
+                                                        { 2, OpKind::Wipe },
+                                                        { 1, OpKind::Pause },
+                                                        { 1, OpKind::StepClock },
+                                                        { 1, OpKind::FailDisk },
+                                                        { 1, OpKind::FillDisk },
+                                                        { 2, OpKind::Compact } });
+  // Leaders that are lost with entries that only they have, and come back.
+  const auto elections = rc::gen::weightedElement<OpKind>({ { 6, OpKind::Run },
+                                                            { 2, OpKind::Propose },
+                                                            { 3, OpKind::IsolateLeader },
+                                                            { 4, OpKind::IsolateNextLeader },
+                                                            { 3, OpKind::IsolateAtCommit },
+                                                            { 2, OpKind::RestartAtVote },
+                                                            { 8, OpKind::Reconnect },
+                                                            { 1, OpKind::Restart } });
+  return rc::gen::build<Op>(rc::gen::set(&Op::kind, contested ? elections : mixed),
+                            rc::gen::set(&Op::node, rc::gen::inRange(0U, 5U)),
+                            rc::gen::set(&Op::argument, rc::gen::inRange(0U, 10000U)));
+}
+
+std::string
+run_schedule(const HarnessOptions& options, const std::vector<Op>& schedule)
+{
+  GroupHarness group(options);
+  for (const Op& op : schedule) {
+    group.apply(op);
+    if (!group.violation().empty()) {
+      return group.violation();
+    }
+  }
+  group.finish();
+  return group.violation();
+}
+
+rc::detail::TestResult
+fuzz(const HarnessOptions& base, int sequences, bool shrink)
+{
+  const auto property = [&base] {
+    HarnessOptions options = base;
+    options.nodes = *rc::gen::weightedElement<unsigned>({ { 3, 3U }, { 1, 5U } });
+    options.seed = *rc::gen::inRange<std::uint64_t>(0, 1U << 30U);
+    const auto length = *rc::gen::inRange(1, kMaxOps);
+    options.election_timeout = std::chrono::milliseconds(*rc::gen::element(400, 200));
+    options.window_entries = *rc::gen::element<std::uint64_t>(1, 4096);
+    const bool contested = *rc::gen::weightedElement<bool>({ { 3, false }, { 1, true } });
+    const auto schedule = *rc::gen::container<std::vector<Op>>(length, make_op(contested));
+    const std::string violation = run_schedule(options, schedule);
+    if (!violation.empty()) {
+      RC_FAIL(violation);
+    }
+  };
+  rc::detail::TestParams params;
+  params.seed = from_environment("LOVAGEHOLD_FUZZ_SEED", kSeed);
+  params.maxSuccess = sequences;
+  params.disableShrinking = !shrink;
+  return rc::detail::checkTestable(property, rc::detail::TestMetadata(), params);
+}
+
+// The checks can fail: the fuzzer notices the fault within the stated number of sequences.
+void
+expect_caught(const HarnessOptions& options)
+{
+  const rc::detail::TestResult result = fuzz(options, kFaultSequences, false);
+  rc::detail::FailureResult failure;
+  ASSERT_TRUE(result.match(failure)) << "the fault was not noticed";
+  std::cout << "noticed after " << failure.numSuccess << " sequences: " << failure.description
+            << "\n";
+}
+
+// Guards against commands that are lost, reverted or applied twice, replicas that differ, and a
+// group that makes no progress, under all faults of OpKind.
+TEST(ConsensusFuzz, GeneratedSchedulesKeepTheRules)
+{
+  const auto sequences =
+    static_cast<int>(from_environment("LOVAGEHOLD_FUZZ_SEQUENCES", kSequences));
+  const rc::detail::TestResult result = fuzz({}, sequences, true);
+  rc::detail::SuccessResult success;
+  std::ostringstream text;
+  rc::detail::printResultMessage(result, text);
+  EXPECT_TRUE(result.match(success)) << text.str();
+}
+
+TEST(ConsensusFuzzNotices, AcknowledgingBeforeSync)
+{
+  expect_caught({ .faults = { .acknowledge_before_sync = true } });
+}
+
+TEST(ConsensusFuzzNotices, SkippingPreVote)
+{
+  expect_caught({ .faults = { .skip_pre_vote = true } });
+}
+
+TEST(ConsensusFuzzNotices, ForgettingTheVote)
+{
+  expect_caught({ .faults = { .forget_vote = true } });
+}
+
+TEST(ConsensusFuzzNotices, CommittingAnEarlierTerm)
+{
+  expect_caught({ .faults = { .commit_earlier_term = true } });
+}
+
+TEST(ConsensusFuzzNotices, PromotingALearnerEarly)
+{
+  expect_caught({ .faults = { .promote_early = true } });
+}
+
+// A wiped disk that takes its old identity again votes as a member that it no longer is.
+TEST(ConsensusFuzzNotices, WipedMemberThatVotes)
+{
+  expect_caught({ .make_identity = [](unsigned node) { return node + 1; } });
+}
+
+} // namespace
+} // namespace lovagehold::testing
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -4,6 +4,13 @@
 
 namespace lovagehold {
 
+namespace {
+
+// Index, term, kind and framing of an entry in a message.
+constexpr std::size_t kEntryOverheadBytes = 32;
+
+} // namespace
+
 void
 Consensus::Impl::append(EntryKind kind, Payload payload)
 {
@@ -83,7 +90,7 @@
   std::size_t bytes = 0;
   while (!force && peer.next <= log.last_index()) {
     const LogEntry& entry = log.at(peer.next);
-    bytes += entry.payload ? entry.payload->size() : 0;
+    bytes += kEntryOverheadBytes + (entry.payload ? entry.payload->size() : 0);
     if (!request.entries.empty() && bytes > options.message_bytes) {
       break;
     }
--- /dev/null
+++ b/src/libstate/testing/fake_disk.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "lovagehold/disk.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+
+namespace lovagehold::testing {
+
+/// Disk in memory that loses at a crash what was not synced: names that were not synced with the
+/// folder, and all or a part of the bytes that were not synced with their file.
+class FakeDisk : public Disk
+{
+public:
+  Result<void> append(const std::string& file, const Bytes& bytes) override;
+  Result<void> sync(const std::string& file) override;
+  Result<Bytes> read(const std::string& file) override;
+  Result<void> rename(const std::string& from, const std::string& to) override;
+  Result<void> remove(const std::string& file) override;
+  Result<std::vector<std::string>> list() override;
+  Result<void> truncate(const std::string& file, std::size_t size) override;
+  Result<void> sync_folder() override;
+
+  /// Loses unsynced data; a random part of an unsynced tail survives.
+  void crash(std::mt19937_64& random);
+  /// Loses everything.
+  void wipe();
+  /// All operations fail after this number of further changes, until crash() or wipe().
+  void crash_after(std::optional<unsigned> changes) { m_changes_left = changes; }
+  bool crashed() const { return m_changes_left == 0U; }
+  /// This number of further changes fail.
+  void fail(unsigned changes) { m_failing = changes; }
+  /// Appends beyond this number of bytes fail; nothing means no limit.
+  void set_capacity(std::optional<std::size_t> bytes) { m_capacity = bytes; }
+  std::size_t used() const;
+  /// Changes one byte, as damage to the medium would.
+  void damage(const std::string& file, std::size_t offset);
+
+private:
+  struct File
+  {
+    Bytes content;
+    Bytes synced;
+  };
+  using Names = std::map<std::string, std::shared_ptr<File>>;
+
+  Result<void> change();
+
+  Names m_names;
+  Names m_durable_names;
+  std::optional<unsigned> m_changes_left;
+  unsigned m_failing = 0;
+  std::optional<std::size_t> m_capacity;
+};
+
+} // namespace lovagehold::testing
