Test the replica and its client through their messages

Cause: founding, rejoining, resending and subscriptions are outside of the protocol that the fuzzer drives.

Change: replica_test runs three replicas and a client with fake disks, fixed seeds and their own time; the storage worker can write on the calling thread for it. The seed for identities and elections is an option.

Conclusion: part of the unit tests.

--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -17,7 +17,7 @@
   /// All control hosts of the settings with their cluster addresses. The first one founds the group
   /// once all of them are found empty.
   std::vector<std::pair<HostId, std::string>> members;
-  /// The seed is replaced by a random one.
+  /// The seed is replaced by one derived from \p seed.
   ConsensusOptions consensus = {};
   ReplicatedStateOptions state = {};
   std::size_t segment_bytes = std::size_t{ 4 } << 20;
@@ -32,6 +32,10 @@
   std::chrono::milliseconds join_interval{ 200 };
   /// After a storage failure, until the disk is tried again.
   std::chrono::milliseconds storage_retry{ 5000 };
+  /// For identities and election times; 0 draws a random one.
+  std::uint64_t seed = 0;
+  /// False: writes block the calling thread. For tests.
+  bool storage_thread = true;
 };
 
 struct ReplicaPorts
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 std::uint64_t
-random_number()
+random_seed()
 {
   std::random_device device;
   return std::uniform_int_distribution<std::uint64_t>(1)(device);
@@ -49,10 +49,11 @@
   ReplicaOptions options;
   ReplicaPorts ports;
   std::unique_ptr<Disk> disk;
+  std::mt19937_64 random;
   LogStorage storage;
   std::unique_ptr<Consensus> consensus;
   ReplicatedState state;
-  std::uint64_t nonce = random_number();
+  std::uint64_t nonce = random();
   std::uint64_t heard_nonce = 0;
   std::map<HostId, Member> empty_members;
   std::map<MemberId, std::string> addresses;
@@ -75,7 +76,10 @@
     : options(std::move(given))
     , ports(std::move(given_ports))
     , disk(std::move(given_disk))
-    , storage({ .segment_bytes = options.segment_bytes, .make_identity = random_number }, *disk)
+    , random(options.seed == 0 ? random_seed() : options.seed)
+    , storage(
+        { .segment_bytes = options.segment_bytes, .make_identity = [this] { return random(); } },
+        *disk)
     , state(options.state)
   {
   }
@@ -99,7 +103,7 @@
       ports.report("log_tail_truncated", "bytes", std::to_string(restored.truncated_bytes));
     }
     ConsensusOptions consensus_options = options.consensus;
-    consensus_options.seed = random_number();
+    consensus_options.seed = random();
     consensus = std::make_unique<Consensus>(consensus_options, std::move(restored), ports.now());
     submitted = 0;
     written = 0;
@@ -107,9 +111,11 @@
       worker->restart();
     } else {
       worker = std::make_unique<StorageWorker>(
-        storage, [this](const Result<void>& result, std::uint64_t token) {
+        storage,
+        [this](const Result<void>& result, std::uint64_t token) {
           post([this, result, token] { on_written(result, token); });
-        });
+        },
+        options.storage_thread);
     }
     return boost::outcome_v2::success();
   }
--- /dev/null
+++ b/src/libcontrol/replica_test.cpp
@@ -0,0 +1,281 @@
+#include "lovagehold/replica.h"
+
+#include "libstate/testing/fake_disk.h"
+#include "lovagehold/control_client.h"
+
+#include <deque>
+#include <gtest/gtest.h>
+#include <set>
+
+namespace lovagehold::testing {
+namespace {
+
+constexpr std::chrono::milliseconds kStep{ 20 };
+constexpr unsigned kMaxSteps = 1000;
+constexpr std::uint64_t kRandomSeed = 5;
+
+// The disk outlives the replica that uses it, as across a restart.
+class SharedDisk : public Disk
+{
+public:
+  explicit SharedDisk(FakeDisk& disk)
+    : m_disk(disk)
+  {
+  }
+  Result<void> append(const std::string& file, const Bytes& bytes) override
+  {
+    return m_disk.append(file, bytes);
+  }
+  Result<void> sync(const std::string& file) override { return m_disk.sync(file); }
+  Result<Bytes> read(const std::string& file) override { return m_disk.read(file); }
+  Result<void> rename(const std::string& from, const std::string& to) override
+  {
+    return m_disk.rename(from, to);
+  }
+  Result<void> remove(const std::string& file) override { return m_disk.remove(file); }
+  Result<std::vector<std::string>> list() override { return m_disk.list(); }
+  Result<void> truncate(const std::string& file, std::size_t size) override
+  {
+    return m_disk.truncate(file, size);
+  }
+  Result<void> sync_folder() override { return m_disk.sync_folder(); }
+
+private:
+  FakeDisk& m_disk;
+};
+
+class ReplicaTest : public ::testing::Test
+{
+protected:
+  static constexpr unsigned kReplicas = 3;
+
+  ReplicaTest()
+  {
+    for (unsigned i = 0; i < kReplicas; ++i) {
+      start(i);
+    }
+    start_client();
+  }
+
+  ~ReplicaTest() override { m_posted.clear(); }
+
+  static std::string address(unsigned number) { return "host-" + std::to_string(number); }
+
+  void start(unsigned number)
+  {
+    ReplicaOptions options{ .host = address(number), .address = address(number) };
+    for (unsigned i = 0; i < kReplicas; ++i) {
+      options.members.emplace_back(address(i), address(i));
+    }
+    options.snapshot_bytes = 600;
+    options.message_bytes = 200;
+    options.consensus.trailing_entries = 2;
+    options.storage_thread = false;
+    options.seed = m_random();
+    ReplicaPorts ports;
+    ports.send = [this, number](const std::string& to, const ClusterMessage& message) {
+      send(address(number), to, message);
+    };
+    ports.post = [this](std::function<void()> function) {
+      m_posted.push_back(std::move(function));
+    };
+    ports.report = [this](std::string_view event, std::string_view, const std::string&) {
+      m_reports.insert(std::string(event));
+    };
+    ports.now = [this] { return m_now; };
+    m_replicas[number] = std::make_unique<Replica>(
+      std::move(options), std::move(ports), std::make_unique<SharedDisk>(m_disks[number]));
+    ASSERT_TRUE(m_replicas[number]->open().has_value());
+  }
+
+  void start_client()
+  {
+    ControlClientOptions options{ .proposal_timeout = std::chrono::seconds(10),
+                                  .client = m_random() };
+    for (unsigned i = 0; i < kReplicas; ++i) {
+      options.control_addresses.push_back(address(i));
+    }
+    m_client = std::make_unique<ControlClient>(
+      options,
+      [this](const std::string& to, const ClusterMessage& message) { send("client", to, message); },
+      [](const StateMachine&) {});
+  }
+
+  void stop(unsigned number)
+  {
+    m_replicas[number].reset();
+    m_disks[number].crash(m_random);
+  }
+
+  void send(const std::string& from, const std::string& to, const ClusterMessage& message)
+  {
+    if (m_drop && m_drop(to, message)) {
+      return;
+    }
+    m_posted.push_back([this, from, to, bytes = encode(message)] {
+      const ClusterMessage received = decode_message(bytes).value();
+      if (to == "client") {
+        m_client->receive(from, received, m_now);
+      }
+      for (unsigned i = 0; i < kReplicas; ++i) {
+        if (to == address(i) && m_replicas[i]) {
+          m_replicas[i]->receive(from, received);
+        }
+      }
+    });
+  }
+
+  template<class Condition>
+  bool run_until(Condition condition)
+  {
+    for (unsigned step = 0; step < kMaxSteps && !condition(); ++step) {
+      m_now += kStep;
+      for (const auto& replica : m_replicas) {
+        if (replica) {
+          replica->tick();
+        }
+      }
+      m_client->tick(m_now);
+      for (std::size_t waiting = m_posted.size(); waiting > 0; --waiting) {
+        const auto function = std::move(m_posted.front());
+        m_posted.pop_front();
+        function();
+      }
+    }
+    return condition();
+  }
+
+  Replica* leader()
+  {
+    for (const auto& replica : m_replicas) {
+      if (replica && replica->leads()) {
+        return replica.get();
+      }
+    }
+    return nullptr;
+  }
+
+  unsigned leader_number()
+  {
+    unsigned number = 0;
+    while (!m_replicas[number] || !m_replicas[number]->leads()) {
+      ++number;
+    }
+    return number;
+  }
+
+  // Joining a host again changes the view, so that a command applied twice is visible.
+  bool join(const std::string& host)
+  {
+    std::optional<bool> accepted;
+    m_client->propose(
+      JoinHost{ { .id = host, .incarnation = 1 } },
+      [&](const Result<ApplyResult>& result) {
+        accepted = result.has_value() && result.value().accepted;
+      },
+      m_now);
+    return run_until([&] { return accepted.has_value(); }) && *accepted;
+  }
+
+  std::size_t voters()
+  {
+    std::size_t count = 0;
+    for (const Member& member :
+         leader() == nullptr ? Membership() : leader()->status().membership) {
+      count += member.voter ? 1 : 0;
+    }
+    return count;
+  }
+
+  std::deque<std::function<void()>> m_posted;
+  TimePoint m_now{ std::chrono::hours(1) };
+  std::mt19937_64 m_random{ kRandomSeed };
+  FakeDisk m_disks[kReplicas];
+  std::unique_ptr<Replica> m_replicas[kReplicas];
+  std::unique_ptr<ControlClient> m_client;
+  std::set<std::string> m_reports;
+  std::function<bool(const std::string& to, const ClusterMessage&)> m_drop;
+};
+
+// Guards against a command that is applied again when the answer to it is lost and it is resent.
+TEST_F(ReplicaTest, ResentProposalIsAppliedOnce)
+{
+  ASSERT_TRUE(join("first"));
+  unsigned lost = 3;
+  m_drop = [&](const std::string&, const ClusterMessage& message) {
+    return std::holds_alternative<ProposeReply>(message) && lost > 0 && lost-- > 0;
+  };
+  const std::uint64_t before = leader()->status().applied;
+  ASSERT_TRUE(join("second"));
+  EXPECT_EQ(lost, 0U);
+  EXPECT_EQ(leader()->machine().view(), before + 1);
+}
+
+// Guards against proposals that are stuck, and a subscriber that is, when the leader is lost.
+TEST_F(ReplicaTest, ClientFindsTheNextLeader)
+{
+  ASSERT_TRUE(join("first"));
+  stop(leader_number());
+  ASSERT_TRUE(join("second"));
+  EXPECT_TRUE(run_until([&] { return m_client->state().hosts().size() == 2; }));
+}
+
+// Guards against a starting subscriber that takes old state for the current one, and one that never
+// gets a snapshot of several pieces.
+TEST_F(ReplicaTest, StartingSubscriberGetsASnapshotThenConfirmedEntries)
+{
+  for (unsigned i = 0; i < 40; ++i) {
+    ASSERT_TRUE(join("entry-" + std::to_string(i)));
+  }
+  unsigned pieces = 0;
+  m_drop = [&](const std::string&, const ClusterMessage& message) {
+    pieces += std::holds_alternative<SnapshotTransfer>(message) ? 1 : 0;
+    return false;
+  };
+  start_client();
+  ASSERT_TRUE(run_until([&] { return m_client->ready(); }));
+  EXPECT_EQ(m_client->state().hosts().size(), 40U);
+  EXPECT_GT(pieces, 2U);
+}
+
+// Guards against a wiped host that founds a second group, and one that is not taken in again.
+TEST_F(ReplicaTest, WipedFirstHostRejoinsAsNewMember)
+{
+  ASSERT_TRUE(join("first"));
+  const auto identity_of_first = [&] {
+    for (const Member& member :
+         leader() == nullptr ? Membership() : leader()->status().membership) {
+      if (member.host == address(0) && member.voter) {
+        return member.id;
+      }
+    }
+    return MemberId{ 0 };
+  };
+  const MemberId before = identity_of_first();
+  m_replicas[0].reset();
+  m_disks[0].wipe();
+  start(0);
+  ASSERT_TRUE(run_until([&] { return identity_of_first() != 0 && identity_of_first() != before; }));
+  EXPECT_EQ(voters(), 3U);
+  stop(leader_number() == 0 ? 1 : leader_number());
+  ASSERT_TRUE(join("second"));
+  EXPECT_EQ(leader()->machine().hosts().size(), 2U);
+}
+
+// Guards against a leader that goes on with a full disk, and a host that never recovers from one.
+TEST_F(ReplicaTest, LeaderWithFullDiskStepsDownAndRecovers)
+{
+  ASSERT_TRUE(join("first"));
+  const unsigned full = leader_number();
+  m_disks[full].set_capacity(m_disks[full].used());
+  ASSERT_TRUE(join("second"));
+  EXPECT_FALSE(m_replicas[full]->leads());
+  EXPECT_EQ(m_reports.count("storage_failed"), 1U);
+  m_disks[full].set_capacity(std::nullopt);
+  EXPECT_TRUE(run_until([&] { return m_reports.count("storage_recovered") == 1; }));
+  ASSERT_TRUE(join("third"));
+  EXPECT_TRUE(run_until([&] { return m_replicas[full]->machine().hosts().size() == 3; }));
+}
+
+} // namespace
+} // namespace lovagehold::testing
--- a/src/libcontrol/storage_worker.cpp
+++ b/src/libcontrol/storage_worker.cpp
@@ -2,11 +2,13 @@
 
 namespace lovagehold {
 
-StorageWorker::StorageWorker(LogStorage& storage, Done done)
+StorageWorker::StorageWorker(LogStorage& storage, Done done, bool threaded)
   : m_storage(storage)
   , m_done(std::move(done))
-  , m_thread([this] { run(); })
 {
+  if (threaded) {
+    m_thread = std::thread([this] { run(); });
+  }
 }
 
 StorageWorker::~StorageWorker()
@@ -16,13 +18,15 @@
     m_stopping = true;
   }
   m_changed.notify_one();
-  m_thread.join();
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
 }
 
 void
 StorageWorker::submit(std::vector<LogRecord> records, std::uint64_t token)
 {
-  const std::lock_guard<std::mutex> lock(m_mutex);
+  std::unique_lock<std::mutex> lock(m_mutex);
   if (m_failed) {
     return;
   }
@@ -30,6 +34,9 @@
                    std::make_move_iterator(records.begin()),
                    std::make_move_iterator(records.end()));
   m_token = token;
+  if (!m_thread.joinable()) {
+    write(lock);
+  }
   m_changed.notify_one();
 }
 
@@ -49,19 +56,25 @@
     if (m_stopping) {
       return;
     }
-    const std::vector<LogRecord> records = std::exchange(m_records, {});
-    const std::uint64_t token = m_token;
-    lock.unlock();
-    const Result<void> result = m_storage.write(records);
-    lock.lock();
-    if (result.has_error()) {
-      m_failed = true;
-      m_records.clear();
-    }
-    lock.unlock();
-    m_done(result, token);
-    lock.lock();
+    write(lock);
+  }
+}
+
+void
+StorageWorker::write(std::unique_lock<std::mutex>& lock)
+{
+  const std::vector<LogRecord> records = std::exchange(m_records, {});
+  const std::uint64_t token = m_token;
+  lock.unlock();
+  const Result<void> result = m_storage.write(records);
+  lock.lock();
+  if (result.has_error()) {
+    m_failed = true;
+    m_records.clear();
   }
+  lock.unlock();
+  m_done(result, token);
+  lock.lock();
 }
 
 } // namespace lovagehold
--- a/src/libcontrol/storage_worker.h
+++ b/src/libcontrol/storage_worker.h
@@ -16,7 +16,8 @@
   /// Called on the worker's thread after each write with the last token written.
   using Done = std::function<void(const Result<void>&, std::uint64_t token)>;
 
-  StorageWorker(LogStorage& storage, Done done);
+  /// \param threaded false: submit() writes at once and calls \p done before it returns
+  StorageWorker(LogStorage& storage, Done done, bool threaded);
   ~StorageWorker();
   StorageWorker(const StorageWorker&) = delete;
   StorageWorker& operator=(const StorageWorker&) = delete;
@@ -29,6 +30,7 @@
 
 private:
   void run();
+  void write(std::unique_lock<std::mutex>& lock);
 
   LogStorage& m_storage;
   Done m_done;
