--- a/src/include/lovagehold/state_machine.h
+++ b/src/include/lovagehold/state_machine.h
@@ -19,6 +19,19 @@
   std::string content;
 };
 
+/// What is kept of a change that has been folded into the base.
+struct FoldedChange
+{
+  std::uint64_t number = 0;
+  std::uint64_t revision = 0;
+  std::string file_name;
+  /// As content_hash() gives it.
+  std::uint64_t content_hash = 0;
+};
+
+/// Identifies the content of a change without keeping it.
+std::uint64_t content_hash(const std::string& content);
+
 /// Outcome of a key as told to callers that ask later.
 struct KeyStatus
 {
@@ -78,6 +91,9 @@
   /// \return the largest number whose change has been folded; nothing if none has.
   std::optional<std::uint64_t> folded_through() const;
 
+  /// \return the folded changes that are remembered, by number.
+  std::vector<FoldedChange> folded_changes() const;
+
   /// Which file set each value of the merged configuration.
   const Origins& origins() const;
 
--- a/src/libconfig/config_test.cpp
+++ b/src/libconfig/config_test.cpp
@@ -15,6 +15,7 @@
 lines(const std::vector<Mistake>& mistakes)
 {
   std::vector<std::string> texts;
+  texts.reserve(mistakes.size());
   for (const Mistake& mistake : mistakes) {
     texts.push_back(to_string(mistake));
   }
--- a/src/libstate/config_store.cpp
+++ b/src/libstate/config_store.cpp
@@ -14,12 +14,6 @@
 constexpr std::size_t kChangeBytes = std::size_t{ 1 } << 20;
 constexpr std::size_t kMistakesShown = 5;
 
-std::uint64_t
-hash_content(const std::string& content)
-{
-  return XXH64(content.data(), content.size(), 0);
-}
-
 Error
 describe(const std::vector<Mistake>& mistakes)
 {
@@ -57,6 +51,12 @@
 
 } // namespace
 
+std::uint64_t
+content_hash(const std::string& content)
+{
+  return XXH64(content.data(), content.size(), 0);
+}
+
 ConfigStore::ConfigStore(const StateMachineOptions& options)
   : m_history_count(options.history_count)
   , m_history_bytes(options.history_bytes)
@@ -134,13 +134,13 @@
   std::optional<FoldedChange> winner;
   if (const auto recent = m_changes.find(change.number); recent != m_changes.end()) {
     const ChangeRecord& record = recent->second;
-    winner = { record.revision, record.file_name, hash_content(record.content) };
+    winner = { record.number, record.revision, record.file_name, content_hash(record.content) };
   } else if (const auto folded = m_folded.find(change.number); folded != m_folded.end()) {
     winner = folded->second;
   }
   if (winner) {
     if (winner->file_name != change.file_name ||
-        winner->content_hash != hash_content(change.content)) {
+        winner->content_hash != content_hash(change.content)) {
       return conflict(change.number, winner->file_name, winner->revision);
     }
     ApplyResult again = accept();
@@ -197,7 +197,9 @@
     m_base.add({ record.file_name, record.content });
     m_base_number = record.number;
     m_has_base = true;
-    m_folded[record.number] = { record.revision, record.file_name, hash_content(record.content) };
+    m_folded[record.number] = {
+      record.number, record.revision, record.file_name, content_hash(record.content)
+    };
     m_content_bytes -= record.content.size();
     m_changes.erase(oldest);
   }
@@ -230,7 +232,7 @@
 ConfigStore::restore(const json& fields)
 {
   for (const json& change : fields.at("folded")) {
-    m_folded[change.at(0)] = { change.at(1), change.at(2), change.at(3) };
+    m_folded[change.at(0)] = { change.at(0), change.at(1), change.at(2), change.at(3) };
   }
   fields.at("base_number").get_to(m_base_number);
   fields.at("has_base").get_to(m_has_base);
--- a/src/libstate/config_store.h
+++ b/src/libstate/config_store.h
@@ -27,19 +27,13 @@
     return m_has_base ? std::optional<std::uint64_t>(m_base_number) : std::nullopt;
   }
 
+  const std::map<std::uint64_t, FoldedChange>& folded() const { return m_folded; }
+
   nlohmann::json snapshot() const;
   /// Throws if the fields are no snapshot.
   void restore(const nlohmann::json& fields);
 
 private:
-  // What is kept of a folded change, so that a resent one gets its first answer.
-  struct FoldedChange
-  {
-    std::uint64_t revision = 0;
-    std::string file_name;
-    std::uint64_t content_hash = 0;
-  };
-
   ApplyResult conflict(std::uint64_t number,
                        const std::string& winner_file,
                        std::uint64_t revision) const;
@@ -52,6 +46,7 @@
   std::size_t m_folded_count;
   std::map<std::uint64_t, ChangeRecord> m_changes;
   std::size_t m_content_bytes = 0;
+  // Lets a resent change get its first answer.
   std::map<std::uint64_t, FoldedChange> m_folded;
   // Largest number whose change is folded; smaller ones can't be merged in order any more.
   std::uint64_t m_base_number = 0;
--- a/src/libstate/state_machine.cpp
+++ b/src/libstate/state_machine.cpp
@@ -112,6 +112,17 @@
   return m_impl->config.configuration();
 }
 
+std::vector<FoldedChange>
+StateMachine::folded_changes() const
+{
+  std::vector<FoldedChange> changes;
+  changes.reserve(m_impl->config.folded().size());
+  for (const auto& [number, change] : m_impl->config.folded()) {
+    changes.push_back(change);
+  }
+  return changes;
+}
+
 const Origins&
 StateMachine::origins() const
 {
--- a/src/libstate/state_property_test.cpp
+++ b/src/libstate/state_property_test.cpp
@@ -24,10 +24,10 @@
   std::uint64_t c = 0;
 };
 
-void
-showValue(const Step& step, std::ostream& out)
+std::ostream&
+operator<<(std::ostream& out, const Step& step)
 {
-  out << "{" << step.action << ", " << step.a << ", " << step.b << ", " << step.c << "}";
+  return out << "{" << step.action << ", " << step.a << ", " << step.b << ", " << step.c << "}";
 }
 
 constexpr int kSnapshotAction = 9;
@@ -192,13 +192,10 @@
       result.next_free_number = 0;
     } else if (m_fault == Fault::ResentChangeGetsNewRevision && result.revision != 0) {
       result.revision = index;
-    } else if (m_fault == Fault::MistakesAccepted && std::get_if<SubmitChange>(&command) &&
-               result.error) {
-      result.error.reset();
-      result.accepted = true;
     } else if (m_fault == Fault::KeyGrantedTwice && result.claim == ClaimStatus::InProgress) {
       result.claim = ClaimStatus::Granted;
-    } else if (m_fault == Fault::EndedAttemptRecords && std::get_if<RecordOutcome>(&command)) {
+    } else if ((m_fault == Fault::MistakesAccepted && std::get_if<SubmitChange>(&command)) ||
+               (m_fault == Fault::EndedAttemptRecords && std::get_if<RecordOutcome>(&command))) {
       result.error.reset();
       result.accepted = true;
     } else if (m_fault == Fault::ExpiryEndsOpenClaims && std::get_if<ExpireOutcomes>(&command)) {
--- a/src/lovagectl/admin_client.cpp
+++ b/src/lovagectl/admin_client.cpp
@@ -15,18 +15,22 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+// The history page holds the content of up to 4 MiB of changes.
+constexpr std::size_t kAnswerBytes = std::size_t{ 64 } << 20;
+
 // The steps of one request; each starts the next.
 struct Call
 {
   explicit Call(boost::asio::io_context& context)
     : stream(context)
   {
+    response.body_limit(kAnswerBytes);
   }
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   http::request<http::string_body> request;
-  http::response<http::string_body> response;
+  http::response_parser<http::string_body> response;
   boost::system::error_code error;
 
   void start(const boost::asio::ip::tcp::endpoint& endpoint)
@@ -90,8 +94,8 @@
                .message = addresses[i] + " does not answer: " + calls[i]->error.message(),
                .remedy = "check that the host runs, or name another with --admin" });
     } else {
-      answers.emplace_back(AdminAnswer{ .status = calls[i]->response.result_int(),
-                                        .body = calls[i]->response.body() });
+      answers.emplace_back(AdminAnswer{ .status = calls[i]->response.get().result_int(),
+                                        .body = calls[i]->response.get().body() });
     }
   }
   return answers;
--- a/src/lovagectl/apply_command.cpp
+++ b/src/lovagectl/apply_command.cpp
@@ -1,3 +1,4 @@
+#include "accepted_changes.h"
 #include "commands.h"
 #include "lovagehold/declaration_folder.h"
 
@@ -20,6 +21,7 @@
   std::uint64_t revision = 0;
   std::size_t accepted = 0;
   std::size_t known = 0;
+  std::size_t forgotten = 0;
   std::size_t conflicts = 0;
 };
 
@@ -39,23 +41,6 @@
   }
 }
 
-// Whether control has accepted exactly this file, as far as its history tells.
-bool
-already_accepted(const json& history, const DeclarationFile& file)
-{
-  const Result<std::uint64_t> number = change_number(file.name);
-  const json& folded = history["folded_through"];
-  if (folded.is_number() && number.value() <= folded.get<std::uint64_t>()) {
-    return true;
-  }
-  for (const json& change : history["changes"]) {
-    if (change["number"] == number.value()) {
-      return change["file"] == file.name && change["content"] == file.content;
-    }
-  }
-  return false;
-}
-
 int
 apply_file(const std::string& admin, const DeclarationFile& file, ApplySummary& summary)
 {
@@ -124,14 +109,16 @@
 
 int
 send_folder(const Invocation& invocation,
-            const json& history,
+            const AcceptedChanges& accepted,
             const std::vector<DeclarationFile>& files,
             ApplySummary& summary)
 {
   int code = kExitDone;
   for (const DeclarationFile& file : files) {
-    if (already_accepted(history, file)) {
-      ++summary.known;
+    std::string winner;
+    const FileState state = accepted.compare(file, winner);
+    if (state == FileState::Accepted || state == FileState::Forgotten) {
+      ++(state == FileState::Accepted ? summary.known : summary.forgotten);
       continue;
     }
     const std::size_t conflicts = summary.conflicts;
@@ -169,9 +156,14 @@
     return report(history.error());
   }
   ApplySummary summary{ .revision = history.value().value("revision", std::uint64_t{ 0 }) };
-  const int code = send_folder(invocation, history.value(), files.value(), summary);
+  const int code =
+    send_folder(invocation, AcceptedChanges(history.value()), files.value(), summary);
   std::cout << summary.accepted << " accepted now, " << summary.known << " accepted before, "
             << summary.conflicts << " in conflict\n";
+  if (summary.forgotten > 0) {
+    std::cout << summary.forgotten
+              << " not sent: their numbers are older than what control remembers\n";
+  }
   if (invocation.wait && code != kExitNotReachable) {
     return std::max(code, wait_until_in_force(invocation, summary.revision));
   }
--- a/src/lovagectl/config_commands.cpp
+++ b/src/lovagectl/config_commands.cpp
@@ -1,3 +1,4 @@
+#include "accepted_changes.h"
 #include "commands.h"
 #include "libstate/config_json.h"
 #include "lovagehold/declaration_folder.h"
@@ -80,34 +81,33 @@
 std::vector<DeclarationFile>
 compare_files(const json& history, const std::vector<DeclarationFile>& files)
 {
+  const AcceptedChanges accepted(history);
+  const std::string next = history["next_free_number"].dump();
   std::vector<DeclarationFile> pending;
-  std::map<std::uint64_t, json> accepted;
-  for (const json& change : history["changes"]) {
-    accepted[change["number"]] = change;
-  }
-  const json& folded = history["folded_through"];
   for (const DeclarationFile& file : files) {
-    const Result<std::uint64_t> number = change_number(file.name);
-    const bool old = folded.is_number() && number.value() <= folded.get<std::uint64_t>();
-    const auto found = accepted.find(number.value());
-    if (found == accepted.end() && !old) {
-      std::cout << "+ " << file.name << ": not accepted yet\n";
-      pending.push_back(file);
-    } else if (found != accepted.end()) {
-      const json& change = found->second;
-      if (change["file"] != file.name) {
-        std::cout << "! " << file.name << ": number " << number.value() << " is taken by "
-                  << change["file"].get<std::string>() << "; next free number is "
-                  << history["next_free_number"] << "\n";
-      } else if (change["content"] != file.content) {
+    std::string winner;
+    switch (accepted.compare(file, winner)) {
+      case FileState::Pending:
+        std::cout << "+ " << file.name << ": not accepted yet\n";
+        pending.push_back(file);
+        break;
+      case FileState::Taken:
+        std::cout << "! " << file.name << ": the number is taken by " << winner
+                  << "; next free number is " << next << "\n";
+        break;
+      case FileState::Differs:
         std::cout << "! " << file.name << ": was accepted with other content; put the change into "
-                  << "a new file with number " << history["next_free_number"] << "\n";
-      }
-      accepted.erase(found);
+                  << "a new file with number " << next << "\n";
+        break;
+      case FileState::Forgotten:
+        std::cout << "? " << file.name << ": the number is older than what control remembers\n";
+        break;
+      case FileState::Accepted:
+        break;
     }
   }
-  for (const auto& [number, change] : accepted) {
-    std::cout << "- " << change["file"].get<std::string>() << ": accepted, but not in the folder\n";
+  for (const std::string& name : accepted.missing_in(files)) {
+    std::cout << "- " << name << ": accepted, but not in the folder\n";
   }
   return pending;
 }
--- a/src/lovagectl/main.cpp
+++ b/src/lovagectl/main.cpp
@@ -94,7 +94,9 @@
   for (const std::string& option : options) {
     const auto& known = command->options;
     if (std::find(known.begin(), known.end(), option) == known.end()) {
-      return report_wrong_use("'" + name + "' takes no --" + option);
+      std::string message = "'" + name + "' takes no --";
+      message += option;
+      return report_wrong_use(message);
     }
   }
   return command->run(invocation);
@@ -142,5 +144,10 @@
     return report_wrong_use(exception.error() + " " + argument.substr(argument.find(' ') + 1));
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus();
+  } catch (const std::exception& exception) {
+    // A page of another version may lack fields.
+    std::cerr << "lovagectl: unexpected answer: " << exception.what()
+              << "; use lovagectl of the same version as the hosts\n";
+    return kExitRefused;
   }
 }
--- a/src/lovagehold/admin_pages.cpp
+++ b/src/lovagehold/admin_pages.cpp
@@ -130,9 +130,15 @@
   json page = { { "revision", state.configuration()->revision },
                 { "next_free_number", state.next_free_number() },
                 { "folded_through", nullptr },
+                { "folded", json::array() },
                 { "changes", changes } };
   if (const auto folded = state.folded_through()) {
     page["folded_through"] = *folded;
+    for (const FoldedChange& change : state.folded_changes()) {
+      page["folded"].push_back({ { "number", change.number },
+                                 { "file", change.file_name },
+                                 { "hash", change.content_hash } });
+    }
   }
   return { .body = dump(page) };
 }
