Hold a session per host and dispatch by its share

Hosts announced themselves once, every owner had the full share, and each applied entry rebuilt the routes of all services.

HostSession sends heartbeats, joins under a new incarnation after its session has ended and passes shares to the dispatchers; SessionLeader runs the session table on the control host that leads. ServiceTable limits a share by time at each call that may dispatch, so a resumed process does not use an old lease. Requests queued at a host that loses a service are relayed to its owner. Renewals count for the known incarnation only, and the owner removes servers that were silent for 30 s. A leaving host relays for shutdown_grace and then waits for its requests without a limit. Messages and events carry a hybrid logical time.

--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovagehold/command.h"
+#include "lovagehold/hybrid_clock.h"
 
 #include <variant>
 
@@ -105,6 +106,20 @@
 /// CBOR encoding. \return the bytes.
 Bytes encode(const ClusterMessage& message);
 
+/// A message with the sender's hybrid logical time.
+struct Envelope
+{
+  HybridTime time;
+  ClusterMessage message;
+};
+
+/// CBOR encoding with the sender's time. \return the bytes.
+Bytes encode(const ClusterMessage& message, const HybridTime& time);
+
+/// \return the message and its time, or Protocol if the bytes are none. The time is zero if the
+/// sender gave none.
+Result<Envelope> decode_envelope(const Bytes& bytes);
+
 /// \return the message, or Protocol if the bytes are none.
 Result<ClusterMessage> decode_message(const Bytes& bytes);
 
--- a/src/include/lovagehold/entry_service.h
+++ b/src/include/lovagehold/entry_service.h
@@ -61,6 +61,11 @@
   /// Takes up a new view.
   void update(std::shared_ptr<const RoutingView> view, TimePoint now);
 
+  /// Changes shares at once, without a new view.
+  void set_shares(const std::vector<std::pair<ServiceName, SlotShare>>& shares,
+                  const ShareLimits& limits,
+                  TimePoint now);
+
   /// A server's renewal came from another host.
   void renew(const ServerRenewal& renewal, TimePoint now);
 
--- a/src/include/lovagehold/event_log.h
+++ b/src/include/lovagehold/event_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovagehold/hybrid_clock.h"
 #include "lovagehold/types.h"
 
 #include <deque>
@@ -19,6 +20,8 @@
 struct Event
 {
   WallTime time{};
+  /// Orders the events of all processes causally.
+  HybridTime hybrid_time;
   HostId host;
   std::string name;
   std::vector<std::pair<std::string, std::string>> fields;
@@ -43,6 +46,12 @@
   void info(std::string_view event, std::initializer_list<LogField> fields = {});
   void warn(std::string_view event, std::initializer_list<LogField> fields = {});
 
+  /// \return a hybrid logical time stamp for a message to another process.
+  HybridTime stamp();
+
+  /// Takes up the time stamp of a message from another process.
+  void observe(const HybridTime& remote);
+
   /// \return recent events, oldest first.
   std::vector<Event> recent() const;
 
@@ -51,6 +60,7 @@
 
   EventLogOptions m_options;
   mutable std::mutex m_mutex;
+  HybridClock m_clock;
   std::deque<Event> m_events;
 };
 
--- a/src/include/lovagehold/service_table.h
+++ b/src/include/lovagehold/service_table.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "lovagehold/cluster_message.h"
 #include "lovagehold/dispatcher.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -29,10 +31,24 @@
                    SlotShare share,
                    TimePoint now);
 
+  /// Takes up until when shares may be used; decided anew at each call that may dispatch.
+  void set_share_limits(const ShareLimits& limits);
+
+  /// \return share of the service that may be used at this time.
+  SlotShare share(const ServiceName& service, TimePoint now) const;
+
+  /// Rejects the queued requests of the service as NotOwner, so that they can be relayed.
+  void hand_over(const ServiceName& service, TimePoint now);
+
+  /// \return servers of fully owned services without a renewal for longer than the silence.
+  std::vector<LeaveServer> silent_servers(Duration silence, TimePoint now) const;
+
   /// Changes the share of a service that is known.
   void set_share(const ServiceName& service, SlotShare share, TimePoint now);
 
-  void renew_server(const ServiceName& service, const ServerId& server, TimePoint now);
+  /// Renews the server if this incarnation of it is known. A newer one counts from its join, which
+  /// the log delivers.
+  void renew_server(const ServerRenewal& renewal, TimePoint now);
 
   /// Queues the request. \return its id; its actions go to \p deliver until finish() is called.
   RequestId submit(const ServiceName& service, RequestInfo request, Deliver deliver, TimePoint now);
@@ -62,13 +78,17 @@
   struct Shard;
   using Deliveries = std::vector<std::pair<Deliver, Action>>;
 
+  ShareLimits share_limits() const;
+  void limit_entry(Entry& entry, TimePoint now, Actions& actions) const;
   Shard& shard_of(const ServiceName& service) const;
   void collect(Entry& entry, const Actions& actions, Deliveries& deliveries) const;
   template<class Change>
-  void change(const ServiceName& service, const Change& apply);
+  void change(const ServiceName& service, TimePoint now, const Change& apply);
 
   std::vector<std::unique_ptr<Shard>> m_shards;
   Probe m_probe;
+  std::atomic<TimePoint> m_lease_until{ TimePoint::max() };
+  std::atomic<TimePoint> m_isolation_until{ TimePoint::max() };
 };
 
 } // namespace lovagehold
--- a/src/include/lovagehold/settings.h
+++ b/src/include/lovagehold/settings.h
@@ -38,6 +38,9 @@
   unsigned threads = 2;
   std::string log_level = "info";
   CallerLimits limits;
+  /// A leaving host accepts and relays requests this long, which covers the time for which callers
+  /// keep its address.
+  std::chrono::milliseconds shutdown_grace{ 10000 };
 };
 
 struct SettingsOutcome
--- a/src/include/lovagehold/state_machine.h
+++ b/src/include/lovagehold/state_machine.h
@@ -70,6 +70,10 @@
   /// Log index of the last JoinHost or LeaveHost; names the membership view.
   std::uint64_t view() const;
 
+  /// Log index of the last command that changed the configuration, the servers or the hosts. Claims
+  /// and outcomes leave it as it is.
+  std::uint64_t routes_index() const;
+
   /// \return members of the current view and the hosts that left without a release.
   Membership membership() const;
 
--- a/src/libadapters/event_log.cpp
+++ b/src/libadapters/event_log.cpp
@@ -24,6 +24,12 @@
   return quoted + '"';
 }
 
+WallTime
+wall_now()
+{
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
 std::shared_ptr<spdlog::logger>
 make_logger(const EventLogOptions& options)
 {
@@ -54,6 +60,20 @@
   record(spdlog::level::warn, event, fields);
 }
 
+HybridTime
+EventLog::stamp()
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_clock.stamp(wall_now());
+}
+
+void
+EventLog::observe(const HybridTime& remote)
+{
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_clock.observe(remote, wall_now());
+}
+
 std::vector<Event>
 EventLog::recent() const
 {
@@ -65,8 +85,7 @@
 EventLog::record(int level, std::string_view event, std::initializer_list<LogField> fields)
 {
   Event entry;
-  entry.time =
-    std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+  entry.time = wall_now();
   entry.host = m_options.host;
   entry.name = event;
   std::string line = "host=" + quote(m_options.host) + " event=" + std::string(event);
@@ -78,6 +97,7 @@
     logger->log(static_cast<spdlog::level::level_enum>(level), line);
   }
   const std::lock_guard<std::mutex> lock(m_mutex);
+  entry.hybrid_time = m_clock.stamp(entry.time);
   m_events.push_back(std::move(entry));
   if (m_events.size() > m_options.capacity) {
     m_events.pop_front();
--- a/src/libconfig/settings.cpp
+++ b/src/libconfig/settings.cpp
@@ -24,6 +24,8 @@
     settings.data_folder = root["data_folder"].as<std::string>("");
     settings.threads = root["threads"].as<unsigned>(settings.threads);
     settings.log_level = root["log_level"].as<std::string>(settings.log_level);
+    settings.shutdown_grace = std::chrono::milliseconds(
+      static_cast<std::int64_t>(root["shutdown_grace"].as<double>(10) * 1000));
     for (const auto& peer : root["control"]) {
       settings.control_peers.push_back(
         { peer["id"].as<std::string>(), peer["address"].as<std::string>() });
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -220,11 +220,25 @@
   return json::to_cbor(std::visit([](const auto& typed) { return to_fields(typed); }, message));
 }
 
-Result<ClusterMessage>
-decode_message(const Bytes& bytes)
+Bytes
+encode(const ClusterMessage& message, const HybridTime& time)
+{
+  json fields = std::visit([](const auto& typed) { return to_fields(typed); }, message);
+  fields["h"] = { time.millis, time.counter };
+  return json::to_cbor(fields);
+}
+
+Result<Envelope>
+decode_envelope(const Bytes& bytes)
 {
   try {
-    return parse_message(json::from_cbor(bytes));
+    const json fields = json::from_cbor(bytes);
+    Envelope envelope{ .time = {}, .message = parse_message(fields) };
+    if (fields.contains("h")) {
+      fields.at("h").at(0).get_to(envelope.time.millis);
+      fields.at("h").at(1).get_to(envelope.time.counter);
+    }
+    return envelope;
   } catch (const std::exception& exception) {
     return Error{ .kind = ErrorKind::Protocol,
                   .message = std::string("not a cluster message: ") + exception.what(),
@@ -232,4 +246,14 @@
   }
 }
 
+Result<ClusterMessage>
+decode_message(const Bytes& bytes)
+{
+  Result<Envelope> envelope = decode_envelope(bytes);
+  if (envelope.has_error()) {
+    return envelope.error();
+  }
+  return std::move(envelope.value().message);
+}
+
 } // namespace lovagehold
--- /dev/null
+++ b/src/libcontrol/hybrid_clock_test.cpp
@@ -0,0 +1,42 @@
+#include "lovagehold/cluster_message.h"
+#include "lovagehold/hybrid_clock.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lovagehold {
+namespace {
+
+// Guards against an effect that is listed before its cause, with calendars that differ and jump.
+RC_GTEST_PROP(HybridClock, MessagesAndEventsAreOrderedCausally, ())
+{
+  std::array<HybridClock, 3> clocks;
+  std::array<HybridTime, 3> last{};
+  const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+    rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(0, 50)));
+  for (const auto& [pair, millis] : steps) {
+    const auto from = static_cast<std::size_t>(pair % 3);
+    const auto to = static_cast<std::size_t>(pair / 3);
+    const WallTime wall{ std::chrono::milliseconds(millis) };
+    const HybridTime sent = clocks[from].stamp(wall);
+    RC_ASSERT(last[from] < sent);
+    last[from] = sent;
+    const HybridTime received = clocks[to].observe(sent, WallTime{} + std::chrono::milliseconds(5));
+    RC_ASSERT(sent < received);
+    RC_ASSERT(last[to] < received);
+    last[to] = received;
+  }
+}
+
+// Guards against a stamp that is lost between processes.
+TEST(ClusterMessage, CarriesTheHybridTime)
+{
+  const HybridTime time{ 1796373600123, 7 };
+  const auto envelope = decode_envelope(encode(ClusterMessage(Subscribe{ 4 }), time));
+  ASSERT_TRUE(envelope.has_value());
+  EXPECT_TRUE(envelope.value().time == time);
+  EXPECT_EQ(std::get<Subscribe>(envelope.value().message).from_index, 4U);
+}
+
+} // namespace
+} // namespace lovagehold
--- a/src/libproxy/caller_session.cpp
+++ b/src/libproxy/caller_session.cpp
@@ -242,6 +242,15 @@
                         .holder = exchange.context.options.self,
                         .now = wall_now(),
                         .keep = exchange.route->declaration.keep_outcomes };
+  const SlotShare share = exchange.context.table.share(exchange.service, Clock::now());
+  if (share == SlotShare::Isolated || share == SlotShare::None) {
+    // Nothing was proposed for this attempt, so it is certain that it does not run.
+    co_return make_error(exchange.request,
+                         http::status::service_unavailable,
+                         "this host has no valid lease and can't claim the key",
+                         "send the request to the next address of the service",
+                         "not-run");
+  }
   const Command command = claim;
   const Result<ApplyResult> result = co_await propose(exchange.context, command);
   if (result.has_error()) {
@@ -332,6 +341,16 @@
     const Action action = co_await inbox->next();
     if (const auto* reject = std::get_if<RejectRequest>(&action)) {
       context.table.finish(exchange.service, id, Clock::now());
+      if (reject->reason == RejectReason::NotOwner && exchange.request.count(kRelayedHeader) == 0) {
+        const auto view = context.view();
+        const auto route = view->routes.find(exchange.service);
+        const bool moved = route != view->routes.end() && !route->second.homes.empty() &&
+                           route->second.homes.front().id != view->self;
+        if (moved) {
+          exchange.route = &route->second;
+          co_return co_await relay_to_owner(exchange);
+        }
+      }
       const bool may_have_run =
         last != AttemptStatus::FailedUnstarted && last != AttemptStatus::Refused;
       StringResponse response = may_have_run ? make_error(exchange.request,
--- a/src/libproxy/entry_service.cpp
+++ b/src/libproxy/entry_service.cpp
@@ -16,6 +16,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{ 5 };
+constexpr std::chrono::seconds kSweepInterval{ 5 };
+constexpr std::chrono::seconds kLateSweep{ 1 };
+// A server that was silent for so long will not renew without a new announcement.
+constexpr std::chrono::seconds kServerSilence{ 30 };
 
 } // namespace
 
@@ -49,10 +53,29 @@
   awaitable<void> tick_loop()
   {
     asio::steady_timer timer(co_await asio::this_coro::executor);
+    TimePoint next_sweep = Clock::now() + kSweepInterval;
     while (true) {
       timer.expires_after(kTickInterval);
       co_await timer.async_wait(asio::use_awaitable);
-      context->table.tick(Clock::now());
+      const TimePoint now = Clock::now();
+      context->table.tick(now);
+      if (now >= next_sweep) {
+        // A late sweep means that the process was paused and renewals wait to be read.
+        if (now < next_sweep + kLateSweep) {
+          remove_silent_servers(now);
+        }
+        next_sweep = now + kSweepInterval;
+      }
+    }
+  }
+
+  void remove_silent_servers(TimePoint now) const
+  {
+    for (const LeaveServer& leave : context->table.silent_servers(kServerSilence, now)) {
+      context->log.warn(
+        "server_removed",
+        { { "service", leave.service }, { "server", leave.id }, { "reason", "no_renewal" } });
+      context->ports.propose(leave, [](const Result<ApplyResult>&) {});
     }
   }
 };
@@ -108,10 +131,12 @@
 void
 EntryService::update(std::shared_ptr<const RoutingView> view, TimePoint now)
 {
+  std::vector<ServiceName> lost;
   for (const auto& [name, route] : view->routes) {
     const bool owner = !route.homes.empty() && route.homes.front().id == view->self;
     if (!owner) {
       m_impl->context->table.set_share(name, SlotShare::None, now);
+      lost.push_back(name);
       continue;
     }
     const DispatcherOptions options{ .service = name,
@@ -120,12 +145,27 @@
     m_impl->context->table.set_service(options, route.servers, route.share, now);
   }
   m_impl->context->set_view(std::move(view));
+  // After the new view is set, so that the requests are relayed to the new owner.
+  for (const ServiceName& name : lost) {
+    m_impl->context->table.hand_over(name, now);
+  }
+}
+
+void
+EntryService::set_shares(const std::vector<std::pair<ServiceName, SlotShare>>& shares,
+                         const ShareLimits& limits,
+                         TimePoint now)
+{
+  m_impl->context->table.set_share_limits(limits);
+  for (const auto& [service, share] : shares) {
+    m_impl->context->table.set_share(service, share, now);
+  }
 }
 
 void
 EntryService::renew(const ServerRenewal& renewal, TimePoint now)
 {
-  m_impl->context->table.renew_server(renewal.service, renewal.id, now);
+  m_impl->context->table.renew_server(renewal, now);
 }
 
 void
--- a/src/libproxy/local_routes.cpp
+++ b/src/libproxy/local_routes.cpp
@@ -73,12 +73,14 @@
     return;
   }
   const HostInfo& owner = route->second.homes.front();
+  const ServerRenewal renewal{ .service = server.service,
+                               .id = server.id,
+                               .incarnation = server.incarnation };
   if (owner.id == context.options.self) {
-    context.table.renew_server(server.service, server.id, Clock::now());
+    context.table.renew_server(renewal, Clock::now());
     return;
   }
-  context.ports.send_renewal(
-    owner, { .service = server.service, .id = server.id, .incarnation = server.incarnation });
+  context.ports.send_renewal(owner, renewal);
 }
 
 bool
--- a/src/libproxy/service_table.cpp
+++ b/src/libproxy/service_table.cpp
@@ -1,7 +1,6 @@
 #include "lovagehold/service_table.h"
 
-#include <atomic>
-#include <set>
+#include <map>
 #include <xxhash.h>
 
 namespace lovagehold {
@@ -10,9 +9,34 @@
 {
   ServiceName name;
   Dispatcher dispatcher;
-  std::set<ServerId> servers;
-  std::unordered_map<RequestId, Deliver> requests;
+  struct Server
+  {
+    ServerInfo info;
+    TimePoint last_renewal;
+  };
+  struct Request
+  {
+    Deliver deliver;
+    bool started = false;
+  };
+  std::map<ServerId, Server> servers;
+  std::unordered_map<RequestId, Request> requests;
   RequestId next_request = 1;
+  /// Share by the ownership, and the share that the dispatcher has after the limits.
+  SlotShare share = SlotShare::None;
+  SlotShare limited = SlotShare::Full;
+  /// Since when the service is owned in full; renewals that were due before it went elsewhere.
+  TimePoint full_since = TimePoint::max();
+
+  void set_share(SlotShare next, TimePoint now)
+  {
+    if (next != SlotShare::Full) {
+      full_since = TimePoint::max();
+    } else if (share != SlotShare::Full) {
+      full_since = now;
+    }
+    share = next;
+  }
 };
 
 struct ServiceTable::Shard
@@ -51,8 +75,8 @@
     }
     if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
       // The attempt's request is not named; each request ignores attempts that are not its own.
-      for (const auto& [id, deliver] : entry.requests) {
-        deliveries.emplace_back(deliver, *cancel);
+      for (const auto& [id, waiting] : entry.requests) {
+        deliveries.emplace_back(waiting.deliver, *cancel);
       }
       continue;
     }
@@ -61,14 +85,41 @@
                                 : std::get<RejectRequest>(action).request;
     const auto found = entry.requests.find(request);
     if (found != entry.requests.end()) {
-      deliveries.emplace_back(found->second, action);
+      found->second.started = found->second.started || std::holds_alternative<StartAttempt>(action);
+      deliveries.emplace_back(found->second.deliver, action);
     }
   }
 }
 
+ShareLimits
+ServiceTable::share_limits() const
+{
+  return { m_lease_until.load(std::memory_order_relaxed),
+           m_isolation_until.load(std::memory_order_relaxed) };
+}
+
+void
+ServiceTable::set_share_limits(const ShareLimits& limits)
+{
+  m_lease_until.store(limits.lease_until, std::memory_order_relaxed);
+  m_isolation_until.store(limits.isolation_until, std::memory_order_relaxed);
+}
+
+// To be called before anything that may dispatch, so that a lease that ended during a pause of the
+// process is noticed.
+void
+ServiceTable::limit_entry(Entry& entry, TimePoint now, Actions& actions) const
+{
+  const SlotShare limited = limit_share(entry.share, share_limits(), now);
+  if (limited != entry.limited) {
+    entry.limited = limited;
+    actions = entry.dispatcher.set_share(limited, now);
+  }
+}
+
 template<class Change>
 void
-ServiceTable::change(const ServiceName& service, const Change& apply)
+ServiceTable::change(const ServiceName& service, TimePoint now, const Change& apply)
 {
   Deliveries deliveries;
   {
@@ -78,6 +129,9 @@
     if (found == shard.entries.end()) {
       return;
     }
+    Actions limiting;
+    limit_entry(found->second, now, limiting);
+    collect(found->second, limiting, deliveries);
     collect(found->second, apply(found->second), deliveries);
   }
   for (const auto& [deliver, action] : deliveries) {
@@ -95,29 +149,32 @@
     Shard& shard = shard_of(options.service);
     const std::lock_guard<std::mutex> lock(shard.mutex);
     if (shard.entries.find(options.service) == shard.entries.end()) {
-      shard.entries.emplace(options.service, Entry{ options.service, Dispatcher(options), {}, {} });
+      shard.entries.emplace(options.service, Entry{ options.service, Dispatcher(options) });
     }
   }
-  change(options.service, [&](Entry& entry) {
-    Actions actions = entry.dispatcher.set_share(share, now);
+  change(options.service, now, [&](Entry& entry) {
+    Actions actions;
+    entry.set_share(share, now);
+    limit_entry(entry, now, actions);
     const auto add = [&actions](Actions more) {
       actions.insert(actions.end(), more.begin(), more.end());
     };
-    std::set<ServerId> current;
+    std::map<ServerId, Entry::Server> current;
     for (const ServerInfo& server : servers) {
-      current.insert(server.id);
-      if (entry.servers.insert(server.id).second) {
-        add(entry.dispatcher.set_server(server, now));
+      const auto known = entry.servers.find(server.id);
+      if (known != entry.servers.end() && known->second.info == server) {
+        current.insert(*known);
+        continue;
       }
+      current[server.id] = { server, now };
+      add(entry.dispatcher.set_server(server, now));
     }
-    for (auto known = entry.servers.begin(); known != entry.servers.end();) {
-      if (current.count(*known) > 0) {
-        ++known;
-        continue;
+    for (const auto& [id, server] : entry.servers) {
+      if (current.count(id) == 0) {
+        add(entry.dispatcher.remove_server(id, now));
       }
-      add(entry.dispatcher.remove_server(*known, now));
-      known = entry.servers.erase(known);
     }
+    entry.servers = std::move(current);
     return actions;
   });
 }
@@ -125,13 +182,71 @@
 void
 ServiceTable::set_share(const ServiceName& service, SlotShare share, TimePoint now)
 {
-  change(service, [&](Entry& entry) { return entry.dispatcher.set_share(share, now); });
+  change(service, now, [&](Entry& entry) {
+    Actions actions;
+    entry.set_share(share, now);
+    limit_entry(entry, now, actions);
+    return actions;
+  });
 }
 
 void
-ServiceTable::renew_server(const ServiceName& service, const ServerId& server, TimePoint now)
+ServiceTable::renew_server(const ServerRenewal& renewal, TimePoint now)
 {
-  change(service, [&](Entry& entry) { return entry.dispatcher.renew_server(server, now); });
+  change(renewal.service, now, [&](Entry& entry) {
+    const auto found = entry.servers.find(renewal.id);
+    if (found == entry.servers.end() || found->second.info.incarnation != renewal.incarnation) {
+      return Actions();
+    }
+    found->second.last_renewal = now;
+    return entry.dispatcher.renew_server(renewal.id, now);
+  });
+}
+
+SlotShare
+ServiceTable::share(const ServiceName& service, TimePoint now) const
+{
+  const Shard& shard = shard_of(service);
+  const std::lock_guard<std::mutex> lock(shard.mutex);
+  const auto found = shard.entries.find(service);
+  return found == shard.entries.end() ? SlotShare::None
+                                      : limit_share(found->second.share, share_limits(), now);
+}
+
+void
+ServiceTable::hand_over(const ServiceName& service, TimePoint now)
+{
+  change(service, now, [&](Entry& entry) {
+    Actions actions;
+    for (const auto& [id, request] : entry.requests) {
+      if (!request.started) {
+        entry.dispatcher.cancel(id, now);
+        actions.push_back(
+          RejectRequest{ .request = id, .reason = RejectReason::NotOwner, .retry_after = {} });
+      }
+    }
+    return actions;
+  });
+}
+
+std::vector<LeaveServer>
+ServiceTable::silent_servers(Duration silence, TimePoint now) const
+{
+  std::vector<LeaveServer> silent;
+  for (const auto& shard : m_shards) {
+    const std::lock_guard<std::mutex> lock(shard->mutex);
+    for (const auto& [name, entry] : shard->entries) {
+      if (entry.limited != SlotShare::Full || entry.full_since == TimePoint::max()) {
+        continue;
+      }
+      for (const auto& [id, server] : entry.servers) {
+        if (now - std::max(server.last_renewal, entry.full_since) > silence) {
+          silent.push_back({ .service = name, .id = id, .incarnation = server.info.incarnation });
+        }
+      }
+    }
+  }
+  return silent;
 }
 
 RequestId
@@ -141,10 +256,10 @@
                      TimePoint now)
 {
   RequestId id = 0;
-  change(service, [&](Entry& entry) {
+  change(service, now, [&](Entry& entry) {
     id = entry.next_request++;
     request.id = id;
-    entry.requests[id] = deliver;
+    entry.requests[id] = { deliver };
     return entry.dispatcher.submit(request, now);
   });
   if (id == 0) {
@@ -159,7 +274,8 @@
                        const AttemptResult& result,
                        TimePoint now)
 {
-  change(service, [&](Entry& entry) { return entry.dispatcher.complete(attempt, result, now); });
+  change(
+    service, now, [&](Entry& entry) { return entry.dispatcher.complete(attempt, result, now); });
 }
 
 void
@@ -169,7 +285,7 @@
                            Duration elapsed,
                            TimePoint now)
 {
-  change(service, [&](Entry& entry) {
+  change(service, now, [&](Entry& entry) {
     return entry.dispatcher.probe_result(server, healthy, elapsed, now);
   });
 }
@@ -177,7 +293,7 @@
 void
 ServiceTable::finish(const ServiceName& service, RequestId request, TimePoint now)
 {
-  change(service, [&](Entry& entry) {
+  change(service, now, [&](Entry& entry) {
     entry.requests.erase(request);
     return entry.dispatcher.cancel(request, now);
   });
@@ -192,6 +308,9 @@
       const std::lock_guard<std::mutex> lock(shard->mutex);
       for (auto& [name, entry] : shard->entries) {
         const auto wakeup = entry.dispatcher.next_wakeup();
+        Actions limiting;
+        limit_entry(entry, now, limiting);
+        collect(entry, limiting, deliveries);
         if (wakeup && *wakeup <= now) {
           collect(entry, entry.dispatcher.tick(now), deliveries);
         }
--- a/src/libstate/state_machine.cpp
+++ b/src/libstate/state_machine.cpp
@@ -82,6 +82,7 @@
   StateMachineOptions options;
   std::uint64_t applied = 0;
   std::uint64_t view = 0;
+  std::uint64_t routes_index = 0;
   std::map<std::uint64_t, ChangeRecord> changes;
   std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
   std::map<ServiceName, std::map<ServerId, ServerInfo>> servers;
@@ -128,6 +129,7 @@
     merged.configuration.revision = applied;
     configuration = std::make_shared<Configuration>(std::move(merged.configuration));
     changes = std::move(next);
+    routes_index = applied;
     ApplyResult result = accept();
     result.revision = applied;
     return result;
@@ -190,6 +192,7 @@
                       .remedy = "announce with a larger incarnation" });
     }
     entry = join.server;
+    routes_index = applied;
     return accept();
   }
 
@@ -199,6 +202,7 @@
     const auto found = of_service.find(leave.id);
     if (found != of_service.end() && found->second.incarnation <= leave.incarnation) {
       of_service.erase(found);
+      routes_index = applied;
     }
     return accept();
   }
@@ -223,7 +227,7 @@
     hosts[join.host.id] = join.host;
     joined_views[join.host.id] = applied;
     departed.erase(join.host.id);
-    view = applied;
+    view = routes_index = applied;
     return accept();
   }
 
@@ -234,7 +238,7 @@
       if (leave.released && !left->second.released) {
         left->second.released = true;
         left->second.rivals.clear();
-        view = applied;
+        view = routes_index = applied;
       }
       return accept();
     }
@@ -255,7 +259,7 @@
     }
     departed[leave.id] = std::move(entry);
     mark_holder_gone(leave.id);
-    view = applied;
+    view = routes_index = applied;
     return accept();
   }
 
@@ -383,6 +387,12 @@
   return found != m_impl->departed.end() && found->second.released;
 }
 
+std::uint64_t
+StateMachine::routes_index() const
+{
+  return m_impl->routes_index;
+}
+
 Membership
 StateMachine::membership() const
 {
@@ -438,6 +448,7 @@
     const json whole = json::from_cbor(snapshot);
     whole.at("applied").get_to(next->applied);
     whole.at("view").get_to(next->view);
+    next->routes_index = next->applied;
     std::uint64_t revision = 0;
     for (const json& change : whole.at("changes")) {
       ChangeRecord record{ .number = change.at(0), .revision = change.at(1) };
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -1,7 +1,6 @@
 #include "node.h"
 
 #include "libstate/json_fields.h"
-#include "lovagehold/home_selector.h"
 
 #include <boost/asio/post.hpp>
 
@@ -12,8 +11,6 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
-constexpr std::chrono::seconds kDrainLimit{ 120 };
-constexpr std::size_t kHomeCount = 3;
 
 WallTime
 wall_now()
@@ -69,7 +66,13 @@
     log_options.members.emplace_back(peer.id, peer.cluster_address);
     client_options.control_addresses.push_back(peer.cluster_address);
   }
+  HostSessionOptions session_options{ .self = m_self,
+                                      .control_addresses = client_options.control_addresses };
   if (m_settings.control_role) {
+    m_leader = std::make_unique<SessionLeader>(
+      send_hook,
+      [this](const LeaveHost& leave) { propose(leave, [](const Result<ApplyResult>&) {}); },
+      m_log);
     m_primary_log = std::make_unique<PrimaryLog>(std::move(log_options), send_hook);
   }
   m_client = std::make_unique<ControlClient>(
@@ -89,7 +92,7 @@
                       });
   };
   ports.send_renewal = [this](const HostInfo& owner, const ServerRenewal& renewal) {
-    m_transport->send(owner.cluster_address, encode(ClusterMessage(renewal)));
+    m_transport->send(owner.cluster_address, encode(ClusterMessage(renewal), m_log.stamp()));
   };
   ports.key_status = [](const ServiceName&, const std::string&) {
     return std::optional<KeyStatus>();
@@ -101,6 +104,14 @@
                                                         .limits = m_settings.limits },
                                    std::move(ports),
                                    m_log);
+  m_session = std::make_unique<HostSession>(
+    std::move(session_options),
+    *m_entry,
+    send_hook,
+    [this](const Command& command, ControlClient::Answer answer) {
+      propose(command, std::move(answer));
+    },
+    m_log);
 }
 
 Node::~Node()
@@ -139,7 +150,7 @@
 void
 Node::send(const std::string& address, const ClusterMessage& message)
 {
-  Bytes bytes = encode(message);
+  Bytes bytes = encode(message, m_log.stamp());
   if (address != m_settings.cluster_address) {
     m_transport->send(address, std::move(bytes));
     return;
@@ -151,16 +162,24 @@
 void
 Node::receive(const std::string& from, const Bytes& bytes)
 {
-  const Result<ClusterMessage> message = decode_message(bytes);
-  if (message.has_error()) {
-    m_log.warn("message_refused", { { "peer", from }, { "reason", message.error().message } });
+  const Result<Envelope> envelope = decode_envelope(bytes);
+  if (envelope.has_error()) {
+    m_log.warn("message_refused", { { "peer", from }, { "reason", envelope.error().message } });
     return;
   }
+  m_log.observe(envelope.value().time);
+  const ClusterMessage& message = envelope.value().message;
   if (m_primary_log) {
-    m_primary_log->receive(from, message.value());
+    m_primary_log->receive(from, message);
   }
-  m_client->receive(from, message.value(), Clock::now());
-  const auto* renewal = std::get_if<ServerRenewal>(&message.value());
+  m_client->receive(from, message, Clock::now());
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&message); heartbeat != nullptr && m_leader) {
+    m_leader->receive(from, *heartbeat, Clock::now());
+  }
+  if (const auto* reply = std::get_if<HeartbeatReply>(&message); reply != nullptr && m_session) {
+    m_session->receive(*reply, Clock::now());
+  }
+  const auto* renewal = std::get_if<ServerRenewal>(&message);
   if (renewal != nullptr && m_entry) {
     m_entry->renew(*renewal, Clock::now());
   }
@@ -172,30 +191,17 @@
   m_client->propose(command, std::move(answer), Clock::now());
 }
 
-std::shared_ptr<const RoutingView>
-Node::make_view(const StateMachine& state) const
-{
-  auto view = std::make_shared<RoutingView>();
-  view->self = m_settings.host;
-  const auto configuration = state.configuration();
-  view->revision = configuration->revision;
-  const std::vector<HostInfo> hosts = state.hosts();
-  for (const auto& [name, declaration] : configuration->services) {
-    view->routes[name] = { .declaration = declaration,
-                           .homes = select_homes(name, hosts, kHomeCount),
-                           .servers = state.servers(name),
-                           .share = SlotShare::Full };
-  }
-  return view;
-}
-
 void
 Node::on_applied(const StateMachine& state)
 {
-  if (!m_entry) {
+  const TimePoint now = Clock::now();
+  if (m_leader) {
+    m_leader->set_membership(state.membership(), now);
+  }
+  if (!m_session) {
     return;
   }
-  m_entry->update(make_view(state), Clock::now());
+  m_session->applied(state, now);
   if (!m_entry_started) {
     m_entry_started = true;
     const Result<void> started = m_entry->start();
@@ -205,18 +211,6 @@
       m_context.stop();
     }
   }
-  announce_host();
-}
-
-void
-Node::announce_host()
-{
-  if (m_host_announced) {
-    return;
-  }
-  m_host_announced = true;
-  propose(JoinHost{ m_self },
-          [this](const Result<ApplyResult>& result) { m_host_announced = result.has_value(); });
 }
 
 void
@@ -234,12 +228,28 @@
 Node::tick(TimePoint now)
 {
   m_client->tick(now);
-  if (m_client->ready() && m_entry && !m_leaving) {
-    announce_host();
+  tick_leader(now);
+  if (m_client->ready() && m_session) {
+    m_session->tick(m_client->state(), now);
   }
   schedule_tick();
 }
 
+// The first control host leads, as PrimaryLog has it. No other process can lead, so its leadership
+// needs no confirmation by others.
+void
+Node::tick_leader(TimePoint now)
+{
+  if (!m_leader || !m_client->ready()) {
+    return;
+  }
+  const bool leading = m_settings.control_peers.front().id == m_settings.host;
+  m_leader->set_leader_address(m_settings.control_peers.front().cluster_address);
+  m_leader->set_leading(leading, now);
+  m_leader->confirm_leadership(now);
+  m_leader->tick(now);
+}
+
 void
 Node::handle_admin(const AdminRequest& request, const AdminServer::Reply& reply)
 {
@@ -315,6 +325,7 @@
       fields[key] = value;
     }
     events.push_back({ { "time_ms", event.time.time_since_epoch().count() },
+                       { "hlc", { event.hybrid_time.millis, event.hybrid_time.counter } },
                        { "host", event.host },
                        { "event", event.name },
                        { "fields", fields } });
@@ -327,28 +338,31 @@
 {
   m_leaving = true;
   m_log.info("shutdown_started");
-  if (!m_entry) {
+  if (!m_session) {
     m_context.stop();
     return;
   }
-  const LeaveHost leave{ .id = m_self.id, .incarnation = m_self.incarnation, .released = true };
-  propose(leave, [this](const Result<ApplyResult>&) {
+  // The grace covers callers that still keep this host's address.
+  const auto timer =
+    std::make_shared<boost::asio::steady_timer>(m_context, m_settings.shutdown_grace);
+  m_session->leave([this] { m_log.info("released"); }, Clock::now());
+  timer->async_wait([this, timer](auto) {
     m_entry->drain();
-    finish_shutdown(Clock::now() + kDrainLimit);
+    finish_shutdown();
   });
 }
 
 void
-Node::finish_shutdown(TimePoint give_up)
+Node::finish_shutdown()
 {
-  if (m_entry->in_flight() == 0 || Clock::now() >= give_up) {
-    m_log.info("stopped", { { "cut_off", std::to_string(m_entry->in_flight()) } });
+  if (m_entry->in_flight() == 0) {
+    m_log.info("stopped");
     m_entry->stop();
     m_context.stop();
     return;
   }
   const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, kTickInterval);
-  timer->async_wait([this, timer, give_up](auto) { finish_shutdown(give_up); });
+  timer->async_wait([this, timer](auto) { finish_shutdown(); });
 }
 
 } // namespace lovagehold
--- a/src/lovagehold/node.h
+++ b/src/lovagehold/node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "host_session.h"
 #include "lovagehold/admin_server.h"
 #include "lovagehold/cluster_transport.h"
 #include "lovagehold/control_client.h"
@@ -7,6 +8,7 @@
 #include "lovagehold/event_log.h"
 #include "lovagehold/primary_log.h"
 #include "lovagehold/settings.h"
+#include "session_leader.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -32,16 +34,15 @@
   void receive(const std::string& from, const Bytes& bytes);
   void propose(const Command& command, ControlClient::Answer answer);
   void on_applied(const StateMachine& state);
-  std::shared_ptr<const RoutingView> make_view(const StateMachine& state) const;
   void schedule_tick();
   void tick(TimePoint now);
-  void announce_host();
+  void tick_leader(TimePoint now);
   void handle_admin(const AdminRequest& request, const AdminServer::Reply& reply);
   void submit_change(const AdminRequest& request, const AdminServer::Reply& reply);
   AdminResponse status_page() const;
   AdminResponse event_page() const;
   void begin_shutdown();
-  void finish_shutdown(TimePoint give_up);
+  void finish_shutdown();
 
   Settings m_settings;
   HostInfo m_self;
@@ -53,8 +54,9 @@
   std::unique_ptr<PrimaryLog> m_primary_log;
   std::unique_ptr<ControlClient> m_client;
   std::unique_ptr<EntryService> m_entry;
+  std::unique_ptr<HostSession> m_session;
+  std::unique_ptr<SessionLeader> m_leader;
   std::unique_ptr<AdminServer> m_admin;
-  bool m_host_announced = false;
   bool m_leaving = false;
   bool m_entry_started = false;
 };
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -55,6 +55,8 @@
     echo "roles: [$roles]"
     echo "listen: {callers: \"$NET.1.$n:7080\", cluster: \"$NET.1.$n:7081\", admin: \"$NET.1.$n:7082\"}"
     echo "data_folder: $WORK/data-$n"
+    # Seconds; short, because cases stop all hosts at their end.
+    echo "shutdown_grace: ${SHUTDOWN_GRACE:-0.5}"
     echo "control:"
     for c in $(seq "$controls"); do echo "  - {id: host-$c, address: \"$NET.1.$c:7081\"}"; done
   } >"$WORK/host-$n.yaml"
