--- a/src/include/lovagehold/dispatcher.h
+++ b/src/include/lovagehold/dispatcher.h
@@ -95,6 +95,13 @@
   Full,
 };
 
+inline const char*
+to_string(SlotShare share)
+{
+  constexpr const char* kNames[] = { "none", "isolated", "reduced", "full" };
+  return kNames[static_cast<int>(share)];
+}
+
 /// Until when shares may be used without a word from control.
 struct ShareLimits
 {
--- a/src/include/lovagehold/ownership_tracker.h
+++ b/src/include/lovagehold/ownership_tracker.h
@@ -18,6 +18,9 @@
   HostId self;
   std::uint64_t incarnation = 1;
   std::chrono::milliseconds heartbeat_interval{ 150 };
+  /// Interval while the applied view is not known to be stable, so that a handover between live
+  /// hosts does not wait for the regular heartbeats.
+  std::chrono::milliseconds handover_interval{ 50 };
   /// Each clock may run this much too fast or too slow.
   double clock_drift = 0.01;
   /// A host cut off from control serves on the isolated share for this long.
@@ -121,6 +124,7 @@
   OwnershipOptions m_options;
   std::uint64_t m_view = 0;
   std::uint64_t m_stable_view = 0;
+  std::uint64_t m_sent_view = 0;
   std::uint64_t m_sequence = 0;
   std::optional<TimePoint> m_last_heartbeat;
   std::deque<SentHeartbeat> m_sent;
--- a/src/include/lovagehold/service_table.h
+++ b/src/include/lovagehold/service_table.h
@@ -37,7 +37,8 @@
   /// \return share of the service that may be used at this time.
   SlotShare share(const ServiceName& service, TimePoint now) const;
 
-  /// Rejects the queued requests of the service as NotOwner, so that they can be relayed.
+  /// The service has another owner: forgets its servers and rejects its queued requests as
+  /// NotOwner, so that they can be relayed.
   void hand_over(const ServiceName& service, TimePoint now);
 
   /// \return servers of fully owned services without a renewal for longer than the silence.
--- a/src/libcontrol/ownership_model_test.cpp
+++ b/src/libcontrol/ownership_model_test.cpp
@@ -167,7 +167,8 @@
       for (const Host& host : m_hosts) {
         const bool is_owner = host.tracker && host.info.id == owner;
         if (is_owner && host.tracker->share(service, local(host)) != SlotShare::Full) {
-          return service + " is not served in full by " + owner;
+          std::string text = service;
+          return text.append(" is not served in full by ").append(owner);
         }
       }
     }
@@ -423,7 +424,7 @@
         const SlotShare share =
           host.tracker ? host.tracker->share(service, local(host)) : SlotShare::None;
         ++count[static_cast<int>(share)];
-        shares += " " + std::to_string(static_cast<int>(share));
+        shares.append(" ").append(std::to_string(static_cast<int>(share)));
       }
       const int isolated = count[static_cast<int>(SlotShare::Isolated)];
       const int reduced = count[static_cast<int>(SlotShare::Reduced)];
--- a/src/libcontrol/ownership_tracker.cpp
+++ b/src/libcontrol/ownership_tracker.cpp
@@ -29,11 +29,15 @@
 OwnershipTracker::tick(TimePoint now)
 {
   refresh(now);
-  const bool due = !m_last_heartbeat || now - *m_last_heartbeat >= m_options.heartbeat_interval;
+  const Duration interval =
+    m_stable_view < m_view ? m_options.handover_interval : m_options.heartbeat_interval;
+  const bool due =
+    !m_last_heartbeat || m_sent_view != m_view || now - *m_last_heartbeat >= interval;
   if (!due || !m_member) {
     return std::nullopt;
   }
   m_last_heartbeat = now;
+  m_sent_view = m_view;
   m_sent.push_back({ ++m_sequence, now });
   if (m_sent.size() > kSentHeartbeats) {
     m_sent.pop_front();
@@ -365,12 +369,13 @@
 OwnershipTracker::find_predecessors(const ServiceName& name, Service& service) const
 {
   service.predecessors.clear();
-  for (const auto& [id, departed] : m_departed) {
+  for (const auto& entry : m_departed) {
+    const HostId& id = entry.first;
     const std::uint64_t weight = rendezvous_weight(name, id);
-    const bool outweighed = std::any_of(
-      departed.host.rivals.begin(), departed.host.rivals.end(), [&](const HostId& rival) {
-        return outweighs(rendezvous_weight(name, rival), rival, weight, id);
-      });
+    const std::vector<HostId>& rivals = entry.second.host.rivals;
+    const bool outweighed = std::any_of(rivals.begin(), rivals.end(), [&](const HostId& rival) {
+      return outweighs(rendezvous_weight(name, rival), rival, weight, id);
+    });
     if (!outweighed) {
       service.predecessors.push_back(id);
     }
--- a/src/libproxy/service_table.cpp
+++ b/src/libproxy/service_table.cpp
@@ -225,6 +225,12 @@
           RejectRequest{ .request = id, .reason = RejectReason::NotOwner, .retry_after = {} });
       }
     }
+    // Renewals go to the new owner from now on; if the service comes back, its servers start as
+    // known anew instead of being taken for silent.
+    for (const auto& [id, server] : entry.servers) {
+      entry.dispatcher.remove_server(id, now);
+    }
+    entry.servers.clear();
     return actions;
   });
 }
--- a/src/lovagehold/host_session.cpp
+++ b/src/lovagehold/host_session.cpp
@@ -10,21 +10,6 @@
 // Two heartbeats without a reply.
 constexpr std::chrono::milliseconds kReplyTimeout{ 300 };
 
-const char*
-to_string(SlotShare share)
-{
-  switch (share) {
-    case SlotShare::Isolated:
-      return "isolated";
-    case SlotShare::Reduced:
-      return "reduced";
-    case SlotShare::Full:
-      return "full";
-    default:
-      return "none";
-  }
-}
-
 } // namespace
 
 HostSession::HostSession(HostSessionOptions options,
@@ -71,6 +56,7 @@
     // Lost services stop before the next heartbeat acknowledges the view.
     publish_shares(now);
     rebuild_routes(state, now);
+    tick(state, now);
   }
 }
 
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -302,6 +302,7 @@
       services[name] = { { "queued_urgent", stats.queued_urgent },
                          { "queued_patient", stats.queued_patient },
                          { "in_flight", stats.in_flight },
+                         { "share", to_string(m_entry->services().share(name, Clock::now())) },
                          { "servers", stats.servers },
                          { "eligible_servers", stats.eligible_servers } };
     }
