Serve metrics in the Prometheus text format

Operators saw queue lengths on /status only. Metrics keeps latency histograms (Boost.Histogram) and outcome counts by service and class in shards by thread; /metrics adds queues, slots, probes, retries, hedges, sessions, revision, views, lease, bytes between processes and memory. The series are bounded, because only declared services are recorded.

The takeover case checks the metrics and that the events of a takeover are ordered by their hybrid time across processes.

--- a/src/include/lovagehold/entry_service.h
+++ b/src/include/lovagehold/entry_service.h
@@ -2,6 +2,7 @@
 
 #include "lovagehold/cluster_message.h"
 #include "lovagehold/event_log.h"
+#include "lovagehold/metrics.h"
 #include "lovagehold/service_table.h"
 #include "lovagehold/settings.h"
 #include "lovagehold/state_machine.h"
@@ -80,6 +81,9 @@
 
   const ServiceTable& services() const;
 
+  /// Figures of the requests of all callers.
+  const Metrics& metrics() const;
+
 private:
   struct Impl;
   std::unique_ptr<Impl> m_impl;
--- /dev/null
+++ b/src/include/lovagehold/metrics.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "lovagehold/declaration.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace lovagehold {
+
+/// How a request ended, as the caller saw it.
+enum class RequestOutcome
+{
+  Served,  ///< answered by a server of this host's service
+  Relayed, ///< answered by the owner of the service
+  Refused, ///< rejected by lovagehold; it did not run
+  Unknown, ///< may have run
+  Aborted, ///< the caller went away or the answer was cut off
+};
+
+/// Latency histograms and outcome counts of requests, in shards by thread. Thread-safe; recording
+/// takes the uncontended lock of one shard.
+class Metrics
+{
+public:
+  explicit Metrics(std::size_t shard_count = 16);
+  ~Metrics();
+
+  /// Counts a request. The service must be a declared one, so that callers can't add series.
+  void record(const ServiceName& service,
+              RequestClass request_class,
+              RequestOutcome outcome,
+              Duration latency);
+
+  /// \return all series in the Prometheus text format, sorted by name and labels.
+  std::string render() const;
+
+private:
+  struct Shard;
+  Shard& shard_of_thread() const;
+
+  std::vector<std::unique_ptr<Shard>> m_shards;
+};
+
+/// Builds a page in the Prometheus text format (version 0.0.4).
+class MetricsText
+{
+public:
+  using Labels = std::vector<std::pair<std::string_view, std::string_view>>;
+
+  /// Starts a metric. \param type "counter", "gauge" or "histogram"
+  void begin(std::string_view name, std::string_view type, std::string_view help);
+
+  /// Adds a sample of the metric begun last. \param suffix as in "_bucket"; mostly empty
+  void sample(const Labels& labels, double value, std::string_view suffix = "");
+
+  const std::string& text() const;
+
+private:
+  std::string m_name;
+  std::string m_text;
+};
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libadapters/metrics_test.cpp
@@ -0,0 +1,48 @@
+#include "lovagehold/metrics.h"
+
+#include <gmock/gmock.h>
+#include <thread>
+
+namespace lovagehold {
+namespace {
+
+using std::chrono::milliseconds;
+using ::testing::HasSubstr;
+
+// Guards against requests that are lost when the shards of several threads are merged, and against
+// buckets that are not cumulative.
+TEST(Metrics, MergesTheShardsOfAllThreads)
+{
+  Metrics metrics(2);
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 3; ++i) {
+    threads.emplace_back([&] {
+      metrics.record("desk", RequestClass::Urgent, RequestOutcome::Served, milliseconds(5));
+      metrics.record("desk", RequestClass::Urgent, RequestOutcome::Refused, milliseconds(20000));
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  const std::string page = metrics.render();
+  EXPECT_THAT(page, HasSubstr("# TYPE lovagehold_request_seconds histogram\n"));
+  EXPECT_THAT(page, HasSubstr("_bucket{service=\"desk\",class=\"urgent\",le=\"0.00398107\"} 0\n"));
+  EXPECT_THAT(page, HasSubstr("_bucket{service=\"desk\",class=\"urgent\",le=\"10\"} 3\n"));
+  EXPECT_THAT(page, HasSubstr("_bucket{service=\"desk\",class=\"urgent\",le=\"+Inf\"} 6\n"));
+  EXPECT_THAT(page, HasSubstr("_count{service=\"desk\",class=\"urgent\"} 6\n"));
+  EXPECT_THAT(page, HasSubstr("class=\"urgent\",outcome=\"served\"} 3\n"));
+  EXPECT_THAT(page, HasSubstr("class=\"urgent\",outcome=\"refused\"} 3\n"));
+}
+
+// Guards against a label that breaks the page for the scraper.
+TEST(MetricsText, EscapesLabels)
+{
+  MetricsText text;
+  text.begin("m", "gauge", "Help.");
+  text.sample({ { "a", "x\"y\\z\n" } }, 1.5);
+  text.sample({}, 2);
+  EXPECT_EQ(text.text(), "# HELP m Help.\n# TYPE m gauge\nm{a=\"x\\\"y\\\\z\\n\"} 1.5\nm 2\n");
+}
+
+} // namespace
+} // namespace lovagehold
--- a/src/libcontrol/ownership_model_test.cpp
+++ b/src/libcontrol/ownership_model_test.cpp
@@ -430,7 +430,8 @@
       const int reduced = count[static_cast<int>(SlotShare::Reduced)];
       const int full = count[static_cast<int>(SlotShare::Full)];
       if (isolated > 1 || reduced > 1 || full > 1 || (full == 1 && isolated + reduced > 0)) {
-        m_violation = service + " at " + std::to_string(m_now) + " ms: shares" + shares;
+        m_violation = service;
+        m_violation.append(" at ").append(std::to_string(m_now)).append(" ms: shares" + shares);
         return;
       }
     }
--- a/src/libproxy/caller_session.cpp
+++ b/src/libproxy/caller_session.cpp
@@ -68,10 +68,14 @@
   /// Set while the body has not been read.
   http::request_parser<http::buffer_body>* upload = nullptr;
   ServiceName service;
+  /// Keeps route and kind valid.
+  std::shared_ptr<const RoutingView> view;
   const RoutingView::Route* route = nullptr;
   const RequestKind* kind = nullptr;
   TimePoint deadline;
   std::string id;
+  /// How the caller is being answered, for the metrics.
+  RequestOutcome outcome = RequestOutcome::Aborted;
 };
 
 struct SessionOutcome
@@ -79,12 +83,23 @@
   bool keep_connection = false;
 };
 
+RequestOutcome
+outcome_of(const StringResponse& response)
+{
+  const auto outcome = response[kOutcomeHeader];
+  if (outcome == "done") {
+    return RequestOutcome::Served;
+  }
+  return outcome == "unknown" ? RequestOutcome::Unknown : RequestOutcome::Refused;
+}
+
 awaitable<SessionOutcome>
 send_answer(Exchange& exchange, StringResponse response)
 {
   // A body that was not read would be taken for the next request.
   const bool body_left = exchange.upload != nullptr && !exchange.upload->is_done();
   response.keep_alive(exchange.request.keep_alive() && !body_left);
+  exchange.outcome = outcome_of(response);
   boost::system::error_code error;
   exchange.caller.expires_after(exchange.context.options.limits.idle);
   co_await http::async_write(exchange.caller, response, capture(error));
@@ -152,6 +167,8 @@
                                                         address,
                                                         exchange.deadline + kRelayMargin);
   if (result.answered) {
+    exchange.outcome =
+      result.status == AttemptStatus::Succeeded ? RequestOutcome::Relayed : RequestOutcome::Aborted;
     co_return SessionOutcome{ .keep_connection = result.caller_usable };
   }
   const bool not_run = result.status == AttemptStatus::FailedUnstarted;
@@ -317,6 +334,9 @@
                                                            exchange.upload,
                                                            start.address,
                                                            exchange.deadline);
+  if (forwarded.answered && forwarded.status == AttemptStatus::Succeeded) {
+    exchange.outcome = RequestOutcome::Served;
+  }
   if (claimed) {
     co_await record_outcome(exchange, key, attempt, forwarded);
   }
@@ -378,7 +398,8 @@
 awaitable<SessionOutcome>
 serve_service_request(Exchange& exchange)
 {
-  const auto view = exchange.context.view();
+  exchange.view = exchange.context.view();
+  const auto& view = exchange.view;
   const auto route = view->routes.find(exchange.service);
   if (route == view->routes.end() || route->second.homes.empty()) {
     co_return co_await send_answer(
@@ -451,7 +472,13 @@
   if (exchange.service.empty()) {
     exchange.service = std::string(exchange.request[http::field::host]);
   }
-  co_return co_await serve_service_request(exchange);
+  const TimePoint arrived = Clock::now();
+  const SessionOutcome outcome = co_await serve_service_request(exchange);
+  if (exchange.kind != nullptr) {
+    context.metrics.record(
+      exchange.service, exchange.kind->request_class, exchange.outcome, Clock::now() - arrived);
+  }
+  co_return outcome;
 }
 
 } // namespace
--- a/src/libproxy/entry_context.h
+++ b/src/libproxy/entry_context.h
@@ -14,6 +14,7 @@
   EntryPorts ports;
   EventLog& log;
   ServiceTable table;
+  Metrics metrics;
   std::atomic<std::size_t> in_flight{ 0 };
   std::atomic<std::size_t> connections{ 0 };
   std::atomic<bool> draining{ false };
--- a/src/libproxy/entry_service.cpp
+++ b/src/libproxy/entry_service.cpp
@@ -202,4 +202,10 @@
   return m_impl->context->table;
 }
 
+const Metrics&
+EntryService::metrics() const
+{
+  return m_impl->context->metrics;
+}
+
 } // namespace lovagehold
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include "libstate/json_fields.h"
+#include "metrics_page.h"
 
 #include <boost/asio/post.hpp>
 
@@ -255,6 +256,8 @@
 {
   if (request.path == "/status") {
     reply(status_page());
+  } else if (request.path == "/metrics") {
+    reply(metrics_page());
   } else if (request.path == "/events") {
     reply(event_page());
   } else if (request.path == "/config/changes" && request.method == "POST") {
@@ -316,6 +319,27 @@
   return { .body = page.dump() };
 }
 
+AdminResponse
+Node::metrics_page() const
+{
+  const TimePoint now = Clock::now();
+  ProcessFigures figures{ .revision = m_client->state().configuration()->revision,
+                          .view = m_client->state().view(),
+                          .bytes_sent = m_transport->bytes_sent(),
+                          .bytes_received = m_transport->bytes_received() };
+  if (m_session) {
+    figures.stable_view = m_session->tracker().stable_view();
+    figures.stale = now >= m_session->tracker().lease_until();
+    figures.owned_services = m_session->tracker().owned_count();
+  }
+  if (m_leader) {
+    figures.leading = m_leader->table().leading();
+    figures.sessions = figures.leading ? m_leader->table().session_count() : 0;
+  }
+  return { .content_type = "text/plain; version=0.0.4",
+           .body = render_metrics(figures, m_entry.get(), now) };
+}
+
 AdminResponse
 Node::event_page() const
 {
--- a/src/lovagehold/node.h
+++ b/src/lovagehold/node.h
@@ -40,6 +40,7 @@
   void handle_admin(const AdminRequest& request, const AdminServer::Reply& reply);
   void submit_change(const AdminRequest& request, const AdminServer::Reply& reply);
   AdminResponse status_page() const;
+  AdminResponse metrics_page() const;
   AdminResponse event_page() const;
   void begin_shutdown();
   void finish_shutdown();
--- a/testsuite/takeover/run.sh
+++ b/testsuite/takeover/run.sh
@@ -74,6 +74,25 @@
 NEXT=$(owner_of slot-desk "$OTHER")
 check "another host owns slot-desk" test "$NEXT" != "$OWNER"
 check "it leaves one slot per server to the killed host" share_is "$NEXT" slot-desk reduced
+ordered() { # the leader's decision comes before its effects at the other processes
+  python3 - "$ADMIN" "$NET.1.$NEXT:7082" "host-$OWNER" <<'PY'
+import json, sys, urllib.request
+leader, successor, lost = sys.argv[1:]
+events = [e for a in (leader, successor) for e in json.load(urllib.request.urlopen(f"http://{a}/events"))]
+def first(name, **fields):
+    found = [e["hlc"] for e in events if e["event"] == name and fields.items() <= e["fields"].items()]
+    return min(found)
+ended = first("session_ended", peer=lost)
+left = first("host_left", peer=lost)
+reduced = first("share_changed", service="slot-desk", share="reduced")
+sys.exit(0 if ended < left < reduced else f"not in order: {ended} {left} {reduced}")
+PY
+}
+check "the events of the takeover are ordered across processes" ordered
+has_metric() { get "http://$NET.1.$1:7082/metrics" | grep -qE "^$2\$"; } # has_metric HOST LINE
+check "the successor's metrics count the requests" has_metric "$NEXT" \
+  'lovagehold_requests_total\{service="slot-desk",class="urgent",outcome="served"\} [1-9][0-9]*'
+check "the leader's metrics count the sessions" has_metric 1 'lovagehold_sessions 2'
 
 echo "the killed host restarts with a new incarnation"
 run_host "$OWNER" again
