--- a/src/libstate/state_machine_test.cpp
+++ b/src/libstate/state_machine_test.cpp
@@ -61,5 +61,61 @@
   EXPECT_EQ(other.configuration()->revision, 1U);
 }
 
+// Guards against a late proposal of an ended session that counts as the return of the host, so that
+// its successor would take the slots that the host may still use.
+TEST(StateMachine, EndedIncarnationCannotJoinAgain)
+{
+  StateMachine state;
+  const JoinHost join{ { .id = "h", .incarnation = 5, .caller_address = "127.0.0.1:1" } };
+  EXPECT_TRUE(state.apply(1, join).accepted);
+  EXPECT_TRUE(state.apply(2, join).accepted);
+  EXPECT_EQ(state.view(), 1U) << "a repeated join is no new view";
+  state.apply(3, LeaveHost{ .id = "h", .incarnation = 5 });
+  EXPECT_FALSE(state.apply(4, join).accepted);
+  ASSERT_EQ(state.membership().unreleased.size(), 1U);
+  EXPECT_TRUE(state.apply(5, JoinHost{ { .id = "h", .incarnation = 6 } }).accepted);
+  EXPECT_TRUE(state.membership().unreleased.empty());
+}
+
+// Guards against a successor that waits for a host which released its services after control had
+// already ended its session.
+TEST(StateMachine, ReleaseAfterTheSessionEndedIsTakenUp)
+{
+  StateMachine state;
+  state.apply(1, JoinHost{ { .id = "h", .incarnation = 5 } });
+  state.apply(2, LeaveHost{ .id = "h", .incarnation = 5 });
+  state.apply(3, LeaveHost{ .id = "h", .incarnation = 5, .released = true });
+  EXPECT_TRUE(state.membership().unreleased.empty());
+  EXPECT_EQ(state.view(), 3U);
+}
+
+// Guards against a departed host that is thought to have known a rival which joined after the last
+// view that the host acknowledged.
+TEST(StateMachine, RivalsOfADepartedHostAreThoseItKnewOf)
+{
+  StateMachine state;
+  state.apply(1, JoinHost{ { .id = "a", .incarnation = 1, .caller_address = "127.0.0.1:1" } });
+  state.apply(2, JoinHost{ { .id = "h", .incarnation = 1, .caller_address = "127.0.0.1:2" } });
+  state.apply(3, JoinHost{ { .id = "b", .incarnation = 1, .caller_address = "127.0.0.1:3" } });
+  state.apply(4, LeaveHost{ .id = "h", .incarnation = 1, .acknowledged = 2 });
+  ASSERT_EQ(state.membership().unreleased.size(), 1U);
+  EXPECT_EQ(state.membership().unreleased[0].rivals, std::vector<HostId>{ "a" });
+  StateMachine other;
+  ASSERT_TRUE(other.restore(state.snapshot()).has_value());
+  EXPECT_EQ(other.membership().unreleased[0].rivals, std::vector<HostId>{ "a" });
+}
+
+// Guards against claims that make every host rebuild its routes.
+TEST(StateMachine, ClaimsChangeNoRoutes)
+{
+  StateMachine state;
+  state.apply(1, kFirst);
+  state.apply(2, ClaimKey{ .service = "a", .key = "k", .attempt = "1", .holder = "h" });
+  state.apply(3, RecordOutcome{ .service = "a", .key = "k", .attempt = "1" });
+  EXPECT_EQ(state.routes_index(), 1U);
+  state.apply(4, JoinServer{ { .service = "a", .id = "x" } });
+  EXPECT_EQ(state.routes_index(), 4U);
+}
+
 } // namespace
 } // namespace lovagehold
--- a/testsuite/takeover/run.sh
+++ b/testsuite/takeover/run.sh
@@ -108,6 +108,19 @@
 served "owner paused"
 await "the resumed host owns slot-desk in full again" share_is "$OWNER" slot-desk full
 
+echo "SIGSTOP of the control leader for 1.5 s under load, then SIGCONT"
+VIEW=$(metric() { get "http://$NET.1.$1:7082/metrics" | sed -n "s/^$2 //p"; }; metric "$OWNER" lovagehold_view)
+reads 4; confirms 4
+sleep 0.5
+kill -STOP "${HOST_PID[1]}"
+sleep 1
+check "the owner cut off from control has the isolated share" share_is "$OWNER" slot-desk isolated
+sleep 0.5
+kill -CONT "${HOST_PID[1]}"
+served "leader paused"
+await "the owner has the full share again" share_is "$OWNER" slot-desk full
+check "the leader ended no session after its pause" has_metric "$OWNER" "lovagehold_view $VIEW"
+
 echo "graceful shutdown of the owner under load"
 await "the servers of slot-desk are eligible" has_server "$OWNER" slot-desk 2
 reads 3; confirms 3
