--- a/src/libadapters/metrics.cpp
+++ b/src/libadapters/metrics.cpp
@@ -90,8 +90,8 @@
 Metrics::shard_of_thread() const
 {
   static std::atomic<std::size_t> next{ 0 };
-  thread_local const std::size_t number = next++;
-  return *m_shards[number % m_shards.size()];
+  thread_local const std::size_t kNumber = next++;
+  return *m_shards[kNumber % m_shards.size()];
 }
 
 void
--- a/src/libadapters/metrics_test.cpp
+++ b/src/libadapters/metrics_test.cpp
@@ -15,6 +15,7 @@
 {
   Metrics metrics(2);
   std::vector<std::thread> threads;
+  threads.reserve(3);
   for (int i = 0; i < 3; ++i) {
     threads.emplace_back([&] {
       metrics.record("desk", RequestClass::Urgent, RequestOutcome::Served, milliseconds(5));
--- a/src/lovagehold/host_session.cpp
+++ b/src/lovagehold/host_session.cpp
@@ -1,6 +1,6 @@
 #include "host_session.h"
 
-#include "lovagehold/home_selector.h"
+#include <algorithm>
 
 namespace lovagehold {
 
@@ -23,6 +23,7 @@
   , m_propose(std::move(propose))
   , m_log(log)
   , m_tracker({ .self = m_options.self.id, .incarnation = m_options.self.incarnation })
+  , m_homes(kHomeCount)
 {
   if (!m_options.control_addresses.empty()) {
     m_control_address = m_options.control_addresses.front();
@@ -51,7 +52,7 @@
     m_view = state.view();
     const Membership membership = state.membership();
     report_membership(membership);
-    m_homes.clear();
+    m_homes.set_hosts(state.hosts());
     m_tracker.set_membership(membership, now);
     // Lost services stop before the next heartbeat acknowledges the view.
     publish_shares(now);
@@ -163,14 +164,9 @@
   view->self = m_options.self.id;
   const auto configuration = state.configuration();
   view->revision = configuration->revision;
-  const std::vector<HostInfo> hosts = state.hosts();
   for (const auto& [name, declaration] : configuration->services) {
-    const auto [homes, added] = m_homes.try_emplace(name);
-    if (added) {
-      homes->second = select_homes(name, hosts, kHomeCount);
-    }
     view->routes[name] = { .declaration = declaration,
-                           .homes = homes->second,
+                           .homes = m_homes.homes(name),
                            .servers = state.servers(name),
                            .share = m_tracker.share(name, now) };
   }
@@ -185,6 +181,7 @@
 void
 HostSession::report_membership(const Membership& membership)
 {
+  const std::string view = std::to_string(membership.view);
   std::map<HostId, std::uint64_t> hosts;
   for (const Member& member : membership.members) {
     hosts[member.host.id] = member.host.incarnation;
@@ -193,12 +190,12 @@
       m_log.info("host_joined",
                  { { "peer", member.host.id },
                    { "incarnation", std::to_string(member.host.incarnation) },
-                   { "view", std::to_string(membership.view) } });
+                   { "view", view } });
     }
   }
   for (const auto& [id, incarnation] : m_known_hosts) {
     if (hosts.count(id) == 0) {
-      m_log.info("host_left", { { "peer", id }, { "view", std::to_string(membership.view) } });
+      m_log.info("host_left", { { "peer", id }, { "view", view } });
     }
   }
   m_known_hosts = std::move(hosts);
--- a/src/lovagehold/host_session.h
+++ b/src/lovagehold/host_session.h
@@ -2,6 +2,7 @@
 
 #include "lovagehold/entry_service.h"
 #include "lovagehold/event_log.h"
+#include "lovagehold/home_table.h"
 #include "lovagehold/ownership_tracker.h"
 
 #include <functional>
@@ -76,7 +77,7 @@
   bool m_routes_stale = false;
   TimePoint m_next_rebuild;
   std::map<HostId, std::uint64_t> m_known_hosts;
-  std::unordered_map<ServiceName, std::vector<HostInfo>> m_homes;
+  HomeTable m_homes;
 };
 
 } // namespace lovagehold
--- a/src/teststand/session_bench.cpp
+++ b/src/teststand/session_bench.cpp
@@ -53,6 +53,7 @@
   table.set_leading(true, now);
   table.set_membership(state.membership(), now);
   std::vector<Bytes> sent;
+  sent.reserve(count);
   for (std::size_t i = 0; i < count; ++i) {
     const HostInfo host = make_host(i);
     sent.push_back(encode(ClusterMessage(Heartbeat{ .host = host.id,
@@ -77,6 +78,7 @@
     }
     whole_micros.push_back(micros_since(start) / static_cast<double>(count));
     std::vector<Heartbeat> decoded;
+    decoded.reserve(count);
     for (const Bytes& bytes : sent) {
       decoded.push_back(std::get<Heartbeat>(decode_message(bytes).value()));
     }
@@ -114,6 +116,7 @@
     state.apply(++index, JoinHost{ make_host(i) });
   }
   std::vector<ServiceName> services;
+  services.reserve(kServices);
   for (std::size_t i = 0; i < kServices; ++i) {
     services.push_back("service-" + std::to_string(i));
   }
