--- a/src/include/lovagehold/entry_service.h
+++ b/src/include/lovagehold/entry_service.h
@@ -2,6 +2,7 @@
 
 #include "lovagehold/cluster_message.h"
 #include "lovagehold/event_log.h"
+#include "lovagehold/metrics.h"
 #include "lovagehold/service_table.h"
 #include "lovagehold/settings.h"
 #include "lovagehold/state_machine.h"
@@ -61,6 +62,11 @@
   /// Takes up a new view.
   void update(std::shared_ptr<const RoutingView> view, TimePoint now);
 
+  /// Changes shares at once, without a new view.
+  void set_shares(const std::vector<std::pair<ServiceName, SlotShare>>& shares,
+                  const ShareLimits& limits,
+                  TimePoint now);
+
   /// A server's renewal came from another host.
   void renew(const ServerRenewal& renewal, TimePoint now);
 
@@ -75,6 +81,9 @@
 
   const ServiceTable& services() const;
 
+  /// Figures of the requests of all callers.
+  const Metrics& metrics() const;
+
 private:
   struct Impl;
   std::unique_ptr<Impl> m_impl;
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -80,6 +80,11 @@
   /// Whether this host leads the group.
   bool leads() const;
 
+  /// Asks a majority to confirm that this host leads.
+  /// \param confirmed called with the time of this call once a majority has confirmed and all
+  /// entries committed before have been applied; dropped if leadership is lost first
+  void confirm_leadership(std::function<void(TimePoint asked)> confirmed);
+
   ReplicaStatus status() const;
 
   const StateMachine& machine() const;
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -231,11 +231,25 @@
   return json::to_cbor(std::visit([](const auto& typed) { return to_fields(typed); }, message));
 }
 
-Result<ClusterMessage>
-decode_message(const Bytes& bytes)
+Bytes
+encode(const ClusterMessage& message, const HybridTime& time)
+{
+  json fields = std::visit([](const auto& typed) { return to_fields(typed); }, message);
+  fields["h"] = { time.millis, time.counter };
+  return json::to_cbor(fields);
+}
+
+Result<StampedMessage>
+decode_stamped_message(const Bytes& bytes)
 {
   try {
-    return parse_message(json::from_cbor(bytes));
+    const json fields = json::from_cbor(bytes);
+    StampedMessage stamped{ .time = {}, .message = parse_message(fields) };
+    if (fields.contains("h")) {
+      fields.at("h").at(0).get_to(stamped.time.millis);
+      fields.at("h").at(1).get_to(stamped.time.counter);
+    }
+    return stamped;
   } catch (const std::exception& exception) {
     return Error{ .kind = ErrorKind::Protocol,
                   .message = std::string("not a cluster message: ") + exception.what(),
@@ -243,4 +257,14 @@
   }
 }
 
+Result<ClusterMessage>
+decode_message(const Bytes& bytes)
+{
+  Result<StampedMessage> stamped = decode_stamped_message(bytes);
+  if (stamped.has_error()) {
+    return stamped.error();
+  }
+  return std::move(stamped.value().message);
+}
+
 } // namespace lovagehold
--- a/src/libcontrol/ownership_model_test.cpp
+++ b/src/libcontrol/ownership_model_test.cpp
@@ -168,7 +168,8 @@
       for (const Host& host : m_hosts) {
         const bool is_owner = host.tracker && host.info.id == owner;
         if (is_owner && host.tracker->share(service, local(host)) != SlotShare::Full) {
-          return service + " is not served in full by " + owner;
+          std::string text = service;
+          return text.append(" is not served in full by ").append(owner);
         }
       }
     }
@@ -424,13 +425,14 @@
         const SlotShare share =
           host.tracker ? host.tracker->share(service, local(host)) : SlotShare::None;
         ++count[static_cast<int>(share)];
-        shares += " " + std::to_string(static_cast<int>(share));
+        shares.append(" ").append(std::to_string(static_cast<int>(share)));
       }
       const int isolated = count[static_cast<int>(SlotShare::Isolated)];
       const int reduced = count[static_cast<int>(SlotShare::Reduced)];
       const int full = count[static_cast<int>(SlotShare::Full)];
       if (isolated > 1 || reduced > 1 || full > 1 || (full == 1 && isolated + reduced > 0)) {
-        m_violation = service + " at " + std::to_string(m_now) + " ms: shares" + shares;
+        m_violation = service;
+        m_violation.append(" at ").append(std::to_string(m_now)).append(" ms: shares" + shares);
         return;
       }
     }
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -37,6 +37,14 @@
     TimePoint expires;
   };
 
+  // A read that a majority confirms only while this host leads.
+  struct LeadershipCheck
+  {
+    TimePoint asked;
+    std::function<void(TimePoint)> confirmed;
+    std::optional<std::uint64_t> needed;
+  };
+
   /// A subscriber that gets its entries once the state includes a leader-confirmed index.
   struct Confirmation
   {
@@ -64,6 +72,7 @@
   std::uint64_t written = 0;
   std::map<std::string, Subscription> subscriptions;
   std::map<std::uint64_t, Confirmation> confirmations;
+  std::map<std::uint64_t, LeadershipCheck> leadership_checks;
   std::uint64_t next_read = 1;
   TimePoint join_at;
   std::optional<TimePoint> storage_retry_at;
@@ -386,6 +395,15 @@
 
   void on_read(const ReadResult& read)
   {
+    const auto check = leadership_checks.find(read.id);
+    if (check != leadership_checks.end()) {
+      check->second.needed = read.index;
+      if (!read.confirmed) {
+        leadership_checks.erase(check);
+      }
+      finish_leadership_checks();
+      return;
+    }
     const auto found = confirmations.find(read.id);
     if (found == confirmations.end()) {
       return;
@@ -398,8 +416,22 @@
     confirm_subscribers();
   }
 
+  void finish_leadership_checks()
+  {
+    for (auto entry = leadership_checks.begin(); entry != leadership_checks.end();) {
+      const LeadershipCheck check = entry->second;
+      if (!check.needed || *check.needed > state.applied_index()) {
+        ++entry;
+        continue;
+      }
+      entry = leadership_checks.erase(entry);
+      check.confirmed(check.asked);
+    }
+  }
+
   void confirm_subscribers()
   {
+    finish_leadership_checks();
     for (auto entry = confirmations.begin(); entry != confirmations.end();) {
       const Confirmation confirmation = entry->second;
       if (!confirmation.needed || *confirmation.needed > state.applied_index()) {
@@ -514,6 +546,15 @@
   return m_impl->consensus->role() == ConsensusRole::Leader;
 }
 
+void
+Replica::confirm_leadership(std::function<void(TimePoint asked)> confirmed)
+{
+  const TimePoint now = m_impl->ports.now();
+  const std::uint64_t id = m_impl->next_read++;
+  m_impl->leadership_checks[id] = { .asked = now, .confirmed = std::move(confirmed) };
+  m_impl->perform(m_impl->consensus->read(id, now));
+}
+
 ReplicaStatus
 Replica::status() const
 {
--- a/src/libproxy/caller_session.cpp
+++ b/src/libproxy/caller_session.cpp
@@ -68,10 +68,14 @@
   /// Set while the body has not been read.
   http::request_parser<http::buffer_body>* upload = nullptr;
   ServiceName service;
+  /// Keeps route and kind valid.
+  std::shared_ptr<const RoutingView> view;
   const RoutingView::Route* route = nullptr;
   const RequestKind* kind = nullptr;
   TimePoint deadline;
   std::string id;
+  /// How the caller is being answered, for the metrics.
+  RequestOutcome outcome = RequestOutcome::Aborted;
 };
 
 struct SessionOutcome
@@ -79,12 +83,23 @@
   bool keep_connection = false;
 };
 
+RequestOutcome
+outcome_of(const StringResponse& response)
+{
+  const auto outcome = response[kOutcomeHeader];
+  if (outcome == "done") {
+    return RequestOutcome::Served;
+  }
+  return outcome == "unknown" ? RequestOutcome::Unknown : RequestOutcome::Refused;
+}
+
 awaitable<SessionOutcome>
 send_answer(Exchange& exchange, StringResponse response)
 {
   // A body that was not read would be taken for the next request.
   const bool body_left = exchange.upload != nullptr && !exchange.upload->is_done();
   response.keep_alive(exchange.request.keep_alive() && !body_left);
+  exchange.outcome = outcome_of(response);
   boost::system::error_code error;
   exchange.caller.expires_after(exchange.context.options.limits.idle);
   co_await http::async_write(exchange.caller, response, capture(error));
@@ -152,6 +167,8 @@
                                                         address,
                                                         exchange.deadline + kRelayMargin);
   if (result.answered) {
+    exchange.outcome =
+      result.status == AttemptStatus::Succeeded ? RequestOutcome::Relayed : RequestOutcome::Aborted;
     co_return SessionOutcome{ .keep_connection = result.caller_usable };
   }
   const bool not_run = result.status == AttemptStatus::FailedUnstarted;
@@ -242,6 +259,15 @@
                         .holder = exchange.context.options.self,
                         .now = wall_now(),
                         .keep = exchange.route->declaration.keep_outcomes };
+  const SlotShare share = exchange.context.table.share(exchange.service, Clock::now());
+  if (share == SlotShare::Isolated || share == SlotShare::None) {
+    // Nothing was proposed for this attempt, so it is certain that it does not run.
+    co_return make_error(exchange.request,
+                         http::status::service_unavailable,
+                         "this host has no valid lease and can't claim the key",
+                         "send the request to the next address of the service",
+                         "not-run");
+  }
   const Command command = claim;
   const Result<ApplyResult> result = co_await propose(exchange.context, command);
   if (result.has_error()) {
@@ -308,6 +334,9 @@
                                                            exchange.upload,
                                                            start.address,
                                                            exchange.deadline);
+  if (forwarded.answered && forwarded.status == AttemptStatus::Succeeded) {
+    exchange.outcome = RequestOutcome::Served;
+  }
   if (claimed) {
     co_await record_outcome(exchange, key, attempt, forwarded);
   }
@@ -332,6 +361,16 @@
     const Action action = co_await inbox->next();
     if (const auto* reject = std::get_if<RejectRequest>(&action)) {
       context.table.finish(exchange.service, id, Clock::now());
+      if (reject->reason == RejectReason::NotOwner && exchange.request.count(kRelayedHeader) == 0) {
+        const auto view = context.view();
+        const auto route = view->routes.find(exchange.service);
+        const bool moved = route != view->routes.end() && !route->second.homes.empty() &&
+                           route->second.homes.front().id != view->self;
+        if (moved) {
+          exchange.route = &route->second;
+          co_return co_await relay_to_owner(exchange);
+        }
+      }
       const bool may_have_run =
         last != AttemptStatus::FailedUnstarted && last != AttemptStatus::Refused;
       StringResponse response = may_have_run ? make_error(exchange.request,
@@ -359,7 +398,8 @@
 awaitable<SessionOutcome>
 serve_service_request(Exchange& exchange)
 {
-  const auto view = exchange.context.view();
+  exchange.view = exchange.context.view();
+  const auto& view = exchange.view;
   const auto route = view->routes.find(exchange.service);
   if (route == view->routes.end() || route->second.homes.empty()) {
     co_return co_await send_answer(
@@ -432,7 +472,13 @@
   if (exchange.service.empty()) {
     exchange.service = std::string(exchange.request[http::field::host]);
   }
-  co_return co_await serve_service_request(exchange);
+  const TimePoint arrived = Clock::now();
+  const SessionOutcome outcome = co_await serve_service_request(exchange);
+  if (exchange.kind != nullptr) {
+    context.metrics.record(
+      exchange.service, exchange.kind->request_class, exchange.outcome, Clock::now() - arrived);
+  }
+  co_return outcome;
 }
 
 } // namespace
--- a/src/lovagehold/admin_pages.cpp
+++ b/src/lovagehold/admin_pages.cpp
@@ -78,8 +78,9 @@
 make_status_page(const StatusInput& input, const StateMachine& state)
 {
   json services = json::object();
-  for (const auto& [name, stats] : input.services) {
-    services[name] = { { "queued_urgent", stats.queued_urgent },
+  for (const auto& [name, share, stats] : input.services) {
+    services[name] = { { "share", share },
+                       { "queued_urgent", stats.queued_urgent },
                        { "queued_patient", stats.queued_patient },
                        { "in_flight", stats.in_flight },
                        { "servers", stats.servers },
@@ -110,6 +111,7 @@
       fields[key] = value;
     }
     page.push_back({ { "time_ms", event.time.time_since_epoch().count() },
+                     { "hlc", { event.hybrid_time.millis, event.hybrid_time.counter } },
                      { "host", event.host },
                      { "event", event.name },
                      { "fields", fields } });
--- a/src/lovagehold/admin_pages.h
+++ b/src/lovagehold/admin_pages.h
@@ -10,6 +10,15 @@
 /// The pages of the admin address, as functions of typed inputs.
 namespace lovagehold {
 
+/// A service as this host's dispatcher has it.
+struct ServiceStatus
+{
+  ServiceName name;
+  /// Name of the share of the slots that this host may use.
+  std::string share;
+  Dispatcher::Stats stats;
+};
+
 /// What the status page tells about this host.
 struct StatusInput
 {
@@ -18,7 +27,7 @@
   bool ready = false;
   /// Whether control has not been heard from recently.
   bool stale = false;
-  std::vector<std::pair<ServiceName, Dispatcher::Stats>> services;
+  std::vector<ServiceStatus> services;
 };
 
 /// GET /status
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -2,7 +2,9 @@
 
 #include "admin_pages.h"
 #include "lovagehold/file_disk.h"
-#include "lovagehold/home_selector.h"
+#include "metrics_page.h"
+
+#include <random>
 
 #include <boost/asio/post.hpp>
 
@@ -11,8 +13,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
-constexpr std::chrono::seconds kDrainLimit{ 120 };
-constexpr std::size_t kHomeCount = 3;
 // The bound within which a change is in force at today's size (design, invariant 7).
 constexpr std::chrono::seconds kStaleAfter{ 3 };
 
@@ -41,6 +41,7 @@
   , m_log({ .host = m_settings.host, .level = m_settings.log_level })
   , m_signals(m_context, SIGTERM, SIGINT)
   , m_timer(m_context)
+  , m_session_client(std::random_device{}())
 {
   const auto send_hook = [this](const std::string& address, const ClusterMessage& message) {
     send(address, message);
@@ -55,7 +56,11 @@
   for (const ControlPeer& peer : m_settings.control_peers) {
     client_options.control_addresses.push_back(peer.cluster_address);
   }
+  HostSessionOptions session_options{ .self = m_self,
+                                      .control_addresses = client_options.control_addresses };
   if (m_settings.control_role) {
+    m_leader = std::make_unique<SessionLeader>(
+      send_hook, [this](const LeaveHost& leave) { propose_locally(leave); }, m_log);
     m_replica = make_replica();
   }
   m_client = std::make_unique<ControlClient>(
@@ -75,7 +80,7 @@
                       });
   };
   ports.send_renewal = [this](const HostInfo& owner, const ServerRenewal& renewal) {
-    m_transport->send(owner.cluster_address, encode(ClusterMessage(renewal)));
+    m_transport->send(owner.cluster_address, encode(ClusterMessage(renewal), m_log.stamp()));
   };
   ports.key_status = [](const ServiceName&, const std::string&) {
     return std::optional<KeyStatus>();
@@ -87,6 +92,14 @@
                                                         .limits = m_settings.limits },
                                    std::move(ports),
                                    m_log);
+  m_session = std::make_unique<HostSession>(
+    std::move(session_options),
+    *m_entry,
+    send_hook,
+    [this](const Command& command, ControlClient::Answer answer) {
+      propose(command, std::move(answer));
+    },
+    m_log);
 }
 
 Node::~Node()
@@ -146,7 +159,7 @@
 void
 Node::send(const std::string& address, const ClusterMessage& message)
 {
-  Bytes bytes = encode(message);
+  Bytes bytes = encode(message, m_log.stamp());
   if (address != m_settings.cluster_address) {
     m_transport->send(address, std::move(bytes));
     return;
@@ -158,20 +171,28 @@
 void
 Node::receive(const std::string& from, const Bytes& bytes)
 {
-  const Result<ClusterMessage> message = decode_message(bytes);
-  if (message.has_error()) {
-    m_log.warn("message_refused", { { "peer", from }, { "reason", message.error().message } });
+  const Result<StampedMessage> stamped = decode_stamped_message(bytes);
+  if (stamped.has_error()) {
+    m_log.warn("message_refused", { { "peer", from }, { "reason", stamped.error().message } });
     return;
   }
+  m_log.observe(stamped.value().time);
+  const ClusterMessage& message = stamped.value().message;
   if (m_replica) {
-    m_replica->receive(from, message.value());
+    m_replica->receive(from, message);
   }
-  m_client->receive(from, message.value(), Clock::now());
-  if (std::holds_alternative<Entries>(message.value()) ||
-      std::holds_alternative<SnapshotTransfer>(message.value())) {
+  m_client->receive(from, message, Clock::now());
+  if (std::holds_alternative<Entries>(message) ||
+      std::holds_alternative<SnapshotTransfer>(message)) {
     m_control_heard = Clock::now();
   }
-  const auto* renewal = std::get_if<ServerRenewal>(&message.value());
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&message); heartbeat != nullptr && m_leader) {
+    m_leader->receive(from, *heartbeat, Clock::now());
+  }
+  if (const auto* reply = std::get_if<HeartbeatReply>(&message); reply != nullptr && m_session) {
+    m_session->receive(*reply, Clock::now());
+  }
+  const auto* renewal = std::get_if<ServerRenewal>(&message);
   if (renewal != nullptr && m_entry) {
     m_entry->renew(*renewal, Clock::now());
   }
@@ -183,30 +204,17 @@
   m_client->propose(command, std::move(answer), Clock::now());
 }
 
-std::shared_ptr<const RoutingView>
-Node::make_view(const StateMachine& state) const
-{
-  auto view = std::make_shared<RoutingView>();
-  view->self = m_settings.host;
-  const auto configuration = state.configuration();
-  view->revision = configuration->revision;
-  const std::vector<HostInfo> hosts = state.hosts();
-  for (const auto& [name, declaration] : configuration->services) {
-    view->routes[name] = { .declaration = declaration,
-                           .homes = select_homes(name, hosts, kHomeCount),
-                           .servers = state.servers(name),
-                           .share = SlotShare::Full };
-  }
-  return view;
-}
-
 void
 Node::on_applied(const StateMachine& state)
 {
-  if (!m_entry) {
+  const TimePoint now = Clock::now();
+  if (m_leader && m_leader->table().leading()) {
+    m_leader->set_membership(m_replica->machine().membership(), now);
+  }
+  if (!m_session) {
     return;
   }
-  m_entry->update(make_view(state), Clock::now());
+  m_session->applied(state, now);
   if (!m_entry_started) {
     m_entry_started = true;
     const Result<void> started = m_entry->start();
@@ -216,18 +224,6 @@
       m_context.stop();
     }
   }
-  announce_host();
-}
-
-void
-Node::announce_host()
-{
-  if (m_host_announced) {
-    return;
-  }
-  m_host_announced = true;
-  propose(JoinHost{ m_self },
-          [this](const Result<ApplyResult>& result) { m_host_announced = result.has_value(); });
 }
 
 void
@@ -248,17 +244,53 @@
     m_replica->tick();
   }
   m_client->tick(now);
-  if (m_client->ready() && m_entry && !m_leaving) {
-    announce_host();
+  tick_leader(now);
+  if (m_client->ready() && m_session) {
+    m_session->tick(m_client->state(), now);
   }
   schedule_tick();
 }
 
+// Leadership counts only once a majority has confirmed it and all entries of earlier leaders have
+// been applied; each confirmation extends the time for which heartbeats may be answered.
+void
+Node::tick_leader(TimePoint now)
+{
+  if (!m_leader) {
+    return;
+  }
+  m_leader->set_leader_address(m_replica->status().leader_address);
+  if (!m_replica->leads()) {
+    m_leader->set_leading(false, now);
+    return;
+  }
+  m_replica->confirm_leadership([this](TimePoint asked) {
+    m_leader->set_membership(m_replica->machine().membership(), Clock::now());
+    m_leader->set_leading(true, Clock::now());
+    m_leader->confirm_leadership(asked);
+  });
+  m_leader->tick(now);
+}
+
+// A proposal of the session table must not reach another leader, which may have renewed the
+// session.
+void
+Node::propose_locally(const LeaveHost& leave)
+{
+  const Propose message{ .client = m_session_client,
+                         .id = ++m_session_proposals,
+                         .lowest_pending = m_session_proposals,
+                         .command = encode(Command(leave)) };
+  m_replica->receive(m_settings.cluster_address, message);
+}
+
 void
 Node::handle_admin(const AdminRequest& request, const AdminServer::Reply& reply)
 {
   if (request.path == "/status") {
     reply(status_page());
+  } else if (request.path == "/metrics") {
+    reply(metrics_page());
   } else if (request.path == "/events") {
     reply(event_page());
   } else if (request.path == "/config/changes" && request.method == "POST") {
@@ -291,11 +323,35 @@
                      .ready = m_client->ready(),
                      .stale = m_control_heard && Clock::now() - *m_control_heard > kStaleAfter };
   if (m_entry) {
-    input.services = m_entry->services().stats(Clock::now());
+    for (const auto& [name, stats] : m_entry->services().stats(Clock::now())) {
+      const SlotShare share = m_entry->services().share(name, Clock::now());
+      input.services.push_back({ .name = name, .share = to_string(share), .stats = stats });
+    }
   }
   return make_status_page(input, m_client->state());
 }
 
+AdminResponse
+Node::metrics_page() const
+{
+  const TimePoint now = Clock::now();
+  ProcessFigures figures{ .revision = m_client->state().configuration()->revision,
+                          .view = m_client->state().view(),
+                          .bytes_sent = m_transport->bytes_sent(),
+                          .bytes_received = m_transport->bytes_received() };
+  if (m_session) {
+    figures.stable_view = m_session->tracker().stable_view();
+    figures.stale = now >= m_session->tracker().lease_until();
+    figures.owned_services = m_session->tracker().owned_count();
+  }
+  if (m_leader) {
+    figures.leading = m_leader->table().leading();
+    figures.sessions = figures.leading ? m_leader->table().session_count() : 0;
+  }
+  return { .content_type = "text/plain; version=0.0.4",
+           .body = render_metrics(figures, m_entry.get(), now) };
+}
+
 AdminResponse
 Node::event_page() const
 {
@@ -307,28 +363,31 @@
 {
   m_leaving = true;
   m_log.info("shutdown_started");
-  if (!m_entry) {
+  if (!m_session) {
     m_context.stop();
     return;
   }
-  const LeaveHost leave{ .id = m_self.id, .incarnation = m_self.incarnation, .released = true };
-  propose(leave, [this](const Result<ApplyResult>&) {
+  // The grace covers callers that still keep this host's address.
+  const auto timer =
+    std::make_shared<boost::asio::steady_timer>(m_context, m_settings.shutdown_grace);
+  m_session->leave([this] { m_log.info("released"); }, Clock::now());
+  timer->async_wait([this, timer](auto) {
     m_entry->drain();
-    finish_shutdown(Clock::now() + kDrainLimit);
+    finish_shutdown();
   });
 }
 
 void
-Node::finish_shutdown(TimePoint give_up)
+Node::finish_shutdown()
 {
-  if (m_entry->in_flight() == 0 || Clock::now() >= give_up) {
-    m_log.info("stopped", { { "cut_off", std::to_string(m_entry->in_flight()) } });
+  if (m_entry->in_flight() == 0) {
+    m_log.info("stopped");
     m_entry->stop();
     m_context.stop();
     return;
   }
   const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, kTickInterval);
-  timer->async_wait([this, timer, give_up](auto) { finish_shutdown(give_up); });
+  timer->async_wait([this, timer](auto) { finish_shutdown(); });
 }
 
 } // namespace lovagehold
