Estimate the wait of patient requests from their share of dispatches

Cause: the wait of a patient request ignored the urgent requests that overtake it, and admission compared with the median service time; runs also counted what was served after the last arrival. Change: the recent share of patient dispatches and the p95 service time enter the estimate; the benchmark leaves out the first and the last 5 s of arrivals.

--- a/src/libdecision/dispatcher_impl.cpp
+++ b/src/libdecision/dispatcher_impl.cpp
@@ -113,7 +113,7 @@
   const std::size_t before = queue.dispatches_before(request.info, request.arrival);
   const Duration wait =
     slot_times.mean() * static_cast<Duration::rep>(before + 1) / choice.usable_slots;
-  const Duration late = now + wait + slot_times.median() - request.info.deadline;
+  const Duration late = now + wait + slot_times.p95() - request.info.deadline;
   if (late <= Duration::zero()) {
     return std::nullopt;
   }
--- a/src/libdecision/request_queue.cpp
+++ b/src/libdecision/request_queue.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+// Averages over about 200 dispatches, a small part of a second at 1,000 requests a second.
+constexpr double kShareWeight = 0.01;
+
 bool
 is_patient(const RequestInfo& request)
 {
@@ -45,6 +48,9 @@
 void
 RequestQueue::dispatched(bool patient)
 {
+  if (patient || !m_patient.empty()) {
+    m_patient_share += kShareWeight * ((patient ? 1.0 : 0.0) - m_patient_share);
+  }
   // Urgent dispatches count only while a patient request waits, so that an idle time of the
   // patient class gives it no claim on the next slot.
   m_urgent_in_a_row = patient || m_patient.empty() ? 0 : m_urgent_in_a_row + 1;
@@ -55,7 +61,9 @@
 {
   if (is_patient(request)) {
     const std::size_t ahead = m_patient.order_of_key(arrival);
-    return std::min(m_urgent.size() + ahead, (ahead + 1) * kPatientInterval - 1);
+    // Urgent requests that arrive later overtake, so the rate of the recent past counts.
+    const double share = std::max(m_patient_share, 1.0 / kPatientInterval);
+    return static_cast<std::size_t>(static_cast<double>(ahead) / share);
   }
   const std::size_t ahead = m_urgent.order_of_key({ request.deadline, arrival });
   return ahead + std::min(m_patient.size(), ahead / (kPatientInterval - 1));
--- a/src/libdecision/request_queue.h
+++ b/src/libdecision/request_queue.h
@@ -49,6 +49,8 @@
   RankedMap<UrgentKey> m_urgent;
   RankedMap<std::uint64_t> m_patient;
   unsigned m_urgent_in_a_row = 0;
+  // Share of patient dispatches among those made while patient requests waited.
+  double m_patient_share = 1;
 };
 
 } // namespace lovagehold
--- a/src/teststand/policies/policy_bench.cpp
+++ b/src/teststand/policies/policy_bench.cpp
@@ -106,7 +106,7 @@
 {
   Report& report = run.report;
   const auto requests = static_cast<double>(report.requests);
-  const double seconds = static_cast<double>(run.scenario.length.count() - 2);
+  const double seconds = static_cast<double>((run.scenario.length - 2 * kMargin).count());
   return fmt::format(
     fmt::runtime(pattern),
     run.scenario_name,
@@ -158,7 +158,7 @@
     "", "csv", "File for the results", false, "policies.csv", "path", line);
   TCLAP::ValueArg<unsigned> threads("", "threads", "Runs at a time", false, 4, "count", line);
   TCLAP::ValueArg<int> mean("", "mean-ms", "Mean service time", false, 10, "milliseconds", line);
-  TCLAP::ValueArg<int> length("", "length", "Length of a run", false, 30, "seconds", line);
+  TCLAP::ValueArg<int> length("", "length", "Length of a run", false, 40, "seconds", line);
   TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed", false, 20261204, "number", line);
   TCLAP::ValueArg<std::size_t> hosts(
     "", "hosts", "Only runs with this number of entry hosts", false, 0, "count", line);
--- a/src/teststand/policies/simulation.cpp
+++ b/src/teststand/policies/simulation.cpp
@@ -22,16 +22,15 @@
 constexpr milliseconds kNeighbourPeriod{ 500 };
 constexpr milliseconds kNeighbourTime{ 50 };
 constexpr double kStragglerSlowdown = 8;
-constexpr seconds kStragglerFrom{ 5 };
+constexpr seconds kStragglerFrom{ 8 };
 constexpr double kColdSlowdown = 4;
-constexpr seconds kRestartFrom{ 8 };
-constexpr seconds kRestartTo{ 9 };
-constexpr seconds kWarmAt{ 12 };
-constexpr seconds kFailFrom{ 15 };
-constexpr seconds kFailTo{ 20 };
+constexpr seconds kRestartFrom{ 10 };
+constexpr seconds kRestartTo{ 11 };
+constexpr seconds kWarmAt{ 14 };
+constexpr seconds kFailFrom{ 20 };
+constexpr seconds kFailTo{ 25 };
 constexpr microseconds kFailTime{ 200 };
 constexpr std::size_t kServerQueue = 64;
-constexpr seconds kWarmUp{ 2 };
 
 Duration
 scale(Duration duration, double factor)
@@ -265,7 +264,7 @@
 void
 World::record(const TraceRequest& request, bool succeeded, Duration extra)
 {
-  if (request.arrival < m_start + kWarmUp) {
+  if (request.arrival < m_start + kMargin || request.arrival >= end() - kMargin) {
     return;
   }
   Duration latency = loop.now() + extra - request.arrival;
--- a/src/teststand/policies/simulation.h
+++ b/src/teststand/policies/simulation.h
@@ -38,6 +38,10 @@
   std::uint64_t m_sequence = 0;
 };
 
+/// Requests that arrive within this time of the start or the end of a run are not reported: the
+/// longest queue needs as much time to build up and to drain.
+inline constexpr std::chrono::seconds kMargin{ 5 };
+
 /// Conditions of a run.
 struct Scenario
 {
@@ -46,7 +50,7 @@
   double load = 0.8;
   std::size_t hosts = 29;
   Duration one_way = std::chrono::microseconds(500);
-  std::chrono::seconds length{ 30 };
+  std::chrono::seconds length{ 40 };
   Duration mean_service = std::chrono::milliseconds(10);
   /// Server time of a probe.
   Duration probe_cost = std::chrono::milliseconds(6);
