--- a/src/libdecision/dispatcher_impl.cpp
+++ b/src/libdecision/dispatcher_impl.cpp
@@ -272,8 +272,13 @@
     forget(request.info.id);
     return;
   }
-  const bool others = request.attempts[0] != 0 || request.attempts[1] != 0;
-  if (others) {
+  const bool others =
+    std::any_of(request.attempts.begin(), request.attempts.end(), [this](AttemptId id) {
+      return id != 0 && !attempts.at(id).cancelled;
+    });
+  // An attempt that lost the race does not decide about its request, nor does one that still waits
+  // for the report of its cancellation.
+  if (others || attempt.lost) {
     return;
   }
   if (status == AttemptStatus::Cancelled) {
--- a/src/libdecision/dispatcher_test.cpp
+++ b/src/libdecision/dispatcher_test.cpp
@@ -294,6 +294,22 @@
   EXPECT_EQ(dispatcher.stats(now).in_flight, 0U);
 }
 
+// Guards against a request without an answer: its response broke off after the other attempt was
+// cancelled, but before the cancellation was reported.
+TEST_F(DispatcherTest, BrokenResponseOfAHedgedRequestIsAnswered)
+{
+  add_servers(3);
+  serve(40, 10ms);
+  const StartAttempt slow = submit_started();
+  const auto hedge = select<StartAttempt>(advance(11ms));
+  ASSERT_EQ(hedge.size(), 1U);
+  EXPECT_EQ(select<CancelAttempt>(dispatcher.responding(hedge[0].attempt, now)).size(), 1U);
+  const auto rejects = select<RejectRequest>(complete(hedge[0], AttemptStatus::Failed));
+  ASSERT_EQ(rejects.size(), 1U);
+  EXPECT_EQ(rejects[0].request, slow.request);
+  EXPECT_TRUE(complete(slow, AttemptStatus::Cancelled).empty());
+}
+
 // Guards against cancelling a long transfer at the deadline of its header.
 TEST_F(DispatcherTest, DeadlineEndsWithTheHeaderOfTheResponse)
 {
