Keep what a decision reads of a server in a compact summary

Cause: choosing a server read the whole state of each, several cache lines per server, three times a decision.

--- a/src/libdecision/dispatcher.cpp
+++ b/src/libdecision/dispatcher.cpp
@@ -50,7 +50,7 @@
 Dispatcher::set_share(SlotShare share, TimePoint now)
 {
   Actions actions;
-  m_impl->servers.share = share;
+  m_impl->servers.set_share(share);
   if (share == SlotShare::None) {
     std::vector<RequestId> waiting;
     for (const auto& [id, request] : m_impl->requests) {
@@ -71,7 +71,7 @@
 {
   Actions actions;
   Impl& impl = *m_impl;
-  if (impl.servers.share == SlotShare::None) {
+  if (impl.servers.share() == SlotShare::None) {
     impl.reject(request.id, RejectReason::NotOwner, {}, actions);
     return actions;
   }
--- a/src/libdecision/dispatcher_impl.cpp
+++ b/src/libdecision/dispatcher_impl.cpp
@@ -298,7 +298,7 @@
   RequestInfo& info = request.info;
   const bool allowed = !request.responding && may_run_again(info, status) &&
                        info.retries_left > 0 && info.deadline > now &&
-                       servers.share != SlotShare::None;
+                       servers.share() != SlotShare::None;
   if (!allowed || !retry_budget.try_take(1, now)) {
     reject(info.id, RejectReason::RetriesExhausted, kRetriesExhaustedRetryAfter, actions);
     return;
--- a/src/libdecision/server_state.h
+++ b/src/libdecision/server_state.h
@@ -16,7 +16,6 @@
   ServerInfo info;
   TimePoint last_renewal;
   bool leaving = false;
-  unsigned in_use = 0;
   /// Limited to one slot because its service time is far above that of its peers.
   bool on_probation = false;
   bool probe_running = false;
--- a/src/libdecision/server_table.cpp
+++ b/src/libdecision/server_table.cpp
@@ -47,6 +47,7 @@
     server.info = info;
     server.leaving = false;
     server.last_renewal = now;
+    refresh(found->second);
     return;
   }
   ServerState server(info, make_probe_bucket(m_options, now), now);
@@ -60,12 +61,14 @@
   std::size_t index = m_servers.size();
   if (m_free.empty()) {
     m_servers.push_back(std::move(server));
+    m_summaries.emplace_back();
   } else {
     index = m_free.back();
     m_free.pop_back();
     m_servers[index] = std::move(server);
   }
   m_index[info.id] = index;
+  refresh(index);
 }
 
 void
@@ -74,6 +77,7 @@
   const auto found = m_index.find(id);
   if (found != m_index.end()) {
     m_servers[found->second].last_renewal = now;
+    refresh(found->second);
   }
 }
 
@@ -83,6 +87,7 @@
   const auto found = m_index.find(id);
   if (found != m_index.end()) {
     m_servers[found->second].leaving = true;
+    refresh(found->second);
     erase_if_drained(found->second);
   }
 }
@@ -91,23 +96,55 @@
 ServerTable::erase_if_drained(std::size_t index)
 {
   ServerState& server = m_servers[index];
-  if (server.leaving && server.in_use == 0) {
+  if (server.leaving && m_summaries[index].in_use == 0) {
     m_index.erase(server.info.id);
     m_free.push_back(index);
   }
 }
 
-bool
-ServerTable::is_eligible(const ServerState& server, TimePoint now) const
+void
+ServerTable::set_share(SlotShare share)
 {
-  return !server.leaving && now - server.last_renewal <= m_options.renewal_lifetime;
+  m_share = share;
+  for (std::size_t i = 0; i < m_servers.size(); ++i) {
+    refresh(i);
+  }
+}
+
+void
+ServerTable::refresh(std::size_t index)
+{
+  const ServerState& server = m_servers[index];
+  Summary& summary = m_summaries[index];
+  const unsigned share_slots = share_limit(server);
+  const unsigned limit = server.is_ejected() ? 0 : server.slot_limit(share_slots);
+  summary.eligible_until =
+    server.leaving ? TimePoint::min() : server.last_renewal + m_options.renewal_lifetime;
+  summary.last_until =
+    server.on_probation ? server.last_information() + kProbationSampleInterval : TimePoint::min();
+  summary.limit = static_cast<std::uint16_t>(limit);
+  summary.panic_limit = static_cast<std::uint16_t>(std::max(limit, std::min(share_slots, 1U)));
+  summary.speed_class = static_cast<std::int16_t>(server.speed_class());
+  summary.check_at = TimePoint::max();
+  if (share_slots == 0) {
+    return;
+  }
+  if (server.probe_running) {
+    summary.check_at = server.probe_sent + kProbeTimeout;
+  }
+  if (!server.probe_running || !server.is_ejected()) {
+    summary.check_at = std::min(summary.check_at, server.next_change());
+  }
+  if (const auto due = probe_due(server); due && summary.in_use == 0) {
+    summary.check_at = std::min(summary.check_at, *due);
+  }
 }
 
 unsigned
 ServerTable::share_limit(const ServerState& server) const
 {
   const unsigned held_back = std::min(server.info.slots, 1U);
-  switch (share) {
+  switch (m_share) {
     case SlotShare::None:
     case SlotShare::Pending:
       return 0;
@@ -121,69 +158,64 @@
   return 0;
 }
 
-bool
-ServerTable::ranks_before(const ServerState& a,
-                          const ServerState& b,
-                          bool panic,
-                          TimePoint now) const
-{
-  if (panic) {
-    // Rotation alone: fewest slots in use would favour servers that fail fast.
-    return false;
-  }
-  const bool a_last = a.on_probation && now - a.last_information() < kProbationSampleInterval;
-  const bool b_last = b.on_probation && now - b.last_information() < kProbationSampleInterval;
-  if (a_last != b_last) {
-    return b_last;
-  }
-  if (a.in_use != b.in_use) {
-    return a.in_use < b.in_use;
-  }
-  return a.speed_class() < b.speed_class();
-}
-
 ServerTable::Choice
 ServerTable::choose(TimePoint now)
 {
   Choice choice;
   unsigned out = 0;
-  for (ServerState& server : m_servers) {
-    server.advance(now);
-    if (is_eligible(server, now)) {
-      const unsigned share_slots = share_limit(server);
-      ++choice.eligible;
-      out += server.is_ejected() || (share_slots > 0 && server.slot_limit(share_slots) == 0);
+  for (std::size_t i = 0; i < m_summaries.size(); ++i) {
+    const Summary& summary = m_summaries[i];
+    if (now > summary.eligible_until) {
+      continue;
+    }
+    if (summary.check_at <= now) {
+      m_servers[i].advance(now);
+      refresh(i);
     }
+    ++choice.eligible;
+    out += summary.limit == 0 && summary.panic_limit > 0 ? 1 : 0;
   }
   pick(choice, out > choice.eligible / 2, now);
   return choice;
 }
 
 void
-ServerTable::pick(Choice& choice, bool panic, TimePoint now)
+ServerTable::pick(Choice& choice, bool panic, TimePoint now) const
 {
-  const std::size_t count = m_servers.size();
+  const auto ranks_before = [&](std::size_t a, std::size_t b) {
+    if (b == kNone) {
+      return true;
+    }
+    if (panic) {
+      // Rotation alone: fewest slots in use would favour servers that fail fast.
+      return false;
+    }
+    const Summary& x = m_summaries[a];
+    const Summary& y = m_summaries[b];
+    const bool x_last = now < x.last_until;
+    const bool y_last = now < y.last_until;
+    if (x_last != y_last) {
+      return y_last;
+    }
+    return x.in_use != y.in_use ? x.in_use < y.in_use : x.speed_class < y.speed_class;
+  };
+  const std::size_t count = m_summaries.size();
   std::size_t index = count == 0 ? 0 : m_rotation % count;
   for (std::size_t i = 0; i < count; ++i, index = index + 1 == count ? 0 : index + 1) {
-    const ServerState& server = m_servers[index];
-    if (!is_eligible(server, now) || (server.is_ejected() && !panic)) {
+    const Summary& summary = m_summaries[index];
+    if (now > summary.eligible_until) {
       continue;
     }
-    const unsigned share_slots = share_limit(server);
-    unsigned limit = server.slot_limit(share_slots);
-    if (panic) {
-      limit = std::max(limit, std::min(share_slots, 1U));
-    }
+    const unsigned limit = panic ? summary.panic_limit : summary.limit;
     choice.usable_slots += limit;
-    if (server.in_use >= limit) {
+    if (summary.in_use >= limit) {
       continue;
     }
-    choice.idle_slots += limit - server.in_use;
-    if (choice.best == kNone || ranks_before(server, m_servers[choice.best], panic, now)) {
+    choice.idle_slots += limit - summary.in_use;
+    if (ranks_before(index, choice.best)) {
       choice.alternative = choice.best;
       choice.best = index;
-    } else if (choice.alternative == kNone ||
-               ranks_before(server, m_servers[choice.alternative], panic, now)) {
+    } else if (ranks_before(index, choice.alternative)) {
       choice.alternative = index;
     }
   }
@@ -192,14 +224,15 @@
 void
 ServerTable::acquire(std::size_t index)
 {
-  ++m_servers[index].in_use;
+  ++m_summaries[index].in_use;
   m_rotation = index + 1;
 }
 
 void
 ServerTable::release(std::size_t index)
 {
-  --m_servers[index].in_use;
+  --m_summaries[index].in_use;
+  refresh(index);
   erase_if_drained(index);
 }
 
@@ -237,8 +270,9 @@
   std::vector<Duration> times;
   std::size_t present = 0;
   std::size_t on_probation = 0;
-  for (const ServerState& server : m_servers) {
-    if (!is_eligible(server, now)) {
+  for (std::size_t i = 0; i < m_servers.size(); ++i) {
+    const ServerState& server = m_servers[i];
+    if (now > m_summaries[i].eligible_until) {
       continue;
     }
     ++present;
@@ -254,8 +288,9 @@
   std::nth_element(times.begin(), middle, times.end());
   m_median = *middle;
   const std::size_t allowed = std::max<std::size_t>(1, present / kProbationDivisor);
-  for (ServerState& server : m_servers) {
-    if (!is_eligible(server, now) || !server.has_service_time()) {
+  for (std::size_t i = 0; i < m_servers.size(); ++i) {
+    ServerState& server = m_servers[i];
+    if (now > m_summaries[i].eligible_until || !server.has_service_time()) {
       continue;
     }
     if (server.on_probation && server.service_time() < m_median * kRecoveredFactor) {
@@ -265,6 +300,7 @@
       server.start_probation();
       ++on_probation;
     }
+    refresh(i);
   }
 }
 
@@ -282,6 +318,7 @@
     server.probe_bucket.charge(std::chrono::duration<double>(excess) / m_options.probe_cost, now);
   }
   server.on_probe(healthy, now);
+  refresh(found->second);
 }
 
 std::optional<TimePoint>
@@ -298,28 +335,35 @@
 void
 ServerTable::check(TimePoint now, Actions& actions)
 {
-  for (ServerState& server : m_servers) {
-    if (!is_eligible(server, now) || share_limit(server) == 0) {
-      continue;
-    }
-    server.advance(now);
-    if (server.probe_running && now - server.probe_sent >= kProbeTimeout) {
-      server.on_probe(false, now);
-    }
-    bool send = false;
-    if (server.awaits_recovery(now) && !server.probe_running) {
-      send = server.probe_bucket.try_take(1, now);
-      if (!send) {
-        server.start_recovery(now);
-      }
-    } else if (const auto due = probe_due(server); due && *due <= now && server.in_use == 0) {
-      send = server.probe_bucket.try_take(1, now);
+  for (std::size_t i = 0; i < m_servers.size(); ++i) {
+    if (now <= m_summaries[i].eligible_until && m_summaries[i].check_at <= now) {
+      check_server(i, now, actions);
+      refresh(i);
     }
-    if (send) {
-      server.probe_running = true;
-      server.probe_sent = now;
-      actions.push_back(SendProbe{ .server = server.info.id, .address = server.info.address });
+  }
+}
+
+void
+ServerTable::check_server(std::size_t index, TimePoint now, Actions& actions)
+{
+  ServerState& server = m_servers[index];
+  server.advance(now);
+  if (server.probe_running && now - server.probe_sent >= kProbeTimeout) {
+    server.on_probe(false, now);
+  }
+  bool send = false;
+  if (server.awaits_recovery(now) && !server.probe_running) {
+    send = server.probe_bucket.try_take(1, now);
+    if (!send) {
+      server.start_recovery(now);
     }
+  } else if (const auto due = probe_due(server); due && *due <= now) {
+    send = m_summaries[index].in_use == 0 && server.probe_bucket.try_take(1, now);
+  }
+  if (send) {
+    server.probe_running = true;
+    server.probe_sent = now;
+    actions.push_back(SendProbe{ .server = server.info.id, .address = server.info.address });
   }
 }
 
@@ -327,18 +371,9 @@
 ServerTable::next_check(TimePoint now) const
 {
   TimePoint next = TimePoint::max();
-  for (const ServerState& server : m_servers) {
-    if (!is_eligible(server, now) || share_limit(server) == 0) {
-      continue;
-    }
-    if (server.probe_running) {
-      next = std::min(next, server.probe_sent + kProbeTimeout);
-    }
-    if (!server.probe_running || !server.is_ejected()) {
-      next = std::min(next, server.next_change());
-    }
-    if (const auto due = probe_due(server); due && server.in_use == 0) {
-      next = std::min(next, *due);
+  for (const Summary& summary : m_summaries) {
+    if (now <= summary.eligible_until) {
+      next = std::min(next, summary.check_at);
     }
   }
   return next;
@@ -348,8 +383,8 @@
 ServerTable::eligible_count(TimePoint now) const
 {
   unsigned count = 0;
-  for (const ServerState& server : m_servers) {
-    count += is_eligible(server, now) ? 1U : 0U;
+  for (const Summary& summary : m_summaries) {
+    count += now <= summary.eligible_until ? 1U : 0U;
   }
   return count;
 }
--- a/src/libdecision/server_table.h
+++ b/src/libdecision/server_table.h
@@ -16,7 +16,8 @@
 
   explicit ServerTable(const DispatcherOptions& options);
 
-  SlotShare share = SlotShare::Full;
+  SlotShare share() const { return m_share; }
+  void set_share(SlotShare share);
 
   void set(const ServerInfo& info, TimePoint now);
   void renew(const ServerId& id, TimePoint now);
@@ -37,6 +38,7 @@
 
   ServerState& at(std::size_t index) { return m_servers[index]; }
   void acquire(std::size_t index);
+  /// Also takes up what at() changed.
   void release(std::size_t index);
 
   void on_success(std::size_t index, Duration service_time, TimePoint now);
@@ -60,7 +62,25 @@
   unsigned eligible_count(TimePoint now) const;
 
 private:
+  /// What each decision reads of a server, apart from the rest of its state: a decision at one of
+  /// thousands of services otherwise waits for several cache misses per server.
+  struct Summary
+  {
+    TimePoint eligible_until = TimePoint::min();
+    /// When the limits or a probe have to be looked at again.
+    TimePoint check_at = TimePoint::max();
+    /// End of the time in which a server on probation ranks last.
+    TimePoint last_until = TimePoint::min();
+    std::uint16_t in_use = 0;
+    std::uint16_t limit = 0;
+    /// Limit while too many servers are out.
+    std::uint16_t panic_limit = 0;
+    std::int16_t speed_class = 0;
+  };
+
   DispatcherOptions m_options;
+  SlotShare m_share = SlotShare::Full;
+  std::vector<Summary> m_summaries;
   std::vector<ServerState> m_servers;
   std::vector<std::size_t> m_free;
   std::unordered_map<ServerId, std::size_t> m_index;
@@ -69,10 +89,10 @@
   Duration m_median{};
   unsigned m_until_comparison = 0;
 
-  bool is_eligible(const ServerState& server, TimePoint now) const;
   unsigned share_limit(const ServerState& server) const;
-  bool ranks_before(const ServerState& a, const ServerState& b, bool panic, TimePoint now) const;
-  void pick(Choice& choice, bool panic, TimePoint now);
+  void refresh(std::size_t index);
+  void check_server(std::size_t index, TimePoint now, Actions& actions);
+  void pick(Choice& choice, bool panic, TimePoint now) const;
   void compare_service_times(TimePoint now);
   std::optional<TimePoint> probe_due(const ServerState& server) const;
   void erase_if_drained(std::size_t index);
