--- a/src/build-scripts/plot_policies.py
+++ b/src/build-scripts/plot_policies.py
@@ -16,6 +16,7 @@
     "probing": "#d62728",
     "central-queue": "#000000",
     "owner": "#2ca02c",
+    "owner-in-transit": "#17becf",
 }
 LOW_MS, HIGH_MS = 50.0, 600.0
 
--- a/src/libdecision/dispatcher_test.cpp
+++ b/src/libdecision/dispatcher_test.cpp
@@ -341,6 +341,20 @@
   EXPECT_EQ(select<RejectRequest>(submit({})).size(), 1U);
 }
 
+// Guards against requests in transit that exceed a share which is not full.
+TEST(Dispatcher, RequestsInTransitNeedTheFullShare)
+{
+  Dispatcher dispatcher({ .service = "s", .requests_in_transit = 1 });
+  dispatcher.set_server(make_server(0), kStart);
+  dispatcher.set_share(SlotShare::Reduced, kStart);
+  for (RequestId id = 1; id < 10; ++id) {
+    dispatcher.submit({ .id = id, .deadline = kStart + 1s }, kStart);
+  }
+  EXPECT_EQ(dispatcher.stats(kStart).in_flight, 2U);
+  dispatcher.set_share(SlotShare::Full, kStart);
+  EXPECT_EQ(dispatcher.stats(kStart).in_flight, 4U);
+}
+
 // Guards against probing more than the budget allows after a takeover, and against a server that is
 // never tried again because its probe got lost.
 TEST_F(DispatcherTest, SilentServerIsProbedWithinTheBudget)
--- a/src/teststand/policies/policies.h
+++ b/src/teststand/policies/policies.h
@@ -28,8 +28,7 @@
 MakePolicy make_central_queue();
 
 /// The Dispatcher at the owner of the service; a share of the requests is relayed to it.
-/// \param extra_slots slots that it assumes beyond those of each server; the excess requests wait
-/// at the server
-MakePolicy make_owner(bool hedging, unsigned extra_slots = 0);
+/// \param in_transit DispatcherOptions::requests_in_transit
+MakePolicy make_owner(bool hedging, unsigned in_transit = 0);
 
 } // namespace lovagehold::simulation
--- a/src/teststand/policies/policy_bench.cpp
+++ b/src/teststand/policies/policy_bench.cpp
@@ -31,7 +31,7 @@
            { "central-queue", make_central_queue() },
            { "owner", make_owner(true) },
            { "owner-no-hedge", make_owner(false) },
-           { "owner-extra-slot", make_owner(true, 1) } };
+           { "owner-in-transit", make_owner(true, 1) } };
 }
 
 void
--- a/src/teststand/policies/queue_policies.cpp
+++ b/src/teststand/policies/queue_policies.cpp
@@ -83,13 +83,13 @@
 class OwnerPolicy : public Policy
 {
 public:
-  OwnerPolicy(World& world, bool hedging, unsigned extra_slots)
+  OwnerPolicy(World& world, bool hedging, unsigned in_transit)
     : m_world(world)
     , m_dispatcher({ .service = "s",
                      .probe_cost = std::chrono::duration_cast<std::chrono::microseconds>(
                        world.scenario.probe_cost),
+                     .requests_in_transit = in_transit,
                      .hedging = hedging })
-    , m_slots(world.scenario.slots + extra_slots)
     , m_present(world.servers.size())
   {
     renew();
@@ -107,7 +107,6 @@
 private:
   World& m_world;
   Dispatcher m_dispatcher;
-  unsigned m_slots;
   std::vector<bool> m_present;
   std::vector<std::uint64_t> m_incarnation = std::vector<std::uint64_t>(m_present.size());
   std::unordered_map<RequestId, const TraceRequest*> m_requests;
@@ -231,7 +230,7 @@
         execute(m_dispatcher.set_server({ .service = "s",
                                           .id = id,
                                           .address = id,
-                                          .slots = m_slots,
+                                          .slots = m_world.scenario.slots,
                                           .incarnation = ++m_incarnation[i] },
                                         now));
       } else if (present) {
@@ -256,9 +255,9 @@
 }
 
 MakePolicy
-make_owner(bool hedging, unsigned extra_slots)
+make_owner(bool hedging, unsigned in_transit)
 {
-  return [=](World& world) { return std::make_unique<OwnerPolicy>(world, hedging, extra_slots); };
+  return [=](World& world) { return std::make_unique<OwnerPolicy>(world, hedging, in_transit); };
 }
 
 } // namespace lovagehold::simulation
