--- a/src/libdecision/dispatcher_impl.cpp
+++ b/src/libdecision/dispatcher_impl.cpp
@@ -113,7 +113,7 @@
   const std::size_t before = queue.dispatches_before(request.info, request.arrival);
   const Duration wait =
     slot_times.mean() * static_cast<Duration::rep>(before + 1) / choice.usable_slots;
-  const Duration late = now + wait + slot_times.median() - request.info.deadline;
+  const Duration late = now + wait + slot_times.p95() - request.info.deadline;
   if (late <= Duration::zero()) {
     return std::nullopt;
   }
@@ -272,8 +272,13 @@
     forget(request.info.id);
     return;
   }
-  const bool others = request.attempts[0] != 0 || request.attempts[1] != 0;
-  if (others) {
+  const bool others =
+    std::any_of(request.attempts.begin(), request.attempts.end(), [this](AttemptId id) {
+      return id != 0 && !attempts.at(id).cancelled;
+    });
+  // An attempt that lost the race does not decide about its request, nor does one that still waits
+  // for the report of its cancellation.
+  if (others || attempt.lost) {
     return;
   }
   if (status == AttemptStatus::Cancelled) {
@@ -293,7 +298,7 @@
   RequestInfo& info = request.info;
   const bool allowed = !request.responding && may_run_again(info, status) &&
                        info.retries_left > 0 && info.deadline > now &&
-                       servers.share != SlotShare::None;
+                       servers.share() != SlotShare::None;
   if (!allowed || !retry_budget.try_take(1, now)) {
     reject(info.id, RejectReason::RetriesExhausted, kRetriesExhaustedRetryAfter, actions);
     return;
--- a/src/teststand/policies/policies.h
+++ b/src/teststand/policies/policies.h
@@ -28,6 +28,7 @@
 MakePolicy make_central_queue();
 
 /// The Dispatcher at the owner of the service; a share of the requests is relayed to it.
-MakePolicy make_owner(bool hedging);
+/// \param in_transit DispatcherOptions::requests_in_transit
+MakePolicy make_owner(bool hedging, unsigned in_transit = 0);
 
 } // namespace lovagehold::simulation
--- a/src/teststand/policies/queue_policies.cpp
+++ b/src/teststand/policies/queue_policies.cpp
@@ -83,11 +83,12 @@
 class OwnerPolicy : public Policy
 {
 public:
-  OwnerPolicy(World& world, bool hedging)
+  OwnerPolicy(World& world, bool hedging, unsigned in_transit)
     : m_world(world)
     , m_dispatcher({ .service = "s",
                      .probe_cost = std::chrono::duration_cast<std::chrono::microseconds>(
                        world.scenario.probe_cost),
+                     .requests_in_transit = in_transit,
                      .hedging = hedging })
     , m_present(world.servers.size())
   {
@@ -254,9 +255,9 @@
 }
 
 MakePolicy
-make_owner(bool hedging)
+make_owner(bool hedging, unsigned in_transit)
 {
-  return [hedging](World& world) { return std::make_unique<OwnerPolicy>(world, hedging); };
+  return [=](World& world) { return std::make_unique<OwnerPolicy>(world, hedging, in_transit); };
 }
 
 } // namespace lovagehold::simulation
