--- a/src/include/lovagehold/consensus.h
+++ b/src/include/lovagehold/consensus.h
@@ -79,7 +79,7 @@
 class Consensus
 {
 public:
-  Consensus(ConsensusOptions options, RestoredLog restored, TimePoint now);
+  Consensus(ConsensusOptions options, const RestoredLog& restored, TimePoint now);
   ~Consensus();
   Consensus(Consensus&&) noexcept;
   Consensus& operator=(Consensus&&) noexcept;
--- a/src/libadapters/file_disk.cpp
+++ b/src/libadapters/file_disk.cpp
@@ -169,7 +169,7 @@
 {
   const int descriptor = ::open(m_folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   const bool synced = descriptor >= 0 && ::fsync(descriptor) == 0;
-  const Result<void> result = check(synced, "sync", m_folder);
+  Result<void> result = check(synced, "sync", m_folder);
   if (descriptor >= 0) {
     ::close(descriptor);
   }
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -19,8 +19,8 @@
 const Bytes&
 payload_of(const LogEntry& entry)
 {
-  static const Bytes none;
-  return entry.kind == EntryKind::Command && entry.payload ? *entry.payload : none;
+  static const Bytes kNone;
+  return entry.kind == EntryKind::Command && entry.payload ? *entry.payload : kNone;
 }
 
 } // namespace
@@ -104,7 +104,7 @@
     }
     ConsensusOptions consensus_options = options.consensus;
     consensus_options.seed = random();
-    consensus = std::make_unique<Consensus>(consensus_options, std::move(restored), ports.now());
+    consensus = std::make_unique<Consensus>(consensus_options, restored, ports.now());
     submitted = 0;
     written = 0;
     if (worker) {
--- a/src/libstate/consensus.cpp
+++ b/src/libstate/consensus.cpp
@@ -4,7 +4,7 @@
 
 namespace lovagehold {
 
-Consensus::Impl::Impl(ConsensusOptions given, RestoredLog restored, TimePoint now)
+Consensus::Impl::Impl(ConsensusOptions given, const RestoredLog& restored, TimePoint now)
   : options(given)
   , self(restored.self)
   , vote(restored.vote)
@@ -306,8 +306,8 @@
   return "unknown";
 }
 
-Consensus::Consensus(ConsensusOptions options, RestoredLog restored, TimePoint now)
-  : m_impl(std::make_unique<Impl>(options, std::move(restored), now))
+Consensus::Consensus(ConsensusOptions options, const RestoredLog& restored, TimePoint now)
+  : m_impl(std::make_unique<Impl>(options, restored, now))
 {
 }
 
--- a/src/libstate/consensus_fuzz_test.cpp
+++ b/src/libstate/consensus_fuzz_test.cpp
@@ -8,10 +8,10 @@
 namespace lovagehold::testing {
 
 // Found by name lookup when RapidCheck prints a failing schedule.
-static void
-showValue(const Op& op, std::ostream& stream)
+static std::ostream&
+operator<<(std::ostream& stream, const Op& op)
 {
-  stream << static_cast<int>(op.kind) << "/" << op.node << "/" << op.argument;
+  return stream << static_cast<int>(op.kind) << "/" << op.node << "/" << op.argument;
 }
 
 namespace {
--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -71,7 +71,7 @@
   StateSnapshot incoming;
   Effects effects;
 
-  Impl(ConsensusOptions options, RestoredLog restored, TimePoint now);
+  Impl(ConsensusOptions options, const RestoredLog& restored, TimePoint now);
 
   // consensus.cpp
   void advance_clock(TimePoint now);
--- a/src/libstate/testing/fake_disk.cpp
+++ b/src/libstate/testing/fake_disk.cpp
@@ -47,7 +47,7 @@
   if (!entry) {
     entry = std::make_shared<File>();
   }
-  const Result<void> changed = change();
+  Result<void> changed = change();
   const bool full = m_capacity && used() + bytes.size() > *m_capacity;
   // A failed append may have written a part.
   const std::size_t written = changed.has_error() || full ? bytes.size() / 2 : bytes.size();
--- a/src/libstate/testing/group_harness.cpp
+++ b/src/libstate/testing/group_harness.cpp
@@ -104,7 +104,7 @@
                             .trailing_entries = 4,
                             .seed = m_random() };
   options.faults = m_options.faults;
-  node.consensus = std::make_unique<Consensus>(options, std::move(restored.value()), now(node));
+  node.consensus = std::make_unique<Consensus>(options, log, now(node));
 }
 
 void
@@ -132,7 +132,7 @@
 }
 
 void
-GroupHarness::send(const Node& from, ConsensusEnvelope envelope)
+GroupHarness::send(const Node& from, const ConsensusEnvelope& envelope)
 {
   const Node* to = find(envelope.to);
   if (to == nullptr || m_random() % 50 == 0) {
@@ -207,11 +207,11 @@
 }
 
 void
-GroupHarness::perform(Node& node, Effects effects)
+GroupHarness::perform(Node& node, const Effects& effects)
 {
   trigger(node, effects);
-  for (ConsensusEnvelope& envelope : effects.messages) {
-    send(node, std::move(envelope));
+  for (const ConsensusEnvelope& envelope : effects.messages) {
+    send(node, envelope);
   }
   for (const LogRecord& record : effects.records) {
     const auto* entry = std::get_if<LogEntry>(&record);
--- a/src/libstate/testing/group_harness.h
+++ b/src/libstate/testing/group_harness.h
@@ -119,10 +119,10 @@
   void wipe(Node& node);
   bool may_wipe(const Node& node) const;
   bool reachable(unsigned from, unsigned to) const;
-  void send(const Node& from, ConsensusEnvelope envelope);
+  void send(const Node& from, const ConsensusEnvelope& envelope);
   void deliver(const Message& message);
   void write(Node& node);
-  void perform(Node& node, Effects effects);
+  void perform(Node& node, const Effects& effects);
   void on_committed(Node& node, const LogEntry& entry);
   void check_promotion(const Node& leader, const LogEntry& entry);
   void check_leader(const Node& node);
