--- a/src/libdecision/home_table_test.cpp
+++ b/src/libdecision/home_table_test.cpp
@@ -22,6 +22,7 @@
                    .caller_address = "127.0.0.1:" + std::to_string(domain) };
     }
     std::vector<HostInfo> hosts;
+    hosts.reserve(live.size());
     for (const auto& [key, host] : live) {
       hosts.push_back(host);
     }
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -361,7 +361,6 @@
 void
 Node::begin_shutdown()
 {
-  m_leaving = true;
   m_log.info("shutdown_started");
   if (!m_session) {
     m_context.stop();
--- a/src/lovagehold/node.h
+++ b/src/lovagehold/node.h
@@ -58,7 +58,6 @@
   std::unique_ptr<HostSession> m_session;
   std::unique_ptr<SessionLeader> m_leader;
   std::unique_ptr<AdminServer> m_admin;
-  bool m_leaving = false;
   bool m_entry_started = false;
 };
 
