--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -12,6 +12,7 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
+constexpr std::chrono::milliseconds kLateTick{ 250 };
 
 WallTime
 wall_now()
@@ -228,6 +229,12 @@
 void
 Node::tick(TimePoint now)
 {
+  if (m_last_tick != TimePoint() && now - m_last_tick > kLateTick) {
+    // Heartbeats wait meanwhile: a delay near the lease ends it.
+    const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_last_tick);
+    m_log.warn("control_thread_delayed", { { "ms", std::to_string(delay.count()) } });
+  }
+  m_last_tick = now;
   m_client->tick(now);
   tick_leader(now);
   if (m_client->ready() && m_session) {
--- a/src/lovagehold/node.h
+++ b/src/lovagehold/node.h
@@ -59,6 +59,7 @@
   std::unique_ptr<SessionLeader> m_leader;
   std::unique_ptr<AdminServer> m_admin;
   bool m_entry_started = false;
+  TimePoint m_last_tick;
 };
 
 } // namespace lovagehold
