--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -15,6 +15,7 @@
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
 // The bound within which a change is in force at today's size (design, invariant 7).
 constexpr std::chrono::seconds kStaleAfter{ 3 };
+constexpr std::chrono::milliseconds kLateTick{ 250 };
 
 WallTime
 wall_now()
@@ -243,6 +244,12 @@
   if (m_replica) {
     m_replica->tick();
   }
+  if (m_last_tick != TimePoint() && now - m_last_tick > kLateTick) {
+    // Heartbeats wait meanwhile: a delay near the lease ends it.
+    const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_last_tick);
+    m_log.warn("control_thread_delayed", { { "ms", std::to_string(delay.count()) } });
+  }
+  m_last_tick = now;
   m_client->tick(now);
   tick_leader(now);
   if (m_client->ready() && m_session) {
@@ -361,7 +368,6 @@
 void
 Node::begin_shutdown()
 {
-  m_leaving = true;
   m_log.info("shutdown_started");
   if (!m_session) {
     m_context.stop();
--- a/src/lovagehold/node.h
+++ b/src/lovagehold/node.h
@@ -66,8 +66,8 @@
   /// Names the proposals of the session table in the log.
   std::uint64_t m_session_client;
   std::uint64_t m_session_proposals = 0;
-  bool m_leaving = false;
   bool m_entry_started = false;
+  TimePoint m_last_tick;
 };
 
 } // namespace lovagehold
