Rework the request path: pool, streaming, cancellation, strict framing

The session opened one connection per attempt, could not cancel an attempt, did not notice callers that went away and checked little of its input.

Splits caller_session.cpp by responsibility. Attempts run beside the session and report to an inbox, so that hedges, cancellation and closed callers are handled in one place. Clean connections return to a bounded pool per thread; non-idempotent requests use a fresh connection. Bodies are streamed through 64 KiB buffers in both directions, with limits on pauses and average rate. Ambiguous framing is rejected on both sides. Responses without a length are rejected, because one cut short cannot be told from a complete one.

Key look-ups read the replicated state of the host. A key without a claim is answered 404 instead of 'not-run': the host's state may lag behind.

--- a/src/include/lovagehold/entry_service.h
+++ b/src/include/lovagehold/entry_service.h
@@ -34,7 +34,10 @@
 {
   std::function<void(Command, std::function<void(Result<ApplyResult>)>)> propose;
   std::function<void(const HostInfo& owner, const ServerRenewal&)> send_renewal;
-  std::function<std::optional<KeyStatus>(const ServiceName&, const std::string& key)> key_status;
+  /// Looks the key up in the replicated state as applied on this host, which may lag behind.
+  std::function<
+    void(const ServiceName&, const std::string& key, std::function<void(std::optional<KeyStatus>)>)>
+    key_status;
 };
 
 struct EntryServiceOptions
@@ -43,6 +46,7 @@
   std::string caller_address;
   unsigned threads = 2;
   CallerLimits limits;
+  ServerLimits attempt_limits;
   /// How long callers keep an address answer.
   std::chrono::seconds address_lifetime{ 10 };
 };
--- a/src/include/lovagehold/service_table.h
+++ b/src/include/lovagehold/service_table.h
@@ -63,6 +63,10 @@
   using Deliveries = std::vector<std::pair<Deliver, Action>>;
 
   Shard& shard_of(const ServiceName& service) const;
+  static void deliver_to(Entry& entry,
+                         RequestId request,
+                         const Action& action,
+                         Deliveries& deliveries);
   void collect(Entry& entry, const Actions& actions, Deliveries& deliveries) const;
   template<class Change>
   void change(const ServiceName& service, const Change& apply);
--- a/src/include/lovagehold/settings.h
+++ b/src/include/lovagehold/settings.h
@@ -21,6 +21,18 @@
   std::size_t connections = 10000;
   std::chrono::milliseconds idle{ 60000 };
   std::chrono::milliseconds header_timeout{ 5000 };
+  /// Longest pause within a body, in either direction.
+  std::chrono::milliseconds body_idle{ 10000 };
+  /// A request body that arrives more slowly on average is rejected.
+  std::uint64_t body_bytes_per_second = 1024;
+};
+
+/// Limits towards servers and other entry hosts.
+struct ServerLimits
+{
+  std::chrono::milliseconds connect{ 250 };
+  /// Longest time without progress while a body goes to or comes from the server.
+  std::chrono::milliseconds stall{ 5000 };
 };
 
 /// Settings of one process.
--- /dev/null
+++ b/src/libproxy/claim.cpp
@@ -0,0 +1,143 @@
+#include "claim.h"
+
+#include "local_routes.h"
+
+#include <openssl/sha.h>
+
+namespace lovagehold {
+
+namespace {
+
+Digest
+digest_of(const std::string& body)
+{
+  Digest digest{};
+  SHA256(reinterpret_cast<const unsigned char*>(body.data()), body.size(), digest.data());
+  return digest;
+}
+
+WallTime
+wall_now()
+{
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+StringResponse
+make_stored_response(const Exchange& exchange, const StoredAnswer& answer)
+{
+  StringResponse response(static_cast<http::status>(answer.status), exchange.request.version());
+  response.keep_alive(exchange.request.keep_alive());
+  if (!answer.content_type.empty()) {
+    response.set(http::field::content_type, answer.content_type);
+  }
+  response.set(kOutcomeHeader, "done");
+  response.body() = answer.body;
+  response.prepare_payload();
+  return response;
+}
+
+StringResponse
+make_claim_refusal(const Exchange& exchange, const ApplyResult& claim)
+{
+  switch (claim.claim) {
+    case ClaimStatus::Done:
+      return make_stored_response(exchange, claim.answer.value_or(StoredAnswer{ .status = 200 }));
+    case ClaimStatus::InProgress:
+      return make_error(exchange.request,
+                        http::status::conflict,
+                        "the key is in progress",
+                        "ask /.lovagehold/keys for its outcome",
+                        "in-progress");
+    case ClaimStatus::DigestDiffers:
+      return make_error(exchange.request,
+                        http::status::unprocessable_entity,
+                        "the key was used with another body",
+                        "use a new Idempotency-Key for a new request",
+                        "not-run");
+    case ClaimStatus::StoreFull:
+      return make_error(exchange.request,
+                        http::status::service_unavailable,
+                        "the store of outcomes is full",
+                        "try again later",
+                        "not-run");
+    default:
+      return make_unknown(exchange, "the request may have run");
+  }
+}
+
+} // namespace
+
+awaitable<std::optional<StringResponse>>
+claim_key(Exchange& exchange, const Claim& claim)
+{
+  const ClaimKey fields{ .service = exchange.service,
+                         .key = claim.key,
+                         .body_digest = digest_of(exchange.request.body()),
+                         .attempt = claim.attempt,
+                         .holder = exchange.context.options.self,
+                         .now = wall_now(),
+                         .keep = exchange.route->declaration.keep_outcomes };
+  const Command command = fields;
+  const Result<ApplyResult> result = co_await propose(exchange.context, command);
+  if (result.has_error()) {
+    // The claim may still be committed later, so the outcome can't be told.
+    co_return make_unknown(exchange, "the claim on the key was not confirmed");
+  }
+  if (result.value().claim == ClaimStatus::Granted) {
+    co_return std::nullopt;
+  }
+  co_return make_claim_refusal(exchange, result.value());
+}
+
+awaitable<bool>
+record_not_run(Exchange& exchange, const Claim& claim)
+{
+  const RecordOutcome record{ .service = exchange.service,
+                              .key = claim.key,
+                              .attempt = claim.attempt,
+                              .outcome = OutcomeKind::NotRun,
+                              .now = wall_now() };
+  const Command command = record;
+  const Result<ApplyResult> result = co_await propose(exchange.context, command);
+  co_return result.has_value() && result.value().accepted;
+}
+
+awaitable<void>
+record_done(Exchange& exchange, const Claim& claim, const StoredAnswer& answer)
+{
+  const RecordOutcome record{ .service = exchange.service,
+                              .key = claim.key,
+                              .attempt = claim.attempt,
+                              .answer = answer,
+                              .now = wall_now() };
+  const Command command = record;
+  const Result<ApplyResult> result = co_await propose(exchange.context, command);
+  if (result.has_error()) {
+    exchange.context.log.warn("outcome_not_recorded",
+                              { { "service", exchange.service },
+                                { "attempt", claim.attempt },
+                                { "reason", result.error().message } });
+  }
+}
+
+StringResponse
+make_unknown(const Exchange& exchange, const std::string& error)
+{
+  return make_error(exchange.request,
+                    http::status::gateway_timeout,
+                    error,
+                    "ask /.lovagehold/keys for the outcome, or check the effect of the request "
+                    "before sending it under a new key",
+                    "unknown");
+}
+
+bool
+may_claim(const Exchange& exchange)
+{
+  const auto view = exchange.context.view();
+  const auto route = view->routes.find(exchange.service);
+  return route != view->routes.end() && route->second.share != SlotShare::Isolated &&
+         route->second.share != SlotShare::None;
+}
+
+} // namespace lovagehold
--- a/src/libproxy/entry_context.h
+++ b/src/libproxy/entry_context.h
@@ -1,12 +1,24 @@
 #pragma once
 
+#include "connection_pool.h"
 #include "lovagehold/entry_service.h"
 
 #include <atomic>
+#include <boost/asio/io_context.hpp>
 #include <mutex>
+#include <unordered_set>
 
 namespace lovagehold {
 
+/// State of one entry thread. Used on that thread only, but for the io_context.
+struct EntryWorker
+{
+  asio::io_context io{ 1 };
+  ConnectionPool pool;
+  /// Callers' connections that wait for a request.
+  std::unordered_set<beast::tcp_stream*> idle_callers;
+};
+
 /// State that all caller sessions of an entry service share.
 struct EntryContext
 {
@@ -18,12 +30,17 @@
   std::atomic<std::size_t> connections{ 0 };
   std::atomic<bool> draining{ false };
   std::atomic<std::uint64_t> next_request{ 1 };
+  /// Tells the request ids of this process from those of earlier ones on the host.
+  const std::int64_t started = std::chrono::system_clock::now().time_since_epoch().count();
 
-  EntryContext(EntryServiceOptions entry_options, EntryPorts entry_ports, EventLog& event_log)
+  EntryContext(EntryServiceOptions entry_options,
+               EntryPorts entry_ports,
+               EventLog& event_log,
+               ServiceTable::Probe probe)
     : options(std::move(entry_options))
     , ports(std::move(entry_ports))
     , log(event_log)
-    , table(std::size_t{ options.threads } * 4)
+    , table(std::size_t{ options.threads } * 4, std::move(probe))
   {
   }
 
--- a/src/libproxy/entry_service.cpp
+++ b/src/libproxy/entry_service.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_session.h"
 #include "lovagehold/address.h"
+#include "server_probe.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,13 +17,15 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{ 5 };
+constexpr std::chrono::milliseconds kAcceptPause{ 10 };
+constexpr std::chrono::seconds kPoolInterval{ 1 };
 
 } // namespace
 
 struct EntryService::Impl
 {
   std::shared_ptr<EntryContext> context;
-  std::vector<std::unique_ptr<asio::io_context>> contexts;
+  std::vector<std::unique_ptr<EntryWorker>> workers;
   std::vector<std::thread> threads;
   std::unique_ptr<tcp::acceptor> acceptor;
 
@@ -30,22 +33,32 @@
   {
     std::size_t next = 0;
     while (acceptor->is_open()) {
-      asio::io_context& target = *contexts[next++ % contexts.size()];
-      tcp::socket socket(target);
+      EntryWorker& worker = *workers[next++ % workers.size()];
+      tcp::socket socket(worker.io);
       boost::system::error_code error;
-      co_await acceptor->async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+      co_await acceptor->async_accept(socket, capture(error));
       if (error) {
-        continue;
+        // Descriptors may be exhausted; an immediate retry would spin.
+        asio::steady_timer pause(worker.io, kAcceptPause);
+        co_await pause.async_wait(capture(error));
+      } else {
+        serve(worker, std::move(socket));
       }
-      if (context->connections >= context->options.limits.connections) {
-        context->log.warn("connection_refused", { { "reason", "connection_limit" } });
-        continue;
-      }
-      ++context->connections;
-      asio::co_spawn(target, run_caller_session(context, std::move(socket)), asio::detached);
     }
   }
 
+  void serve(EntryWorker& worker, tcp::socket socket)
+  {
+    if (context->connections >= context->options.limits.connections) {
+      context->log.warn("connection_refused", { { "reason", "connection_limit" } });
+      asio::co_spawn(worker.io, reject_caller(std::move(socket)), asio::detached);
+      return;
+    }
+    ++context->connections;
+    asio::co_spawn(
+      worker.io, run_caller_session(context, worker, std::move(socket)), asio::detached);
+  }
+
   awaitable<void> tick_loop()
   {
     asio::steady_timer timer(co_await asio::this_coro::executor);
@@ -55,12 +68,50 @@
       context->table.tick(Clock::now());
     }
   }
+
+  static awaitable<void> expire_loop(EntryWorker& worker)
+  {
+    asio::steady_timer timer(worker.io);
+    while (true) {
+      timer.expires_after(kPoolInterval);
+      co_await timer.async_wait(asio::use_awaitable);
+      worker.pool.expire(Clock::now());
+    }
+  }
+
+  void probe(const ServiceName& service, const SendProbe& probe)
+  {
+    if (!workers.empty()) {
+      asio::co_spawn(workers.front()->io, probe_server(context, service, probe), asio::detached);
+    }
+  }
+
+  void close_idle_callers()
+  {
+    for (const auto& worker : workers) {
+      asio::post(worker->io, [&worker = *worker] {
+        for (beast::tcp_stream* caller : worker.idle_callers) {
+          caller->cancel();
+        }
+      });
+    }
+  }
 };
 
 EntryService::EntryService(EntryServiceOptions options, EntryPorts ports, EventLog& log)
   : m_impl(std::make_unique<Impl>())
 {
-  m_impl->context = std::make_shared<EntryContext>(std::move(options), std::move(ports), log);
+  const unsigned threads = std::max(options.threads, 1U);
+  m_impl->context = std::make_shared<EntryContext>(
+    std::move(options),
+    std::move(ports),
+    log,
+    [impl = m_impl.get()](const ServiceName& service, const SendProbe& probe) {
+      impl->probe(service, probe);
+    });
+  for (unsigned i = 0; i < threads; ++i) {
+    m_impl->workers.push_back(std::make_unique<EntryWorker>());
+  }
 }
 
 EntryService::~EntryService()
@@ -78,10 +129,7 @@
                   .message = "'" + options.caller_address + "' is no IP:port address",
                   .remedy = "correct listen.callers in the settings" };
   }
-  for (unsigned i = 0; i < std::max(options.threads, 1U); ++i) {
-    m_impl->contexts.push_back(std::make_unique<asio::io_context>(1));
-  }
-  m_impl->acceptor = std::make_unique<tcp::acceptor>(*m_impl->contexts.front());
+  m_impl->acceptor = std::make_unique<tcp::acceptor>(m_impl->workers.front()->io);
   boost::system::error_code error;
   m_impl->acceptor->open(endpoint->protocol(), error);
   m_impl->acceptor->set_option(tcp::acceptor::reuse_address(true), error);
@@ -94,12 +142,13 @@
                   .message = "can't listen on " + options.caller_address + ": " + error.message(),
                   .remedy = "stop the process that holds the address or change listen.callers" };
   }
-  asio::co_spawn(*m_impl->contexts.front(), m_impl->accept_loop(), asio::detached);
-  asio::co_spawn(*m_impl->contexts.front(), m_impl->tick_loop(), asio::detached);
-  for (const auto& io : m_impl->contexts) {
-    m_impl->threads.emplace_back([&io] {
-      const auto work = asio::make_work_guard(*io);
-      io->run();
+  asio::co_spawn(m_impl->workers.front()->io, m_impl->accept_loop(), asio::detached);
+  asio::co_spawn(m_impl->workers.front()->io, m_impl->tick_loop(), asio::detached);
+  for (const auto& worker : m_impl->workers) {
+    asio::co_spawn(worker->io, Impl::expire_loop(*worker), asio::detached);
+    m_impl->threads.emplace_back([&io = worker->io] {
+      const auto work = asio::make_work_guard(io);
+      io.run();
     });
   }
   return boost::outcome_v2::success();
@@ -132,10 +181,13 @@
 EntryService::drain()
 {
   m_impl->context->draining = true;
-  asio::post(*m_impl->contexts.front(), [this] {
+  asio::post(m_impl->workers.front()->io, [this] {
     boost::system::error_code ignored;
-    m_impl->acceptor->close(ignored);
+    if (m_impl->acceptor) {
+      m_impl->acceptor->close(ignored);
+    }
   });
+  m_impl->close_idle_callers();
 }
 
 std::size_t
@@ -147,8 +199,8 @@
 void
 EntryService::stop()
 {
-  for (const auto& io : m_impl->contexts) {
-    io->stop();
+  for (const auto& worker : m_impl->workers) {
+    worker->io.stop();
   }
   for (std::thread& thread : m_impl->threads) {
     thread.join();
--- a/src/libproxy/http_types.h
+++ b/src/libproxy/http_types.h
@@ -1,12 +1,16 @@
 #pragma once
 
+// Boost 1.74 uses std::exchange in awaitable.hpp without including its header.
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <string>
-#include <utility>
-
-#include <boost/asio/awaitable.hpp>
 
 namespace lovagehold {
 
@@ -18,19 +22,32 @@
 using asio::ip::tcp;
 using StringRequest = http::request<http::string_body>;
 using StringResponse = http::response<http::string_body>;
+using RequestParser = http::request_parser<http::buffer_body>;
+using ResponseParser = http::response_parser<http::buffer_body>;
 
 inline constexpr char kServiceHeader[] = "Lovagehold-Service";
 inline constexpr char kOutcomeHeader[] = "Lovagehold-Outcome";
 inline constexpr char kRelayedHeader[] = "Lovagehold-Relayed";
 inline constexpr char kDeadlineHeader[] = "Lovagehold-Deadline-Ms";
 inline constexpr char kRetriesHeader[] = "Lovagehold-Retries-Left";
+inline constexpr char kRequestIdHeader[] = "Lovagehold-Request-Id";
 inline constexpr char kKeyHeader[] = "Idempotency-Key";
 inline constexpr char kLocalPrefix[] = "/.lovagehold/";
 
 /// Largest request body that is held in memory, so that it can be sent again or be digested.
 inline constexpr std::size_t kBufferedBodyBytes = std::size_t{ 1 } << 20;
 
-/// Answers that are kept with the outcome of a key have at most this body.
+/// Responses that are kept with the outcome of a key have at most this body.
 inline constexpr std::size_t kStoredBodyBytes = std::size_t{ 64 } << 10;
 
+/// Buffer of a body that is streamed, per direction.
+inline constexpr std::size_t kChunkBytes = std::size_t{ 64 } << 10;
+
+/// \return a completion token that stores the error instead of throwing it.
+inline auto
+capture(boost::system::error_code& error)
+{
+  return asio::redirect_error(asio::use_awaitable, error);
+}
+
 } // namespace lovagehold
--- a/src/libproxy/local_routes.cpp
+++ b/src/libproxy/local_routes.cpp
@@ -56,6 +56,12 @@
   for (const HostInfo& home : route->second.homes) {
     addresses.push_back(home.caller_address);
   }
+  if (addresses.empty()) {
+    return make_error(request,
+                      http::status::service_unavailable,
+                      "no entry host serves '" + service + "' now",
+                      "ask again in a second");
+  }
   return make_json(request,
                    http::status::ok,
                    { { "service", service },
@@ -134,26 +140,66 @@
   co_return make_json(request, http::status::ok, { { "left", id } });
 }
 
-StringResponse
+// Waits for a result that a port delivers on another thread.
+template<class T>
+class PortResult : public std::enable_shared_from_this<PortResult<T>>
+{
+public:
+  explicit PortResult(const asio::any_io_executor& executor)
+    : m_signal(executor, TimePoint::max())
+  {
+  }
+
+  void deliver(T result)
+  {
+    asio::post(m_signal.get_executor(),
+               [self = this->shared_from_this(), result = std::move(result)]() mutable {
+                 self->m_result.emplace(std::move(result));
+                 self->m_signal.cancel();
+               });
+  }
+
+  awaitable<T> wait()
+  {
+    while (!m_result) {
+      boost::system::error_code ignored;
+      co_await m_signal.async_wait(capture(ignored));
+    }
+    co_return std::move(*m_result);
+  }
+
+private:
+  asio::steady_timer m_signal;
+  std::optional<T> m_result;
+};
+
+awaitable<StringResponse>
 answer_key(EntryContext& context, const StringRequest& request, const std::string& path)
 {
   const std::size_t slash = path.find('/');
   const std::string service = path.substr(0, slash);
   const std::string key = slash == std::string::npos ? "" : path.substr(slash + 1);
-  const auto status = context.ports.key_status(service, key);
+  const auto executor = co_await asio::this_coro::executor;
+  const auto result = std::make_shared<PortResult<std::optional<KeyStatus>>>(executor);
+  context.ports.key_status(service, key, [result](std::optional<KeyStatus> status) {
+    result->deliver(std::move(status));
+  });
+  const auto status = co_await result->wait();
   if (!status) {
-    return make_json(request, http::status::ok, { { "key", key }, { "outcome", "not-run" } });
+    // The claim may be on its way to this host, so this is no proof that the request did not run.
+    co_return make_error(request,
+                         http::status::not_found,
+                         "no claim on the key is known on this host",
+                         "send the request again under the same key; it runs at most once");
   }
+  json body = { { "key", key }, { "outcome", "in-progress" } };
   if (status->status == ClaimStatus::Done) {
-    return make_json(
-      request,
-      http::status::ok,
-      { { "key", key }, { "outcome", "done" }, { "status", status->answer->status } });
+    body["outcome"] = "done";
+    body["status"] = status->answer ? status->answer->status : 0;
+  } else if (status->status == ClaimStatus::Unknown) {
+    body["outcome"] = "unknown";
   }
-  const bool unknown = status->status == ClaimStatus::Unknown;
-  return make_json(request,
-                   http::status::ok,
-                   { { "key", key }, { "outcome", unknown ? "unknown" : "in-progress" } });
+  co_return make_json(request, http::status::ok, body);
 }
 
 } // namespace
@@ -173,31 +219,23 @@
   return response;
 }
 
+StringResponse
+make_fault(const StringRequest& request, const RequestFault& fault)
+{
+  StringResponse response = make_error(request, fault.status, fault.error, fault.remedy, "not-run");
+  response.keep_alive(false);
+  return response;
+}
+
 awaitable<Result<ApplyResult>>
 propose(EntryContext& context, const Command& command)
 {
-  struct Wait
-  {
-    explicit Wait(const asio::any_io_executor& executor)
-      : signal(executor, TimePoint::max())
-    {
-    }
-    asio::steady_timer signal;
-    std::optional<Result<ApplyResult>> result;
-  };
   const auto executor = co_await asio::this_coro::executor;
-  const auto wait = std::make_shared<Wait>(executor);
-  context.ports.propose(command, [wait, executor](Result<ApplyResult> result) {
-    asio::post(executor, [wait, result = std::move(result)]() mutable {
-      wait->result.emplace(std::move(result));
-      wait->signal.cancel();
-    });
-  });
-  while (!wait->result) {
-    boost::system::error_code ignored;
-    co_await wait->signal.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-  }
-  co_return std::move(*wait->result);
+  const auto wait = std::make_shared<PortResult<Result<ApplyResult>>>(executor);
+  context.ports.propose(command,
+                        [wait](Result<ApplyResult> result) { wait->deliver(std::move(result)); });
+  Result<ApplyResult> result = co_await wait->wait();
+  co_return result;
 }
 
 awaitable<StringResponse>
@@ -216,7 +254,7 @@
     co_return co_await answer_leave(context, request, path.substr(8));
   }
   if (path.rfind("keys/", 0) == 0 && request.method() == http::verb::get) {
-    co_return answer_key(context, request, path.substr(5));
+    co_return co_await answer_key(context, request, path.substr(5));
   }
   co_return make_error(request,
                        http::status::not_found,
--- a/src/libproxy/local_routes.h
+++ b/src/libproxy/local_routes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry_context.h"
+#include "framing.h"
 #include "http_types.h"
 
 namespace lovagehold {
@@ -17,6 +18,9 @@
                           const std::string& remedy,
                           const std::string& outcome = "");
 
+/// \return the response to a request that is not valid; it ends the connection.
+StringResponse make_fault(const StringRequest& request, const RequestFault& fault);
+
 /// Waits for the result of a proposal.
 /// \param command must outlive the call. It is a reference to a named variable of the caller,
 /// because g++ 12 destroys aggregate temporaries inside a co_await expression twice.
--- /dev/null
+++ b/src/libproxy/read_limit.cpp
@@ -0,0 +1,43 @@
+#include "read_limit.h"
+
+namespace lovagehold {
+
+ReadLimit::ReadLimit(beast::tcp_stream& caller)
+  : m_timer(caller.get_executor())
+  , m_state(std::make_shared<State>())
+{
+  m_state->caller = &caller;
+}
+
+ReadLimit::~ReadLimit()
+{
+  ++m_state->generation;
+}
+
+void
+ReadLimit::arm(TimePoint deadline)
+{
+  m_state->expired = false;
+  m_state->caller->expires_never();
+  m_timer.expires_at(deadline);
+  const auto on_timer = [state = m_state, generation = ++m_state->generation](auto error) {
+    // A timer that already expired can't be cancelled, so the generation decides.
+    if (!error && state->generation == generation) {
+      state->expired = true;
+      state->caller->cancel();
+    }
+  };
+  m_timer.async_wait(on_timer);
+}
+
+void
+ReadLimit::disarm(boost::system::error_code& error)
+{
+  ++m_state->generation;
+  m_timer.cancel();
+  if (m_state->expired && error == asio::error::operation_aborted) {
+    error = beast::error::timeout;
+  }
+}
+
+} // namespace lovagehold
--- a/src/libproxy/service_table.cpp
+++ b/src/libproxy/service_table.cpp
@@ -1,6 +1,7 @@
 #include "lovagehold/service_table.h"
 
 #include <atomic>
+#include <map>
 #include <set>
 #include <xxhash.h>
 
@@ -10,8 +11,10 @@
 {
   ServiceName name;
   Dispatcher dispatcher;
-  std::set<ServerId> servers;
+  std::map<ServerId, ServerInfo> servers;
   std::unordered_map<RequestId, Deliver> requests;
+  /// Requests of the attempts that have not been completed.
+  std::unordered_map<AttemptId, RequestId> attempts;
   RequestId next_request = 1;
 };
 
@@ -37,6 +40,18 @@
   return *m_shards[XXH64(service.data(), service.size(), 0) % m_shards.size()];
 }
 
+void
+ServiceTable::deliver_to(Entry& entry,
+                         RequestId request,
+                         const Action& action,
+                         Deliveries& deliveries)
+{
+  const auto found = entry.requests.find(request);
+  if (found != entry.requests.end()) {
+    deliveries.emplace_back(found->second, action);
+  }
+}
+
 void
 ServiceTable::collect(Entry& entry, const Actions& actions, Deliveries& deliveries) const
 {
@@ -50,18 +65,17 @@
       continue;
     }
     if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
-      // The attempt's request is not named; each request ignores attempts that are not its own.
-      for (const auto& [id, deliver] : entry.requests) {
-        deliveries.emplace_back(deliver, *cancel);
+      const auto attempt = entry.attempts.find(cancel->attempt);
+      if (attempt != entry.attempts.end()) {
+        deliver_to(entry, attempt->second, action, deliveries);
       }
       continue;
     }
-    const RequestId request = std::holds_alternative<StartAttempt>(action)
-                                ? std::get<StartAttempt>(action).request
-                                : std::get<RejectRequest>(action).request;
-    const auto found = entry.requests.find(request);
-    if (found != entry.requests.end()) {
-      deliveries.emplace_back(found->second, action);
+    if (const auto* start = std::get_if<StartAttempt>(&action)) {
+      entry.attempts[start->attempt] = start->request;
+      deliver_to(entry, start->request, action, deliveries);
+    } else {
+      deliver_to(entry, std::get<RejectRequest>(action).request, action, deliveries);
     }
   }
 }
@@ -95,7 +109,8 @@
     Shard& shard = shard_of(options.service);
     const std::lock_guard<std::mutex> lock(shard.mutex);
     if (shard.entries.find(options.service) == shard.entries.end()) {
-      shard.entries.emplace(options.service, Entry{ options.service, Dispatcher(options), {}, {} });
+      shard.entries.emplace(options.service,
+                            Entry{ options.service, Dispatcher(options), {}, {}, {} });
     }
   }
   change(options.service, [&](Entry& entry) {
@@ -106,16 +121,18 @@
     std::set<ServerId> current;
     for (const ServerInfo& server : servers) {
       current.insert(server.id);
-      if (entry.servers.insert(server.id).second) {
+      const auto known = entry.servers.find(server.id);
+      if (known == entry.servers.end() || !(known->second == server)) {
+        entry.servers[server.id] = server;
         add(entry.dispatcher.set_server(server, now));
       }
     }
     for (auto known = entry.servers.begin(); known != entry.servers.end();) {
-      if (current.count(*known) > 0) {
+      if (current.count(known->first) > 0) {
         ++known;
         continue;
       }
-      add(entry.dispatcher.remove_server(*known, now));
+      add(entry.dispatcher.remove_server(known->first, now));
       known = entry.servers.erase(known);
     }
     return actions;
@@ -159,7 +176,10 @@
                        const AttemptResult& result,
                        TimePoint now)
 {
-  change(service, [&](Entry& entry) { return entry.dispatcher.complete(attempt, result, now); });
+  change(service, [&](Entry& entry) {
+    entry.attempts.erase(attempt);
+    return entry.dispatcher.complete(attempt, result, now);
+  });
 }
 
 void
--- /dev/null
+++ b/src/libproxy/upload_source.cpp
@@ -0,0 +1,101 @@
+#include "upload_source.h"
+
+#include <boost/asio/write.hpp>
+
+namespace lovagehold {
+
+UploadSource::UploadSource(beast::tcp_stream& caller,
+                           ReadLimit& limit,
+                           beast::flat_buffer& buffer,
+                           RequestParser& parser,
+                           const CallerLimits& limits,
+                           bool expects_continue)
+  : m_caller(caller)
+  , m_read_limit(limit)
+  , m_buffer(buffer)
+  , m_parser(parser)
+  , m_limits(limits)
+  , m_expects_continue(expects_continue)
+{
+}
+
+awaitable<void>
+UploadSource::send_continue()
+{
+  m_expects_continue = false;
+  // A caller that has already sent a part of the body does not wait.
+  if (m_buffer.size() > 0) {
+    co_return;
+  }
+  const std::string_view line = "HTTP/1.1 100 Continue\r\n\r\n";
+  m_caller.expires_after(m_limits.body_idle);
+  co_await asio::async_write(m_caller, asio::buffer(line), capture(m_error));
+}
+
+// Bounds both a pause and the average rate, so that a trickle of bytes does not hold a server's
+// slot.
+TimePoint
+UploadSource::read_deadline() const
+{
+  const auto earned = std::chrono::milliseconds(m_received * 1000 / m_limits.body_bytes_per_second);
+  return std::min(Clock::now() + m_limits.body_idle, *m_started + m_limits.body_idle + earned);
+}
+
+awaitable<std::string_view>
+UploadSource::read()
+{
+  if (m_error == asio::error::operation_aborted) {
+    m_error = {};
+  }
+  if (m_expects_continue && !done()) {
+    co_await send_continue();
+  }
+  if (!m_started) {
+    m_started = Clock::now();
+  }
+  m_chunk.resize(kChunkBytes);
+  std::size_t size = 0;
+  while (!m_error && size == 0 && !m_parser.is_done()) {
+    m_parser.get().body().data = m_chunk.data();
+    m_parser.get().body().size = m_chunk.size();
+    m_read_limit.arm(read_deadline());
+    co_await http::async_read_some(m_caller, m_buffer, m_parser, capture(m_error));
+    m_read_limit.disarm(m_error);
+    if (m_error == http::error::need_buffer) {
+      m_error = {};
+    }
+    size = m_chunk.size() - m_parser.get().body().size;
+  }
+  m_received += size;
+  if (m_received <= kBufferedBodyBytes) {
+    m_kept.append(m_chunk.data(), size);
+  } else {
+    m_kept.clear();
+  }
+  co_return std::string_view(m_chunk.data(), size);
+}
+
+awaitable<bool>
+UploadSource::read_all()
+{
+  while (!done() && !m_error && replayable()) {
+    co_await read();
+  }
+  co_return done() && replayable() && !m_error;
+}
+
+bool
+UploadSource::caller_left() const
+{
+  return m_error == asio::error::eof || m_error == asio::error::connection_reset ||
+         m_error == asio::error::broken_pipe || m_error == http::error::partial_message ||
+         m_error == http::error::end_of_stream;
+}
+
+void
+UploadSource::interrupt()
+{
+  m_caller.cancel();
+}
+
+} // namespace lovagehold
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -91,8 +91,10 @@
   ports.send_renewal = [this](const HostInfo& owner, const ServerRenewal& renewal) {
     m_transport->send(owner.cluster_address, encode(ClusterMessage(renewal)));
   };
-  ports.key_status = [](const ServiceName&, const std::string&) {
-    return std::optional<KeyStatus>();
+  ports.key_status = [this](const ServiceName& service, const std::string& key, auto answer) {
+    boost::asio::post(m_context, [this, service, key, answer = std::move(answer)] {
+      answer(m_client->state().key_status(service, key));
+    });
   };
   m_entry =
     std::make_unique<EntryService>(EntryServiceOptions{ .self = m_settings.host,
