Test tools: stand-in server and load driver in modules, with failure modes and checks

The stand-in answered after a fixed time and the driver measured one service over one connection per request, so that mismatched responses, doubled runs and failures could not be seen.

The driver verifies the content of each response, keeps connections, re-asks for addresses, retries at the next address, and writes a report and a record per request.

--- a/src/teststand/load_driver.cpp
+++ b/src/teststand/load_driver.cpp
@@ -1,150 +1,136 @@
-#include "libproxy/http_types.h"
-#include "lovagehold/address.h"
-#include "lovagehold/types.h"
+#include "driver_call.h"
 
-#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <cstdio>
 #include <iostream>
-#include <nlohmann/json.hpp>
 #include <random>
 #include <tclap/CmdLine.h>
 
 // Sends requests at open-loop (Poisson) arrival times to the addresses that an entry host names,
-// and prints count, median, p99 and failures.
+// and prints count, median, p99 and failures of each stream.
 namespace lovagehold {
 namespace {
 
-using nlohmann::json;
-
-struct DriverOptions
-{
-  std::string entry;
-  std::string service;
-  std::string method = "GET";
-  std::string target = "/";
-  unsigned count = 100;
-  double rate = 100;
-  unsigned key_repeats = 0;
-  std::uint64_t seed = 1;
-};
-
-struct Driver
-{
-  DriverOptions options;
-  std::vector<std::string> addresses;
-  std::vector<double> millis;
-  unsigned failures = 0;
-  unsigned ended = 0;
-};
-
-auto
-capture(boost::system::error_code& error)
+class Driver
 {
-  return asio::redirect_error(asio::use_awaitable, error);
-}
+public:
+  explicit Driver(const DriverOptions& options)
+    : m_options(options)
+    , m_book(options)
+  {
+    for (const StreamOptions& stream : options.streams) {
+      m_reports.emplace_back(stream);
+    }
+    if (!options.records_file.empty()) {
+      m_records.open(options.records_file);
+    }
+  }
 
-awaitable<std::optional<StringResponse>>
-call(std::string address, StringRequest request)
-{
-  const auto endpoint = parse_endpoint(address);
-  beast::tcp_stream stream(co_await asio::this_coro::executor);
-  boost::system::error_code error;
-  stream.expires_after(std::chrono::seconds(10));
-  co_await stream.async_connect(*endpoint, capture(error));
-  beast::flat_buffer buffer;
-  StringResponse response;
-  if (!error) {
-    stream.socket().set_option(tcp::no_delay(true), error);
-    co_await http::async_write(stream, request, capture(error));
+  int run()
+  {
+    const TimePoint end = Clock::now() + m_options.time_limit;
+    for (std::size_t i = 0; i < m_options.streams.size(); ++i) {
+      asio::co_spawn(m_context, send_stream(i, end), asio::detached);
+    }
+    m_context.run_until(end + m_options.request_timeout);
+    unsigned failures = 0;
+    nlohmann::json all = nlohmann::json::array();
+    for (std::size_t i = 0; i < m_reports.size(); ++i) {
+      std::cout << m_reports[i].line() << "\n";
+      all.push_back(m_reports[i].json());
+      failures += m_reports[i].failures();
+    }
+    if (!m_options.report_file.empty()) {
+      std::ofstream(m_options.report_file) << all.dump(1) << "\n";
+    }
+    const bool all_ended = m_ended == m_started;
+    return failures <= m_options.allowed_failures && all_ended ? 0 : 1;
   }
-  if (!error) {
-    co_await http::async_read(stream, buffer, response, capture(error));
+
+private:
+  CallPlan make_plan(const StreamOptions& stream, unsigned number) const
+  {
+    CallPlan plan{ .stream = &stream, .body_bytes = stream.upload_bytes };
+    const std::string prefix = stream.service + "-" + std::to_string(m_options.seed) + "-";
+    if (stream.key_repeats > 0) {
+      // All requests with a key are the same request, so they share its id.
+      plan.key = prefix + "key-" + std::to_string(number / stream.key_repeats);
+      plan.id = plan.key;
+      plan.body_bytes = std::max<std::uint64_t>(plan.body_bytes, kKeyedBodyBytes);
+    } else {
+      plan.id = prefix + stream.method + "-" + std::to_string(number);
+    }
+    plan.content_seed = plan.id;
+    return plan;
   }
-  co_return error ? std::nullopt : std::optional<StringResponse>(std::move(response));
-}
 
-awaitable<void>
-run_one(Driver& driver, unsigned number)
-{
-  StringRequest request;
-  request.method_string(driver.options.method);
-  request.target(driver.options.target);
-  request.version(11);
-  request.set(http::field::host, driver.options.service);
-  request.set(kServiceHeader, driver.options.service);
-  if (driver.options.key_repeats > 0) {
-    const unsigned key = number / driver.options.key_repeats;
-    request.set(kKeyHeader,
-                "key-" + std::to_string(driver.options.seed) + "-" + std::to_string(key));
-    request.body() = "body " + std::to_string(key);
+  awaitable<void> send_stream(std::size_t index, TimePoint end)
+  {
+    const StreamOptions& stream = m_options.streams[index];
+    std::mt19937_64 random(m_options.seed + index);
+    std::exponential_distribution<double> gap(stream.rate);
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor, Clock::now());
+    for (unsigned i = 0; i < stream.count && Clock::now() < end; ++i) {
+      const TimePoint arrival = timer.expiry() + std::chrono::duration_cast<Duration>(
+                                                   std::chrono::duration<double>(gap(random)));
+      timer.expires_at(arrival);
+      co_await timer.async_wait(asio::use_awaitable);
+      ++m_started;
+      asio::co_spawn(executor, send_one(index, i, arrival), asio::detached);
+    }
   }
-  request.prepare_payload();
-  const TimePoint start = Clock::now();
-  const auto response = co_await call(driver.addresses.front(), request);
-  const bool good = response && (response->result_int() < 400 ||
-                                 (driver.options.key_repeats > 1 && response->result_int() == 409));
-  driver.failures += good ? 0 : 1;
-  driver.millis.push_back(std::chrono::duration<double, std::milli>(Clock::now() - start).count());
-  ++driver.ended;
-}
 
-awaitable<void>
-drive(Driver& driver)
-{
-  StringRequest where(http::verb::get, "/.lovagehold/where?service=" + driver.options.service, 11);
-  where.set(http::field::host, driver.options.entry);
-  const auto answer = co_await call(driver.options.entry, where);
-  if (!answer || answer->result() != http::status::ok) {
-    std::cerr << "load_driver: " << driver.options.entry << " does not name addresses for "
-              << driver.options.service << "\n";
-    driver.failures = driver.options.count;
-    co_return;
+  awaitable<void> send_one(std::size_t index, unsigned number, TimePoint arrival)
+  {
+    const StreamOptions& stream = m_options.streams[index];
+    const CallPlan plan = make_plan(stream, number);
+    CallRecord record{ .id = plan.id, .key = plan.key, .outcome = CallOutcome::Dropped };
+    if (m_started - m_ended <= m_options.in_flight_limit) {
+      CallRecord called = co_await run_call(m_options, m_book, m_pool, plan);
+      record = std::move(called);
+    }
+    record.elapsed = Clock::now() - arrival;
+    const bool repeat = stream.key_repeats > 1 && (record.outcome == CallOutcome::Stored ||
+                                                   record.outcome == CallOutcome::InProgress);
+    m_reports[index].add(record,
+                         record.outcome == CallOutcome::Ok || repeat ||
+                           (!plan.key.empty() && record.outcome == CallOutcome::Stored));
+    write(stream, record);
+    ++m_ended;
   }
-  driver.addresses = json::parse(answer->body()).at("addresses").get<std::vector<std::string>>();
-  std::mt19937_64 random(driver.options.seed);
-  std::exponential_distribution<double> gap(driver.options.rate);
-  const auto executor = co_await asio::this_coro::executor;
-  asio::steady_timer timer(executor, Clock::now());
-  for (unsigned i = 0; i < driver.options.count; ++i) {
-    timer.expires_at(timer.expiry() + std::chrono::duration_cast<Duration>(
-                                        std::chrono::duration<double>(gap(random))));
-    co_await timer.async_wait(asio::use_awaitable);
-    asio::co_spawn(executor, run_one(driver, i), asio::detached);
+
+  void write(const StreamOptions& stream, const CallRecord& record)
+  {
+    if (!m_records.is_open()) {
+      return;
+    }
+    const nlohmann::json line = {
+      { "service", stream.service },
+      { "id", record.id },
+      { "key", record.key },
+      { "digest", record.digest },
+      { "outcome", to_string(record.outcome) },
+      { "status", record.status },
+      { "attempts", record.attempts },
+      { "ms", std::chrono::duration<double, std::milli>(record.elapsed).count() }
+    };
+    m_records << line.dump() << "\n";
   }
-}
 
-double
-quantile(std::vector<double>& sorted, double share)
-{
-  return sorted.empty()
-           ? 0
-           : sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
-}
+  static constexpr std::uint64_t kKeyedBodyBytes = 64;
 
-int
-run(const DriverOptions& options)
-{
-  asio::io_context context(1);
-  Driver driver{ .options = options };
-  asio::co_spawn(context, drive(driver), asio::detached);
-  context.run();
-  std::sort(driver.millis.begin(), driver.millis.end());
-  std::printf("service=%s method=%s target=%s count=%u failures=%u median_ms=%.2f p99_ms=%.2f\n",
-              options.service.c_str(),
-              options.method.c_str(),
-              options.target.c_str(),
-              options.count,
-              driver.failures,
-              quantile(driver.millis, 0.5),
-              quantile(driver.millis, 0.99));
-  return driver.failures == 0 ? 0 : 1;
-}
+  const DriverOptions& m_options;
+  asio::io_context m_context{ 1 };
+  AddressBook m_book;
+  CallerPool m_pool;
+  std::vector<StreamReport> m_reports;
+  std::ofstream m_records;
+  unsigned m_started = 0;
+  unsigned m_ended = 0;
+};
 
 } // namespace
 } // namespace lovagehold
@@ -152,23 +138,50 @@
 int
 main(int argc, char** argv)
 {
+  using TCLAP::ValueArg;
+  using Text = ValueArg<std::string>;
+  using Number = ValueArg<unsigned>;
   TCLAP::CmdLine command("load_driver: bounded open-loop load on loopback");
-  TCLAP::ValueArg<std::string> entry("", "entry", "any entry host", true, "", "IP:port", command);
-  TCLAP::ValueArg<std::string> service("", "service", "service name", true, "", "name", command);
-  TCLAP::ValueArg<std::string> method("", "method", "HTTP method", false, "GET", "method", command);
-  TCLAP::ValueArg<std::string> target("", "target", "request target", false, "/", "path", command);
-  TCLAP::ValueArg<unsigned> count("", "count", "requests", false, 100, "n", command);
-  TCLAP::ValueArg<double> rate("", "rate", "requests a second", false, 100, "1/s", command);
-  TCLAP::ValueArg<unsigned> repeats(
-    "", "key-repeats", "send each idempotency key this many times", false, 0, "n", command);
-  TCLAP::ValueArg<std::uint64_t> seed("", "seed", "random seed", false, 1, "n", command);
+  TCLAP::MultiArg<std::string> entries("", "entry", "any entry host", false, "IP:port", command);
+  Text direct("", "direct", "send here instead", false, "", "IP:port", command);
+  TCLAP::MultiArg<std::string> streams(
+    "", "stream", "fields of a stream", false, "a=b,..", command);
+  Text service("", "service", "service name", false, "", "name", command);
+  Text method("", "method", "HTTP method", false, "GET", "method", command);
+  Text target("", "target", "request target", false, "/", "path", command);
+  Number count("", "count", "requests", false, 100, "n", command);
+  ValueArg<double> rate("", "rate", "requests a second", false, 100, "1/s", command);
+  Number repeats("", "key-repeats", "send each key this many times", false, 0, "n", command);
+  Number retries("", "retries", "further attempts", false, 2, "n", command);
+  Number allowed("", "allow-failures", "failures accepted", false, 0, "n", command);
+  Number seconds("", "seconds", "time limit", false, 120, "s", command);
+  ValueArg<std::uint64_t> seed("", "seed", "random seed", false, 1, "n", command);
+  Text report("", "report", "JSON report", false, "", "file", command);
+  Text records("", "records", "one JSON line per request", false, "", "file", command);
   command.parse(argc, argv);
-  return lovagehold::run({ .entry = entry.getValue(),
-                           .service = service.getValue(),
-                           .method = method.getValue(),
-                           .target = target.getValue(),
-                           .count = count.getValue(),
-                           .rate = rate.getValue(),
-                           .key_repeats = repeats.getValue(),
-                           .seed = seed.getValue() });
+  lovagehold::DriverOptions options{ .entries = entries.getValue(),
+                                     .direct = direct.getValue(),
+                                     .retries = retries.getValue(),
+                                     .seed = seed.getValue(),
+                                     .time_limit = std::chrono::seconds(seconds.getValue()),
+                                     .report_file = report.getValue(),
+                                     .records_file = records.getValue(),
+                                     .allowed_failures = allowed.getValue() };
+  try {
+    for (const std::string& stream : streams.getValue()) {
+      options.streams.push_back(lovagehold::parse_stream(stream));
+    }
+  } catch (const std::exception& exception) {
+    std::cerr << "load_driver: " << exception.what() << "\n";
+    return 2;
+  }
+  if (!service.getValue().empty()) {
+    options.streams.push_back({ .service = service.getValue(),
+                                .method = method.getValue(),
+                                .target = target.getValue(),
+                                .count = count.getValue(),
+                                .rate = rate.getValue(),
+                                .key_repeats = repeats.getValue() });
+  }
+  return lovagehold::Driver(options).run();
 }
--- a/testsuite/demo/run.sh
+++ b/testsuite/demo/run.sh
@@ -48,7 +48,7 @@
 
 count_runs() { # count_runs FIELD: sum over the servers of stem-ledger
   local total=0 i
-  for i in 1 2; do total=$((total + $(get "http://$NET.2.$i:8002/standin/report" | json_field "d['$1']"))); done
+  for i in 1 2; do total=$((total + $(get "http://$NET.2.$i:9002/standin/report" | json_field "d['$1']"))); done
   echo "$total"
 }
 check "each of the 50 keys ran once" test "$(count_runs ran) $(count_runs keys) $(count_runs doubled)" = "50 50 0"
