Test framing, outcomes, failures and shutdown

Nothing tested the request path under failure.

Responses made by lovagehold carry Lovagehold-Request-Id, so that a claim of 'not run' can be checked against the servers' journals. A request that was queued when the host gave up its service is relayed to the new owner.

--- /dev/null
+++ b/src/libproxy/entry_fixture.h
@@ -0,0 +1,218 @@
+#pragma once
+
+#include "lovagehold/entry_service.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace lovagehold {
+
+using TestSocket = boost::asio::ip::tcp::socket;
+
+/// An address on the loopback network of this test run.
+inline boost::asio::ip::tcp::endpoint
+test_endpoint(const std::string& host, unsigned short port)
+{
+  const char* net = std::getenv("LOVAGEHOLD_TEST_NET");
+  const std::string address = std::string(net == nullptr ? "127.10" : net) + host;
+  return { boost::asio::ip::make_address(address), port };
+}
+
+/// Reads end with an error after a time, so that a fault ends the test instead of blocking it.
+inline void
+bound_reads(TestSocket& socket)
+{
+  const timeval limit{ .tv_sec = 10, .tv_usec = 0 };
+  ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+}
+
+/// \return all bytes up to the end of the connection; nothing if the peer does not close it.
+inline std::optional<std::string>
+read_to_close(TestSocket& socket)
+{
+  std::string all;
+  std::array<char, 4096> piece{};
+  while (true) {
+    const auto received = ::recv(socket.native_handle(), piece.data(), piece.size(), 0);
+    if (received < 0 && errno != ECONNRESET) {
+      return std::nullopt;
+    }
+    if (received <= 0) {
+      return all;
+    }
+    all.append(piece.data(), static_cast<std::size_t>(received));
+  }
+}
+
+/// A server that reads one request header per connection, sends fixed bytes and closes.
+class FixedServer
+{
+public:
+  explicit FixedServer(unsigned short port)
+    : m_acceptor(m_context, test_endpoint(".9.2", port))
+    , m_thread([this] { serve(); })
+  {
+  }
+
+  ~FixedServer()
+  {
+    m_stopping = true;
+    TestSocket wake(m_context);
+    boost::system::error_code ignored;
+    wake.connect(m_acceptor.local_endpoint(), ignored);
+    // The thread reads from this connection until it ends.
+    wake.close(ignored);
+    m_thread.join();
+  }
+
+  void respond_with(std::string bytes)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_response = std::move(bytes);
+  }
+
+  /// Reads on after the header and sends nothing.
+  void hold() { m_hold = true; }
+
+  unsigned requests() const { return m_requests; }
+
+private:
+  void serve()
+  {
+    while (!m_stopping) {
+      TestSocket socket(m_context);
+      boost::system::error_code error;
+      m_acceptor.accept(socket, error);
+      bound_reads(socket);
+      std::string request;
+      boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", error);
+      if (!error) {
+        ++m_requests;
+        if (m_hold) {
+          read_to_close(socket);
+          continue;
+        }
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        boost::asio::write(socket, boost::asio::buffer(m_response), error);
+      }
+    }
+  }
+
+  boost::asio::io_context m_context;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  std::mutex m_mutex;
+  std::string m_response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  std::atomic<unsigned> m_requests{ 0 };
+  std::atomic<bool> m_stopping{ false };
+  std::atomic<bool> m_hold{ false };
+  std::thread m_thread;
+};
+
+/// An entry service with one service "desk" of one server, and fakes at its ports.
+class EntryFixture
+{
+public:
+  explicit EntryFixture(unsigned short port)
+    : m_port(port)
+    , m_log({ .host = "host-1", .level = "error" })
+    , m_server(std::make_unique<FixedServer>(port))
+    , m_entry(EntryServiceOptions{ .self = "host-1",
+                                   .caller_address = text(test_endpoint(".9.1", port)),
+                                   .threads = 1,
+                                   .limits = { .header_timeout = std::chrono::milliseconds(500),
+                                               .body_idle = std::chrono::milliseconds(500) } },
+              make_ports(),
+              m_log)
+  {
+    set_share(SlotShare::Full);
+    EXPECT_TRUE(m_entry.start().has_value());
+  }
+
+  /// Replaces the view. The server counts as renewed.
+  void set_share(SlotShare share)
+  {
+    const RequestKind read{ .name = "read", .methods = { "GET", "HEAD", "PUT" } };
+    const RequestKind post{ .name = "post",
+                            .request_class = RequestClass::NonIdempotent,
+                            .methods = { "POST" },
+                            .idempotent = false };
+    auto view = std::make_shared<RoutingView>();
+    view->self = "host-1";
+    view->routes["desk"] = { .declaration = { .name = "desk", .kinds = { read, post } },
+                             .homes = { { .id = "host-1" } },
+                             .servers = { { .service = "desk",
+                                            .id = "server-1",
+                                            .address = text(test_endpoint(".9.2", m_port)) } },
+                             .share = share };
+    m_entry.update(view, Clock::now());
+    renew();
+  }
+
+  void renew()
+  {
+    const ServerRenewal renewal{ .service = "desk", .id = "server-1" };
+    m_entry.renew(renewal, Clock::now());
+  }
+
+  /// Sends the bytes on a connection of their own. \return all bytes received until the entry
+  /// service closed it; nothing if it did not.
+  std::optional<std::string> send(const std::string& bytes)
+  {
+    renew();
+    boost::asio::io_context context;
+    TestSocket socket(context);
+    socket.connect(test_endpoint(".9.1", m_port));
+    bound_reads(socket);
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+    return read_to_close(socket);
+  }
+
+  /// Handles a proposal; replaced by tests.
+  std::function<Result<ApplyResult>(const Command&)> on_propose = [](const Command&) {
+    return Result<ApplyResult>(ApplyResult{ .accepted = true });
+  };
+  std::vector<Command> proposed;
+  FixedServer& server() { return *m_server; }
+  void stop_server() { m_server.reset(); }
+
+private:
+  static std::string text(const boost::asio::ip::tcp::endpoint& endpoint)
+  {
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+  }
+
+  EntryPorts make_ports()
+  {
+    EntryPorts ports;
+    ports.propose = [this](const Command& command, const auto& answer) {
+      proposed.push_back(command);
+      answer(on_propose(command));
+    };
+    ports.send_renewal = [](const HostInfo&, const ServerRenewal&) {};
+    ports.key_status = [](const ServiceName&, const std::string&, const auto& answer) {
+      answer(std::nullopt);
+    };
+    return ports;
+  }
+
+  unsigned short m_port;
+  EventLog m_log;
+  std::unique_ptr<FixedServer> m_server;
+  EntryService m_entry;
+};
+
+/// \return the status code of the first response; 0 if there is none.
+inline int
+status_of(const std::string& bytes)
+{
+  return bytes.rfind("HTTP/1.1 ", 0) == 0 ? std::atoi(bytes.c_str() + 9) : 0;
+}
+
+} // namespace lovagehold
--- a/src/libproxy/owned_request.cpp
+++ b/src/libproxy/owned_request.cpp
@@ -76,7 +76,7 @@
 bool
 OwnedRequest::decided() const
 {
-  if (m_winner || m_answer) {
+  if (m_winner || m_answer || m_moved) {
     return true;
   }
   // A non-idempotent attempt runs to its end without its caller, so that its outcome is recorded.
@@ -146,7 +146,10 @@
 void
 OwnedRequest::reject(const RejectRequest& reject)
 {
-  if (m_fallback) {
+  if (reject.reason == RejectReason::NotOwner && m_attempts_started == 0 &&
+      m_exchange.upload.replayable()) {
+    m_moved = true;
+  } else if (m_fallback) {
     m_winner = m_fallback;
   } else if (m_exchange.non_idempotent() && !m_running.empty()) {
     // The end of the attempt tells whether it ran.
--- a/src/libproxy/owned_request.h
+++ b/src/libproxy/owned_request.h
@@ -17,6 +17,10 @@
 
   awaitable<SessionOutcome> run();
 
+  /// The host gave the service up before anything of the request was sent or claimed, so that the
+  /// new owner may serve it. Nothing was sent to the caller then.
+  bool moved() const { return m_moved; }
+
 private:
   struct Running
   {
@@ -64,6 +68,7 @@
   unsigned m_attempts_started = 0;
   bool m_may_have_run = false;
   bool m_caller_gone = false;
+  bool m_moved = false;
   bool m_finished = false;
 };
 
--- a/src/libproxy/request_router.cpp
+++ b/src/libproxy/request_router.cpp
@@ -124,6 +124,22 @@
   return response;
 }
 
+// The host gave the service up while the request was queued.
+awaitable<SessionOutcome>
+follow_owner(Exchange& exchange)
+{
+  auto refusal = find_route(exchange);
+  const bool elsewhere =
+    !refusal && exchange.route->homes.front().id != exchange.context.options.self;
+  if (elsewhere && exchange.request.count(kRelayedHeader) == 0) {
+    const SessionOutcome relayed = co_await relay_request(exchange);
+    co_return relayed;
+  }
+  StringResponse response = refusal ? std::move(*refusal) : make_not_owner(exchange);
+  const SessionOutcome sent = co_await send_response(exchange, std::move(response));
+  co_return sent;
+}
+
 awaitable<SessionOutcome>
 route_to_service(Exchange& exchange)
 {
@@ -139,7 +155,10 @@
   }
   const auto executor = co_await asio::this_coro::executor;
   OwnedRequest owned(exchange, executor);
-  const SessionOutcome served = co_await owned.run();
+  SessionOutcome served = co_await owned.run();
+  if (owned.moved()) {
+    served = co_await follow_owner(exchange);
+  }
   co_return served;
 }
 
--- a/src/libproxy/response_writer.cpp
+++ b/src/libproxy/response_writer.cpp
@@ -65,6 +65,7 @@
 {
   const bool keep = may_keep(exchange) && response.keep_alive();
   response.keep_alive(keep);
+  response.set(kRequestIdHeader, exchange.id);
   const std::string head = format_response_head(response.base());
   const std::string body =
     exchange.request.method() == http::verb::head ? std::string() : response.body();
--- a/src/libproxy/server_attempt.cpp
+++ b/src/libproxy/server_attempt.cpp
@@ -24,6 +24,7 @@
 ServerAttempt::ServerAttempt(AttemptOptions options, ConnectionPool& pool)
   : m_options(std::move(options))
   , m_pool(pool)
+  , m_response_deadline(m_options.deadline)
 {
 }
 
@@ -195,7 +196,8 @@
     m_options.on_uploaded();
   }
   if (!m_response_begun) {
-    connection->set_deadline(std::max(m_options.deadline, Clock::now() + m_options.response_time));
+    m_response_deadline = std::max(m_options.deadline, Clock::now() + m_options.response_time);
+    connection->set_deadline(m_response_deadline);
   }
 }
 
@@ -265,9 +267,8 @@
   const auto length = content_length();
   const bool small = length ? *length <= m_options.assemble_bytes : m_options.assemble_chunked;
   while (small && !m_parser->is_done() && m_assembled.size() <= m_options.assemble_bytes) {
-    const std::string_view piece = co_await read_body();
+    const std::string_view piece = co_await read_piece(m_response_deadline);
     if (m_error) {
-      fail();
       co_return;
     }
     m_assembled.append(piece);
@@ -277,6 +278,13 @@
 
 awaitable<std::string_view>
 ServerAttempt::read_body()
+{
+  const std::string_view piece = co_await read_piece(TimePoint::max());
+  co_return piece;
+}
+
+awaitable<std::string_view>
+ServerAttempt::read_piece(TimePoint deadline)
 {
   const auto connection = m_connection;
   m_chunk.resize(kChunkBytes);
@@ -284,7 +292,7 @@
   while (!m_error && size == 0 && !m_parser->is_done()) {
     m_parser->get().body().data = m_chunk.data();
     m_parser->get().body().size = m_chunk.size();
-    connection->set_deadline(Clock::now() + m_options.limits.stall);
+    connection->set_deadline(std::min(deadline, Clock::now() + m_options.limits.stall));
     co_await http::async_read_some(
       connection->socket, connection->buffer, *m_parser, capture(m_error));
     if (m_error == http::error::need_buffer) {
--- a/src/libproxy/server_attempt.h
+++ b/src/libproxy/server_attempt.h
@@ -84,6 +84,7 @@
   awaitable<boost::system::error_code> send_piece(std::string_view piece, bool chunked);
   awaitable<void> read_header();
   awaitable<void> assemble();
+  awaitable<std::string_view> read_piece(TimePoint deadline);
   bool retry_on_fresh_connection() const;
   void fail();
 
@@ -95,6 +96,8 @@
   std::string m_assembled;
   AttemptStatus m_status = AttemptStatus::Failed;
   TimePoint m_sent;
+  /// The response's header and a small body have to arrive by then.
+  TimePoint m_response_deadline;
   Duration m_service_time{};
   bool m_started = false;
   bool m_cancelled = false;
--- a/src/teststand/driver_call.cpp
+++ b/src/teststand/driver_call.cpp
@@ -130,6 +130,7 @@
     const StringResponse response = parser.release();
     record.status = response.result_int();
     record.outcome = classify(response);
+    record.request_id = std::string(response[kRequestIdHeader]);
     if (response.keep_alive() && m_sent) {
       m_pool.put(m_address, m_stream);
     } else {
--- a/src/teststand/driver_report.h
+++ b/src/teststand/driver_report.h
@@ -35,6 +35,8 @@
   std::string id;
   std::string key;
   std::string digest;
+  /// Id that the entry host states in responses of its own.
+  std::string request_id;
   CallOutcome outcome = CallOutcome::NoResponse;
   unsigned status = 0;
   unsigned attempts = 0;
--- a/src/teststand/load_driver.cpp
+++ b/src/teststand/load_driver.cpp
@@ -50,10 +50,12 @@
   }
 
 private:
-  CallPlan make_plan(const StreamOptions& stream, unsigned number) const
+  CallPlan make_plan(std::size_t index, unsigned number) const
   {
+    const StreamOptions& stream = m_options.streams[index];
     CallPlan plan{ .stream = &stream, .body_bytes = stream.upload_bytes };
-    const std::string prefix = stream.service + "-" + std::to_string(m_options.seed) + "-";
+    const std::string prefix =
+      stream.service + "-" + std::to_string(m_options.seed) + "-" + std::to_string(index) + "-";
     if (stream.key_repeats > 0) {
       // All requests with a key are the same request, so they share its id.
       plan.key = prefix + "key-" + std::to_string(number / stream.key_repeats);
@@ -86,7 +88,7 @@
   awaitable<void> send_one(std::size_t index, unsigned number, TimePoint arrival)
   {
     const StreamOptions& stream = m_options.streams[index];
-    const CallPlan plan = make_plan(stream, number);
+    const CallPlan plan = make_plan(index, number);
     CallRecord record{ .id = plan.id, .key = plan.key, .outcome = CallOutcome::Dropped };
     if (m_started - m_ended <= m_options.in_flight_limit) {
       CallRecord called = co_await run_call(m_options, m_book, m_pool, plan);
@@ -112,6 +114,7 @@
       { "id", record.id },
       { "key", record.key },
       { "digest", record.digest },
+      { "request_id", record.request_id },
       { "outcome", to_string(record.outcome) },
       { "status", record.status },
       { "attempts", record.attempts },
--- a/src/teststand/standin_server.cpp
+++ b/src/teststand/standin_server.cpp
@@ -80,6 +80,7 @@
   ValueArg<unsigned> lag("", "lag-ms", "age of the load page", false, 500, "ms", command);
   ValueArg<unsigned> accept(
     "", "accept-us", "time to open a connection", false, 1000, "us", command);
+  ValueArg<std::string> journal("", "journal", "file of runs", false, "", "file", command);
   command.parse(argc, argv);
   return lovagehold::run({ .service = service.getValue(),
                            .id = id.getValue(),
@@ -90,5 +91,6 @@
                            .seed = seed.getValue(),
                            .accept_time = std::chrono::microseconds(accept.getValue()),
                            .cold_start = std::chrono::milliseconds(cold.getValue()),
+                           .journal = journal.getValue(),
                            .page_lag = std::chrono::milliseconds(lag.getValue()) });
 }
--- a/src/teststand/standin_session.cpp
+++ b/src/teststand/standin_session.cpp
@@ -199,6 +199,7 @@
   received.whole = whole;
   received.digest = digest.text();
   state.record(index) = received;
+  state.note_body(index);
   if (!whole) {
     co_return false;
   }
@@ -265,7 +266,7 @@
   const std::string key(parser.get()[kKeyHeader]);
   std::optional<std::size_t> index;
   if (state.mode() != StandinMode::Shed) {
-    index = state.begin_run(id, key);
+    index = state.begin_run(id, key, std::string(parser.get()[kRequestIdHeader]));
   }
   if (!index) {
     ++state.shed;
--- a/src/teststand/standin_state.cpp
+++ b/src/teststand/standin_state.cpp
@@ -38,10 +38,15 @@
   , m_random(m_options.seed)
   , m_started(Clock::now())
 {
+  if (!m_options.journal.empty()) {
+    m_journal.open(m_options.journal, std::ios::app);
+  }
 }
 
 std::optional<std::size_t>
-StandinState::begin_run(const std::string& id, const std::string& key)
+StandinState::begin_run(const std::string& id,
+                        const std::string& key,
+                        const std::string& request_id)
 {
   if (m_running >= m_options.slots || m_records.size() >= kRecordLimit) {
     return std::nullopt;
@@ -52,9 +57,29 @@
     ++m_runs_by_key[key];
   }
   m_records.push_back({ .id = id, .key = key });
+  if (m_journal.is_open()) {
+    const nlohmann::json line = { { "event", "start" },
+                                  { "run", m_records.size() - 1 },
+                                  { "id", id },
+                                  { "key", key },
+                                  { "request_id", request_id } };
+    m_journal << line.dump() << std::endl;
+  }
   return m_records.size() - 1;
 }
 
+void
+StandinState::note_body(std::size_t index)
+{
+  const RunRecord& record = m_records[index];
+  if (m_journal.is_open()) {
+    const nlohmann::json line = { { "event", "body" },       { "run", index },
+                                  { "id", record.id },       { "digest", record.digest },
+                                  { "bytes", record.bytes }, { "whole", record.whole } };
+    m_journal << line.dump() << std::endl;
+  }
+}
+
 std::chrono::microseconds
 StandinState::draw_service_time()
 {
--- a/src/teststand/standin_state.h
+++ b/src/teststand/standin_state.h
@@ -3,6 +3,7 @@
 #include "lovagehold/types.h"
 
 #include <deque>
+#include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -27,6 +28,9 @@
   std::chrono::microseconds accept_time{ 1000 };
   /// Time after the start in which requests take kColdFactor times as long.
   std::chrono::milliseconds cold_start{ 0 };
+  /// File that gets one JSON line when a request starts and one when its body has arrived; it
+  /// survives the end of the process.
+  std::string journal;
   /// Age of what the health and load pages say.
   std::chrono::milliseconds page_lag{ 500 };
 };
@@ -75,8 +79,13 @@
   void set_mode(StandinMode mode) { m_mode = mode; }
 
   /// Takes a slot. \return index of the record; nothing if no slot is free.
-  std::optional<std::size_t> begin_run(const std::string& id, const std::string& key);
+  /// \param request_id id that the entry host gave the request
+  std::optional<std::size_t> begin_run(const std::string& id,
+                                       const std::string& key,
+                                       const std::string& request_id);
   void end_run() { --m_running; }
+  /// Notes that the body of a request arrived.
+  void note_body(std::size_t index);
   RunRecord& record(std::size_t index) { return m_records[index]; }
 
   /// \return the time that the next request takes.
@@ -100,6 +109,7 @@
   StandinOptions m_options;
   StandinMode m_mode = StandinMode::Normal;
   std::vector<RunRecord> m_records;
+  std::ofstream m_journal;
   std::map<std::string, unsigned> m_runs_by_key;
   std::deque<std::pair<TimePoint, unsigned>> m_samples;
   std::mt19937_64 m_random;
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -59,3 +59,40 @@
     for c in $(seq "$controls"); do echo "  - {id: host-$c, address: \"$NET.1.$c:7081\"}"; done
   } >"$WORK/host-$n.yaml"
 }
+
+start_hosts() { # start_hosts COUNT CONFIG: hosts 1..COUNT with control, and the declarations in force
+  local count="$1" config="$2" n
+  for n in $(seq "$count"); do
+    write_settings "$n" "domain-$n" "entry, control" "$count"
+    start "host-$n" "$BUILD/src/lovagehold/lovagehold" --settings "$WORK/host-$n.yaml"
+    HOST_PIDS[$n]=$LAST_PID
+  done
+  await "a host answers" get "http://$NET.1.1:7082/status"
+  await "the folder is accepted" "$BUILD/src/lovagectl/lovagectl" --admin "$NET.1.1:7082" apply "$config"
+  for n in $(seq "$count"); do await "the change is in force on host-$n" host_in_force "$n" "$count"; done
+}
+declare -A HOST_PIDS=()
+
+host_in_force() { # host_in_force N COUNT
+  get "http://$NET.1.$1:7082/status" | json_field "d['revision'] > 0 and len(d['hosts']) == $2" | grep -q True
+}
+
+standin() { # standin SERVICE NUMBER PORT [OPTIONS]: a server on NET.2.NUMBER that writes a journal of its runs
+  local service="$1" number="$2" port="$3"
+  shift 3
+  start "$service-$number" "$BUILD/src/teststand/standin_server" --service "$service" \
+    --id "$service-$number" --address "$NET.2.$number:$port" --entry "$NET.1.1:7080" --entry "$NET.1.2:7080" \
+    --journal "$WORK/runs-$service-$number.json" "$@"
+}
+
+set_mode() { # set_mode NUMBER PORT MODE: switches a stand-in server's mode
+  get "http://$NET.2.$1:$(($2 + 1000))/standin/mode?name=$3" >/dev/null
+}
+
+eligible_servers() { # eligible_servers COUNT HOSTS: whether the owners know that many servers in all
+  local total=0 n
+  for n in $(seq "$2"); do
+    total=$((total + $(get "http://$NET.1.$n:7082/status" | json_field 'sum(s["eligible_servers"] for s in d["services"].values())')))
+  done
+  [ "$total" = "$1" ]
+}
