--- a/src/libproxy/entry_fixture.h
+++ b/src/libproxy/entry_fixture.h
@@ -82,6 +82,9 @@
 
   unsigned requests() const { return m_requests; }
 
+  /// A request with "/smuggled" in its header or first bytes was received.
+  bool saw_smuggled() const { return m_saw_smuggled; }
+
 private:
   void serve()
   {
@@ -94,6 +97,7 @@
       boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", error);
       if (!error) {
         ++m_requests;
+        m_saw_smuggled = m_saw_smuggled || request.find("/smuggled") != std::string::npos;
         if (m_hold) {
           read_to_close(socket);
           continue;
@@ -111,6 +115,7 @@
   std::atomic<unsigned> m_requests{ 0 };
   std::atomic<bool> m_stopping{ false };
   std::atomic<bool> m_hold{ false };
+  std::atomic<bool> m_saw_smuggled{ false };
   std::thread m_thread;
 };
 
@@ -125,7 +130,8 @@
     , m_entry(EntryServiceOptions{ .self = "host-1",
                                    .caller_address = text(test_endpoint(".9.1", port)),
                                    .threads = 1,
-                                   .limits = { .header_timeout = std::chrono::milliseconds(500),
+                                   .limits = { .idle = std::chrono::milliseconds(300),
+                                               .header_timeout = std::chrono::milliseconds(500),
                                                .body_idle = std::chrono::milliseconds(500) } },
               make_ports(),
               m_log)
--- a/src/libproxy/framing_test.cpp
+++ b/src/libproxy/framing_test.cpp
@@ -21,14 +21,12 @@
   std::string fields;
   std::string body;
   int status;
-  /// The fault is in a streamed body, so that the request reaches a server before it shows.
-  bool streamed = false;
 };
 
 const std::vector<Mutation>&
 mutations()
 {
-  static const std::vector<Mutation> all = {
+  static const std::vector<Mutation> kAll = {
     { "length and coding", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "abc", 400 },
     { "coding and length",
       "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
@@ -56,11 +54,11 @@
     { "retries negative", "Lovagehold-Retries-Left: -1\r\n", "", 400 },
     { "unknown expectation", "Expect: miracles\r\n", "", 417 },
     { "header too large", "X-Large: " + std::string(20000, 'x') + "\r\n", "", 431 },
-    { "bad chunk", "Transfer-Encoding: chunked\r\n", "zz\r\nabc\r\n0\r\n\r\n", 400, true },
-    { "chunk with bare LF", "Transfer-Encoding: chunked\r\n", "3\nabc\r\n0\r\n\r\n", 400, true },
+    { "bad chunk", "Transfer-Encoding: chunked\r\n", "zz\r\nabc\r\n0\r\n\r\n", 400 },
+    { "chunk with bare LF", "Transfer-Encoding: chunked\r\n", "3\nabc\r\n0\r\n\r\n", 400 },
     { "body over the limit", "Content-Length: 2000000000\r\n", "abc", 413 },
   };
-  return all;
+  return kAll;
 }
 
 std::string
@@ -75,6 +73,12 @@
   return make_request("GET", "Connection: close\r\n", "");
 }
 
+std::string
+smuggled_request()
+{
+  return "GET /smuggled HTTP/1.1\r\nHost: desk\r\n\r\n";
+}
+
 // Guards against request smuggling: a request whose end can be read in two ways must be rejected,
 // and its connection closed, whatever other fields surround the fault.
 RC_GTEST_PROP(Framing, AmbiguousRequestsAreRejectedAndClosed, ())
@@ -92,16 +96,15 @@
     fields += "X-After-" + std::to_string(i) + ": 1\r\n";
   }
   // A second request behind the fault must never be served.
-  const unsigned served = fixture().server().requests();
   const auto received =
-    fixture().send(make_request(method, fields, mutation.body) + valid_request());
+    fixture().send(make_request(method, fields, mutation.body) + smuggled_request());
   RC_LOG() << mutation.name << "\n";
   RC_ASSERT(received.has_value());
   RC_LOG() << *received << "\n";
   RC_ASSERT(status_of(*received) == mutation.status);
   RC_ASSERT(received->find("\"remedy\"") != std::string::npos);
   RC_ASSERT(received->find("HTTP/1.1 200") == std::string::npos);
-  RC_ASSERT(fixture().server().requests() <= served + (mutation.streamed ? 1 : 0));
+  RC_ASSERT(!fixture().server().saw_smuggled());
 }
 
 // Guards against crashes and open connections on arbitrary input: a valid request with some bytes
