--- a/src/libproxy/request_router.cpp
+++ b/src/libproxy/request_router.cpp
@@ -16,7 +16,7 @@
 ServiceName
 service_of(const StringRequest& request)
 {
-  const std::string named(request[kServiceHeader]);
+  std::string named(request[kServiceHeader]);
   if (!named.empty()) {
     return named;
   }
--- a/src/libproxy/server_attempt.cpp
+++ b/src/libproxy/server_attempt.cpp
@@ -206,7 +206,7 @@
 {
   boost::system::error_code error;
   if (!upload.kept().empty()) {
-    const std::string kept = upload.kept();
+    const std::string& kept = upload.kept();
     error = co_await send_piece(kept, chunked);
   }
   co_return error;
--- a/src/teststand/driver_call.cpp
+++ b/src/teststand/driver_call.cpp
@@ -211,7 +211,7 @@
 {
   auto& idle = m_idle[address];
   while (!idle.empty()) {
-    const auto stream = idle.back();
+    auto stream = idle.back();
     idle.pop_back();
     // The host closes idle connections when it shuts down.
     boost::system::error_code error;
