--- a/src/include/lovagehold/dispatcher.h
+++ b/src/include/lovagehold/dispatcher.h
@@ -102,8 +102,19 @@
 inline const char*
 to_string(SlotShare share)
 {
-  constexpr const char* kNames[] = { "none", "isolated", "reduced", "full" };
-  return kNames[static_cast<int>(share)];
+  switch (share) {
+    case SlotShare::None:
+      return "none";
+    case SlotShare::Pending:
+      return "pending";
+    case SlotShare::Isolated:
+      return "isolated";
+    case SlotShare::Reduced:
+      return "reduced";
+    case SlotShare::Full:
+      return "full";
+  }
+  return "unknown";
 }
 
 /// Until when shares may be used without a word from control.
--- a/src/include/lovagehold/service_table.h
+++ b/src/include/lovagehold/service_table.h
@@ -82,6 +82,10 @@
   ShareLimits share_limits() const;
   void limit_entry(Entry& entry, TimePoint now, Actions& actions) const;
   Shard& shard_of(const ServiceName& service) const;
+  static void deliver_to(Entry& entry,
+                         RequestId request,
+                         const Action& action,
+                         Deliveries& deliveries);
   void collect(Entry& entry, const Actions& actions, Deliveries& deliveries) const;
   template<class Change>
   void change(const ServiceName& service, TimePoint now, const Change& apply);
--- a/src/libconfig/settings.cpp
+++ b/src/libconfig/settings.cpp
@@ -90,6 +90,13 @@
         [this](const auto& at, const auto& v) {
           take(m_reader.word(at, v, { "debug", "info", "warn", "error" }), m_settings.log_level);
         } },
+      { "shutdown_grace",
+        [this](const auto& at, const auto& v) {
+          if (const auto grace = m_reader.duration(at, v, 0ms, 1h)) {
+            m_settings.shutdown_grace =
+              std::chrono::duration_cast<std::chrono::milliseconds>(*grace);
+          }
+        } },
       { "limits", [this](const auto& at, const auto& v) { read_limits(at, v); } },
     };
   }
--- a/src/libproxy/service_table.cpp
+++ b/src/libproxy/service_table.cpp
@@ -21,6 +21,8 @@
   };
   std::map<ServerId, Server> servers;
   std::unordered_map<RequestId, Request> requests;
+  /// Requests of the attempts that have not been completed.
+  std::unordered_map<AttemptId, RequestId> attempts;
   RequestId next_request = 1;
   /// Share by the ownership, and the share that the dispatcher has after the limits.
   SlotShare share = SlotShare::None;
@@ -61,6 +63,20 @@
   return *m_shards[XXH64(service.data(), service.size(), 0) % m_shards.size()];
 }
 
+void
+ServiceTable::deliver_to(Entry& entry,
+                         RequestId request,
+                         const Action& action,
+                         Deliveries& deliveries)
+{
+  const auto found = entry.requests.find(request);
+  if (found != entry.requests.end()) {
+    Entry::Request& waiting = found->second;
+    waiting.started = waiting.started || std::holds_alternative<StartAttempt>(action);
+    deliveries.emplace_back(waiting.deliver, action);
+  }
+}
+
 void
 ServiceTable::collect(Entry& entry, const Actions& actions, Deliveries& deliveries) const
 {
@@ -74,19 +90,17 @@
       continue;
     }
     if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
-      // The attempt's request is not named; each request ignores attempts that are not its own.
-      for (const auto& [id, waiting] : entry.requests) {
-        deliveries.emplace_back(waiting.deliver, *cancel);
+      const auto attempt = entry.attempts.find(cancel->attempt);
+      if (attempt != entry.attempts.end()) {
+        deliver_to(entry, attempt->second, action, deliveries);
       }
       continue;
     }
-    const RequestId request = std::holds_alternative<StartAttempt>(action)
-                                ? std::get<StartAttempt>(action).request
-                                : std::get<RejectRequest>(action).request;
-    const auto found = entry.requests.find(request);
-    if (found != entry.requests.end()) {
-      found->second.started = found->second.started || std::holds_alternative<StartAttempt>(action);
-      deliveries.emplace_back(found->second.deliver, action);
+    if (const auto* start = std::get_if<StartAttempt>(&action)) {
+      entry.attempts[start->attempt] = start->request;
+      deliver_to(entry, start->request, action, deliveries);
+    } else {
+      deliver_to(entry, std::get<RejectRequest>(action).request, action, deliveries);
     }
   }
 }
@@ -217,14 +231,9 @@
 ServiceTable::hand_over(const ServiceName& service, TimePoint now)
 {
   change(service, now, [&](Entry& entry) {
+    entry.set_share(SlotShare::None, now);
     Actions actions;
-    for (const auto& [id, request] : entry.requests) {
-      if (!request.started) {
-        entry.dispatcher.cancel(id, now);
-        actions.push_back(
-          RejectRequest{ .request = id, .reason = RejectReason::NotOwner, .retry_after = {} });
-      }
-    }
+    limit_entry(entry, now, actions);
     // Renewals go to the new owner from now on; if the service comes back, its servers start as
     // known anew instead of being taken for silent.
     for (const auto& [id, server] : entry.servers) {
@@ -280,8 +289,10 @@
                        const AttemptResult& result,
                        TimePoint now)
 {
-  change(
-    service, now, [&](Entry& entry) { return entry.dispatcher.complete(attempt, result, now); });
+  change(service, now, [&](Entry& entry) {
+    entry.attempts.erase(attempt);
+    return entry.dispatcher.complete(attempt, result, now);
+  });
 }
 
 void
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -83,8 +83,10 @@
   ports.send_renewal = [this](const HostInfo& owner, const ServerRenewal& renewal) {
     m_transport->send(owner.cluster_address, encode(ClusterMessage(renewal), m_log.stamp()));
   };
-  ports.key_status = [](const ServiceName&, const std::string&) {
-    return std::optional<KeyStatus>();
+  ports.key_status = [this](const ServiceName& service, const std::string& key, auto answer) {
+    boost::asio::post(m_context, [this, service, key, answer = std::move(answer)] {
+      answer(m_client->state().key_status(service, key));
+    });
   };
   m_entry =
     std::make_unique<EntryService>(EntryServiceOptions{ .self = m_settings.host,
@@ -387,7 +389,7 @@
 Node::finish_shutdown()
 {
   if (m_entry->in_flight() == 0) {
-    m_log.info("stopped");
+    m_log.info("stopped", { { "cut_off", std::to_string(m_entry->in_flight()) } });
     m_entry->stop();
     m_context.stop();
     return;
--- a/testsuite/takeover/run.sh
+++ b/testsuite/takeover/run.sh
@@ -47,12 +47,12 @@
 
 reads() { # reads SEED: 3 s of urgent reads in the background
   "$BIN/teststand/load_driver" --entry "$ADDRESS" --service slot-desk --target /slots/1 --count 900 --rate 300 \
-    --attempt-timeout-ms 250 --seed "$1" >"$WORK/reads.out" 2>&1 &
+    --retries 40 --retry-delay-ms 50 --attempt-timeout-ms 250 --seed "$1" >"$WORK/reads.out" 2>&1 &
   READS=$!
 }
 confirms() { # confirms SEED: 3 s of non-idempotent requests in the background
   "$BIN/teststand/load_driver" --entry "$ADDRESS" --service stem-ledger --method POST --target /stems --count 300 \
-    --rate 100 --key-repeats 1 --attempt-timeout-ms 1000 --seed "$1" >"$WORK/confirms.out" 2>&1 &
+    --rate 100 --key-repeats 1 --retries 40 --retry-delay-ms 50 --attempt-timeout-ms 1000 --seed "$1" >"$WORK/confirms.out" 2>&1 &
   CONFIRMS=$!
 }
 served() { # served TEXT: waits for both loads
@@ -62,7 +62,7 @@
   cat "$WORK/confirms.out"
   check "$1: no confirmation ran twice" ran_once
 }
-ran_once() { get "http://$NET.2.1:8002/standin/report" | json_field "d['doubled'] == 0 and d['ran'] == d['keys'] and d['ran'] > 0" | grep -q True; }
+ran_once() { get "http://$NET.2.1:9002/standin/report" | json_field "d['doubled'] == 0 and d['ran'] == d['keys'] and d['ran'] > 0" | grep -q True; }
 
 OTHER=$((OWNER == 2 ? 3 : 2))
 ADDRESS=$NET.1.$OTHER:7080
