--- a/src/teststand/capacity_bench.cpp
+++ b/src/teststand/capacity_bench.cpp
@@ -194,6 +194,15 @@
   measure(
     "server_renewal",
     ServerRenewal{ .service = server.service, .id = server.id, .incarnation = server.incarnation });
+  measure("heartbeat",
+          Heartbeat{ .host = "entry-439",
+                     .incarnation = server.incarnation,
+                     .sequence = 1234567,
+                     .view = 1234567,
+                     .stable_view = 1234567 });
+  measure("heartbeat_reply",
+          HeartbeatReply{
+            .sequence = 1234567, .lease = std::chrono::milliseconds(600), .stable_view = 1234567 });
   measure("propose_claim", Propose{ .id = 1234567, .command = encode(Command(make_claim(1))) });
   measure("propose_reply", ProposeReply{ .id = 1234567, .decided = true });
   measure("entry_server_join",
--- a/testsuite/operator/run.sh
+++ b/testsuite/operator/run.sh
@@ -64,6 +64,9 @@
 PY
 }
 await "a request with a key is answered" sent
+# The outcome is committed after the response went out, so a look-up may come first.
+outcome_recorded() { ctl key stem-ledger "k 1/2" | grep -qE "outcome +done"; }
+await "the outcome is recorded" outcome_recorded
 run 0 "outcome +done" key stem-ledger "k 1/2"
 run 1 "is not claimed" key stem-ledger other
 
