Check the owner and the former owners apart in the demo

Cause: a host that joins first owns every service for some milliseconds and keeps an entry without servers afterwards. Change: a host without a share passes, any other needs two servers as before; in addition exactly one host must have the full share with two servers. Conclusion: the check is stricter for the owner and no longer depends on the order in which hosts join.

--- a/testsuite/demo/run.sh
+++ b/testsuite/demo/run.sh
@@ -55,8 +55,19 @@
 
 echo "a server leaves"
 kill -TERM "$SLOT_SERVER"
-two_left() { get "http://$NET.1.$1:7082/status" | json_field 'd["services"].get("slot-desk", {"servers": 2})["servers"] == 2' | grep -q True; }
+# A host that owned the service before all hosts had joined keeps an entry without servers and dispatches nothing.
+two_left() {
+  get "http://$NET.1.$1:7082/status" | json_field '(lambda s: s is None or s["share"] == "none" or s["servers"] == 2)(d["services"].get("slot-desk"))' | grep -q True
+}
+owner_has_two() {
+  local n owners=0
+  for n in 1 2 3; do
+    get "http://$NET.1.$n:7082/status" | json_field '(lambda s: s is not None and s["share"] == "full" and s["servers"] == 2)(d["services"].get("slot-desk"))' | grep -q True && owners=$((owners + 1))
+  done
+  [ "$owners" = 1 ]
+}
 for n in 1 2 3; do await "host-$n sends it nothing new" two_left "$n"; done
+await "the owner dispatches to the two others" owner_has_two
 check "urgent reads without it" driver --entry "$NET.1.1:7080" --service slot-desk --target /slots/1 --count 200 --rate 300 --seed 2
 
 [ "$FAILED" = 0 ] && echo "demo: all checks passed" || { echo "demo: checks failed, logs follow"; tail -n 5 "$WORK"/*.log; }
