Drop the started flag of the service table's requests

Cause: the handover no longer rejects queued requests itself, so nothing reads the flag; it was still set on each action. Change: the table maps a request to its delivery again. Conclusion: the dispatcher's share is the one place that rejects the queue.

--- a/src/libproxy/service_table.cpp
+++ b/src/libproxy/service_table.cpp
@@ -14,13 +14,8 @@
     ServerInfo info;
     TimePoint last_renewal;
   };
-  struct Request
-  {
-    Deliver deliver;
-    bool started = false;
-  };
   std::map<ServerId, Server> servers;
-  std::unordered_map<RequestId, Request> requests;
+  std::unordered_map<RequestId, Deliver> requests;
   /// Requests of the attempts that have not been completed.
   std::unordered_map<AttemptId, RequestId> attempts;
   RequestId next_request = 1;
@@ -71,9 +66,7 @@
 {
   const auto found = entry.requests.find(request);
   if (found != entry.requests.end()) {
-    Entry::Request& waiting = found->second;
-    waiting.started = waiting.started || std::holds_alternative<StartAttempt>(action);
-    deliveries.emplace_back(waiting.deliver, action);
+    deliveries.emplace_back(found->second, action);
   }
 }
 
@@ -274,7 +267,7 @@
   change(service, now, [&](Entry& entry) {
     id = entry.next_request++;
     request.id = id;
-    entry.requests[id] = { deliver };
+    entry.requests[id] = deliver;
     return entry.dispatcher.submit(request, now);
   });
   if (id == 0) {
