Replicate a routing configuration and let the control group replace lost members

Cause: the platform names three seeds only, replaces hosts at other addresses and carries one whole configuration with a version. Change: command ReplaceRouting (highest version wins, others accepted without effect), servers with failure domain and warm-up, leases that end without barring the incarnation, entry host presence on subscriptions, control addresses on keep-alives, removal of silent members once a learner can vote.

--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -2,8 +2,10 @@
 
 #include "lovagehold/command.h"
 #include "lovagehold/consensus_message.h"
+#include "lovagehold/entry_directory.h"
 #include "lovagehold/hybrid_clock.h"
 
+#include <optional>
 #include <variant>
 
 namespace lovagehold {
@@ -43,6 +45,15 @@
   /// The next piece of this snapshot is wanted; 0 if none.
   std::uint64_t snapshot_index = 0;
   std::uint64_t snapshot_offset = 0;
+  /// The subscriber as an entry host; nothing if it is none.
+  std::optional<EntryPresence> presence;
+};
+
+/// Where a control host listens for other hosts.
+struct ControlAddress
+{
+  std::string address;
+  std::string failure_domain;
 };
 
 /// Payloads of committed entries in order, see ReplicatedState; empty for entries without a
@@ -53,6 +64,19 @@
   /// With these entries the subscriber has everything that was acknowledged before it asked.
   bool confirmed = false;
   std::vector<Bytes> payloads;
+  /// Cluster addresses of the control hosts with their failure domains; empty if not told.
+  std::vector<ControlAddress> control;
+};
+
+/// Entry hosts that a control host has heard of, for the other control hosts.
+struct EntryHosts
+{
+  struct Heard
+  {
+    EntryPresence presence;
+    std::chrono::milliseconds age{ 0 };
+  };
+  std::vector<Heard> hosts;
 };
 
 /// Piece of a ReplicatedState's snapshot, for a subscriber that is too far behind for entries.
@@ -119,7 +143,8 @@
                                     ConsensusEnvelope,
                                     ServerRenewal,
                                     Heartbeat,
-                                    HeartbeatReply>;
+                                    HeartbeatReply,
+                                    EntryHosts>;
 
 /// CBOR encoding. \return the bytes.
 Bytes encode(const ClusterMessage& message);
--- a/src/include/lovagehold/command.h
+++ b/src/include/lovagehold/command.h
@@ -78,6 +78,16 @@
   ServiceName service;
   ServerId id;
   std::uint64_t incarnation = 0;
+  /// The lease ended; the same incarnation may join again.
+  bool expired = false;
+};
+
+/// Replaces the whole routing configuration if the version is higher than the one held.
+struct ReplaceRouting
+{
+  std::uint64_t version = 0;
+  /// As the operator sent it.
+  std::string document;
 };
 
 struct JoinHost
@@ -109,7 +119,8 @@
                              LeaveServer,
                              JoinHost,
                              LeaveHost,
-                             ExpireOutcomes>;
+                             ExpireOutcomes,
+                             ReplaceRouting>;
 
 /// How a claim stands after a ClaimKey command.
 enum class ClaimStatus
--- a/src/include/lovagehold/consensus.h
+++ b/src/include/lovagehold/consensus.h
@@ -33,6 +33,9 @@
   /// Entries kept in memory below a snapshot, for members and subscribers that are a little behind.
   std::uint64_t trailing_entries = 1000;
   std::size_t voters = 5;
+  /// A voter that has not replied for this time is replaced by a learner that holds the log; a
+  /// learner that has not replied for five times this is removed. Zero: members stay.
+  std::chrono::milliseconds lost_after{ 0 };
   std::uint64_t seed = 1;
   ConsensusFaults faults = {};
 };
--- a/src/include/lovagehold/consensus_message.h
+++ b/src/include/lovagehold/consensus_message.h
@@ -20,6 +20,7 @@
   std::string address;
   /// Voters count for a majority; learners only receive the log.
   bool voter = false;
+  std::string failure_domain;
 };
 
 using Membership = std::vector<Member>;
--- a/src/include/lovagehold/control_client.h
+++ b/src/include/lovagehold/control_client.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace lovagehold {
 
@@ -15,8 +16,16 @@
   /// A proposal that has no answer by then fails with Timeout: its effect is not known.
   std::chrono::milliseconds proposal_timeout{ 3000 };
   std::chrono::milliseconds resend_interval{ 200 };
+  /// A subscription is renewed this often.
+  std::chrono::milliseconds subscribe_interval{ 200 };
   /// A control host that has not answered a subscription for this time is replaced by the next.
   std::chrono::milliseconds subscription_timeout{ 600 };
+  /// Own failure domain: a control host in it is followed if there is one.
+  std::string failure_domain;
+  /// False: only sends proposals.
+  bool follow = true;
+  /// Describes this host to control; empty if it is no entry host.
+  std::function<std::optional<EntryPresence>()> presence;
   /// Distinguishes this process's proposals from all others'; 0 draws a random one.
   std::uint64_t client = 0;
 };
@@ -44,6 +53,15 @@
   /// Subscribes again and times proposals out; to be called every 100 ms or so.
   void tick(TimePoint now);
 
+  /// Tells control at once what presence() returns.
+  void announce(TimePoint now);
+
+  /// \return the control host that this host follows
+  const std::string& source() const;
+
+  /// \return when the control host was last heard
+  TimePoint source_heard() const;
+
   /// Whether the state has been confirmed by the leader since the start.
   bool ready() const;
 
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -14,9 +14,12 @@
 {
   HostId host;
   std::string address;
+  std::string failure_domain;
   /// All control hosts of the settings with their cluster addresses. The first one founds the group
   /// once all of them are found empty.
   std::vector<std::pair<HostId, std::string>> members;
+  /// False: the group exists already, so this host only joins it.
+  bool may_found = true;
   /// The seed is replaced by one derived from \p seed.
   ConsensusOptions consensus = {};
   ReplicatedStateOptions state = {};
--- a/src/include/lovagehold/state_machine.h
+++ b/src/include/lovagehold/state_machine.h
@@ -89,6 +89,10 @@
   /// \return the merged configuration, never null; a new object for each accepted change.
   std::shared_ptr<const Configuration> configuration() const;
 
+  /// \return the routing configuration in force, never null; version 0 before the first. A new
+  /// object for each accepted one.
+  std::shared_ptr<const ReplaceRouting> routing() const;
+
   /// \return changes that still have their content, by number.
   std::vector<ChangeRecord> changes() const;
 
--- a/src/include/lovagehold/types.h
+++ b/src/include/lovagehold/types.h
@@ -36,6 +36,10 @@
   unsigned connections = 500;
   /// Grows each time the server process starts; a leave names the incarnation that leaves.
   std::uint64_t incarnation = 0;
+  /// Empty if it did not say.
+  std::string failure_domain;
+  /// The server is slow for this time after it joins.
+  std::chrono::milliseconds warmup{ 0 };
 };
 
 /// A host that runs lovagehold.
@@ -57,7 +61,8 @@
 operator==(const ServerInfo& a, const ServerInfo& b)
 {
   return a.service == b.service && a.id == b.id && a.address == b.address && a.slots == b.slots &&
-         a.connections == b.connections && a.incarnation == b.incarnation;
+         a.connections == b.connections && a.incarnation == b.incarnation &&
+         a.failure_domain == b.failure_domain && a.warmup == b.warmup;
 }
 
 inline bool
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -8,6 +8,18 @@
 
 using nlohmann::json;
 
+json
+to_array(const EntryPresence& presence)
+{
+  return { presence.address, presence.failure_domain, presence.ready };
+}
+
+EntryPresence
+parse_presence(const json& fields)
+{
+  return { .address = fields.at(0), .failure_domain = fields.at(1), .ready = fields.at(2) };
+}
+
 json
 to_fields(const Propose& message)
 {
@@ -34,11 +46,15 @@
 json
 to_fields(const Subscribe& message)
 {
-  return { { "t", "subscribe" },
-           { "from", message.from_index },
-           { "confirm", message.confirm },
-           { "snapshot", message.snapshot_index },
-           { "offset", message.snapshot_offset } };
+  json fields = { { "t", "subscribe" },
+                  { "from", message.from_index },
+                  { "confirm", message.confirm },
+                  { "snapshot", message.snapshot_index },
+                  { "offset", message.snapshot_offset } };
+  if (message.presence) {
+    fields["entry"] = to_array(*message.presence);
+  }
+  return fields;
 }
 
 json
@@ -48,10 +64,24 @@
   for (const Bytes& payload : message.payloads) {
     payloads.push_back(json::binary(payload));
   }
-  return { { "t", "entries" },
-           { "first", message.first_index },
-           { "confirmed", message.confirmed },
-           { "payloads", std::move(payloads) } };
+  json fields = { { "t", "entries" },
+                  { "first", message.first_index },
+                  { "confirmed", message.confirmed },
+                  { "payloads", std::move(payloads) } };
+  for (const ControlAddress& control : message.control) {
+    fields["control"].push_back({ control.address, control.failure_domain });
+  }
+  return fields;
+}
+
+json
+to_fields(const EntryHosts& message)
+{
+  json hosts = json::array();
+  for (const EntryHosts::Heard& heard : message.hosts) {
+    hosts.push_back({ to_array(heard.presence), heard.age.count() });
+  }
+  return { { "t", "entry_hosts" }, { "hosts", std::move(hosts) } };
 }
 
 json
@@ -71,6 +101,7 @@
            { "id", message.member.id },
            { "host", message.member.host },
            { "address", message.member.address },
+           { "domain", message.member.failure_domain },
            { "empty", message.empty },
            { "nonce", message.nonce },
            { "heard", message.heard_nonce } };
@@ -138,6 +169,7 @@
   fields.at("id").get_to(join.member.id);
   fields.at("host").get_to(join.member.host);
   fields.at("address").get_to(join.member.address);
+  join.member.failure_domain = fields.value("domain", "");
   fields.at("empty").get_to(join.empty);
   fields.at("nonce").get_to(join.nonce);
   fields.at("heard").get_to(join.heard_nonce);
@@ -153,6 +185,11 @@
   for (const json& payload : fields.at("payloads")) {
     entries.payloads.push_back(get_bytes(payload));
   }
+  if (fields.contains("control")) {
+    for (const json& control : fields.at("control")) {
+      entries.control.push_back({ .address = control.at(0), .failure_domain = control.at(1) });
+    }
+  }
   return entries;
 }
 
@@ -189,10 +226,14 @@
     return parse_reply(fields);
   }
   if (type == "subscribe") {
-    return Subscribe{ .from_index = fields.at("from").get<std::uint64_t>(),
-                      .confirm = fields.at("confirm").get<bool>(),
-                      .snapshot_index = fields.at("snapshot").get<std::uint64_t>(),
-                      .snapshot_offset = fields.at("offset").get<std::uint64_t>() };
+    Subscribe subscribe{ .from_index = fields.at("from").get<std::uint64_t>(),
+                         .confirm = fields.at("confirm").get<bool>(),
+                         .snapshot_index = fields.at("snapshot").get<std::uint64_t>(),
+                         .snapshot_offset = fields.at("offset").get<std::uint64_t>() };
+    if (fields.contains("entry")) {
+      subscribe.presence = parse_presence(fields.at("entry"));
+    }
+    return subscribe;
   }
   if (type == "entries") {
     return parse_entries(fields);
@@ -214,6 +255,15 @@
                           .id = fields.at("id").get<std::string>(),
                           .incarnation = fields.at("incarnation").get<std::uint64_t>() };
   }
+  if (type == "entry_hosts") {
+    EntryHosts message;
+    for (const json& heard : fields.at("hosts")) {
+      message.hosts.push_back(
+        { .presence = parse_presence(heard.at(0)),
+          .age = std::chrono::milliseconds(heard.at(1).get<std::int64_t>()) });
+    }
+    return message;
+  }
   if (type == "hb") {
     return parse_heartbeat(fields.at("v"));
   }
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// A control host that fell silent is followed again after this time.
+constexpr std::chrono::seconds kStayAfterLoss{ 10 };
+
 struct Pending
 {
   Bytes command;
@@ -41,6 +44,8 @@
   std::size_t source = 0;
   TimePoint source_heard;
   std::optional<TimePoint> last_subscribe;
+  /// Until then the nearest control host is not tried again.
+  TimePoint stay_until;
   SnapshotTransfer incoming;
 
   void subscribe(TimePoint now)
@@ -50,7 +55,37 @@
          Subscribe{ .from_index = state.applied_index() + 1,
                     .confirm = !ready,
                     .snapshot_index = incoming.index,
-                    .snapshot_offset = incoming.state.size() });
+                    .snapshot_offset = incoming.state.size(),
+                    .presence = options.presence ? options.presence() : std::nullopt });
+  }
+
+  // Control hosts are replaced over time; a host in the own failure domain saves traffic between
+  // failure domains.
+  void learn_control_hosts(const std::vector<ControlAddress>& control, TimePoint now)
+  {
+    if (control.empty()) {
+      return;
+    }
+    const std::string followed = options.control_addresses[source];
+    options.control_addresses.clear();
+    std::size_t next = control.size();
+    std::optional<std::size_t> near;
+    for (std::size_t i = 0; i < control.size(); ++i) {
+      options.control_addresses.push_back(control[i].address);
+      next = control[i].address == followed ? i : next;
+      if (control[i].failure_domain == options.failure_domain && !near) {
+        near = i;
+      }
+    }
+    const bool move = next == control.size() ||
+                      (near && control[next].failure_domain != options.failure_domain &&
+                       now >= stay_until);
+    source = move ? near.value_or(0) : next;
+    if (move) {
+      source_heard = now;
+      incoming = {};
+      subscribe(now);
+    }
   }
 
   void send_proposal(std::uint64_t id, Pending& proposal, TimePoint now)
@@ -104,6 +139,7 @@
     if (ready && (first || state.applied_index() > before)) {
       applied(state.machine());
     }
+    learn_control_hosts(entries.control, now);
   }
 
   void handle(const SnapshotTransfer& piece, TimePoint now)
@@ -199,21 +235,47 @@
 ControlClient::tick(TimePoint now)
 {
   Impl& impl = *m_impl;
+  if (!impl.options.follow) {
+    impl.resend(now);
+    impl.expire(now);
+    return;
+  }
   if (impl.last_subscribe && now - impl.source_heard >= impl.options.subscription_timeout) {
     impl.source = (impl.source + 1) % impl.options.control_addresses.size();
+    impl.stay_until = now + kStayAfterLoss;
     impl.source_heard = now;
     impl.incoming = {};
     impl.subscribe(now);
   } else if (!impl.last_subscribe) {
     impl.source_heard = now;
     impl.subscribe(now);
-  } else if (now - *impl.last_subscribe >= impl.options.resend_interval) {
+  } else if (now - *impl.last_subscribe >= impl.options.subscribe_interval) {
     impl.subscribe(now);
   }
   impl.resend(now);
   impl.expire(now);
 }
 
+void
+ControlClient::announce(TimePoint now)
+{
+  if (m_impl->last_subscribe) {
+    m_impl->subscribe(now);
+  }
+}
+
+const std::string&
+ControlClient::source() const
+{
+  return m_impl->options.control_addresses[m_impl->source];
+}
+
+TimePoint
+ControlClient::source_heard() const
+{
+  return m_impl->source_heard;
+}
+
 bool
 ControlClient::ready() const
 {
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -3,6 +3,7 @@
 #include "storage_worker.h"
 
 #include <algorithm>
+#include <set>
 #include <random>
 
 namespace lovagehold {
@@ -299,14 +300,18 @@
 
   Member own_member() const
   {
-    return { .id = consensus->self(), .host = options.host, .address = options.address };
+    return { .id = consensus->self(),
+             .host = options.host,
+             .address = options.address,
+             .failure_domain = options.failure_domain };
   }
 
   // A wiped first host must not found a second group, so every host has to say that it is empty,
   // and to this process: the nonce excludes messages from an earlier start.
   void found_if_all_empty()
   {
-    if (options.members.front().first != options.host || consensus->last_index() > 0) {
+    if (!options.may_found || options.members.empty() ||
+        options.members.front().first != options.host || consensus->last_index() > 0) {
       return;
     }
     Membership membership;
@@ -338,8 +343,16 @@
       return;
     }
     join_at = now + options.join_interval;
+    std::set<std::string> targets;
     for (const auto& [host, address] : options.members) {
-      if (host != options.host) {
+      targets.insert(address);
+    }
+    // The hosts of the settings may have been replaced since.
+    for (const Member& member : consensus->membership()) {
+      targets.insert(member.address);
+    }
+    for (const std::string& address : targets) {
+      if (address != options.address) {
         ports.send(address,
                    JoinGroup{ .member = own_member(),
                               .empty = consensus->last_index() == 0,
@@ -471,6 +484,12 @@
       bytes += entries.payloads.back().size();
     }
     entries.confirmed = confirmed && subscription.next > state.applied_index();
+    if (entries.payloads.empty() || confirmed) {
+      for (const Member& member : consensus->membership()) {
+        entries.control.push_back(
+          { .address = member.address, .failure_domain = member.failure_domain });
+      }
+    }
     ports.send(to, std::move(entries));
     return true;
   }
--- a/src/libstate/command_codec.cpp
+++ b/src/libstate/command_codec.cpp
@@ -66,7 +66,14 @@
   return { { "t", "server_leave" },
            { "service", leave.service },
            { "id", leave.id },
-           { "incarnation", leave.incarnation } };
+           { "incarnation", leave.incarnation },
+           { "expired", leave.expired } };
+}
+
+json
+to_fields(const ReplaceRouting& replace)
+{
+  return { { "t", "routing" }, { "version", replace.version }, { "document", replace.document } };
 }
 
 json
@@ -148,7 +155,12 @@
   if (type == "server_leave") {
     return LeaveServer{ .service = fields.at("service").get<std::string>(),
                         .id = fields.at("id").get<std::string>(),
-                        .incarnation = fields.at("incarnation").get<std::uint64_t>() };
+                        .incarnation = fields.at("incarnation").get<std::uint64_t>(),
+                        .expired = fields.value("expired", false) };
+  }
+  if (type == "routing") {
+    return ReplaceRouting{ .version = fields.at("version").get<std::uint64_t>(),
+                           .document = fields.at("document").get<std::string>() };
   }
   if (type == "host_join") {
     return JoinHost{ fields.at("host").get<HostInfo>() };
--- a/src/libstate/consensus.cpp
+++ b/src/libstate/consensus.cpp
@@ -282,6 +282,7 @@
     if (clock >= heartbeat_at) {
       heartbeat();
     }
+    remove_lost_member();
     promote_learner();
   } else if (clock >= election_at) {
     campaign(!options.faults.skip_pre_vote);
--- a/src/libstate/consensus_codec.cpp
+++ b/src/libstate/consensus_codec.cpp
@@ -12,7 +12,7 @@
 static void
 to_json(json& target, const Member& member)
 {
-  target = json::array({ member.id, member.host, member.address, member.voter });
+  target = json::array({ member.id, member.host, member.address, member.voter, member.failure_domain });
 }
 
 static void
@@ -22,6 +22,9 @@
   source.at(1).get_to(member.host);
   source.at(2).get_to(member.address);
   source.at(3).get_to(member.voter);
+  if (source.size() > 4) {
+    source.at(4).get_to(member.failure_domain);
+  }
 }
 
 static void
--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -107,6 +107,9 @@
   bool may_change_membership() const;
   void change_membership(const Membership& next);
   void promote_learner();
+  bool is_silent(const Member& member, Duration limit) const;
+  bool holds_log(const Member& member) const;
+  void remove_lost_member();
   void answer_reads();
   void start_read(MemberId requester, std::uint64_t id);
   void accept_leader(std::uint64_t term, MemberId from);
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -180,8 +180,7 @@
     return;
   }
   for (Member& member : next) {
-    const auto peer = peers.find(member.id);
-    if (!member.voter && peer != peers.end() && peer->second.match >= commit) {
+    if (!member.voter && holds_log(member)) {
       member.voter = true;
       change_membership(next);
       return;
@@ -189,6 +188,43 @@
   }
 }
 
+bool
+Consensus::Impl::is_silent(const Member& member, Duration limit) const
+{
+  const auto peer = peers.find(member.id);
+  return member.id != self && peer != peers.end() && clock - peer->second.last_reply >= limit;
+}
+
+bool
+Consensus::Impl::holds_log(const Member& member) const
+{
+  const auto peer = peers.find(member.id);
+  return peer != peers.end() && peer->second.match >= commit;
+}
+
+// Removes one member at a time: a voter only when a learner can take its place, so that the group
+// does not shrink while hosts are merely cut off.
+void
+Consensus::Impl::remove_lost_member()
+{
+  const Duration limit = options.lost_after;
+  if (limit == Duration::zero() || !may_change_membership()) {
+    return;
+  }
+  const Membership& members = log.membership();
+  const bool replaceable = std::any_of(members.begin(), members.end(), [&](const Member& member) {
+    return !member.voter && holds_log(member) && !is_silent(member, limit);
+  });
+  const auto lost = std::find_if(members.begin(), members.end(), [&](const Member& member) {
+    return member.voter ? replaceable && is_silent(member, limit) : is_silent(member, 5 * limit);
+  });
+  if (lost != members.end()) {
+    Membership next = members;
+    std::erase_if(next, [&](const Member& member) { return member.id == lost->id; });
+    change_membership(next);
+  }
+}
+
 void
 Consensus::Impl::start_read(MemberId requester, std::uint64_t id)
 {
--- a/src/libstate/directory.cpp
+++ b/src/libstate/directory.cpp
@@ -100,9 +100,11 @@
     return accept();
   }
   // A leave without an incarnation names the largest; only the known one has left then.
-  m_left_servers.add({ leave.service, leave.id },
-                     { .incarnation = found->second.incarnation, .index = index },
-                     m_departed_limit);
+  if (!leave.expired) {
+    m_left_servers.add({ leave.service, leave.id },
+                       { .incarnation = found->second.incarnation, .index = index },
+                       m_departed_limit);
+  }
   of_service->second.erase(found);
   if (of_service->second.empty()) {
     m_servers.erase(of_service);
--- a/src/libstate/json_fields.h
+++ b/src/libstate/json_fields.h
@@ -12,7 +12,8 @@
 {
   json = { { "service", server.service },         { "id", server.id },
            { "address", server.address },         { "slots", server.slots },
-           { "connections", server.connections }, { "incarnation", server.incarnation } };
+           { "connections", server.connections }, { "incarnation", server.incarnation },
+           { "domain", server.failure_domain },   { "warmup_ms", server.warmup.count() } };
 }
 
 inline void
@@ -24,6 +25,8 @@
   server.slots = json.value("slots", server.slots);
   server.connections = json.value("connections", server.connections);
   server.incarnation = json.value("incarnation", server.incarnation);
+  server.failure_domain = json.value("domain", "");
+  server.warmup = std::chrono::milliseconds(json.value("warmup_ms", std::int64_t{ 0 }));
 }
 
 inline void
--- a/src/libstate/state_machine.cpp
+++ b/src/libstate/state_machine.cpp
@@ -33,6 +33,7 @@
   ConfigStore config;
   ClaimStore claims;
   Directory directory;
+  std::shared_ptr<const ReplaceRouting> routing = std::make_shared<ReplaceRouting>();
 
   // Claims and outcomes do not change where requests go.
   static bool changes_routes(const Command& command)
@@ -65,6 +66,16 @@
 
   ApplyResult apply_one(const LeaveServer& leave) { return directory.leave(leave, applied); }
 
+  // A version that is not higher is accepted as well and changes nothing, so that an operator who
+  // sends a change again after a lost answer gets the same answer.
+  ApplyResult apply_one(const ReplaceRouting& replace)
+  {
+    if (replace.version > routing->version) {
+      routing = std::make_shared<const ReplaceRouting>(replace);
+    }
+    return accept();
+  }
+
   ApplyResult apply_one(const JoinHost& join)
   {
     bool replaced = false;
@@ -134,6 +145,12 @@
   return m_impl->config.configuration();
 }
 
+std::shared_ptr<const ReplaceRouting>
+StateMachine::routing() const
+{
+  return m_impl->routing;
+}
+
 std::vector<FoldedChange>
 StateMachine::folded_changes() const
 {
@@ -230,7 +247,8 @@
                        { "applied", m_impl->applied },
                        { "config", m_impl->config.snapshot() },
                        { "claims", m_impl->claims.snapshot() },
-                       { "directory", m_impl->directory.snapshot() } };
+                       { "directory", m_impl->directory.snapshot() },
+                       { "routing", { m_impl->routing->version, m_impl->routing->document } } };
   return json::to_cbor(whole);
 }
 
@@ -248,6 +266,11 @@
     next->config.restore(whole.at("config"));
     next->claims.restore(whole.at("claims"));
     next->directory.restore(whole.at("directory"));
+    if (whole.contains("routing")) {
+      next->routing = std::make_shared<const ReplaceRouting>(
+        ReplaceRouting{ .version = whole.at("routing").at(0).get<std::uint64_t>(),
+                        .document = whole.at("routing").at(1).get<std::string>() });
+    }
   } catch (const std::exception& exception) {
     return Error{ .kind = ErrorKind::Protocol,
                   .message = std::string("not a snapshot: ") + exception.what(),
--- a/src/libstate/state_oracle.h
+++ b/src/libstate/state_oracle.h
@@ -49,9 +49,11 @@
   ApplyResult apply_one(const JoinHost& join);
   ApplyResult apply_one(const LeaveHost& leave);
   ApplyResult apply_one(const ExpireOutcomes& expire);
+  ApplyResult apply_one(const ReplaceRouting& replace);
   void end_claims_of(const HostId& host);
 
   std::uint64_t m_index = 0;
+  ReplaceRouting m_routing;
   std::map<std::uint64_t, Change> m_changes;
   // Numbers whose content, and whose first answer, the state still has.
   std::set<std::uint64_t> m_recent;
--- a/src/libstate/state_oracle_test.cpp
+++ b/src/libstate/state_oracle_test.cpp
@@ -31,6 +31,15 @@
   return std::visit([this](const auto& typed) { return apply_one(typed); }, command);
 }
 
+ApplyResult
+Oracle::apply_one(const ReplaceRouting& replace)
+{
+  if (replace.version > m_routing.version) {
+    m_routing = replace;
+  }
+  return accepted();
+}
+
 Configuration
 Oracle::configuration() const
 {
