Add a gateway that chooses servers from load probes

Cause: the platform has no claims and no owners of services on the request path; a neighbour makes a server four times slower for some 300 ms, which only a fresh load report shows. Ruled out for now: grants from an owner; they add a host to each choice and need a rebuild after each loss. Change: packages for routes, budget, selection and the forwarding of one request with retries and hedges.

--- /dev/null
+++ b/src/include/lovagehold/server_selector.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "lovagehold/types.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lovagehold {
+
+/// What a server says about its load in a response.
+struct LoadReport
+{
+  unsigned running = 0;
+  unsigned waiting = 0;
+  unsigned slots = 0;
+  /// How long work takes on the server's machine at the moment; 1 as usual.
+  double slowdown = 1;
+};
+
+/// How an attempt at a server ended, as far as it says something about the server.
+enum class AttemptEnd
+{
+  Served,    ///< a complete response
+  Shed,      ///< refused because the server is full
+  Failed,    ///< an error response or a broken one
+  Unreached, ///< no connection
+  TimedOut,  ///< no response in time
+  Abandoned, ///< the caller left or another attempt won
+  Replaced,  ///< another server has the address
+};
+
+struct ServerSelectorOptions
+{
+  /// Own failure domain; a server in it is preferred among nearly equal ones.
+  std::string failure_domain;
+  /// Time constant with which a reported slowdown loses its meaning. Neighbours change every
+  /// 300 ms.
+  std::chrono::milliseconds slowdown_memory{ 300 };
+  /// Slowdown expected of a server about which nothing is known: a quarter of the time a neighbour
+  /// makes work four times as long.
+  double usual_slowdown = 1.75;
+  /// Slowdown of work when more than this share of the slots is taken.
+  double knee = 0.8;
+  double knee_slowdown = 1.7;
+  /// Slowdown during a server's warm-up.
+  double cold_slowdown = 2;
+  /// Relative cost of leaving the failure domain.
+  double remote_cost = 0.03;
+  /// A server that can't be reached or fails in a row is avoided for this time, doubled with each
+  /// further failure up to the maximum.
+  std::chrono::milliseconds eject_base{ 500 };
+  std::chrono::milliseconds eject_max{ 4000 };
+  /// Failed responses in a row until a server is avoided.
+  unsigned failures_to_eject = 2;
+  /// A load report older than this is refreshed before a choice.
+  std::chrono::milliseconds fresh_report{ 20 };
+};
+
+/// Chooses a server of one service from load reports, own requests in progress and failures. Time
+/// and randomness are arguments. Not thread-safe.
+class ServerSelector
+{
+public:
+  explicit ServerSelector(ServerSelectorOptions options);
+
+  /// Replaces the servers; what is known about those that stay is kept.
+  void set_servers(const std::vector<ServerInfo>& servers, TimePoint now);
+
+  /// \return the server with the lowest expected completion time; nothing if none is left
+  /// \param tried servers not to be chosen
+  std::optional<ServerInfo> pick(TimePoint now,
+                                 const std::set<ServerId>& tried,
+                                 std::mt19937_64& random) const;
+
+  /// \return servers whose load should be asked for before the next choice, best first
+  /// \param count most servers to return
+  std::vector<ServerInfo> probe_targets(TimePoint now,
+                                        std::size_t count,
+                                        const std::set<ServerId>& tried,
+                                        std::mt19937_64& random) const;
+
+  /// A response of the server carried a load report.
+  void report(const ServerId& id, const LoadReport& load, TimePoint now);
+
+  /// A probe got no answer in time or a negative one.
+  void probe_failed(const ServerId& id, bool unreachable, TimePoint now);
+
+  /// An attempt begins.
+  void begin(const ServerId& id, TimePoint now);
+
+  /// An attempt ended. \param elapsed since begin
+  void end(const ServerId& id, AttemptEnd end, Duration elapsed, TimePoint now);
+
+  /// \return mean time of served requests; nothing before the first
+  std::optional<Duration> usual_time() const;
+
+  std::size_t size() const { return m_servers.size(); }
+
+  /// \return expected cost of the next request at the server relative to an idle one, for logs;
+  /// 0 if the server is not known
+  double cost(const ServerId& id, TimePoint now) const;
+
+  /// \return age of the last load report; nothing if there is none
+  std::optional<Duration> report_age(const ServerId& id, TimePoint now) const;
+
+private:
+  struct State
+  {
+    ServerInfo info;
+    TimePoint cold_until;
+    LoadReport load;
+    std::optional<TimePoint> reported;
+    /// Own requests in progress, and those begun after the last report.
+    unsigned own = 0;
+    unsigned begun_since = 0;
+    unsigned failures = 0;
+    TimePoint avoid_until;
+    std::chrono::milliseconds avoid_for{ 0 };
+    /// Smoothed time of its requests relative to the service's.
+    double relative_time = 1;
+    TimePoint relative_since;
+  };
+
+  double cost_of(const State& state, TimePoint now) const;
+  bool avoided(const State& state, TimePoint now) const;
+  void avoid(State& state, TimePoint now);
+
+  ServerSelectorOptions m_options;
+  std::map<ServerId, State> m_servers;
+  std::optional<double> m_usual_ms;
+};
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libdecision/server_selector.cpp
@@ -0,0 +1,271 @@
+#include "lovagehold/server_selector.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lovagehold {
+
+namespace {
+
+// Weight of the newest request in the smoothed times.
+constexpr double kSmoothing = 0.2;
+constexpr double kRelativeSmoothing = 0.4;
+// What was learned about a server's speed is forgotten with this time constant.
+constexpr std::chrono::milliseconds kRelativeMemory{ 4000 };
+// Costs closer than this are equal.
+constexpr double kEqualCost = 0.02;
+// One timed-out request marks a server as this much slower than usual.
+constexpr double kTimeoutFactor = 4;
+
+double
+seconds(Duration duration)
+{
+  return std::chrono::duration<double>(duration).count();
+}
+
+double
+decay(Duration age, Duration memory)
+{
+  return std::exp(-std::max(0.0, seconds(age)) / seconds(memory));
+}
+
+} // namespace
+
+ServerSelector::ServerSelector(ServerSelectorOptions options)
+  : m_options(std::move(options))
+{
+}
+
+void
+ServerSelector::set_servers(const std::vector<ServerInfo>& servers, TimePoint now)
+{
+  std::map<ServerId, State> next;
+  for (const ServerInfo& server : servers) {
+    const auto known = m_servers.find(server.id);
+    const bool same = known != m_servers.end() &&
+                      known->second.info.incarnation == server.incarnation &&
+                      known->second.info.address == server.address;
+    State& state = next[server.id];
+    if (same) {
+      state = known->second;
+    } else {
+      state.cold_until = now + server.warmup;
+      state.relative_since = now;
+    }
+    state.info = server;
+  }
+  m_servers = std::move(next);
+}
+
+double
+ServerSelector::cost_of(const State& state, TimePoint now) const
+{
+  const double slots = std::max(1U, state.load.slots > 0 ? state.load.slots : state.info.slots);
+  double busy = state.own;
+  double slowdown = m_options.usual_slowdown;
+  if (state.reported) {
+    const Duration age = now - *state.reported;
+    const double known = decay(age, m_options.slowdown_memory);
+    // Requests that were there at the report leave one by one.
+    const double reported = state.load.running + state.load.waiting;
+    busy = std::max<double>(state.own, reported * known + state.begun_since);
+    slowdown = m_options.usual_slowdown + (state.load.slowdown - m_options.usual_slowdown) * known;
+  }
+  const double after = busy + 1;
+  double cost = slowdown;
+  if (after > m_options.knee * slots) {
+    cost *= m_options.knee_slowdown;
+  }
+  if (after > slots) {
+    cost += slowdown * m_options.knee_slowdown * (after - slots) / slots;
+  }
+  if (now < state.cold_until) {
+    cost *= m_options.cold_slowdown;
+  }
+  const double learned = decay(now - state.relative_since, kRelativeMemory);
+  cost *= 1 + (state.relative_time - 1) * learned;
+  if (state.info.failure_domain != m_options.failure_domain) {
+    cost *= 1 + m_options.remote_cost;
+  }
+  return cost;
+}
+
+bool
+ServerSelector::avoided(const State& state, TimePoint now) const
+{
+  return now < state.avoid_until;
+}
+
+std::optional<ServerInfo>
+ServerSelector::pick(TimePoint now,
+                     const std::set<ServerId>& tried,
+                     std::mt19937_64& random) const
+{
+  const State* best = nullptr;
+  double best_cost = 0;
+  unsigned equal = 0;
+  // If every server is avoided, the failures say more about this host or all of them: use all.
+  for (const bool avoiding : { true, false }) {
+    for (const auto& [id, state] : m_servers) {
+      if (tried.count(id) > 0 || (avoiding && avoided(state, now))) {
+        continue;
+      }
+      const double cost = cost_of(state, now);
+      if (best == nullptr || cost < best_cost - kEqualCost) {
+        best = &state;
+        best_cost = cost;
+        equal = 1;
+      } else if (cost < best_cost + kEqualCost && random() % ++equal == 0) {
+        best = &state;
+        best_cost = std::min(cost, best_cost);
+      }
+    }
+    if (best != nullptr) {
+      return best->info;
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<ServerInfo>
+ServerSelector::probe_targets(TimePoint now,
+                              std::size_t count,
+                              const std::set<ServerId>& tried,
+                              std::mt19937_64& random) const
+{
+  std::vector<std::pair<double, const State*>> stale;
+  for (const auto& [id, state] : m_servers) {
+    const bool fresh = state.reported && now - *state.reported < m_options.fresh_report;
+    if (tried.count(id) == 0 && !avoided(state, now) && !fresh) {
+      const double noise = std::uniform_real_distribution<double>(0, 0.5)(random);
+      stale.emplace_back(cost_of(state, now) + noise, &state);
+    }
+  }
+  std::sort(stale.begin(), stale.end(), [](const auto& a, const auto& b) {
+    return a.first < b.first;
+  });
+  std::vector<ServerInfo> targets;
+  for (std::size_t i = 0; i < std::min(count, stale.size()); ++i) {
+    targets.push_back(stale[i].second->info);
+  }
+  return targets;
+}
+
+void
+ServerSelector::report(const ServerId& id, const LoadReport& load, TimePoint now)
+{
+  const auto found = m_servers.find(id);
+  if (found != m_servers.end()) {
+    found->second.load = load;
+    found->second.reported = now;
+    found->second.begun_since = 0;
+  }
+}
+
+void
+ServerSelector::avoid(State& state, TimePoint now)
+{
+  state.avoid_for = state.avoid_for.count() == 0
+                      ? m_options.eject_base
+                      : std::min(2 * state.avoid_for, m_options.eject_max);
+  state.avoid_until = now + state.avoid_for;
+}
+
+void
+ServerSelector::probe_failed(const ServerId& id, bool unreachable, TimePoint now)
+{
+  const auto found = m_servers.find(id);
+  if (found != m_servers.end() && unreachable) {
+    avoid(found->second, now);
+  }
+}
+
+void
+ServerSelector::begin(const ServerId& id, TimePoint)
+{
+  const auto found = m_servers.find(id);
+  if (found != m_servers.end()) {
+    ++found->second.own;
+    ++found->second.begun_since;
+  }
+}
+
+void
+ServerSelector::end(const ServerId& id, AttemptEnd end, Duration elapsed, TimePoint now)
+{
+  const auto found = m_servers.find(id);
+  if (found == m_servers.end()) {
+    return;
+  }
+  State& state = found->second;
+  state.own -= state.own > 0 ? 1 : 0;
+  const auto learn = [&](double ratio) {
+    const double learned = decay(now - state.relative_since, kRelativeMemory);
+    const double before = 1 + (state.relative_time - 1) * learned;
+    state.relative_time = before + kRelativeSmoothing * (std::min(ratio, 8.0) - before);
+    state.relative_since = now;
+  };
+  const double taken_ms = 1000 * seconds(elapsed);
+  switch (end) {
+    case AttemptEnd::Served:
+      if (m_usual_ms && *m_usual_ms > 0) {
+        learn(std::max(0.5, taken_ms / *m_usual_ms));
+      }
+      m_usual_ms = m_usual_ms ? *m_usual_ms + kSmoothing * (taken_ms - *m_usual_ms) : taken_ms;
+      state.failures = 0;
+      state.avoid_for = std::chrono::milliseconds(0);
+      break;
+    case AttemptEnd::Shed:
+      state.load.running = std::max(state.load.running, state.info.slots);
+      state.load.waiting = std::max(state.load.waiting, state.info.slots);
+      state.reported = now;
+      break;
+    case AttemptEnd::TimedOut:
+      learn(kTimeoutFactor);
+      [[fallthrough]];
+    case AttemptEnd::Failed:
+      if (++state.failures >= m_options.failures_to_eject) {
+        avoid(state, now);
+      }
+      break;
+    case AttemptEnd::Unreached:
+      avoid(state, now);
+      break;
+    case AttemptEnd::Replaced:
+      state.avoid_until = now + m_options.eject_max;
+      break;
+    case AttemptEnd::Abandoned:
+      if (m_usual_ms && taken_ms > *m_usual_ms) {
+        learn(taken_ms / *m_usual_ms);
+      }
+      break;
+  }
+}
+
+std::optional<Duration>
+ServerSelector::usual_time() const
+{
+  if (!m_usual_ms) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(*m_usual_ms));
+}
+
+double
+ServerSelector::cost(const ServerId& id, TimePoint now) const
+{
+  const auto found = m_servers.find(id);
+  return found == m_servers.end() ? 0 : cost_of(found->second, now);
+}
+
+std::optional<Duration>
+ServerSelector::report_age(const ServerId& id, TimePoint now) const
+{
+  const auto found = m_servers.find(id);
+  if (found == m_servers.end() || !found->second.reported) {
+    return std::nullopt;
+  }
+  return now - *found->second.reported;
+}
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libgateway/caller_connection.cpp
@@ -0,0 +1,435 @@
+#include "caller_connection.h"
+
+#include "forwarded_request.h"
+#include "libproxy/framing.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <sys/socket.h>
+
+namespace lovagehold {
+
+namespace {
+
+constexpr std::chrono::seconds kWriteTimeout{ 10 };
+constexpr std::chrono::milliseconds kUnreadyRetry{ 300 };
+constexpr std::chrono::milliseconds kDefaultCallerWait{ 30000 };
+// Idle connections of a host that shuts down are closed after this time, so that a request that is
+// already on its way is still answered.
+constexpr std::chrono::milliseconds kShutdownIdle{ 1500 };
+// Longest pause within a body.
+constexpr std::chrono::milliseconds kBodyIdle{ 10000 };
+
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>
+{
+public:
+  CallerConnection(std::shared_ptr<GatewayContext> context, tcp::socket socket)
+    : m_context(std::move(context))
+    , m_stream(std::move(socket))
+    , m_read_limit(m_stream)
+  {
+  }
+
+  awaitable<void> run()
+  {
+    while (m_open) {
+      co_await serve_one();
+    }
+    boost::system::error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_stream.socket().close(ignored);
+  }
+
+private:
+  RequestLimits limits() const
+  {
+    return m_context->routing ? m_context->routing->limits() : RequestLimits{};
+  }
+
+  // Waits for the first byte of the next request. Shutdown shortens the wait, so it is taken in
+  // steps.
+  awaitable<bool> wait_for_request(const RequestLimits& limits)
+  {
+    if (m_buffer.size() > 0) {
+      co_return true;
+    }
+    const TimePoint idle_end = Clock::now() + limits.idle_timeout;
+    std::optional<TimePoint> shutdown_end;
+    while (true) {
+      if (m_context->shutting_down && !shutdown_end) {
+        shutdown_end = Clock::now() + kShutdownIdle;
+      }
+      const TimePoint step = m_context->shutting_down ? *shutdown_end : idle_end;
+      boost::system::error_code error;
+      m_context->idle_callers.insert(&m_stream);
+      m_read_limit.arm(std::min(step, idle_end));
+      co_await m_stream.socket().async_wait(tcp::socket::wait_read, capture(error));
+      m_read_limit.disarm(error);
+      m_context->idle_callers.erase(&m_stream);
+      if (!error) {
+        co_return true;
+      }
+      const bool woken = error == asio::error::operation_aborted && m_context->shutting_down;
+      if (!woken || Clock::now() >= std::min(step, idle_end)) {
+        co_return false;
+      }
+    }
+  }
+
+  awaitable<void> serve_one()
+  {
+    const RequestLimits limits = this->limits();
+    const bool waiting = co_await wait_for_request(limits);
+    if (!waiting) {
+      m_open = false;
+      co_return;
+    }
+    RequestParser parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    parser.body_limit(limits.body_bytes);
+    boost::system::error_code error;
+    m_read_limit.arm(Clock::now() + limits.header_timeout);
+    co_await http::async_read_header(m_stream, m_buffer, parser, capture(error));
+    m_read_limit.disarm(error);
+    if (error) {
+      m_open = false;
+      const bool ended = error == http::error::end_of_stream ||
+                         error == asio::error::connection_reset || error == asio::error::eof ||
+                         error == asio::error::operation_aborted;
+      if (!ended && error != http::error::partial_message) {
+        const RequestFault fault = describe_parse_error(error);
+        co_await answer_fault(fault);
+      }
+      co_return;
+    }
+    ++m_context->in_progress;
+    ++m_context->counters.requests;
+    co_await serve_request(parser, limits);
+    --m_context->in_progress;
+  }
+
+  awaitable<void> serve_request(RequestParser& parser, const RequestLimits& limits)
+  {
+    const TimePoint arrived = Clock::now();
+    const auto& header = parser.get();
+    m_head_method = header.method() == http::verb::head;
+    if (const auto fault = check_request_header(header)) {
+      m_open = false;
+      co_await answer_fault(*fault);
+      co_return;
+    }
+    if (!parser.keep_alive()) {
+      m_open = false;
+    }
+    const CallerLimits caller_limits{ .idle = limits.idle_timeout,
+                                      .header_timeout = limits.header_timeout,
+                                      .body_idle = kBodyIdle,
+                                      .body_bytes_per_second = 1 };
+    UploadSource upload(m_stream,
+                        m_read_limit,
+                        m_buffer,
+                        parser,
+                        caller_limits,
+                        header.count(http::field::expect) > 0);
+    const bool whole = co_await upload.read_all();
+    if (upload.failed()) {
+      m_open = false;
+      if (!upload.caller_left()) {
+        const RequestFault fault = describe_parse_error(upload.error());
+        co_await answer_fault(fault);
+      }
+      co_return;
+    }
+    co_await route(parser, upload, whole, arrived);
+  }
+
+  awaitable<void> route(RequestParser& parser, UploadSource& upload, bool whole, TimePoint arrived)
+  {
+    const auto& header = parser.get();
+    const auto routing = m_context->routing;
+    if (!routing) {
+      const GatewayRefusal refusal{ .status = 503,
+                                    .reason = "this host has no routing configuration yet",
+                                    .retry_after = kUnreadyRetry };
+      co_await answer_refusal(refusal);
+      co_return;
+    }
+    const std::string target(header.target());
+    const beast::string_view host = header[http::field::host];
+    const Route* route = routing->find(std::string_view(host.data(), host.size()),
+                                       std::string_view(target).substr(0, target.find('?')));
+    if (route == nullptr) {
+      m_open = m_open && upload.done();
+      const GatewayRefusal refusal{ .status = 404, .reason = "no route matches the request" };
+      co_await answer_refusal(refusal);
+      co_return;
+    }
+    co_await forward(parser, upload, whole, arrived, routing, *route);
+  }
+
+  GatewayRequest make_request(RequestParser& parser,
+                              UploadSource& upload,
+                              bool whole,
+                              TimePoint arrived,
+                              const std::shared_ptr<RoutingTable>& routing,
+                              const Route& route) const
+  {
+    const GatewayHeaders& names = m_context->options.headers;
+    http::request_header<> header = parser.get().base();
+    const auto wait = parse_number_field(header, names.deadline.c_str());
+    GatewayRequest request{ .id = std::string(header[names.request_id]),
+                            .head_method = m_head_method,
+                            .routing = routing,
+                            .route = &route,
+                            .service = routing->next_target(route),
+                            .arrived = arrived };
+    request.caller_deadline =
+      arrived + std::chrono::milliseconds(wait ? static_cast<std::int64_t>(*wait)
+                                               : kDefaultCallerWait.count());
+    remove_hop_by_hop_fields(header);
+    header.erase(names.deadline);
+    header.erase(names.expected_server);
+    const bool has_body = parser.chunked() || parser.content_length().value_or(0) > 0 ||
+                          header.count(http::field::content_length) > 0;
+    request.chunked = !whole && parser.chunked();
+    if (whole) {
+      request.body = std::make_shared<const std::string>(upload.take_kept());
+      if (has_body) {
+        header.set(http::field::content_length, std::to_string(request.body->size()));
+      }
+    } else {
+      request.body = std::make_shared<const std::string>();
+      request.upload = &upload;
+      if (request.chunked) {
+        header.set(http::field::transfer_encoding, "chunked");
+      }
+    }
+    request.head = format_request_head(header);
+    // The deadline and the expected server are added for each attempt.
+    request.head.resize(request.head.size() - 2);
+    return request;
+  }
+
+  // Notices that the caller closes the connection while its request is served.
+  awaitable<void> watch_caller(std::weak_ptr<ForwardedRequest> forwarded)
+  {
+    boost::system::error_code error;
+    co_await m_stream.socket().async_wait(tcp::socket::wait_read, capture(error));
+    const auto request = forwarded.lock();
+    if (error || !request) {
+      co_return;
+    }
+    char byte = 0;
+    const auto received =
+      ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool left = received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    if (left) {
+      request->abandon();
+    }
+  }
+
+  awaitable<void> forward(RequestParser& parser,
+                          UploadSource& upload,
+                          bool whole,
+                          TimePoint arrived,
+                          const std::shared_ptr<RoutingTable>& routing,
+                          const Route& route)
+  {
+    GatewayRequest request = make_request(parser, upload, whole, arrived, routing, route);
+    const std::string id = request.id;
+    const auto forwarded = std::make_shared<ForwardedRequest>(*m_context, std::move(request));
+    if (whole) {
+      start_watch(forwarded);
+    }
+    co_await forwarded->run();
+    if (!upload.done()) {
+      upload.interrupt();
+      m_open = false;
+    }
+    unsigned status = 0;
+    if (forwarded->abandoned()) {
+      m_open = false;
+      ++m_context->counters.abandoned;
+      forwarded->finish(false);
+    } else if (ServerExchange* response = forwarded->response()) {
+      m_stream.socket().cancel();
+      status = response->response().result_int();
+      const bool complete = co_await pass_on(*response);
+      ++(complete ? m_context->counters.served : m_context->counters.failed);
+      forwarded->finish(complete);
+    } else {
+      m_stream.socket().cancel();
+      status = forwarded->refusal().status;
+      co_await answer_refusal(forwarded->refusal());
+      forwarded->finish(false);
+    }
+    log_request(id, route, status, arrived, *forwarded);
+  }
+
+  void start_watch(const std::shared_ptr<ForwardedRequest>& forwarded)
+  {
+    asio::co_spawn(
+      m_context->io,
+      [self = shared_from_this(), weak = std::weak_ptr<ForwardedRequest>(forwarded)]()
+        -> awaitable<void> { co_await self->watch_caller(weak); },
+      asio::detached);
+  }
+
+  void log_request(const std::string& id,
+                   const Route& route,
+                   unsigned status,
+                   TimePoint arrived,
+                   const ForwardedRequest& forwarded)
+  {
+    const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - arrived);
+    m_context->log.info("request",
+                        { { "id", id },
+                          { "route", route.name },
+                          { "status", std::to_string(status) },
+                          { "ms", std::to_string(taken.count()) },
+                          { "attempts", forwarded.describe_attempts() },
+                          { "reason", status >= 500 ? forwarded.refusal().reason : "" } });
+  }
+
+  void close_if_leaving(http::fields& fields)
+  {
+    if (m_context->shutting_down) {
+      m_open = false;
+    }
+    if (!m_open) {
+      fields.set(http::field::connection, "close");
+    }
+  }
+
+  awaitable<bool> write(std::string_view head, std::string_view body)
+  {
+    const std::array<asio::const_buffer, 2> buffers{ asio::buffer(head.data(), head.size()),
+                                                     asio::buffer(body.data(), body.size()) };
+    m_stream.expires_after(kWriteTimeout);
+    boost::system::error_code error;
+    co_await asio::async_write(m_stream, buffers, capture(error));
+    m_stream.expires_never();
+    m_open = m_open && !error;
+    co_return !error;
+  }
+
+  // \return whether the caller got the whole response
+  awaitable<bool> pass_on(ServerExchange& exchange)
+  {
+    http::response_header<> header = exchange.response().base();
+    const bool bodiless = m_head_method || header.result() == http::status::no_content ||
+                          header.result() == http::status::not_modified;
+    remove_hop_by_hop_fields(header);
+    header.version(11);
+    const bool assembled = exchange.is_complete();
+    bool chunked = false;
+    if (assembled && !bodiless) {
+      header.set(http::field::content_length, std::to_string(exchange.assembled().size()));
+    } else if (!bodiless && !exchange.content_length()) {
+      header.set(http::field::transfer_encoding, "chunked");
+      chunked = true;
+    }
+    close_if_leaving(header);
+    const std::string head = format_response_head(header);
+    const std::string_view first =
+      assembled || !chunked ? std::string_view(exchange.assembled()) : std::string_view();
+    bool written = co_await write(head, first);
+    if (assembled) {
+      co_return written;
+    }
+    if (chunked && written && !exchange.assembled().empty()) {
+      written = co_await write_piece(exchange.assembled(), true);
+    }
+    while (written && !exchange.is_complete()) {
+      const std::string_view piece = co_await exchange.read_body(Clock::now() + kBodyIdle);
+      if (piece.empty()) {
+        break;
+      }
+      written = co_await write_piece(piece, chunked);
+    }
+    const bool complete = written && exchange.is_complete();
+    if (!complete) {
+      // Without the last chunk or the whole length the caller sees that the response is cut short.
+      m_open = false;
+    } else if (chunked) {
+      written = co_await write("0\r\n\r\n", "");
+    }
+    co_return complete && written;
+  }
+
+  awaitable<bool> write_piece(std::string_view piece, bool chunked)
+  {
+    if (!chunked) {
+      const bool written = co_await write(piece, "");
+      co_return written;
+    }
+    std::array<char, 24> size{};
+    const int digits = std::snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
+    std::string framed(size.data(), static_cast<std::size_t>(digits));
+    framed.append(piece).append("\r\n");
+    const bool written = co_await write(framed, "");
+    co_return written;
+  }
+
+  awaitable<void> answer_fault(const RequestFault& fault)
+  {
+    log_fault(fault);
+    const GatewayRefusal refusal{ .status = static_cast<unsigned>(fault.status),
+                                  .reason = fault.error + "; " + fault.remedy };
+    co_await answer_refusal(refusal);
+  }
+
+  void log_fault(const RequestFault& fault)
+  {
+    m_context->log.warn("request_rejected",
+                        { { "status", std::to_string(static_cast<unsigned>(fault.status)) },
+                          { "error", fault.error } });
+  }
+
+  awaitable<void> answer_refusal(const GatewayRefusal& refusal)
+  {
+    http::response_header<> header;
+    header.version(11);
+    header.result(refusal.status);
+    header.set(http::field::content_type, "text/plain");
+    const std::string body = refusal.reason + "\n";
+    header.set(http::field::content_length, std::to_string(body.size()));
+    if (refusal.retry_after) {
+      char seconds[32];
+      std::snprintf(seconds,
+                    sizeof(seconds),
+                    "%.3f",
+                    std::chrono::duration<double>(*refusal.retry_after).count());
+      header.set(http::field::retry_after, seconds);
+    }
+    close_if_leaving(header);
+    ++(refusal.status == 503 ? m_context->counters.refused : m_context->counters.failed);
+    const std::string head = format_response_head(header);
+    const std::string_view content = m_head_method ? std::string_view() : std::string_view(body);
+    co_await write(head, content);
+  }
+
+  std::shared_ptr<GatewayContext> m_context;
+  beast::tcp_stream m_stream;
+  ReadLimit m_read_limit;
+  beast::flat_buffer m_buffer;
+  bool m_open = true;
+  bool m_head_method = false;
+};
+
+} // namespace
+
+awaitable<void>
+serve_caller(std::shared_ptr<GatewayContext> context, tcp::socket socket)
+{
+  ++context->connections;
+  {
+    const auto connection = std::make_shared<CallerConnection>(context, std::move(socket));
+    co_await connection->run();
+  }
+  --context->connections;
+}
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libgateway/gateway.cpp
@@ -0,0 +1,138 @@
+#include "lovagehold/gateway.h"
+
+#include "caller_connection.h"
+#include "lovagehold/address.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace lovagehold {
+
+struct Gateway::Impl : std::enable_shared_from_this<Gateway::Impl>
+{
+  Impl(asio::io_context& io, GatewayOptions options, EventLog& log)
+    : context(std::make_shared<GatewayContext>(io, std::move(options), log))
+    , acceptor(io)
+  {
+  }
+
+  std::shared_ptr<GatewayContext> context;
+  tcp::acceptor acceptor;
+
+  void accept()
+  {
+    acceptor.async_accept([self = shared_from_this()](auto error, tcp::socket socket) {
+      if (!self->acceptor.is_open()) {
+        return;
+      }
+      if (!error && self->context->connections < self->context->options.max_connections) {
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        asio::co_spawn(
+          self->context->io, serve_caller(self->context, std::move(socket)), asio::detached);
+      }
+      self->accept();
+    });
+  }
+};
+
+Gateway::Gateway(asio::io_context& context, GatewayOptions options, EventLog& log)
+  : m_impl(std::make_shared<Impl>(context, std::move(options), log))
+{
+}
+
+Gateway::~Gateway()
+{
+  boost::system::error_code ignored;
+  m_impl->acceptor.close(ignored);
+}
+
+Result<void>
+Gateway::start()
+{
+  const std::string& address = m_impl->context->options.listen_address;
+  const auto endpoint = parse_endpoint(address);
+  boost::system::error_code error = asio::error::invalid_argument;
+  if (endpoint) {
+    m_impl->acceptor.open(endpoint->protocol(), error);
+    m_impl->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    m_impl->acceptor.bind(*endpoint, error);
+  }
+  if (!error) {
+    m_impl->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Error{ .kind = ErrorKind::Unavailable,
+                  .message = "can't listen on " + address + ": " + error.message(),
+                  .remedy = "stop the process that holds the address" };
+  }
+  m_impl->accept();
+  return boost::outcome_v2::success();
+}
+
+void
+Gateway::set_routing(RoutingConfig config)
+{
+  GatewayContext& context = *m_impl->context;
+  context.routing = std::make_shared<RoutingTable>(std::move(config), context.random());
+}
+
+void
+Gateway::set_servers(const std::vector<ServerInfo>& servers, TimePoint now)
+{
+  std::map<ServiceName, std::vector<ServerInfo>> by_service;
+  for (const ServerInfo& server : servers) {
+    by_service[server.service].push_back(server);
+  }
+  for (auto& [service, selector] : m_impl->context->selectors) {
+    by_service.try_emplace(service);
+  }
+  for (const auto& [service, of_service] : by_service) {
+    m_impl->context->selector(service).set_servers(of_service, now);
+  }
+}
+
+void
+Gateway::set_entry_hosts(std::size_t hosts)
+{
+  GatewayContext& context = *m_impl->context;
+  context.entry_hosts = hosts;
+  for (auto& [service, budget] : context.budgets) {
+    budget.set_hosts(hosts);
+  }
+}
+
+void
+Gateway::begin_shutdown()
+{
+  m_impl->context->shutting_down = true;
+  for (beast::tcp_stream* caller : m_impl->context->idle_callers) {
+    caller->cancel();
+  }
+}
+
+std::size_t
+Gateway::in_progress() const
+{
+  return m_impl->context->in_progress;
+}
+
+std::size_t
+Gateway::connections() const
+{
+  return m_impl->context->connections;
+}
+
+std::uint64_t
+Gateway::version() const
+{
+  return m_impl->context->routing ? m_impl->context->routing->version() : 0;
+}
+
+const GatewayCounters&
+Gateway::counters() const
+{
+  return m_impl->context->counters;
+}
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libgateway/load_probe.cpp
@@ -0,0 +1,145 @@
+#include "load_probe.h"
+
+#include "lovagehold/address.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+namespace lovagehold {
+
+namespace {
+
+constexpr std::uint32_t kProbeHeaderBytes = 8U << 10;
+constexpr std::size_t kProbeBodyBytes = std::size_t{ 4 } << 10;
+
+enum class ProbeOutcome
+{
+  Answered,
+  Failed,
+  Unreachable,
+};
+
+// Probes in progress that a choice waits for.
+struct ProbeRound
+{
+  explicit ProbeRound(const asio::any_io_executor& executor)
+    : done(executor)
+  {
+  }
+
+  asio::steady_timer done;
+  std::size_t open = 0;
+};
+
+awaitable<std::shared_ptr<ServerConnection>>
+open_connection(GatewayContext& context, const std::string& address)
+{
+  auto connection = context.pool.take(address, Clock::now());
+  const auto endpoint = parse_endpoint(address);
+  if (connection || !endpoint) {
+    co_return connection;
+  }
+  connection = std::make_shared<ServerConnection>(co_await asio::this_coro::executor);
+  connection->set_deadline(Clock::now() + context.options.probe_timeout);
+  boost::system::error_code error;
+  co_await connection->socket.async_connect(*endpoint, capture(error));
+  connection->clear_deadline();
+  if (error) {
+    co_return nullptr;
+  }
+  ++context.counters.server_connections;
+  connection->socket.set_option(tcp::no_delay(true), error);
+  co_return connection;
+}
+
+awaitable<ProbeOutcome>
+probe(GatewayContext& context,
+      const ServiceName& service,
+      const ServerInfo& server,
+      const std::string& path)
+{
+  ++context.counters.probes;
+  const auto connection = co_await open_connection(context, server.address);
+  if (!connection) {
+    co_return ProbeOutcome::Unreachable;
+  }
+  connection->set_deadline(Clock::now() + context.options.probe_timeout);
+  const std::string request = "GET " + path + " HTTP/1.1\r\nHost: " + server.address + "\r\n\r\n";
+  boost::system::error_code error;
+  co_await asio::async_write(connection->socket, asio::buffer(request), capture(error));
+  http::response_parser<http::string_body> parser;
+  parser.header_limit(kProbeHeaderBytes);
+  parser.body_limit(kProbeBodyBytes);
+  if (!error) {
+    co_await http::async_read(connection->socket, connection->buffer, parser, capture(error));
+  }
+  if (error) {
+    connection->close();
+    co_return ProbeOutcome::Failed;
+  }
+  const GatewayHeaders& names = context.options.headers;
+  const beast::string_view id = parser.get()[names.server_id];
+  const beast::string_view load = parser.get()[names.load];
+  const bool expected = id.empty() || id == beast::string_view(server.id.data(), server.id.size());
+  if (expected && !load.empty()) {
+    if (const auto report = names.parse_load(std::string_view(load.data(), load.size()))) {
+      context.selector(service).report(server.id, *report, Clock::now());
+    }
+  }
+  if (parser.keep_alive()) {
+    context.pool.put(server.address, connection, Clock::now());
+  } else {
+    connection->close();
+  }
+  co_return expected ? ProbeOutcome::Answered : ProbeOutcome::Unreachable;
+}
+
+void
+start_probe(GatewayContext& context,
+            const ServiceName& service,
+            const ServerInfo& target,
+            const std::string& path,
+            const std::shared_ptr<ProbeRound>& round)
+{
+  asio::co_spawn(
+    context.io,
+    [&context, service, target, path, round]() -> awaitable<void> {
+      const ProbeOutcome outcome = co_await probe(context, service, target, path);
+      if (outcome != ProbeOutcome::Answered) {
+        context.selector(service).probe_failed(
+          target.id, outcome == ProbeOutcome::Unreachable, Clock::now());
+      }
+      if (--round->open == 0) {
+        round->done.cancel();
+      }
+    },
+    asio::detached);
+}
+
+} // namespace
+
+awaitable<void>
+probe_loads(GatewayContext& context,
+            const ServiceName& service,
+            const std::vector<ServerInfo>& targets,
+            const std::string& path,
+            TimePoint wait_until)
+{
+  if (targets.empty()) {
+    co_return;
+  }
+  const auto executor = co_await asio::this_coro::executor;
+  const auto round = std::make_shared<ProbeRound>(executor);
+  round->open = targets.size();
+  round->done.expires_at(wait_until);
+  for (const ServerInfo& target : targets) {
+    start_probe(context, service, target, path, round);
+  }
+  boost::system::error_code ignored;
+  if (round->open > 0) {
+    co_await round->done.async_wait(capture(ignored));
+  }
+}
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libgateway/server_exchange.cpp
@@ -0,0 +1,352 @@
+#include "server_exchange.h"
+
+#include "libproxy/framing.h"
+#include "lovagehold/address.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <limits>
+
+namespace lovagehold {
+
+namespace {
+
+constexpr std::uint32_t kResponseHeaderBytes = 64U << 10;
+// Larger bodies are sent while the response is awaited, because a server may answer early.
+constexpr std::size_t kDirectBodyBytes = std::size_t{ 16 } << 10;
+// Responses to other requests that are skipped before a connection is given up.
+constexpr int kMaxForeignResponses = 4;
+// Part of the server's idle timeout for which a connection is kept.
+constexpr double kIdleShare = 0.7;
+
+std::optional<Duration>
+idle_limit(const http::fields& fields)
+{
+  for (const auto& parameter : http::param_list(fields[http::field::keep_alive])) {
+    if (beast::iequals(parameter.first, "timeout")) {
+      const int seconds = std::atoi(std::string(parameter.second).c_str());
+      return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+        kIdleShare * std::max(0, seconds)));
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+const char*
+to_string(ExchangeStatus status)
+{
+  switch (status) {
+    case ExchangeStatus::Responded:
+      return "responded";
+    case ExchangeStatus::NotExecuted:
+      return "not_executed";
+    case ExchangeStatus::Replaced:
+      return "replaced";
+    case ExchangeStatus::Unreached:
+      return "unreached";
+    case ExchangeStatus::Broken:
+      return "broken";
+    case ExchangeStatus::TimedOut:
+      return "timed_out";
+    case ExchangeStatus::Cancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+awaitable<bool>
+ServerExchange::connect(TimePoint deadline)
+{
+  const TimePoint now = Clock::now();
+  m_connection = m_context.pool.take(m_server.address, now);
+  if (m_connection) {
+    m_reused = true;
+    co_return true;
+  }
+  const auto endpoint = parse_endpoint(m_server.address);
+  if (!endpoint) {
+    co_return false;
+  }
+  m_connection = std::make_shared<ServerConnection>(co_await asio::this_coro::executor);
+  const auto connection = m_connection;
+  connection->set_deadline(std::min(deadline, now + m_context.options.connect_timeout));
+  boost::system::error_code error;
+  co_await connection->socket.async_connect(*endpoint, capture(error));
+  connection->clear_deadline();
+  if (error || m_cancelled) {
+    co_return false;
+  }
+  ++m_context.counters.server_connections;
+  connection->socket.set_option(tcp::no_delay(true), error);
+  co_return true;
+}
+
+void
+ServerExchange::fail()
+{
+  if (m_cancelled) {
+    m_status = ExchangeStatus::Cancelled;
+  } else {
+    m_status = m_connection->timed_out() ? ExchangeStatus::TimedOut : ExchangeStatus::Broken;
+  }
+  m_connection->close();
+}
+
+awaitable<void>
+ServerExchange::run(const OutgoingRequest& request, TimePoint deadline)
+{
+  const bool connected = co_await connect(deadline);
+  if (!connected) {
+    m_status = m_cancelled ? ExchangeStatus::Cancelled : ExchangeStatus::Unreached;
+    co_return;
+  }
+  m_connection->set_deadline(deadline);
+  m_status = ExchangeStatus::Broken;
+  const bool direct = request.upload == nullptr && request.body->size() <= kDirectBodyBytes;
+  if (direct) {
+    const std::array<asio::const_buffer, 2> buffers{ asio::buffer(request.head),
+                                                     asio::buffer(*request.body) };
+    co_await asio::async_write(m_connection->socket, buffers, capture(m_error));
+    m_sent_whole = !m_error;
+  } else {
+    start_sending(request);
+  }
+  bool accepted = false;
+  if (!m_error) {
+    accepted = co_await read_response(request);
+  }
+  if (!accepted || m_cancelled) {
+    fail();
+    co_return;
+  }
+  classify();
+  co_await assemble();
+}
+
+void
+ServerExchange::start_sending(const OutgoingRequest& request)
+{
+  asio::co_spawn(
+    m_context.io,
+    [self = shared_from_this(), request]() -> awaitable<void> { co_await self->send(request); },
+    asio::detached);
+}
+
+awaitable<void>
+ServerExchange::send(const OutgoingRequest& request)
+{
+  const auto connection = m_connection;
+  boost::system::error_code error;
+  co_await asio::async_write(connection->socket, asio::buffer(request.head), capture(error));
+  if (!error) {
+    co_await send_body(request);
+  }
+}
+
+awaitable<void>
+ServerExchange::send_body(const OutgoingRequest& request)
+{
+  const auto connection = m_connection;
+  boost::system::error_code error;
+  const auto write = [&](std::string_view piece) -> awaitable<void> {
+    if (request.chunked) {
+      const auto data = http::make_chunk(asio::const_buffer(piece.data(), piece.size()));
+      co_await asio::async_write(connection->socket, data, capture(error));
+    } else {
+      co_await asio::async_write(connection->socket, asio::buffer(piece.data(), piece.size()), capture(error));
+    }
+  };
+  if (request.upload == nullptr) {
+    co_await write(*request.body);
+    m_sent_whole = !error;
+    co_return;
+  }
+  if (!request.upload->kept().empty()) {
+    co_await write(request.upload->kept());
+  }
+  while (!error && !request.upload->done() && connection->socket.is_open()) {
+    const std::string_view piece = co_await request.upload->read();
+    if (request.upload->error()) {
+      connection->close();
+      co_return;
+    }
+    if (!piece.empty()) {
+      co_await write(piece);
+    }
+  }
+  if (!error && request.chunked) {
+    const std::string_view last = "0\r\n\r\n";
+    co_await asio::async_write(connection->socket, asio::buffer(last), capture(error));
+  }
+  m_sent_whole = !error;
+}
+
+awaitable<bool>
+ServerExchange::read_header(const OutgoingRequest& request)
+{
+  const auto connection = m_connection;
+  do {
+    m_parser.emplace();
+    m_parser->header_limit(kResponseHeaderBytes);
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_parser->skip(request.head_method);
+    co_await http::async_read_header(
+      connection->socket, connection->buffer, *m_parser, capture(m_error));
+    if (m_error) {
+      co_return false;
+    }
+  } while (m_parser->get().result_int() / 100 == 1);
+  co_return true;
+}
+
+// A second response to an earlier request may arrive where this request's response is expected.
+bool
+ServerExchange::belongs_to(const OutgoingRequest& request) const
+{
+  const auto& header = m_parser->get();
+  const beast::string_view id = header[m_context.options.headers.request_id];
+  if (!id.empty()) {
+    return id == beast::string_view(request.id.data(), request.id.size());
+  }
+  return !m_reused && m_clean && header.result_int() >= 300;
+}
+
+awaitable<bool>
+ServerExchange::skip_body()
+{
+  m_clean = false;
+  while (!m_error && !m_parser->is_done()) {
+    co_await read_piece();
+  }
+  co_return !m_error;
+}
+
+awaitable<bool>
+ServerExchange::read_response(const OutgoingRequest& request)
+{
+  for (int foreign = 0; foreign < kMaxForeignResponses; ++foreign) {
+    const bool read = co_await read_header(request);
+    if (!read) {
+      co_return false;
+    }
+    if (belongs_to(request)) {
+      co_return true;
+    }
+    const bool skipped = co_await skip_body();
+    if (!skipped) {
+      co_return false;
+    }
+  }
+  co_return false;
+}
+
+void
+ServerExchange::classify()
+{
+  const auto& header = m_parser->get();
+  const GatewayHeaders& names = m_context.options.headers;
+  if (header.count(names.load) > 0) {
+    const beast::string_view load = header[names.load];
+    m_load = names.parse_load(std::string_view(load.data(), load.size()));
+  }
+  if (header.result_int() == 421) {
+    m_status = ExchangeStatus::Replaced;
+  } else if (header.count(names.not_executed) > 0) {
+    m_status = ExchangeStatus::NotExecuted;
+  } else {
+    m_status = ExchangeStatus::Responded;
+  }
+}
+
+std::optional<std::uint64_t>
+ServerExchange::content_length() const
+{
+  const auto length = m_parser->content_length();
+  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+// A small response is read whole before it counts as received, so that one cut short can still be
+// replaced by the response of another server.
+awaitable<void>
+ServerExchange::assemble()
+{
+  const auto length = content_length();
+  if (length && *length > kChunkBytes) {
+    co_return;
+  }
+  while (!m_parser->is_done() && m_assembled.size() < kChunkBytes) {
+    const std::string_view piece = co_await read_piece();
+    if (m_error) {
+      // A refusal holds even if its text is cut short.
+      if (m_status == ExchangeStatus::Responded) {
+        fail();
+      }
+      m_connection->close();
+      co_return;
+    }
+    m_assembled.append(piece);
+  }
+}
+
+awaitable<std::string_view>
+ServerExchange::read_body(TimePoint deadline)
+{
+  m_connection->set_deadline(deadline);
+  const std::string_view piece = co_await read_piece();
+  if (m_error) {
+    fail();
+  }
+  co_return piece;
+}
+
+awaitable<std::string_view>
+ServerExchange::read_piece()
+{
+  const auto connection = m_connection;
+  m_chunk.resize(std::min<std::uint64_t>(kChunkBytes, content_length().value_or(kChunkBytes) + 1));
+  std::size_t size = 0;
+  while (!m_error && size == 0 && !m_parser->is_done()) {
+    m_parser->get().body().data = m_chunk.data();
+    m_parser->get().body().size = m_chunk.size();
+    co_await http::async_read_some(
+      connection->socket, connection->buffer, *m_parser, capture(m_error));
+    if (m_error == http::error::need_buffer) {
+      m_error = {};
+    }
+    size = m_chunk.size() - m_parser->get().body().size;
+  }
+  co_return m_error ? std::string_view() : std::string_view(m_chunk.data(), size);
+}
+
+void
+ServerExchange::cancel()
+{
+  m_cancelled = true;
+  if (m_connection) {
+    m_connection->close();
+  }
+}
+
+void
+ServerExchange::release()
+{
+  if (!m_connection) {
+    return;
+  }
+  const bool reusable = m_sent_whole && m_clean && !m_cancelled && is_complete() &&
+                        m_parser->keep_alive() && !m_parser->need_eof();
+  if (reusable) {
+    m_connection->idle_limit = idle_limit(m_parser->get());
+    m_context.pool.put(m_server.address, std::move(m_connection), Clock::now());
+  } else {
+    m_connection->close();
+  }
+  m_connection.reset();
+}
+
+} // namespace lovagehold
--- a/src/libproxy/connection_pool.h
+++ b/src/libproxy/connection_pool.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace lovagehold {
@@ -35,6 +36,8 @@
   beast::flat_buffer buffer;
   /// Served an earlier request.
   bool reused = false;
+  /// The server closes the connection when it has been idle for longer; nothing if it did not say.
+  std::optional<Duration> idle_limit;
 
 private:
   asio::steady_timer m_watchdog;
