--- a/src/cmake/LovageholdTargets.cmake
+++ b/src/cmake/LovageholdTargets.cmake
@@ -20,6 +20,9 @@
 
 # lovagehold_test(NAME SOURCES a_test.cpp ... DEPENDS x ...): a GoogleTest program registered with CTest as NAME.
 function(lovagehold_test name)
+  if(NOT LOVAGEHOLD_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
   target_link_libraries(${name} PRIVATE lovagehold_options ${ARG_DEPENDS} GTest::gtest_main GTest::gmock rapidcheck)
--- /dev/null
+++ b/src/libsite/control_host.cpp
@@ -0,0 +1,441 @@
+#include "control_host.h"
+
+#include "lovagehold/file_disk.h"
+
+#include <boost/asio/post.hpp>
+
+namespace lovagehold {
+
+namespace {
+
+// Fine enough for the heartbeats of the replicated log.
+constexpr std::chrono::milliseconds kTickInterval{ 100 };
+constexpr std::chrono::milliseconds kConsensusHeartbeat{ 200 };
+constexpr std::chrono::milliseconds kElectionTimeout{ 800 };
+constexpr std::chrono::milliseconds kQuorumTimeout{ 1000 };
+// A replacement has to vote before its predecessor stops to count as lost, 4 s after its start.
+constexpr std::chrono::milliseconds kMemberLostAfter{ 2000 };
+constexpr std::chrono::milliseconds kShareInterval{ 500 };
+constexpr std::chrono::milliseconds kLeaseCheckInterval{ 500 };
+// Longer than the time for which servers may be cut off from control while entry hosts reach them.
+constexpr std::chrono::milliseconds kServerLease{ 12000 };
+// Operators and servers turn to another host after a second.
+constexpr std::chrono::milliseconds kReadTimeout{ 900 };
+constexpr std::chrono::milliseconds kProposalTimeout{ 2500 };
+constexpr std::chrono::milliseconds kProposalResend{ 400 };
+constexpr std::chrono::milliseconds kDirectoryKeep{ 2000 };
+constexpr std::chrono::milliseconds kSubscriptionTimeout{ 3000 };
+constexpr std::size_t kSnapshotBytes = std::size_t{ 1 } << 20;
+
+std::string
+ip_of(const std::string& address)
+{
+  return address.substr(0, address.rfind(':'));
+}
+
+std::string
+port_of(const std::string& address)
+{
+  return address.substr(address.rfind(':'));
+}
+
+Error
+unavailable(const std::string& message)
+{
+  return { .kind = ErrorKind::Unavailable,
+           .message = message,
+           .remedy = "send the call again to another control host" };
+}
+
+ReplicaOptions
+replica_options(const SiteSettings& settings)
+{
+  ReplicaOptions options{ .host = settings.cluster_address,
+                          .address = settings.cluster_address,
+                          .failure_domain = settings.failure_domain,
+                          .may_found = settings.first_start };
+  // All seeds must agree on the founder, whatever the order in which they are told.
+  std::vector<std::string> seeds = settings.seeds;
+  std::sort(seeds.begin(), seeds.end());
+  for (const std::string& seed : seeds) {
+    options.members.emplace_back(seed, seed);
+  }
+  options.consensus = { .heartbeat = kConsensusHeartbeat,
+                        .election_timeout = kElectionTimeout,
+                        .quorum_timeout = kQuorumTimeout,
+                        .voters = 2 * settings.tolerated_losses + 1,
+                        .lost_after = kMemberLostAfter };
+  options.snapshot_bytes = kSnapshotBytes;
+  options.subscription_timeout = kSubscriptionTimeout;
+  return options;
+}
+
+} // namespace
+
+ControlHost::ControlHost(boost::asio::io_context& context,
+                         SiteSettings settings,
+                         SiteProtocol protocol,
+                         EventLog& log)
+  : m_context(context)
+  , m_settings(std::move(settings))
+  , m_protocol(std::move(protocol))
+  , m_log(log)
+  , m_transport({ .listen_address = m_settings.cluster_address },
+                [this](const std::string& from, Bytes bytes) {
+                  boost::asio::post(m_context, [this, from, bytes = std::move(bytes)] {
+                    const auto message = decode_message(bytes);
+                    if (message.has_value()) {
+                      receive(from, message.value());
+                    } else {
+                      m_log.warn("message_rejected",
+                                 { { "from", from }, { "error", message.error().message } });
+                    }
+                  });
+                })
+  , m_control_server(context,
+                     [this](const AdminRequest& request, const AdminServer::Reply& reply) {
+                       handle(request, reply);
+                     })
+  , m_directory_server(context,
+                       [this](const AdminRequest& request, const AdminServer::Reply& reply) {
+                         handle(request, reply);
+                       })
+  , m_registrar({ .lease = kServerLease })
+  , m_directory(EntryDirectoryOptions{})
+  , m_attached(EntryDirectoryOptions{})
+  , m_timer(context)
+{
+  const auto send_hook = [this](const std::string& address, const ClusterMessage& message) {
+    send(address, message);
+  };
+  ReplicaPorts ports{
+    .send = send_hook,
+    .post = [this](std::function<void()> function) {
+      boost::asio::post(m_context, std::move(function));
+    },
+    .report = [this](std::string_view event, std::string_view key, const std::string& value) {
+      m_log.info(event, { { key, value } });
+    } };
+  m_replica = std::make_unique<Replica>(replica_options(m_settings),
+                                        std::move(ports),
+                                        std::make_unique<FileDisk>(m_settings.data_folder));
+  m_client = std::make_unique<ControlClient>(
+    ControlClientOptions{ .control_addresses = { m_settings.cluster_address },
+                          .proposal_timeout = kProposalTimeout,
+                          .resend_interval = kProposalResend,
+                          .follow = false },
+    send_hook,
+    [](const StateMachine&) {});
+}
+
+Result<void>
+ControlHost::start()
+{
+  BOOST_OUTCOME_TRYV(m_replica->open());
+  std::string error;
+  if (!m_transport.start(error)) {
+    return Error{ .kind = ErrorKind::Unavailable,
+                  .message = error,
+                  .remedy = "stop the process that holds the address" };
+  }
+  BOOST_OUTCOME_TRYV(m_control_server.start(m_settings.control_address));
+  if (!m_settings.directory_address.empty()) {
+    BOOST_OUTCOME_TRYV(m_directory_server.start(m_settings.directory_address));
+  }
+  tick();
+  return boost::outcome_v2::success();
+}
+
+void
+ControlHost::stop()
+{
+  m_timer.cancel();
+  m_transport.stop();
+}
+
+void
+ControlHost::send(const std::string& address, const ClusterMessage& message)
+{
+  if (address == m_settings.cluster_address) {
+    boost::asio::post(m_context, [this, message] { receive(m_settings.cluster_address, message); });
+    return;
+  }
+  m_transport.send(address, encode(message));
+}
+
+void
+ControlHost::receive(const std::string& from, const ClusterMessage& message)
+{
+  const TimePoint now = Clock::now();
+  if (const auto* subscribe = std::get_if<Subscribe>(&message)) {
+    if (subscribe->presence) {
+      m_attached.heard(*subscribe->presence, now);
+      if (m_directory.heard(*subscribe->presence, now)) {
+        m_log.info("entry_host",
+                   { { "address", subscribe->presence->address },
+                     { "ready", subscribe->presence->ready ? "yes" : "no" } });
+        share_entry_hosts(now);
+      }
+    }
+    m_replica->receive(from, message);
+  } else if (const auto* hosts = std::get_if<EntryHosts>(&message)) {
+    for (const EntryHosts::Heard& heard : hosts->hosts) {
+      m_directory.heard(heard.presence, now - heard.age);
+    }
+  } else if (const auto* renewal = std::get_if<ServerRenewal>(&message)) {
+    m_registrar.renew(renewal->id, renewal->incarnation, now);
+  } else if (std::holds_alternative<ProposeReply>(message)) {
+    m_client->receive(from, message, now);
+  } else {
+    m_replica->receive(from, message);
+  }
+}
+
+void
+ControlHost::tick()
+{
+  const TimePoint now = Clock::now();
+  m_replica->tick();
+  m_client->tick(now);
+  watch_leadership(now);
+  if (now - m_shared_at >= kShareInterval) {
+    share_entry_hosts(now);
+    m_directory.expire(now);
+    m_attached.expire(now);
+  }
+  if (m_led && now - m_leases_at >= kLeaseCheckInterval) {
+    m_leases_at = now;
+    end_leases(now);
+  }
+  m_timer.expires_at(now + kTickInterval);
+  m_timer.async_wait([this](auto error) {
+    if (!error) {
+      tick();
+    }
+  });
+}
+
+void
+ControlHost::watch_leadership(TimePoint now)
+{
+  const bool leads = m_replica->leads();
+  if (leads && !m_led) {
+    // Another host kept the leases until now.
+    m_registrar.restart();
+    m_leases_at = now;
+  }
+  m_led = leads;
+}
+
+void
+ControlHost::share_entry_hosts(TimePoint now)
+{
+  m_shared_at = now;
+  EntryHosts message;
+  for (const auto& [presence, age] : m_attached.known(now)) {
+    message.hosts.push_back(
+      { .presence = presence,
+        .age = std::chrono::duration_cast<std::chrono::milliseconds>(age) });
+  }
+  if (message.hosts.empty()) {
+    return;
+  }
+  for (const Member& member : m_replica->status().membership) {
+    if (member.address != m_settings.cluster_address) {
+      send(member.address, message);
+    }
+  }
+}
+
+const std::vector<ServerInfo>&
+ControlHost::servers()
+{
+  const StateMachine& machine = m_replica->machine();
+  if (machine.routes_index() != m_servers_index || machine.routes_index() == 0) {
+    m_servers = machine.all_servers();
+    m_servers_index = machine.routes_index();
+  }
+  return m_servers;
+}
+
+void
+ControlHost::end_leases(TimePoint now)
+{
+  for (const ServerInfo& server : m_registrar.expired(servers(), now)) {
+    m_log.warn("server_lease_ended", { { "server", server.id }, { "service", server.service } });
+    m_registrar.renew(server.id, server.incarnation, now);
+    m_client->propose(LeaveServer{ .service = server.service,
+                                   .id = server.id,
+                                   .incarnation = server.incarnation,
+                                   .expired = true },
+                      [](const Result<ApplyResult>&) {},
+                      now);
+  }
+}
+
+void
+ControlHost::handle(const AdminRequest& request, const AdminServer::Reply& reply)
+{
+  const ControlCall call = m_protocol.decode_call(request);
+  std::visit([&](const auto& typed) { answer(typed, reply); }, call);
+}
+
+void
+ControlHost::reply_with(const AdminServer::Reply& reply, const ControlReply& content) const
+{
+  reply(m_protocol.encode_reply(content));
+}
+
+void
+ControlHost::propose(const Command& command,
+                     const ControlReply& content,
+                     const AdminServer::Reply& reply)
+{
+  m_client->propose(
+    command,
+    [this, content, reply](const Result<ApplyResult>& result) {
+      if (result.has_error()) {
+        reply_with(reply, FailedReply{ unavailable(result.error().message) });
+      } else {
+        reply_with(reply, content);
+      }
+    },
+    Clock::now());
+}
+
+void
+ControlHost::answer(const ReadRoutingCall&, const AdminServer::Reply& reply)
+{
+  const auto answered = std::make_shared<bool>(false);
+  const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, kReadTimeout);
+  timer->async_wait([this, answered, reply](auto error) {
+    if (!error && !std::exchange(*answered, true)) {
+      reply_with(reply, FailedReply{ unavailable("the newest configuration can't be confirmed") });
+    }
+  });
+  m_replica->confirm_leadership([this, answered, reply, timer](TimePoint) {
+    if (std::exchange(*answered, true)) {
+      return;
+    }
+    timer->cancel();
+    const auto routing = m_replica->machine().routing();
+    if (routing->version == 0) {
+      reply_with(reply, FailedReply{ unavailable("there is no configuration yet") });
+    } else {
+      reply_with(reply, RoutingReply{ .document = routing->document });
+    }
+  });
+}
+
+void
+ControlHost::answer(const ReplaceRoutingCall& call, const AdminServer::Reply& reply)
+{
+  const auto held = m_replica->machine().routing();
+  m_log.info("routing_received",
+             { { "version", std::to_string(call.config.version) },
+               { "held", std::to_string(held->version) },
+               { "bytes", std::to_string(call.document.size()) } });
+  if (call.config.version <= held->version) {
+    reply_with(reply, AcceptedReply{});
+    return;
+  }
+  propose(ReplaceRouting{ .version = call.config.version, .document = call.document },
+          AcceptedReply{},
+          reply);
+}
+
+ControlReply
+ControlHost::heartbeat_reply() const
+{
+  // The leader keeps the leases, so heartbeats go there directly.
+  const std::string leader = m_replica->status().leader_address;
+  const bool elsewhere = !leader.empty() && leader != m_settings.cluster_address;
+  return HeartbeatReplyTo{
+    .next_address = elsewhere ? ip_of(leader) + port_of(m_settings.control_address) : ""
+  };
+}
+
+void
+ControlHost::answer(const HeartbeatCall& call, const AdminServer::Reply& reply)
+{
+  const TimePoint now = Clock::now();
+  const ServerInfo& server = call.heartbeat.server;
+  const HeartbeatEffect effect = m_registrar.heartbeat(call.heartbeat, servers(), now);
+  if (effect == HeartbeatEffect::None) {
+    const std::string leader = m_replica->status().leader_address;
+    if (!leader.empty() && leader != m_settings.cluster_address) {
+      send(leader,
+           ServerRenewal{
+             .service = server.service, .id = server.id, .incarnation = server.incarnation });
+    }
+    reply_with(reply, heartbeat_reply());
+    return;
+  }
+  m_log.info(effect == HeartbeatEffect::Join ? "server_joins" : "server_drains",
+             { { "server", server.id },
+               { "service", server.service },
+               { "address", server.address },
+               { "incarnation", std::to_string(server.incarnation) },
+               { "sequence", std::to_string(call.heartbeat.sequence) } });
+  if (effect == HeartbeatEffect::Leave) {
+    propose(LeaveServer{ .service = server.service,
+                         .id = server.id,
+                         .incarnation = server.incarnation },
+            heartbeat_reply(),
+            reply);
+    return;
+  }
+  for (const ServerInfo& gone : ServerRegistrar::replaced_by(call.heartbeat, servers())) {
+    m_client->propose(
+      LeaveServer{ .service = gone.service, .id = gone.id, .incarnation = gone.incarnation },
+      [](const Result<ApplyResult>&) {},
+      now);
+  }
+  propose(JoinServer{ server }, heartbeat_reply(), reply);
+}
+
+void
+ControlHost::answer(const LeaveCall& call, const AdminServer::Reply& reply)
+{
+  for (const ServerInfo& server : servers()) {
+    const bool meant = server.id == call.id &&
+                       (call.incarnation == 0 || call.incarnation >= server.incarnation);
+    if (meant) {
+      m_log.info("server_leaves", { { "server", server.id }, { "service", server.service } });
+      propose(
+        LeaveServer{ .service = server.service, .id = server.id, .incarnation = server.incarnation },
+        AcceptedReply{},
+        reply);
+      return;
+    }
+  }
+  reply_with(reply, AcceptedReply{});
+}
+
+void
+ControlHost::answer(const ResolveCall& call, const AdminServer::Reply& reply)
+{
+  AddressesReply content{ .addresses = m_directory.resolve(call.failure_domain, Clock::now()),
+                          .keep = std::min(kDirectoryKeep, m_settings.max_directory_keep) };
+  if (content.addresses.empty()) {
+    reply_with(reply, FailedReply{ unavailable("no entry host is ready") });
+  } else {
+    reply_with(reply, content);
+  }
+}
+
+void
+ControlHost::answer(const UnknownCall&, const AdminServer::Reply& reply)
+{
+  reply_with(reply, NotFoundReply{});
+}
+
+void
+ControlHost::answer(const RejectedCall& call, const AdminServer::Reply& reply)
+{
+  m_log.warn("call_rejected",
+             { { "error", call.error.message }, { "remedy", call.error.remedy } });
+  reply_with(reply, FailedReply{ call.error });
+}
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libsite/entry_host.cpp
@@ -0,0 +1,191 @@
+#include "entry_host.h"
+
+#include <boost/asio/post.hpp>
+#include <random>
+
+namespace lovagehold {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{ 500 };
+// Control is followed from elsewhere after this time without an answer, so that a change that was
+// acknowledged is known within 2 s.
+constexpr std::chrono::milliseconds kControlSilence{ 1200 };
+constexpr std::chrono::milliseconds kShutdownCheck{ 200 };
+// Callers keep an address for some time after it was withdrawn.
+constexpr std::chrono::milliseconds kShutdownLeast{ 3000 };
+// Time before the end of the grace period that the last writes get.
+constexpr std::chrono::milliseconds kShutdownMargin{ 400 };
+// Descriptors for files, other hosts and connections to servers.
+constexpr std::size_t kOtherDescriptors = 900;
+
+GatewayOptions
+gateway_options(const SiteSettings& settings, const SiteProtocol& protocol)
+{
+  return { .host = settings.host,
+           .failure_domain = settings.failure_domain,
+           .listen_address = settings.entry_address,
+           .headers = protocol.headers,
+           .retry_budget = settings.retry_budget,
+           .max_connections = settings.max_descriptors > 2 * kOtherDescriptors
+                                ? settings.max_descriptors - kOtherDescriptors
+                                : settings.max_descriptors / 2,
+           .seed = std::random_device{}() };
+}
+
+} // namespace
+
+EntryHost::EntryHost(boost::asio::io_context& context,
+                     SiteSettings settings,
+                     SiteProtocol protocol,
+                     EventLog& log)
+  : m_context(context)
+  , m_settings(std::move(settings))
+  , m_protocol(std::move(protocol))
+  , m_log(log)
+  , m_transport({ .listen_address = m_settings.cluster_address },
+                [this](const std::string& from, Bytes bytes) {
+                  boost::asio::post(m_context, [this, from, bytes = std::move(bytes)] {
+                    const auto message = decode_message(bytes);
+                    if (message.has_value()) {
+                      receive(from, message.value());
+                    } else {
+                      m_log.warn("message_rejected",
+                                 { { "from", from }, { "error", message.error().message } });
+                    }
+                  });
+                })
+  , m_gateway(context, gateway_options(m_settings, m_protocol), log)
+  , m_readiness_server(context,
+                       [this](const AdminRequest&, const AdminServer::Reply& reply) {
+                         reply({ .status = is_ready() ? 200U : 503U });
+                       })
+  , m_timer(context)
+  , m_shutdown_timer(context)
+{
+  ControlClientOptions options{ .control_addresses = m_settings.seeds,
+                                .subscribe_interval = kTickInterval,
+                                .subscription_timeout = kControlSilence,
+                                .failure_domain = m_settings.failure_domain,
+                                .presence = [this]() -> std::optional<EntryPresence> {
+                                  return EntryPresence{ .address = m_settings.entry_address,
+                                                        .failure_domain = m_settings.failure_domain,
+                                                        .ready = is_ready() };
+                                } };
+  m_client = std::make_unique<ControlClient>(
+    std::move(options),
+    [this](const std::string& address, const ClusterMessage& message) {
+      m_transport.send(address, encode(message));
+    },
+    [this](const StateMachine& state) { on_applied(state); });
+}
+
+Result<void>
+EntryHost::start()
+{
+  std::string error;
+  if (!m_transport.start(error)) {
+    return Error{ .kind = ErrorKind::Unavailable,
+                  .message = error,
+                  .remedy = "stop the process that holds the address" };
+  }
+  BOOST_OUTCOME_TRYV(m_gateway.start());
+  BOOST_OUTCOME_TRYV(m_readiness_server.start(m_settings.readiness_address));
+  tick();
+  return boost::outcome_v2::success();
+}
+
+void
+EntryHost::stop()
+{
+  m_timer.cancel();
+  m_shutdown_timer.cancel();
+  m_transport.stop();
+}
+
+bool
+EntryHost::is_ready() const
+{
+  return !m_shutting_down && m_client->ready() && m_gateway.version() > 0;
+}
+
+void
+EntryHost::receive(const std::string& from, const ClusterMessage& message)
+{
+  m_client->receive(from, message, Clock::now());
+}
+
+void
+EntryHost::on_applied(const StateMachine& state)
+{
+  const TimePoint now = Clock::now();
+  if (state.routes_index() == m_routes_index) {
+    return;
+  }
+  m_routes_index = state.routes_index();
+  const auto routing = state.routing();
+  if (routing->version > m_gateway.version()) {
+    const auto config = m_protocol.decode_routing(routing->document);
+    if (config.has_error()) {
+      m_log.warn("routing_unreadable",
+                 { { "version", std::to_string(routing->version) },
+                   { "error", config.error().message } });
+    } else {
+      m_gateway.set_routing(config.value());
+      m_log.info("routing_in_force", { { "version", std::to_string(routing->version) } });
+    }
+  }
+  m_gateway.set_servers(state.all_servers(), now);
+  if (is_ready() != m_was_ready) {
+    m_was_ready = is_ready();
+    m_log.info("readiness", { { "ready", m_was_ready ? "yes" : "no" } });
+    m_client->announce(now);
+  }
+}
+
+void
+EntryHost::tick()
+{
+  const TimePoint now = Clock::now();
+  m_client->tick(now);
+  m_timer.expires_at(now + kTickInterval);
+  m_timer.async_wait([this](auto error) {
+    if (!error) {
+      tick();
+    }
+  });
+}
+
+void
+EntryHost::begin_shutdown(std::function<void()> done)
+{
+  m_shutting_down = true;
+  m_done = std::move(done);
+  m_shutdown_began = Clock::now();
+  m_gateway.begin_shutdown();
+  m_client->announce(m_shutdown_began);
+  m_log.info("shutdown_begins",
+             { { "requests", std::to_string(m_gateway.in_progress()) },
+               { "connections", std::to_string(m_gateway.connections()) } });
+  watch_shutdown();
+}
+
+void
+EntryHost::watch_shutdown()
+{
+  const Duration elapsed = Clock::now() - m_shutdown_began;
+  const bool idle = m_gateway.in_progress() == 0 && m_gateway.connections() == 0;
+  if ((elapsed >= kShutdownLeast && idle) ||
+      elapsed >= m_settings.shutdown_grace - kShutdownMargin) {
+    m_done();
+    return;
+  }
+  m_shutdown_timer.expires_after(kShutdownCheck);
+  m_shutdown_timer.async_wait([this](auto error) {
+    if (!error) {
+      watch_shutdown();
+    }
+  });
+}
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libsite/entry_host.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "lovagehold/cluster_transport.h"
+#include "lovagehold/control_client.h"
+#include "lovagehold/event_log.h"
+#include "lovagehold/site.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace lovagehold {
+
+/// An entry host of a site: follows the control group and forwards callers' requests. Belongs to
+/// the thread of its context.
+class EntryHost
+{
+public:
+  EntryHost(boost::asio::io_context& context,
+            SiteSettings settings,
+            SiteProtocol protocol,
+            EventLog& log);
+
+  /// Opens the listeners.
+  Result<void> start();
+
+  /// Stops to be named to callers and ends once nobody is served any more.
+  /// \param done called then, or when the grace period is nearly over
+  void begin_shutdown(std::function<void()> done);
+
+  void stop();
+
+private:
+  void receive(const std::string& from, const ClusterMessage& message);
+  void on_applied(const StateMachine& state);
+  void tick();
+  void watch_shutdown();
+  bool is_ready() const;
+
+  boost::asio::io_context& m_context;
+  SiteSettings m_settings;
+  SiteProtocol m_protocol;
+  EventLog& m_log;
+  ClusterTransport m_transport;
+  Gateway m_gateway;
+  std::unique_ptr<ControlClient> m_client;
+  AdminServer m_readiness_server;
+  boost::asio::steady_timer m_timer;
+  boost::asio::steady_timer m_shutdown_timer;
+  std::uint64_t m_routes_index = 0;
+  bool m_was_ready = false;
+  bool m_shutting_down = false;
+  TimePoint m_shutdown_began;
+  std::function<void()> m_done;
+};
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libsite/site.cpp
@@ -0,0 +1,63 @@
+#include "lovagehold/site.h"
+
+#include "control_host.h"
+#include "entry_host.h"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace lovagehold {
+
+Result<void>
+run_site(const SiteSettings& settings, const SiteProtocol& protocol)
+{
+  boost::asio::io_context context(1);
+  EventLog log({ .host = settings.host });
+  std::unique_ptr<ControlHost> control;
+  std::unique_ptr<EntryHost> entry;
+  log.info("starting",
+           { { "failure_domain", settings.failure_domain },
+             { "callers", settings.entry_address },
+             { "control", settings.control_address },
+             { "cluster", settings.cluster_address },
+             { "first_start", settings.first_start ? "yes" : "no" } });
+  if (!settings.control_address.empty()) {
+    control = std::make_unique<ControlHost>(context, settings, protocol, log);
+    BOOST_OUTCOME_TRYV(control->start());
+  }
+  if (!settings.entry_address.empty()) {
+    entry = std::make_unique<EntryHost>(context, settings, protocol, log);
+    BOOST_OUTCOME_TRYV(entry->start());
+  }
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](auto error, int) {
+    if (error) {
+      return;
+    }
+    if (entry) {
+      entry->begin_shutdown([&] { context.stop(); });
+    } else {
+      context.stop();
+    }
+  });
+  boost::asio::signal_set reloads(context, SIGHUP);
+  std::function<void()> await_reload = [&] {
+    reloads.async_wait([&](auto error, int) {
+      if (!error) {
+        log.info("reload_requested");
+        await_reload();
+      }
+    });
+  };
+  await_reload();
+  context.run();
+  if (entry) {
+    entry->stop();
+  }
+  if (control) {
+    control->stop();
+  }
+  log.info("stopped");
+  return boost::outcome_v2::success();
+}
+
+} // namespace lovagehold
--- a/src/lovagehold/main.cpp
+++ b/src/lovagehold/main.cpp
@@ -1,7 +1,9 @@
 #include "check_command.h"
 #include "lovagehold/declaration_folder.h"
 #include "node.h"
+#include "platform/platform.h"
 
+#include <cstdlib>
 #include <iostream>
 #include <tclap/CmdLine.h>
 
@@ -13,10 +15,13 @@
 
 Usage:
   lovagehold --settings FILE
+  lovagehold --site
   lovagehold --check [--settings FILE] [--declarations FOLDER]
 
 Run:
   -s, --settings FILE        settings of this process (YAML)
+      --site                 run as a host of the users' platform, with the settings file
+                             that the environment variable LOVAGEHOLD_NODE_FILE names
 
 Check (starts nothing):
   -c, --check                print every mistake in the files named and exit
@@ -66,6 +71,35 @@
   return ExitDone;
 }
 
+int
+run_on_platform()
+{
+  const char* path = std::getenv(platform::kSettingsVariable);
+  if (path == nullptr) {
+    std::cerr << "lovagehold: " << platform::kSettingsVariable
+              << " is not set; set it to the path of the settings file\n";
+    return ExitWrongUse;
+  }
+  const Result<std::string> content = read_text_file(path);
+  if (content.has_error()) {
+    std::cerr << "lovagehold: " << content.error().message << "; " << content.error().remedy
+              << "\n";
+    return ExitWrongUse;
+  }
+  const auto settings = platform::parse_node_settings(content.value());
+  if (settings.has_error()) {
+    std::cerr << "lovagehold: " << settings.error().message << "; " << settings.error().remedy
+              << "\n";
+    return ExitRefused;
+  }
+  const Result<void> ended = run_site(settings.value(), platform::make_protocol());
+  if (ended.has_error()) {
+    std::cerr << "lovagehold: " << ended.error().message << "; " << ended.error().remedy << "\n";
+    return ExitRefused;
+  }
+  return ExitDone;
+}
+
 int
 report_wrong_use(const std::string& message)
 {
@@ -88,7 +122,11 @@
     TCLAP::SwitchArg check("c", "check", "check files", command);
     TCLAP::ValueArg<std::string> declarations(
       "d", "declarations", "folder of declarations", false, "", "FOLDER", command);
+    TCLAP::SwitchArg site("", "site", "run on the users' platform", command);
     command.parse(argc, argv);
+    if (site.isSet()) {
+      return run_on_platform();
+    }
     if (check.isSet()) {
       if (!settings.isSet() && !declarations.isSet()) {
         return report_wrong_use("--check needs --settings FILE or --declarations FOLDER");
