Share the retry budget among entry hosts, elect sooner after a start, hedge only to idle servers

Ruled out: fewer attempts for everybody, which would also cut retries after refusals. Change: control tells the number of entry hosts that callers are sent to; a restarted member waits 150 to 300 ms for its first pre-vote; a hedge needs a server with a cost below 1.3.

--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -66,6 +66,8 @@
   std::vector<Bytes> payloads;
   /// Cluster addresses of the control hosts with their failure domains; empty if not told.
   std::vector<ControlAddress> control;
+  /// Entry hosts that callers are sent to; 0 if not told.
+  std::uint64_t entry_hosts = 0;
 };
 
 /// Entry hosts that a control host has heard of, for the other control hosts.
--- a/src/include/lovagehold/control_client.h
+++ b/src/include/lovagehold/control_client.h
@@ -24,6 +24,8 @@
   std::string failure_domain;
   /// False: only sends proposals.
   bool follow = true;
+  /// Called with the number of entry hosts that callers are sent to. May be empty.
+  std::function<void(std::uint64_t)> on_entry_hosts;
   /// Describes this host to control; empty if it is no entry host.
   std::function<std::optional<EntryPresence>()> presence;
   /// Distinguishes this process's proposals from all others'; 0 draws a random one.
--- a/src/include/lovagehold/entry_directory.h
+++ b/src/include/lovagehold/entry_directory.h
@@ -48,6 +48,9 @@
   /// from the others
   std::vector<std::string> resolve(const std::string& failure_domain, TimePoint now) const;
 
+  /// \return hosts that are named to callers of any failure domain
+  std::size_t named(TimePoint now) const;
+
   /// Removes hosts that have not been heard of for long.
   void expire(TimePoint now);
 
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -49,6 +49,8 @@
   /// Role changes and storage failures, for the log.
   std::function<void(std::string_view event, std::string_view key, const std::string& value)>
     report;
+  /// \return entry hosts that callers are sent to; told to subscribers. May be empty.
+  std::function<std::uint64_t()> entry_hosts;
   std::function<TimePoint()> now = [] { return Clock::now(); };
 };
 
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -71,6 +71,9 @@
   for (const ControlAddress& control : message.control) {
     fields["control"].push_back({ control.address, control.failure_domain });
   }
+  if (message.entry_hosts > 0) {
+    fields["entry_hosts"] = message.entry_hosts;
+  }
   return fields;
 }
 
@@ -185,6 +188,7 @@
   for (const json& payload : fields.at("payloads")) {
     entries.payloads.push_back(get_bytes(payload));
   }
+  entries.entry_hosts = fields.value("entry_hosts", entries.entry_hosts);
   if (fields.contains("control")) {
     for (const json& control : fields.at("control")) {
       entries.control.push_back({ .address = control.at(0), .failure_domain = control.at(1) });
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -139,6 +139,9 @@
     if (ready && (first || state.applied_index() > before)) {
       applied(state.machine());
     }
+    if (entries.entry_hosts > 0 && options.on_entry_hosts) {
+      options.on_entry_hosts(entries.entry_hosts);
+    }
     learn_control_hosts(entries.control, now);
   }
 
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -489,6 +489,7 @@
         entries.control.push_back(
           { .address = member.address, .failure_domain = member.failure_domain });
       }
+      entries.entry_hosts = ports.entry_hosts ? ports.entry_hosts() : 0;
     }
     ports.send(to, std::move(entries));
     return true;
--- a/src/libdecision/entry_directory.cpp
+++ b/src/libdecision/entry_directory.cpp
@@ -1,6 +1,7 @@
 #include "lovagehold/entry_directory.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 #include <xxhash.h>
 
@@ -79,6 +80,22 @@
   return addresses;
 }
 
+std::size_t
+EntryDirectory::named(TimePoint now) const
+{
+  std::set<std::string> domains;
+  std::set<std::string> addresses;
+  for (const auto& [presence, age] : live(now)) {
+    domains.insert(presence.failure_domain);
+  }
+  for (const std::string& domain : domains) {
+    for (const std::string& address : resolve(domain, now)) {
+      addresses.insert(address);
+    }
+  }
+  return addresses.size();
+}
+
 void
 EntryDirectory::expire(TimePoint now)
 {
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -18,6 +18,8 @@
 constexpr double kHedgeTime = 1.3;
 // Part of the retry budget that hedges leave to failures.
 constexpr double kHedgeReserve = 3;
+// A hedge goes only to a server that is about idle: otherwise it takes capacity from first attempts.
+constexpr double kHedgeMaxCost = 1.3;
 // Attempts beyond the declared number when the earlier ones never reached a server.
 constexpr unsigned kMaxUnreached = 3;
 
@@ -107,6 +109,7 @@
 ForwardedRequest::start_attempt(bool hedge)
 {
   ++m_choosing;
+  m_hedged = m_hedged || hedge;
   asio::co_spawn(
     m_context.io,
     [self = shared_from_this(), hedge]() -> awaitable<void> { co_await self->run_attempt(hedge); },
@@ -139,6 +142,11 @@
     m_event.cancel();
     co_return;
   }
+  const bool crowded = hedge && selector->cost(server->id, now) > kHedgeMaxCost;
+  if (crowded) {
+    m_event.cancel();
+    co_return;
+  }
   const bool again = m_sent > 0;
   if (again && !m_context.budget(m_request.service).take(now)) {
     m_retryable = false;
@@ -269,7 +277,8 @@
 TimePoint
 ForwardedRequest::hedge_time() const
 {
-  if (!idempotent() || m_attempts.size() != 1 || m_choosing > 0 || m_request.upload != nullptr) {
+  const bool possible = idempotent() && !m_hedged && m_attempts.size() == 1 && m_choosing == 0;
+  if (!possible || m_request.upload != nullptr) {
     return TimePoint::max();
   }
   const auto usual = m_context.selector(m_request.service).usual_time();
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -102,6 +102,7 @@
   bool m_may_have_run = false;
   bool m_retryable = true;
   bool m_no_server = false;
+  bool m_hedged = false;
   bool m_abandoned = false;
   bool m_decided = false;
 };
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -9,10 +9,12 @@
 namespace {
 
 // Fine enough for the heartbeats of the replicated log.
-constexpr std::chrono::milliseconds kTickInterval{ 100 };
-constexpr std::chrono::milliseconds kConsensusHeartbeat{ 200 };
-constexpr std::chrono::milliseconds kElectionTimeout{ 800 };
-constexpr std::chrono::milliseconds kQuorumTimeout{ 1000 };
+constexpr std::chrono::milliseconds kTickInterval{ 50 };
+constexpr std::chrono::milliseconds kConsensusHeartbeat{ 100 };
+constexpr std::chrono::milliseconds kElectionTimeout{ 450 };
+// All control hosts may restart at once; a leader stands again within half a second.
+constexpr std::chrono::milliseconds kFirstElectionTimeout{ 150 };
+constexpr std::chrono::milliseconds kQuorumTimeout{ 700 };
 // A replacement has to vote before its predecessor stops to count as lost, 4 s after its start.
 constexpr std::chrono::milliseconds kMemberLostAfter{ 2000 };
 constexpr std::chrono::milliseconds kShareInterval{ 500 };
@@ -62,6 +64,7 @@
   }
   options.consensus = { .heartbeat = kConsensusHeartbeat,
                         .election_timeout = kElectionTimeout,
+                        .first_election_timeout = kFirstElectionTimeout,
                         .quorum_timeout = kQuorumTimeout,
                         .voters = 2 * settings.tolerated_losses + 1,
                         .lost_after = kMemberLostAfter };
@@ -115,7 +118,8 @@
     },
     .report = [this](std::string_view event, std::string_view key, const std::string& value) {
       m_log.info(event, { { key, value } });
-    } };
+    },
+    .entry_hosts = [this] { return m_directory.named(Clock::now()); } };
   m_replica = std::make_unique<Replica>(replica_options(m_settings),
                                         std::move(ports),
                                         std::make_unique<FileDisk>(m_settings.data_folder));
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -67,6 +67,8 @@
                                 .subscribe_interval = kTickInterval,
                                 .subscription_timeout = kControlSilence,
                                 .failure_domain = m_settings.failure_domain,
+                                .on_entry_hosts =
+                                  [this](std::uint64_t hosts) { m_gateway.set_entry_hosts(hosts); },
                                 .presence = [this]() -> std::optional<EntryPresence> {
                                   return EntryPresence{ .address = m_settings.entry_address,
                                                         .failure_domain = m_settings.failure_domain,
--- a/src/libstate/consensus.cpp
+++ b/src/libstate/consensus.cpp
@@ -16,6 +16,11 @@
   , last_time(now)
 {
   start_election_timer();
+  if (options.first_election_timeout.count() > 0) {
+    const auto spread =
+      static_cast<std::uint64_t>(Duration(options.first_election_timeout).count());
+    election_at = clock + options.first_election_timeout + Duration(random() % spread);
+  }
   if (majority({ self })) {
     // Nobody else can lead.
     election_at = clock;
