Keep directory answers for 5 s; ask control more often until ready

Change: answers are kept for 5 s (2 s before); first subscriptions every 100 ms, next host after 300 ms.

--- a/src/include/lovagehold/cluster_transport.h
+++ b/src/include/lovagehold/cluster_transport.h
@@ -16,7 +16,7 @@
   std::size_t message_bytes = std::size_t{ 64 } << 20;
   /// Bytes that wait for a connection to one peer at most; further messages are dropped.
   std::size_t backlog_bytes = std::size_t{ 8 } << 20;
-  std::chrono::milliseconds connect_timeout{ 500 };
+  std::chrono::milliseconds connect_timeout{ 300 };
 };
 
 /// Sends binary messages between the processes of the cluster over websocket connections. Messages
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -243,7 +243,9 @@
     impl.expire(now);
     return;
   }
-  if (impl.last_subscribe && now - impl.source_heard >= impl.options.subscription_timeout) {
+  const bool first = !impl.ready && impl.options.first_timeout.count() > 0;
+  const Duration limit = first ? impl.options.first_timeout : impl.options.subscription_timeout;
+  if (impl.last_subscribe && now - impl.source_heard >= limit) {
     impl.source = (impl.source + 1) % impl.options.control_addresses.size();
     impl.stay_until = now + kStayAfterLoss;
     impl.source_heard = now;
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -25,7 +25,7 @@
 constexpr std::chrono::milliseconds kReadTimeout{ 900 };
 constexpr std::chrono::milliseconds kProposalTimeout{ 2500 };
 constexpr std::chrono::milliseconds kProposalResend{ 400 };
-constexpr std::chrono::milliseconds kDirectoryKeep{ 2000 };
+constexpr std::chrono::milliseconds kDirectoryKeep{ 5000 };
 constexpr std::chrono::milliseconds kSubscriptionTimeout{ 3000 };
 constexpr std::size_t kSnapshotBytes = std::size_t{ 1 } << 20;
 
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -8,9 +8,13 @@
 namespace {
 
 constexpr std::chrono::milliseconds kTickInterval{ 500 };
+// Until the host is ready, which callers wait for after a restart.
+constexpr std::chrono::milliseconds kStartTickInterval{ 100 };
 // Control is followed from elsewhere after this time without an answer, so that a change that was
 // acknowledged is known within 2 s.
 constexpr std::chrono::milliseconds kControlSilence{ 1200 };
+// The same before the first answer.
+constexpr std::chrono::milliseconds kFirstControlSilence{ 300 };
 constexpr std::chrono::milliseconds kShutdownCheck{ 200 };
 // Callers keep an address for some time after it was withdrawn.
 constexpr std::chrono::milliseconds kShutdownLeast{ 3000 };
@@ -64,8 +68,9 @@
   , m_shutdown_timer(context)
 {
   ControlClientOptions options{ .control_addresses = m_settings.seeds,
-                                .subscribe_interval = kTickInterval,
+                                .subscribe_interval = kStartTickInterval,
                                 .subscription_timeout = kControlSilence,
+                                .first_timeout = kFirstControlSilence,
                                 .failure_domain = m_settings.failure_domain,
                                 .on_entry_hosts =
                                   [this](std::uint64_t hosts) { m_gateway.set_entry_hosts(hosts); },
@@ -150,7 +155,7 @@
 {
   const TimePoint now = Clock::now();
   m_client->tick(now);
-  m_timer.expires_at(now + kTickInterval);
+  m_timer.expires_at(now + (m_client->ready() ? kTickInterval : kStartTickInterval));
   m_timer.async_wait([this](auto error) {
     if (!error) {
       tick();
