Serve the directory from entry hosts, ask near servers first, send documents compressed

Ruled out: slow servers; the first attempts of slot reads took 231 ms (p50). Change: entry hosts answer look-ups; TCP_USER_TIMEOUT of 1 s between hosts; a control host without contact to its group refuses heartbeats; at most a third of a service is removed at a time; probes and bodies stay in the failure domain unless its servers are busy; zlib for documents; the seed with the most similar address first; requests that can't end before the stop are refused with 503.

--- a/src/build-scripts/install-dependencies.sh
+++ b/src/build-scripts/install-dependencies.sh
@@ -4,7 +4,7 @@
 packages=(
   build-essential cmake ninja-build ccache clang-format clang-tidy
   libboost-dev libwebsocketpp-dev libtclap-dev libspdlog-dev libyaml-cpp-dev
-  nlohmann-json3-dev libxxhash-dev libssl-dev
+  nlohmann-json3-dev libxxhash-dev libssl-dev zlib1g-dev
   libgtest-dev libgmock-dev librapidcheck-dev libbenchmark-dev python3
 )
 missing=()
--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -5,6 +5,7 @@
 #include "lovagehold/entry_directory.h"
 #include "lovagehold/hybrid_clock.h"
 
+#include <map>
 #include <optional>
 #include <variant>
 
@@ -47,6 +48,8 @@
   std::uint64_t snapshot_offset = 0;
   /// The subscriber as an entry host; nothing if it is none.
   std::optional<EntryPresence> presence;
+  /// Version of the entry addresses that the subscriber holds.
+  std::uint64_t directory_version = 0;
 };
 
 /// Where a control host listens for other hosts.
@@ -136,6 +139,18 @@
   std::string leader;
 };
 
+/// Entry hosts that callers of each failure domain are sent to, for the entry hosts that answer
+/// them.
+struct EntryAddresses
+{
+  /// Changes with the content; see version_of().
+  std::uint64_t version = 0;
+  std::map<std::string, std::vector<std::string>> by_domain;
+};
+
+/// \return a number that names the content
+std::uint64_t version_of(const EntryAddresses& addresses);
+
 using ClusterMessage = std::variant<Propose,
                                     ProposeReply,
                                     Subscribe,
@@ -146,7 +161,8 @@
                                     ServerRenewal,
                                     Heartbeat,
                                     HeartbeatReply,
-                                    EntryHosts>;
+                                    EntryHosts,
+                                    EntryAddresses>;
 
 /// CBOR encoding. \return the bytes.
 Bytes encode(const ClusterMessage& message);
--- a/src/include/lovagehold/cluster_transport.h
+++ b/src/include/lovagehold/cluster_transport.h
@@ -17,6 +17,8 @@
   /// Bytes that wait for a connection to one peer at most; further messages are dropped.
   std::size_t backlog_bytes = std::size_t{ 8 } << 20;
   std::chrono::milliseconds connect_timeout{ 300 };
+  /// A connection whose data is not acknowledged for this time is closed.
+  std::chrono::milliseconds unacknowledged_timeout{ 1000 };
 };
 
 /// Sends binary messages between the processes of the cluster over websocket connections. Messages
--- a/src/include/lovagehold/control_client.h
+++ b/src/include/lovagehold/control_client.h
@@ -30,6 +30,8 @@
   std::function<void(std::uint64_t)> on_entry_hosts;
   /// Describes this host to control; empty if it is no entry host.
   std::function<std::optional<EntryPresence>()> presence;
+  /// Version of the entry addresses that this host holds; empty if it is no entry host.
+  std::function<std::uint64_t()> directory_version;
   /// Distinguishes this process's proposals from all others'; 0 draws a random one.
   std::uint64_t client = 0;
 };
--- a/src/include/lovagehold/entry_directory.h
+++ b/src/include/lovagehold/entry_directory.h
@@ -48,6 +48,9 @@
   /// from the others
   std::vector<std::string> resolve(const std::string& failure_domain, TimePoint now) const;
 
+  /// \return the answers for all failure domains with a ready host
+  std::map<std::string, std::vector<std::string>> resolve_all(TimePoint now) const;
+
   /// \return hosts that are named to callers of any failure domain
   std::size_t named(TimePoint now) const;
 
--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -85,8 +85,10 @@
   /// Entry hosts that callers are sent to; they share the retry budgets.
   void set_entry_hosts(std::size_t hosts);
 
-  /// Closes connections as soon as their requests are answered.
-  void begin_shutdown();
+  /// Closes connections as soon as their requests are answered, and refuses requests that are
+  /// unlikely to end in time.
+  /// \param end when the process ends at the latest
+  void begin_shutdown(TimePoint end);
 
   /// \return requests in progress
   std::size_t in_progress() const;
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -62,6 +62,8 @@
   std::uint64_t commit = 0;
   std::uint64_t applied = 0;
   Membership membership;
+  /// Leads, or has heard from the leader within the election timeout.
+  bool in_contact = false;
 };
 
 /// A control host's part of the replicated log: drives Consensus with real time and a disk, answers
--- a/src/include/lovagehold/server_registrar.h
+++ b/src/include/lovagehold/server_registrar.h
@@ -31,6 +31,9 @@
   /// A server that was not heard of for this time is removed; three heartbeats and a margin, as one
   /// may arrive late.
   std::chrono::milliseconds lease{ 6000 };
+  /// Share of a service's servers that may be removed at a time. More at once means that heartbeats
+  /// are lost on their way; those servers get the lease three times before they are removed.
+  double removable = 0.34;
 };
 
 /// Judges heartbeats against the directory and keeps the leases of the servers. Not thread-safe.
--- a/src/include/lovagehold/server_selector.h
+++ b/src/include/lovagehold/server_selector.h
@@ -50,6 +50,8 @@
   double cold_slowdown = 2;
   /// Relative cost of leaving the failure domain.
   double remote_cost = 0.03;
+  /// The same for each byte of the body: one of 60 KB costs a fifth of its request's worth.
+  double remote_cost_per_byte = 8e-6;
   /// A server that can't be reached or fails in a row is avoided for this time, doubled with each
   /// further failure up to the maximum.
   std::chrono::milliseconds eject_base{ 500 };
@@ -72,14 +74,18 @@
 
   /// \return the server with the lowest expected completion time; nothing if none is left
   /// \param tried servers not to be chosen
+  /// \param body_bytes traffic between failure domains has its price
   std::optional<ServerInfo> pick(TimePoint now,
                                  const std::set<ServerId>& tried,
+                                 std::size_t body_bytes,
                                  std::mt19937_64& random) const;
 
   /// \return servers whose load should be asked for before the next choice, best first
   /// \param count most servers to return
+  /// \param local only servers of the own failure domain
   std::vector<ServerInfo> probe_targets(TimePoint now,
                                         std::size_t count,
+                                        bool local,
                                         const std::set<ServerId>& tried,
                                         std::mt19937_64& random) const;
 
@@ -125,7 +131,7 @@
     TimePoint relative_since;
   };
 
-  double cost_of(const State& state, TimePoint now) const;
+  double cost_of(const State& state, std::size_t body_bytes, TimePoint now) const;
   bool avoided(const State& state, TimePoint now) const;
   void avoid(State& state, TimePoint now);
 
--- a/src/libadapters/cluster_transport.cpp
+++ b/src/libadapters/cluster_transport.cpp
@@ -4,6 +4,8 @@
 
 #include <atomic>
 #include <deque>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <map>
 #include <thread>
 #include <websocketpp/client.hpp>
@@ -21,6 +23,18 @@
 
 constexpr char kAddressHeader[] = "Lovagehold-Address";
 
+// Messages are small and latency counts, so they must not wait for Nagle's algorithm. A partition
+// drops packets silently; without a limit the retransmissions of an old connection go on for
+// seconds after it has healed.
+void
+configure_socket(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds unacknowledged)
+{
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  const unsigned limit = static_cast<unsigned>(unacknowledged.count());
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+}
+
 struct Peer
 {
   // Exactly one of the two is set once the connection is open.
@@ -54,12 +68,6 @@
     endpoint.clear_error_channels(websocketpp::log::elevel::all);
     endpoint.init_asio(&context);
     endpoint.set_max_message_size(options.message_bytes);
-    // Messages are small and latency counts, so they must not wait for Nagle's algorithm.
-    endpoint.set_socket_init_handler(
-      [](const connection_hdl&, boost::asio::ip::tcp::socket& socket) {
-        boost::system::error_code ignored;
-        socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-      });
   }
 
   void configure_server()
@@ -71,8 +79,7 @@
     });
     server.set_open_handler([this](const connection_hdl& handle) {
       const auto connection = server.get_con_from_hdl(handle);
-      boost::system::error_code ignored;
-      connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+      configure_socket(connection->get_raw_socket(), options.unacknowledged_timeout);
       Peer& peer = peers[connection->get_request_header(kAddressHeader)];
       if (!peer.outbound) {
         peer.inbound = connection;
@@ -110,8 +117,7 @@
     connection->append_header(kAddressHeader, options.listen_address);
     connection->set_open_handshake_timeout(static_cast<long>(options.connect_timeout.count()));
     connection->set_open_handler([this, address, connection](const connection_hdl&) {
-      boost::system::error_code ignored;
-      connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+      configure_socket(connection->get_raw_socket(), options.unacknowledged_timeout);
       Peer& opened = peers[address];
       opened.connecting = false;
       opened.outbound = connection;
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -2,6 +2,8 @@
 
 #include "libstate/json_fields.h"
 
+#include <xxhash.h>
+
 namespace lovagehold {
 
 namespace {
@@ -53,6 +55,7 @@
                   { "offset", message.snapshot_offset } };
   if (message.presence) {
     fields["entry"] = to_array(*message.presence);
+    fields["directory"] = message.directory_version;
   }
   return fields;
 }
@@ -87,6 +90,14 @@
   return { { "t", "entry_hosts" }, { "hosts", std::move(hosts) } };
 }
 
+json
+to_fields(const EntryAddresses& message)
+{
+  return { { "t", "entry_addresses" },
+           { "version", message.version },
+           { "domains", message.by_domain } };
+}
+
 json
 to_fields(const SnapshotTransfer& message)
 {
@@ -236,6 +247,7 @@
                          .snapshot_offset = fields.at("offset").get<std::uint64_t>() };
     if (fields.contains("entry")) {
       subscribe.presence = parse_presence(fields.at("entry"));
+      subscribe.directory_version = fields.value("directory", std::uint64_t{ 0 });
     }
     return subscribe;
   }
@@ -259,6 +271,11 @@
                           .id = fields.at("id").get<std::string>(),
                           .incarnation = fields.at("incarnation").get<std::uint64_t>() };
   }
+  if (type == "entry_addresses") {
+    EntryAddresses message{ .version = fields.at("version").get<std::uint64_t>() };
+    fields.at("domains").get_to(message.by_domain);
+    return message;
+  }
   if (type == "entry_hosts") {
     EntryHosts message;
     for (const json& heard : fields.at("hosts")) {
@@ -279,6 +296,13 @@
 
 } // namespace
 
+std::uint64_t
+version_of(const EntryAddresses& addresses)
+{
+  const std::string text = json(addresses.by_domain).dump();
+  return XXH64(text.data(), text.size(), 1);
+}
+
 Bytes
 encode(const ClusterMessage& message)
 {
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // A control host that fell silent is followed again after this time.
-constexpr std::chrono::seconds kStayAfterLoss{ 10 };
+constexpr std::chrono::seconds kStayAfterLoss{ 3 };
 
 struct Pending
 {
@@ -56,7 +56,9 @@
                     .confirm = !ready,
                     .snapshot_index = incoming.index,
                     .snapshot_offset = incoming.state.size(),
-                    .presence = options.presence ? options.presence() : std::nullopt });
+                    .presence = options.presence ? options.presence() : std::nullopt,
+                    .directory_version =
+                      options.directory_version ? options.directory_version() : 0 });
   }
 
   // Control hosts are replaced over time; a host in the own failure domain saves traffic between
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -584,7 +584,8 @@
            .leader_address = m_impl->address_of(consensus.leader()),
            .commit = consensus.commit_index(),
            .applied = m_impl->state.applied_index(),
-           .membership = consensus.membership() };
+           .membership = consensus.membership(),
+           .in_contact = consensus.in_contact() };
 }
 
 const StateMachine&
--- a/src/libdecision/entry_directory.cpp
+++ b/src/libdecision/entry_directory.cpp
@@ -83,17 +83,23 @@
 std::size_t
 EntryDirectory::named(TimePoint now) const
 {
-  std::set<std::string> domains;
   std::set<std::string> addresses;
-  for (const auto& [presence, age] : live(now)) {
-    domains.insert(presence.failure_domain);
+  for (const auto& [domain, named] : resolve_all(now)) {
+    addresses.insert(named.begin(), named.end());
   }
-  for (const std::string& domain : domains) {
-    for (const std::string& address : resolve(domain, now)) {
-      addresses.insert(address);
+  return addresses.size();
+}
+
+std::map<std::string, std::vector<std::string>>
+EntryDirectory::resolve_all(TimePoint now) const
+{
+  std::map<std::string, std::vector<std::string>> answers;
+  for (const auto& [presence, age] : live(now)) {
+    if (answers.count(presence.failure_domain) == 0) {
+      answers[presence.failure_domain] = resolve(presence.failure_domain, now);
     }
   }
-  return addresses.size();
+  return answers;
 }
 
 void
--- a/src/libdecision/server_registrar.cpp
+++ b/src/libdecision/server_registrar.cpp
@@ -55,6 +55,7 @@
 {
   std::vector<ServerInfo> ended;
   std::map<ServerId, Lease> kept;
+  std::map<ServiceName, unsigned> of_service;
   for (const ServerInfo& server : known) {
     const auto found = m_leases.find(server.id);
     const bool heard = found != m_leases.end() && found->second.incarnation >= server.incarnation;
@@ -63,7 +64,17 @@
       ended.push_back(server);
     }
     kept[server.id] = lease;
+    ++of_service[server.service];
   }
+  std::map<ServiceName, unsigned> silent;
+  for (const ServerInfo& server : ended) {
+    ++silent[server.service];
+  }
+  std::erase_if(ended, [&](const ServerInfo& server) {
+    const bool many = silent[server.service] > 1 &&
+                      silent[server.service] > m_options.removable * of_service[server.service];
+    return many && now - kept[server.id].heard < 3 * m_options.lease;
+  });
   // Leases of servers whose join has not been applied yet stay until they end.
   for (const auto& [id, lease] : m_leases) {
     if (now - lease.heard < m_options.lease) {
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -58,7 +58,7 @@
 }
 
 double
-ServerSelector::cost_of(const State& state, TimePoint now) const
+ServerSelector::cost_of(const State& state, std::size_t body_bytes, TimePoint now) const
 {
   const double slots = std::max(1U, state.load.slots > 0 ? state.load.slots : state.info.slots);
   double busy = state.own;
@@ -86,6 +86,7 @@
   cost *= 1 + (state.relative_time - 1) * learned;
   if (state.info.failure_domain != m_options.failure_domain) {
     cost *= 1 + m_options.remote_cost;
+    cost += std::min(1.0, m_options.remote_cost_per_byte * static_cast<double>(body_bytes));
   }
   return cost;
 }
@@ -99,6 +100,7 @@
 std::optional<ServerInfo>
 ServerSelector::pick(TimePoint now,
                      const std::set<ServerId>& tried,
+                     std::size_t body_bytes,
                      std::mt19937_64& random) const
 {
   const State* best = nullptr;
@@ -110,7 +112,7 @@
       if (tried.count(id) > 0 || (avoiding && avoided(state, now))) {
         continue;
       }
-      const double cost = cost_of(state, now);
+      const double cost = cost_of(state, body_bytes, now);
       if (best == nullptr || cost < best_cost - kEqualCost) {
         best = &state;
         best_cost = cost;
@@ -130,15 +132,17 @@
 std::vector<ServerInfo>
 ServerSelector::probe_targets(TimePoint now,
                               std::size_t count,
+                              bool local,
                               const std::set<ServerId>& tried,
                               std::mt19937_64& random) const
 {
   std::vector<std::pair<double, const State*>> stale;
   for (const auto& [id, state] : m_servers) {
     const bool fresh = state.reported && now - *state.reported < m_options.fresh_report;
-    if (tried.count(id) == 0 && !avoided(state, now) && !fresh) {
+    const bool near = state.info.failure_domain == m_options.failure_domain;
+    if (tried.count(id) == 0 && !avoided(state, now) && !fresh && (near || !local)) {
       const double noise = std::uniform_real_distribution<double>(0, 0.5)(random);
-      stale.emplace_back(cost_of(state, now) + noise, &state);
+      stale.emplace_back(cost_of(state, 0, now) + noise, &state);
     }
   }
   std::sort(stale.begin(), stale.end(), [](const auto& a, const auto& b) {
@@ -255,7 +259,7 @@
 ServerSelector::cost(const ServerId& id, TimePoint now) const
 {
   const auto found = m_servers.find(id);
-  return found == m_servers.end() ? 0 : cost_of(found->second, now);
+  return found == m_servers.end() ? 0 : cost_of(found->second, 0, now);
 }
 
 std::optional<Duration>
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -15,6 +15,9 @@
 
 constexpr std::chrono::seconds kWriteTimeout{ 10 };
 constexpr std::chrono::milliseconds kUnreadyRetry{ 300 };
+constexpr std::chrono::milliseconds kStoppingRetry{ 10 };
+// A request that arrives during shutdown is served if this many times its objective is left.
+constexpr int kShutdownObjectives = 2;
 constexpr std::chrono::milliseconds kDefaultCallerWait{ 30000 };
 // Idle connections of a host that shuts down are closed after this time, so that a request that is
 // already on its way is still answered.
@@ -166,6 +169,15 @@
       co_await answer_refusal(refusal);
       co_return;
     }
+    if (m_context->shutting_down &&
+        arrived + kShutdownObjectives * route->target_latency > m_context->shutdown_end) {
+      m_open = false;
+      const GatewayRefusal refusal{ .status = 503,
+                                    .reason = "this host stops; ask another one",
+                                    .retry_after = kStoppingRetry };
+      co_await answer_refusal(refusal);
+      co_return;
+    }
     co_await forward(parser, upload, whole, arrived, routing, *route);
   }
 
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -20,6 +20,8 @@
 constexpr double kHedgeReserve = 3;
 // A hedge goes only to a server that is about idle: otherwise it takes capacity from first attempts.
 constexpr double kHedgeMaxCost = 1.3;
+// Servers further away are asked for their load when the best near one costs more.
+constexpr double kNearEnoughCost = 1.15;
 // Attempts beyond the declared number when the earlier ones never reached a server.
 constexpr unsigned kMaxUnreached = 3;
 
@@ -123,17 +125,18 @@
   const RoutedService* service = m_request.routing->service(m_request.service);
   TimePoint now = Clock::now();
   if (service != nullptr && !service->health_path.empty()) {
-    const auto targets =
-      selector->probe_targets(now, m_context.options.probes, m_tried, m_context.random);
-    co_await probe_loads(m_context,
-                         m_request.service,
-                         targets,
-                         service->health_path,
-                         now + m_context.options.probe_wait);
+    co_await probe(true, service->health_path);
     now = Clock::now();
     selector = &m_context.selector(m_request.service);
+    const auto near = selector->pick(now, m_tried, body_bytes(), m_context.random);
+    // Only when no near server is about idle is it worth asking further away.
+    if (near && selector->cost(near->id, now) > kNearEnoughCost) {
+      co_await probe(false, service->health_path);
+      now = Clock::now();
+      selector = &m_context.selector(m_request.service);
+    }
   }
-  const auto server = selector->pick(now, m_tried, m_context.random);
+  const auto server = selector->pick(now, m_tried, body_bytes(), m_context.random);
   --m_choosing;
   const bool late = now + kLeastTime >= m_deadline;
   if (!server || late || m_abandoned || m_decided || m_winner) {
@@ -175,6 +178,23 @@
   m_event.cancel();
 }
 
+awaitable<void>
+ForwardedRequest::probe(bool local, const std::string& path)
+{
+  const TimePoint now = Clock::now();
+  const auto targets = m_context.selector(m_request.service)
+                         .probe_targets(now, m_context.options.probes, local, m_tried, m_context.random);
+  co_await probe_loads(
+    m_context, m_request.service, targets, path, now + m_context.options.probe_wait);
+}
+
+// A streamed body is larger than what is held in memory.
+std::size_t
+ForwardedRequest::body_bytes() const
+{
+  return m_request.upload != nullptr ? kBufferedBodyBytes : m_request.body->size();
+}
+
 OutgoingRequest
 ForwardedRequest::outgoing(const ServerInfo& server, TimePoint now) const
 {
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -74,6 +74,8 @@
 
   void start_attempt(bool hedge);
   awaitable<void> run_attempt(bool hedge);
+  awaitable<void> probe(bool local, const std::string& path);
+  std::size_t body_bytes() const;
   void judge(Attempt& attempt);
   void judge_response(Attempt& attempt);
   void cancel_running();
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -103,8 +103,9 @@
 }
 
 void
-Gateway::begin_shutdown()
+Gateway::begin_shutdown(TimePoint end)
 {
+  m_impl->context->shutdown_end = end;
   m_impl->context->shutting_down = true;
   for (beast::tcp_stream* caller : m_impl->context->idle_callers) {
     caller->cancel();
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -35,6 +35,8 @@
   std::size_t in_progress = 0;
   std::size_t connections = 0;
   bool shutting_down = false;
+  /// Set while shutting down.
+  TimePoint shutdown_end;
   /// Connections that wait for a request; shutdown wakes them.
   std::set<beast::tcp_stream*> idle_callers;
 
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -155,6 +155,9 @@
 {
   m_timer.cancel();
   m_transport.stop();
+  m_log.info("cluster_traffic",
+             { { "sent_bytes", std::to_string(m_transport.bytes_sent()) },
+               { "received_bytes", std::to_string(m_transport.bytes_received()) } });
 }
 
 void
@@ -180,6 +183,7 @@
                      { "ready", subscribe->presence->ready ? "yes" : "no" } });
         share_entry_hosts(now);
       }
+      update_directory_of(from, subscribe->directory_version, now);
     }
     m_replica->receive(from, message);
   } else if (const auto* hosts = std::get_if<EntryHosts>(&message)) {
@@ -195,6 +199,18 @@
   }
 }
 
+// Entry hosts answer callers that ask where to connect, so that one control host that hangs does not
+// hold up the callers of its failure domain.
+void
+ControlHost::update_directory_of(const std::string& entry_host, std::uint64_t held, TimePoint now)
+{
+  EntryAddresses addresses{ .by_domain = m_directory.resolve_all(now) };
+  addresses.version = version_of(addresses);
+  if (addresses.version != held) {
+    send(entry_host, addresses);
+  }
+}
+
 void
 ControlHost::tick()
 {
@@ -267,7 +283,6 @@
 {
   for (const ServerInfo& server : m_registrar.expired(servers(), now)) {
     m_log.warn("server_lease_ended", { { "server", server.id }, { "service", server.service } });
-    m_registrar.renew(server.id, server.incarnation, now);
     m_client->propose(LeaveServer{ .service = server.service,
                                    .id = server.id,
                                    .incarnation = server.incarnation,
@@ -364,6 +379,11 @@
 {
   const TimePoint now = Clock::now();
   const ServerInfo& server = call.heartbeat.server;
+  if (!m_replica->status().in_contact) {
+    // The server has to turn to a host whose group hears of it.
+    reply_with(reply, FailedReply{ unavailable("this host has no contact to the control group") });
+    return;
+  }
   const HeartbeatEffect effect = m_registrar.heartbeat(call.heartbeat, servers(), now);
   if (effect == HeartbeatEffect::None) {
     const std::string leader = m_replica->status().leader_address;
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -45,6 +45,7 @@
   ControlReply heartbeat_reply() const;
   const std::vector<ServerInfo>& servers();
   void share_entry_hosts(TimePoint now);
+  void update_directory_of(const std::string& entry_host, std::uint64_t held, TimePoint now);
   void end_leases(TimePoint now);
   void watch_leadership(TimePoint now);
 
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -1,6 +1,7 @@
 #include "entry_host.h"
 
 #include <boost/asio/post.hpp>
+#include <algorithm>
 #include <random>
 
 namespace lovagehold {
@@ -15,14 +16,30 @@
 constexpr std::chrono::milliseconds kControlSilence{ 1200 };
 // The same before the first answer.
 constexpr std::chrono::milliseconds kFirstControlSilence{ 300 };
+constexpr std::chrono::milliseconds kDirectoryKeep{ 5000 };
 constexpr std::chrono::milliseconds kShutdownCheck{ 200 };
 // Callers keep an address for some time after it was withdrawn.
-constexpr std::chrono::milliseconds kShutdownLeast{ 3000 };
+constexpr std::chrono::milliseconds kShutdownLeast{ 5300 };
 // Time before the end of the grace period that the last writes get.
 constexpr std::chrono::milliseconds kShutdownMargin{ 400 };
 // Descriptors for files, other hosts and connections to servers.
 constexpr std::size_t kOtherDescriptors = 900;
 
+// Hosts of one network usually share the beginning of their addresses; before the failure domains of
+// the control hosts are known, a near one is a better first choice.
+std::vector<std::string>
+nearest_first(std::vector<std::string> addresses, const std::string& own)
+{
+  const auto shared = [&own](const std::string& address) {
+    return std::mismatch(address.begin(), address.end(), own.begin(), own.end()).first -
+           address.begin();
+  };
+  std::stable_sort(addresses.begin(), addresses.end(), [&](const auto& a, const auto& b) {
+    return shared(a) > shared(b);
+  });
+  return addresses;
+}
+
 GatewayOptions
 gateway_options(const SiteSettings& settings, const SiteProtocol& protocol)
 {
@@ -67,7 +84,8 @@
   , m_timer(context)
   , m_shutdown_timer(context)
 {
-  ControlClientOptions options{ .control_addresses = m_settings.seeds,
+  ControlClientOptions options{ .control_addresses =
+                                  nearest_first(m_settings.seeds, m_settings.cluster_address),
                                 .subscribe_interval = kStartTickInterval,
                                 .subscription_timeout = kControlSilence,
                                 .first_timeout = kFirstControlSilence,
@@ -78,7 +96,8 @@
                                   return EntryPresence{ .address = m_settings.entry_address,
                                                         .failure_domain = m_settings.failure_domain,
                                                         .ready = is_ready() };
-                                } };
+                                },
+                                .directory_version = [this] { return m_directory.version; } };
   m_client = std::make_unique<ControlClient>(
     std::move(options),
     [this](const std::string& address, const ClusterMessage& message) {
@@ -98,6 +117,13 @@
   }
   BOOST_OUTCOME_TRYV(m_gateway.start());
   BOOST_OUTCOME_TRYV(m_readiness_server.start(m_settings.readiness_address));
+  if (!m_settings.directory_address.empty()) {
+    m_directory_server = std::make_unique<AdminServer>(
+      m_context, [this](const AdminRequest& request, const AdminServer::Reply& reply) {
+        answer_directory(request, reply);
+      });
+    BOOST_OUTCOME_TRYV(m_directory_server->start(m_settings.directory_address));
+  }
   tick();
   return boost::outcome_v2::success();
 }
@@ -108,6 +134,9 @@
   m_timer.cancel();
   m_shutdown_timer.cancel();
   m_transport.stop();
+  m_log.info("cluster_traffic",
+             { { "sent_bytes", std::to_string(m_transport.bytes_sent()) },
+               { "received_bytes", std::to_string(m_transport.bytes_received()) } });
 }
 
 bool
@@ -119,9 +148,37 @@
 void
 EntryHost::receive(const std::string& from, const ClusterMessage& message)
 {
+  if (const auto* addresses = std::get_if<EntryAddresses>(&message)) {
+    m_directory = *addresses;
+    return;
+  }
   m_client->receive(from, message, Clock::now());
 }
 
+void
+EntryHost::answer_directory(const AdminRequest& request, const AdminServer::Reply& reply)
+{
+  const ControlCall call = m_protocol.decode_call(request);
+  const auto* resolve = std::get_if<ResolveCall>(&call);
+  if (resolve == nullptr) {
+    reply(m_protocol.encode_reply(NotFoundReply{}));
+    return;
+  }
+  const auto asked = m_directory.by_domain.find(resolve->failure_domain);
+  const auto found =
+    asked != m_directory.by_domain.end() ? asked : m_directory.by_domain.begin();
+  if (found == m_directory.by_domain.end() || found->second.empty()) {
+    reply(m_protocol.encode_reply(
+      FailedReply{ { .kind = ErrorKind::Unavailable,
+                     .message = "no entry host is known to be ready",
+                     .remedy = "ask another host" } }));
+    return;
+  }
+  reply(m_protocol.encode_reply(
+    AddressesReply{ .addresses = found->second,
+                    .keep = std::min(kDirectoryKeep, m_settings.max_directory_keep) }));
+}
+
 void
 EntryHost::on_applied(const StateMachine& state)
 {
@@ -169,7 +226,7 @@
   m_shutting_down = true;
   m_done = std::move(done);
   m_shutdown_began = Clock::now();
-  m_gateway.begin_shutdown();
+  m_gateway.begin_shutdown(m_shutdown_began + m_settings.shutdown_grace - kShutdownMargin);
   m_client->announce(m_shutdown_began);
   m_log.info("shutdown_begins",
              { { "requests", std::to_string(m_gateway.in_progress()) },
--- a/src/libsite/entry_host.h
+++ b/src/libsite/entry_host.h
@@ -34,6 +34,7 @@
   void tick();
   void watch_shutdown();
   bool is_ready() const;
+  void answer_directory(const AdminRequest& request, const AdminServer::Reply& reply);
 
   boost::asio::io_context& m_context;
   SiteSettings m_settings;
@@ -45,6 +46,8 @@
   AdminServer m_readiness_server;
   boost::asio::steady_timer m_timer;
   boost::asio::steady_timer m_shutdown_timer;
+  std::unique_ptr<AdminServer> m_directory_server;
+  EntryAddresses m_directory;
   std::uint64_t m_routes_index = 0;
   bool m_was_ready = false;
   bool m_shutting_down = false;
--- a/src/libstate/command_codec.cpp
+++ b/src/libstate/command_codec.cpp
@@ -1,3 +1,4 @@
+#include "document_codec.h"
 #include "json_fields.h"
 
 namespace lovagehold {
@@ -73,7 +74,9 @@
 json
 to_fields(const ReplaceRouting& replace)
 {
-  return { { "t", "routing" }, { "version", replace.version }, { "document", replace.document } };
+  return { { "t", "routing" },
+           { "version", replace.version },
+           { "document", json::binary(pack_document(replace.document)) } };
 }
 
 json
@@ -160,7 +163,7 @@
   }
   if (type == "routing") {
     return ReplaceRouting{ .version = fields.at("version").get<std::uint64_t>(),
-                           .document = fields.at("document").get<std::string>() };
+                           .document = unpack_document(fields.at("document").get_binary()) };
   }
   if (type == "host_join") {
     return JoinHost{ fields.at("host").get<HostInfo>() };
--- a/src/libstate/state_machine.cpp
+++ b/src/libstate/state_machine.cpp
@@ -4,6 +4,7 @@
 #include "claim_store.h"
 #include "config_store.h"
 #include "directory.h"
+#include "document_codec.h"
 
 #include <algorithm>
 
@@ -248,7 +249,9 @@
                        { "config", m_impl->config.snapshot() },
                        { "claims", m_impl->claims.snapshot() },
                        { "directory", m_impl->directory.snapshot() },
-                       { "routing", { m_impl->routing->version, m_impl->routing->document } } };
+                       { "routing",
+                         { m_impl->routing->version,
+                           json::binary(pack_document(m_impl->routing->document)) } } };
   return json::to_cbor(whole);
 }
 
@@ -269,7 +272,7 @@
     if (whole.contains("routing")) {
       next->routing = std::make_shared<const ReplaceRouting>(
         ReplaceRouting{ .version = whole.at("routing").at(0).get<std::uint64_t>(),
-                        .document = whole.at("routing").at(1).get<std::string>() });
+                        .document = unpack_document(whole.at("routing").at(1).get_binary()) });
     }
   } catch (const std::exception& exception) {
     return Error{ .kind = ErrorKind::Protocol,
