Elect a leader within 0.3 s of a restart of all control hosts

Ruled out: the wiped member (it does not vote) and slow starts (all processes ran 0.01 s after power). Change: ticks of 10 ms without a leader; the short election timeout holds until a leader is known.

--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -10,10 +10,12 @@
 
 // Fine enough for the heartbeats of the replicated log.
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
+// Without a leader: coarser ticks let the random election times of two hosts coincide.
+constexpr std::chrono::milliseconds kElectionTick{ 10 };
 constexpr std::chrono::milliseconds kConsensusHeartbeat{ 100 };
 constexpr std::chrono::milliseconds kElectionTimeout{ 450 };
-// All control hosts may restart at once; a leader stands again within half a second.
-constexpr std::chrono::milliseconds kFirstElectionTimeout{ 150 };
+// All control hosts may restart at once; a leader stands again within 0.3 s.
+constexpr std::chrono::milliseconds kFirstElectionTimeout{ 100 };
 constexpr std::chrono::milliseconds kQuorumTimeout{ 700 };
 // A replacement has to vote before its predecessor stops to count as lost, 4 s after its start.
 constexpr std::chrono::milliseconds kMemberLostAfter{ 2000 };
@@ -227,7 +229,7 @@
     m_leases_at = now;
     end_leases(now);
   }
-  m_timer.expires_at(now + kTickInterval);
+  m_timer.expires_at(now + (m_replica->status().in_contact ? kTickInterval : kElectionTick));
   m_timer.async_wait([this](auto error) {
     if (!error) {
       tick();
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::chrono::milliseconds kTickInterval{ 500 };
 // Until the host is ready, which callers wait for after a restart.
-constexpr std::chrono::milliseconds kStartTickInterval{ 100 };
+constexpr std::chrono::milliseconds kStartTickInterval{ 50 };
 // Control is followed from elsewhere after this time without an answer, so that a change that was
 // acknowledged is known within 2 s.
 constexpr std::chrono::milliseconds kControlSilence{ 1200 };
--- a/src/libstate/consensus.cpp
+++ b/src/libstate/consensus.cpp
@@ -16,11 +16,6 @@
   , last_time(now)
 {
   start_election_timer();
-  if (options.first_election_timeout.count() > 0) {
-    const auto spread =
-      static_cast<std::uint64_t>(Duration(options.first_election_timeout).count());
-    election_at = clock + options.first_election_timeout + Duration(random() % spread);
-  }
   if (majority({ self })) {
     // Nobody else can lead.
     election_at = clock;
@@ -99,8 +94,9 @@
 void
 Consensus::Impl::start_election_timer()
 {
-  const auto spread = static_cast<std::uint64_t>(Duration(options.election_timeout).count());
-  election_at = clock + options.election_timeout + Duration(random() % spread);
+  const bool first = !had_leader && options.first_election_timeout.count() > 0;
+  const Duration timeout = first ? options.first_election_timeout : options.election_timeout;
+  election_at = clock + timeout + Duration(random() % static_cast<std::uint64_t>(timeout.count()));
 }
 
 void
@@ -256,6 +252,7 @@
 {
   set_role(ConsensusRole::Leader);
   leader = self;
+  had_leader = true;
   peers.clear();
   update_peers();
   // An entry of the own term lets the leader commit what earlier leaders left.
--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -62,6 +62,8 @@
   Duration clock{};
   Duration election_at{};
   Duration leader_heard{};
+  /// A leader has been known since the start.
+  bool had_leader = false;
   Duration heartbeat_at{};
   std::set<MemberId> votes;
   std::map<MemberId, Peer> peers;
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -289,6 +289,7 @@
     incoming = {};
   }
   leader_heard = clock;
+  had_leader = true;
   start_election_timer();
 }
 
