Name five entry hosts to the callers of a failure domain

Cause: with three, a killed host takes a third of a domain's callers; with many, each knows little about the servers and opens more connections.

--- a/src/include/lovagehold/entry_directory.h
+++ b/src/include/lovagehold/entry_directory.h
@@ -23,7 +23,7 @@
   std::chrono::milliseconds lease{ 1600 };
   /// Hosts named to the callers of a failure domain. Few hosts with much traffic each know the
   /// servers' load better and keep connections to them.
-  std::size_t subset = 3;
+  std::size_t subset = 5;
 };
 
 /// The entry hosts that callers may use. Not thread-safe.
