--- a/src/include/lovagehold/entry_directory.h
+++ b/src/include/lovagehold/entry_directory.h
@@ -21,9 +21,12 @@
 {
   /// An entry host that was not heard of for this time is not named to callers.
   std::chrono::milliseconds lease{ 1600 };
-  /// Hosts named to the callers of a failure domain. Few hosts with much traffic each know the
-  /// servers' load better and keep connections to them.
+  /// Hosts named to the callers of a failure domain at least. Few hosts with much traffic each know
+  /// the servers' load better and keep connections to them.
   std::size_t subset = 5;
+  /// A failure domain with more hosts than this has them because the traffic needs them: all are
+  /// named.
+  std::size_t large_domain = 16;
 };
 
 /// The entry hosts that callers may use. Not thread-safe.
--- a/src/include/lovagehold/server_selector.h
+++ b/src/include/lovagehold/server_selector.h
@@ -58,6 +58,11 @@
   std::chrono::milliseconds eject_max{ 4000 };
   /// Failed responses in a row until a server is avoided.
   unsigned failures_to_eject = 2;
+  /// Name of this host, which gives it its own choice of servers in a large service.
+  std::string host;
+  /// Servers of the own failure domain that are asked first. A small set is asked often enough that
+  /// its connections stay open.
+  std::size_t subset = 12;
   /// A load report older than this is refreshed before a choice.
   std::chrono::milliseconds fresh_report{ 20 };
 };
@@ -82,10 +87,10 @@
 
   /// \return servers whose load should be asked for before the next choice, best first
   /// \param count most servers to return
-  /// \param local only servers of the own failure domain
+  /// \param near_only only servers of the set that is asked first
   std::vector<ServerInfo> probe_targets(TimePoint now,
                                         std::size_t count,
-                                        bool local,
+                                        bool near_only,
                                         const std::set<ServerId>& tried,
                                         std::mt19937_64& random) const;
 
@@ -117,6 +122,8 @@
   struct State
   {
     ServerInfo info;
+    /// In the set that is asked first.
+    bool preferred = true;
     TimePoint cold_until;
     LoadReport load;
     std::optional<TimePoint> reported;
@@ -132,6 +139,7 @@
   };
 
   double cost_of(const State& state, std::size_t body_bytes, TimePoint now) const;
+  void choose_subset();
   bool avoided(const State& state, TimePoint now) const;
   void avoid(State& state, TimePoint now);
 
--- a/src/libdecision/entry_directory.cpp
+++ b/src/libdecision/entry_directory.cpp
@@ -71,9 +71,15 @@
   std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
     return std::tie(a.remote, a.rank) < std::tie(b.remote, b.rank);
   });
+  const auto near = static_cast<std::size_t>(
+    std::count_if(candidates.begin(), candidates.end(), [](const Candidate& host) {
+      return !host.remote;
+    }));
+  const std::size_t count =
+    std::min(near > m_options.large_domain ? near : m_options.subset, kMaxAddresses);
   std::vector<std::string> addresses;
   for (const Candidate& candidate : candidates) {
-    if (addresses.size() < std::min(m_options.subset, kMaxAddresses)) {
+    if (addresses.size() < count) {
       addresses.push_back(candidate.address);
     }
   }
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <xxhash.h>
 
 namespace lovagehold {
 
@@ -55,6 +56,25 @@
     state.info = server;
   }
   m_servers = std::move(next);
+  choose_subset();
+}
+
+// Rendezvous hashing: a server that joins or leaves changes the set by one.
+void
+ServerSelector::choose_subset()
+{
+  std::vector<std::pair<std::uint64_t, State*>> ranked;
+  for (auto& [id, state] : m_servers) {
+    state.preferred = false;
+    if (state.info.failure_domain == m_options.failure_domain) {
+      const std::string key = m_options.host + "|" + id;
+      ranked.emplace_back(XXH64(key.data(), key.size(), 0), &state);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  for (std::size_t i = 0; i < std::min(m_options.subset, ranked.size()); ++i) {
+    ranked[i].second->preferred = true;
+  }
 }
 
 double
@@ -132,15 +152,14 @@
 std::vector<ServerInfo>
 ServerSelector::probe_targets(TimePoint now,
                               std::size_t count,
-                              bool local,
+                              bool near_only,
                               const std::set<ServerId>& tried,
                               std::mt19937_64& random) const
 {
   std::vector<std::pair<double, const State*>> stale;
   for (const auto& [id, state] : m_servers) {
     const bool fresh = state.reported && now - *state.reported < m_options.fresh_report;
-    const bool near = state.info.failure_domain == m_options.failure_domain;
-    if (tried.count(id) == 0 && !avoided(state, now) && !fresh && (near || !local)) {
+    if (tried.count(id) == 0 && !avoided(state, now) && !fresh && (state.preferred || !near_only)) {
       const double noise = std::uniform_real_distribution<double>(0, 0.5)(random);
       stale.emplace_back(cost_of(state, 0, now) + noise, &state);
     }
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -43,7 +43,9 @@
   ServerSelector& selector(const ServiceName& service)
   {
     return selectors
-      .try_emplace(service, ServerSelectorOptions{ .failure_domain = options.failure_domain })
+      .try_emplace(service,
+                   ServerSelectorOptions{ .failure_domain = options.failure_domain,
+                                          .host = options.host })
       .first->second;
   }
 
