--- a/src/build-scripts/format.sh
+++ b/src/build-scripts/format.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.."
 mode=-i
 [ "${1:-}" = --check ] && mode="--dry-run -Werror"
-find src testsuite -name '*.cpp' -o -name '*.h' | sort | xargs -r -P "$(nproc)" -n 8 clang-format $mode
+find src platform testsuite -name '*.cpp' -o -name '*.h' | sort | xargs -r -P "$(nproc)" -n 8 clang-format $mode
--- a/src/build-scripts/lint.sh
+++ b/src/build-scripts/lint.sh
@@ -26,4 +26,4 @@
   if clang-tidy --quiet -p "$build" $coroutines "$file" 2>/dev/null; then touch "$cache/$key"; else echo "lint: $file failed"; return 1; fi
 }
 export -f lint_one
-find src testsuite -name '*.cpp' | sort | xargs -r -P "$(nproc)" -n 1 bash -c 'lint_one "$0"'
+find src platform testsuite -name '*.cpp' | sort | xargs -r -P "$(nproc)" -n 1 bash -c 'lint_one "$0"'
--- a/src/include/lovagehold/consensus.h
+++ b/src/include/lovagehold/consensus.h
@@ -24,8 +24,8 @@
   std::chrono::milliseconds heartbeat{ 100 };
   /// An election starts after this time to twice this time without a leader.
   std::chrono::milliseconds election_timeout{ 400 };
-  /// The same until a leader is known after a start; zero: as above. Pre-votes keep a restarted member
-  /// from deposing a leader.
+  /// The same until a leader is known after a start; zero: as above. Pre-votes keep a restarted
+  /// member from deposing a leader.
   std::chrono::milliseconds first_election_timeout{ 0 };
   /// A leader steps down after this time without replies from a majority.
   std::chrono::milliseconds quorum_timeout{ 600 };
--- a/src/include/lovagehold/control_call.h
+++ b/src/include/lovagehold/control_call.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "lovagehold/error.h"
 #include "lovagehold/routing_config.h"
 #include "lovagehold/server_registrar.h"
-#include "lovagehold/error.h"
 
 #include <variant>
 
@@ -10,8 +10,7 @@
 
 /// The operator reads the routing configuration in force.
 struct ReadRoutingCall
-{
-};
+{};
 
 /// The operator replaces the routing configuration.
 struct ReplaceRoutingCall
@@ -43,8 +42,7 @@
 
 /// The path is not served.
 struct UnknownCall
-{
-};
+{};
 
 /// The call can't be read or breaks a rule.
 struct RejectedCall
@@ -69,8 +67,7 @@
 
 /// The call has taken effect.
 struct AcceptedReply
-{
-};
+{};
 
 /// The heartbeat has taken effect.
 struct HeartbeatReplyTo
@@ -88,8 +85,7 @@
 
 /// The path or the thing asked for does not exist.
 struct NotFoundReply
-{
-};
+{};
 
 /// The call failed; InvalidArgument means that sending it again can't succeed.
 struct FailedReply
@@ -97,7 +93,11 @@
   Error error;
 };
 
-using ControlReply = std::
-  variant<RoutingReply, AcceptedReply, HeartbeatReplyTo, AddressesReply, NotFoundReply, FailedReply>;
+using ControlReply = std::variant<RoutingReply,
+                                  AcceptedReply,
+                                  HeartbeatReplyTo,
+                                  AddressesReply,
+                                  NotFoundReply,
+                                  FailedReply>;
 
 } // namespace lovagehold
--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -101,6 +101,9 @@
 
   const GatewayCounters& counters() const;
 
+  /// \return counters and latency histograms in the Prometheus text format
+  std::string render_metrics() const;
+
 private:
   struct Impl;
   std::shared_ptr<Impl> m_impl;
--- a/src/include/lovagehold/server_selector.h
+++ b/src/include/lovagehold/server_selector.h
@@ -115,6 +115,9 @@
   /// 0 if the server is not known
   double cost(const ServerId& id, TimePoint now) const;
 
+  /// \return the last load report; without one an empty report
+  LoadReport last_report(const ServerId& id) const;
+
   /// \return age of the last load report; nothing if there is none
   std::optional<Duration> report_age(const ServerId& id, TimePoint now) const;
 
--- a/src/include/lovagehold/site.h
+++ b/src/include/lovagehold/site.h
@@ -24,6 +24,8 @@
   std::vector<std::string> seeds;
   /// The system starts for the first time, so that the seeds found the control group.
   bool first_start = false;
+  /// "IP:port" of the metrics page; empty for none.
+  std::string metrics_address;
   std::string data_folder;
   /// Control hosts whose disks may be lost at the same time.
   unsigned tolerated_losses = 1;
--- a/src/libadapters/cluster_transport.cpp
+++ b/src/libadapters/cluster_transport.cpp
@@ -4,9 +4,9 @@
 
 #include <atomic>
 #include <deque>
+#include <map>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-#include <map>
 #include <thread>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
--- a/src/libadapters/event_log.cpp
+++ b/src/libadapters/event_log.cpp
@@ -1,5 +1,6 @@
 #include "lovagehold/event_log.h"
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -30,10 +31,27 @@
   return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
 }
 
+// Each slot takes some 400 bytes for as long as the process runs.
+constexpr std::size_t kQueueLines = 512;
+
 std::shared_ptr<spdlog::logger>
 make_logger(const EventLogOptions& options)
 {
-  auto logger = spdlog::stderr_logger_mt("lovagehold-" + options.host);
+  const std::string name = "lovagehold-" + options.host;
+  std::shared_ptr<spdlog::logger> logger;
+  if (options.queued) {
+    if (!spdlog::thread_pool()) {
+      spdlog::init_thread_pool(kQueueLines, 1);
+    }
+    logger =
+      std::make_shared<spdlog::async_logger>(name,
+                                             std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+                                             spdlog::thread_pool(),
+                                             spdlog::async_overflow_policy::overrun_oldest);
+    spdlog::register_logger(logger);
+  } else {
+    logger = spdlog::stderr_logger_mt(name);
+  }
   logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
   logger->set_level(spdlog::level::from_str(options.level));
   return logger;
@@ -48,6 +66,15 @@
   make_logger(m_options);
 }
 
+EventLog::~EventLog()
+{
+  const std::string name = "lovagehold-" + m_options.host;
+  if (const auto logger = spdlog::get(name)) {
+    logger->flush();
+  }
+  spdlog::drop(name);
+}
+
 void
 EventLog::info(std::string_view event, std::initializer_list<LogField> fields)
 {
@@ -81,6 +108,36 @@
   return { m_events.begin(), m_events.end() };
 }
 
+void
+EventLog::write(int level, const std::string& line) const
+{
+  if (const auto logger = spdlog::get("lovagehold-" + m_options.host)) {
+    logger->log(static_cast<spdlog::level::level_enum>(level), line);
+  }
+}
+
+bool
+EventLog::take_line(int level, std::string_view event, WallTime now)
+{
+  if (m_options.lines_per_second == 0) {
+    return true;
+  }
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  Volume& volume = m_volumes[{ level, std::string(event) }];
+  const auto second = std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch());
+  if (second != volume.second) {
+    if (volume.suppressed > 0) {
+      write(spdlog::level::warn,
+            "host=" + quote(m_options.host) + " event=log_suppressed name=" + std::string(event) +
+              " lines=" + std::to_string(volume.suppressed));
+    }
+    volume = { .second = second };
+  }
+  const bool taken = volume.lines < m_options.lines_per_second;
+  ++(taken ? volume.lines : volume.suppressed);
+  return taken;
+}
+
 void
 EventLog::record(int level, std::string_view event, std::initializer_list<LogField> fields)
 {
@@ -93,8 +150,8 @@
     line += " " + std::string(field.first) + "=" + quote(field.second);
     entry.fields.emplace_back(field.first, field.second);
   }
-  if (const auto logger = spdlog::get("lovagehold-" + m_options.host)) {
-    logger->log(static_cast<spdlog::level::level_enum>(level), line);
+  if (take_line(level, event, entry.time)) {
+    write(level, line);
   }
   const std::lock_guard<std::mutex> lock(m_mutex);
   entry.hybrid_time = m_clock.stamp(entry.time);
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -79,9 +79,9 @@
         near = i;
       }
     }
-    const bool move = next == control.size() ||
-                      (near && control[next].failure_domain != options.failure_domain &&
-                       now >= stay_until);
+    const bool move =
+      next == control.size() ||
+      (near && control[next].failure_domain != options.failure_domain && now >= stay_until);
     source = move ? near.value_or(0) : next;
     if (move) {
       source_heard = now;
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -3,8 +3,8 @@
 #include "storage_worker.h"
 
 #include <algorithm>
-#include <set>
 #include <random>
+#include <set>
 
 namespace lovagehold {
 
--- a/src/libdecision/entry_directory.cpp
+++ b/src/libdecision/entry_directory.cpp
@@ -71,10 +71,8 @@
   std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
     return std::tie(a.remote, a.rank) < std::tie(b.remote, b.rank);
   });
-  const auto near = static_cast<std::size_t>(
-    std::count_if(candidates.begin(), candidates.end(), [](const Candidate& host) {
-      return !host.remote;
-    }));
+  const auto near = static_cast<std::size_t>(std::count_if(
+    candidates.begin(), candidates.end(), [](const Candidate& host) { return !host.remote; }));
   const std::size_t count =
     std::min(near > m_options.large_domain ? near : m_options.subset, kMaxAddresses);
   std::vector<std::string> addresses;
@@ -111,9 +109,8 @@
 void
 EntryDirectory::expire(TimePoint now)
 {
-  std::erase_if(m_hosts, [&](const auto& entry) {
-    return now - entry.second.heard >= 10 * m_options.lease;
-  });
+  std::erase_if(
+    m_hosts, [&](const auto& entry) { return now - entry.second.heard >= 10 * m_options.lease; });
 }
 
 } // namespace lovagehold
--- /dev/null
+++ b/src/libdecision/entry_directory_test.cpp
@@ -0,0 +1,68 @@
+#include "lovagehold/entry_directory.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lovagehold {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+constexpr milliseconds kLease{ 1000 };
+
+EntryPresence
+make_presence(const std::string& domain, int number, bool ready = true)
+{
+  return { .address = domain + ":" + std::to_string(number),
+           .failure_domain = domain,
+           .ready = ready };
+}
+
+// Guards against callers that are sent to a host that leaves or has fallen silent.
+TEST(EntryDirectory, OnlyReadyHostsWithinTheirLeaseAreNamed)
+{
+  EntryDirectory directory({ .lease = kLease });
+  EXPECT_TRUE(directory.heard(make_presence("a", 1), kStart));
+  EXPECT_FALSE(directory.heard(make_presence("a", 1), kStart));
+  EXPECT_EQ(directory.resolve("a", kStart).size(), 1U);
+  EXPECT_TRUE(directory.heard(make_presence("a", 1, false), kStart + milliseconds(1)));
+  EXPECT_TRUE(directory.resolve("a", kStart + milliseconds(1)).empty());
+  directory.heard(make_presence("a", 2), kStart);
+  EXPECT_TRUE(directory.resolve("a", kStart + kLease).empty());
+}
+
+// Guards against old news from another control host that replaces newer news.
+TEST(EntryDirectory, OlderNewsChangesNothing)
+{
+  EntryDirectory directory({ .lease = kLease });
+  directory.heard(make_presence("a", 1, false), kStart);
+  EXPECT_FALSE(directory.heard(make_presence("a", 1, true), kStart - milliseconds(1)));
+  EXPECT_TRUE(directory.resolve("a", kStart).empty());
+}
+
+// Guards against callers that get no address, or one of another failure domain, while their own has
+// enough hosts; and against large failure domains of which only a few hosts carry the traffic.
+RC_GTEST_PROP(EntryDirectory, NearHostsComeFirst, ())
+{
+  const EntryDirectoryOptions options{ .lease = kLease };
+  EntryDirectory directory(options);
+  const auto near = *rc::gen::inRange<std::size_t>(0, 80);
+  const auto far = *rc::gen::inRange<std::size_t>(0, 10);
+  for (std::size_t i = 0; i < near; ++i) {
+    directory.heard(make_presence("a", static_cast<int>(i)), kStart);
+  }
+  for (std::size_t i = 0; i < far; ++i) {
+    directory.heard(make_presence("b", static_cast<int>(i)), kStart);
+  }
+  const auto named = directory.resolve("a", kStart);
+  const std::size_t wanted = near > options.large_domain ? near : options.subset;
+  RC_ASSERT(named.size() == std::min<std::size_t>({ wanted, near + far, 64 }));
+  const auto remote = std::count_if(
+    named.begin(), named.end(), [](const std::string& address) { return address[0] == 'b'; });
+  RC_ASSERT(remote == 0 || near < options.subset);
+}
+
+} // namespace
+} // namespace lovagehold
--- /dev/null
+++ b/src/libdecision/retry_budget_test.cpp
@@ -0,0 +1,60 @@
+#include "lovagehold/retry_budget.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lovagehold {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+// Guards against hosts that together repeat more attempts than the operator allows in any window.
+RC_GTEST_PROP(RetryBudget, AllHostsTogetherKeepTheBudget, ())
+{
+  const RetryBudgetOptions options{ .window = milliseconds(1000), .ratio = 0.2, .slack = 12 };
+  const auto hosts = *rc::gen::inRange<std::size_t>(1, 6);
+  std::vector<RetryBudget> budgets(hosts, RetryBudget(options));
+  for (RetryBudget& budget : budgets) {
+    budget.set_hosts(hosts);
+  }
+  std::vector<std::pair<TimePoint, bool>> history;
+  TimePoint now = kStart;
+  const auto count = *rc::gen::inRange(0, 400);
+  for (int i = 0; i < count; ++i) {
+    now += milliseconds(*rc::gen::inRange(0, 20));
+    const auto host = *rc::gen::inRange<std::size_t>(0, hosts);
+    if (*rc::gen::arbitrary<bool>()) {
+      budgets[host].count_request(now);
+      history.emplace_back(now, true);
+    } else if (budgets[host].take(now)) {
+      history.emplace_back(now, false);
+    }
+  }
+  for (const auto& [end, kind] : history) {
+    double requests = 0;
+    double extra = 0;
+    for (const auto& [time, request] : history) {
+      const bool inside = time <= end && end - time < options.window;
+      // A host's requests of the window before may have been counted when it took an attempt.
+      const bool before = time <= end && end - time < 2 * options.window;
+      requests += request && before ? 1 : 0;
+      extra += !request && inside ? 1 : 0;
+    }
+    RC_ASSERT(extra <= options.ratio * requests + options.slack);
+  }
+}
+
+// Guards against a budget that is never given back.
+TEST(RetryBudget, IsFreeAgainAfterTheWindow)
+{
+  RetryBudget budget({ .window = milliseconds(100), .slack = 2, .margin = 1 });
+  EXPECT_TRUE(budget.take(kStart));
+  EXPECT_TRUE(budget.take(kStart));
+  EXPECT_FALSE(budget.take(kStart + milliseconds(99)));
+  EXPECT_TRUE(budget.take(kStart + milliseconds(100)));
+}
+
+} // namespace
+} // namespace lovagehold
--- /dev/null
+++ b/src/libdecision/server_registrar_test.cpp
@@ -0,0 +1,98 @@
+#include "lovagehold/server_registrar.h"
+
+#include <gtest/gtest.h>
+
+namespace lovagehold {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+constexpr milliseconds kLease{ 1000 };
+
+ServerHeartbeat
+make_heartbeat(const std::string& id, std::uint64_t incarnation, std::uint64_t sequence)
+{
+  return {
+    .server = { .service = "s", .id = id, .address = "127.0.0.1:80", .incarnation = incarnation },
+    .sequence = sequence
+  };
+}
+
+// Guards against a delayed heartbeat of a crashed server that takes its successor's address.
+TEST(ServerRegistrar, OlderServerDoesNotTakeTheAddressBack)
+{
+  ServerRegistrar registrar({ .lease = kLease });
+  const ServerHeartbeat old_server = make_heartbeat("i-1", 100, 9);
+  const ServerHeartbeat successor = make_heartbeat("i-2", 200, 1);
+  EXPECT_EQ(registrar.heartbeat(successor, { old_server.server }, kStart), HeartbeatEffect::Join);
+  EXPECT_EQ(ServerRegistrar::replaced_by(successor, { old_server.server }).size(), 1U);
+  EXPECT_EQ(registrar.heartbeat(old_server, { successor.server }, kStart), HeartbeatEffect::None);
+  EXPECT_TRUE(ServerRegistrar::replaced_by(old_server, { successor.server }).empty());
+}
+
+// Guards against a late heartbeat of an incarnation before the present one, and one that arrives
+// out of order.
+TEST(ServerRegistrar, LateHeartbeatsChangeNothing)
+{
+  ServerRegistrar registrar({ .lease = kLease });
+  const ServerHeartbeat present = make_heartbeat("i-1", 200, 5);
+  EXPECT_EQ(registrar.heartbeat(present, {}, kStart), HeartbeatEffect::Join);
+  const std::vector<ServerInfo> known{ present.server };
+  EXPECT_EQ(registrar.heartbeat(make_heartbeat("i-1", 200, 4), known, kStart),
+            HeartbeatEffect::None);
+  ServerHeartbeat draining = make_heartbeat("i-1", 100, 99);
+  draining.draining = true;
+  EXPECT_EQ(registrar.heartbeat(draining, known, kStart), HeartbeatEffect::None);
+}
+
+// Guards against a drain that is lost because its heartbeat was sent again.
+TEST(ServerRegistrar, DrainingServerLeavesAlsoWhenItSaysSoAgain)
+{
+  ServerRegistrar registrar({ .lease = kLease });
+  ServerHeartbeat heartbeat = make_heartbeat("i-1", 100, 1);
+  registrar.heartbeat(heartbeat, {}, kStart);
+  heartbeat.draining = true;
+  heartbeat.sequence = 2;
+  const std::vector<ServerInfo> known{ heartbeat.server };
+  EXPECT_EQ(registrar.heartbeat(heartbeat, known, kStart), HeartbeatEffect::Leave);
+  EXPECT_EQ(registrar.heartbeat(heartbeat, known, kStart), HeartbeatEffect::Leave);
+}
+
+// Guards against the removal of most servers of a service when their heartbeats were lost on the
+// way: after a cut a new leader had heard none of them and removed 17 of 29.
+TEST(ServerRegistrar, ManySilentServersAtOnceAreKeptLonger)
+{
+  ServerRegistrar registrar({ .lease = kLease });
+  std::vector<ServerInfo> known;
+  for (int i = 0; i < 9; ++i) {
+    known.push_back(make_heartbeat("i-" + std::to_string(i), 100, 1).server);
+  }
+  EXPECT_TRUE(registrar.expired(known, kStart).empty());
+  EXPECT_TRUE(registrar.expired(known, kStart + kLease).empty());
+  EXPECT_EQ(registrar.expired(known, kStart + 3 * kLease).size(), known.size());
+}
+
+// Guards against a server that crashed and is never removed, and against a new leader that removes
+// servers whose heartbeats it never got.
+TEST(ServerRegistrar, SilentServerIsRemovedAfterItsLease)
+{
+  ServerRegistrar registrar({ .lease = kLease });
+  std::vector<ServerInfo> known;
+  for (int i = 0; i < 9; ++i) {
+    known.push_back(make_heartbeat("i-" + std::to_string(i), 100, 1).server);
+  }
+  registrar.expired(known, kStart);
+  const TimePoint later = kStart + kLease;
+  for (std::size_t i = 1; i < known.size(); ++i) {
+    registrar.renew(known[i].id, known[i].incarnation, later);
+  }
+  const auto ended = registrar.expired(known, later);
+  ASSERT_EQ(ended.size(), 1U);
+  EXPECT_EQ(ended[0].id, "i-0");
+  registrar.restart();
+  EXPECT_TRUE(registrar.expired(known, later).empty());
+}
+
+} // namespace
+} // namespace lovagehold
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -164,9 +164,8 @@
       stale.emplace_back(cost_of(state, 0, now) + noise, &state);
     }
   }
-  std::sort(stale.begin(), stale.end(), [](const auto& a, const auto& b) {
-    return a.first < b.first;
-  });
+  std::sort(
+    stale.begin(), stale.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
   std::vector<ServerInfo> targets;
   for (std::size_t i = 0; i < std::min(count, stale.size()); ++i) {
     targets.push_back(stale[i].second->info);
@@ -271,7 +270,8 @@
   if (!m_usual_ms) {
     return std::nullopt;
   }
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(*m_usual_ms));
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double, std::milli>(*m_usual_ms));
 }
 
 double
@@ -281,6 +281,13 @@
   return found == m_servers.end() ? 0 : cost_of(found->second, 0, now);
 }
 
+LoadReport
+ServerSelector::last_report(const ServerId& id) const
+{
+  const auto found = m_servers.find(id);
+  return found == m_servers.end() ? LoadReport{} : found->second.load;
+}
+
 std::optional<Duration>
 ServerSelector::report_age(const ServerId& id, TimePoint now) const
 {
--- /dev/null
+++ b/src/libdecision/server_selector_test.cpp
@@ -0,0 +1,154 @@
+#include "lovagehold/server_selector.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lovagehold {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+std::vector<ServerInfo>
+make_servers(unsigned count, const std::string& domain = "a")
+{
+  std::vector<ServerInfo> servers;
+  for (unsigned i = 0; i < count; ++i) {
+    const std::string number = std::to_string(i);
+    servers.push_back({ .service = "s",
+                        .id = "i-" + number,
+                        .address = "127.0.0.1:" + number,
+                        .incarnation = 1,
+                        .failure_domain = domain });
+  }
+  return servers;
+}
+
+class ServerSelectorTest : public ::testing::Test
+{
+protected:
+  ServerSelectorTest()
+    : selector({ .failure_domain = "a", .host = "h" })
+  {
+    selector.set_servers(make_servers(3), kStart);
+  }
+
+  std::string pick(TimePoint now, const std::set<ServerId>& tried = {})
+  {
+    const auto server = selector.pick(now, tried, 0, random);
+    return server ? server->id : "";
+  }
+
+  ServerSelector selector;
+  std::mt19937_64 random{ 1 };
+};
+
+// Guards against requests to a server whose neighbour makes work slow at this moment.
+TEST_F(ServerSelectorTest, SlowedServerIsNotChosen)
+{
+  selector.report("i-0", { .running = 0, .slots = 3, .slowdown = 4 }, kStart);
+  selector.report("i-1", { .running = 1, .slots = 3, .slowdown = 1 }, kStart);
+  selector.report("i-2", { .running = 3, .slots = 3, .slowdown = 1 }, kStart);
+  EXPECT_EQ(pick(kStart), "i-1");
+}
+
+// Guards against a burst that all goes to the server that was idle at its last report.
+TEST_F(ServerSelectorTest, OwnRequestsCountUntilTheNextReport)
+{
+  for (const char* id : { "i-0", "i-1", "i-2" }) {
+    selector.report(id, { .slots = 3 }, kStart);
+  }
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = pick(kStart);
+    ++chosen[id];
+    selector.begin(id, kStart);
+  }
+  EXPECT_EQ(chosen["i-0"], 2);
+  EXPECT_EQ(chosen["i-1"], 2);
+  EXPECT_EQ(chosen["i-2"], 2);
+}
+
+// Guards against attempts that go on to a server that can't be reached, and against one that is
+// avoided for ever.
+TEST_F(ServerSelectorTest, UnreachedServerIsAvoidedForSomeTime)
+{
+  selector.report("i-0", { .slots = 3 }, kStart);
+  selector.begin("i-0", kStart);
+  selector.end("i-0", AttemptEnd::Unreached, milliseconds(1), kStart);
+  EXPECT_NE(pick(kStart), "i-0");
+  EXPECT_NE(pick(kStart, { "i-1" }), "i-0");
+  // The last server is used even so.
+  EXPECT_EQ(pick(kStart, { "i-1", "i-2" }), "i-0");
+  const TimePoint later = kStart + std::chrono::seconds(5);
+  selector.report("i-0", { .slots = 3 }, later);
+  EXPECT_EQ(pick(later), "i-0");
+}
+
+// Guards against a slow server that looks idle because its requests take longer.
+TEST_F(ServerSelectorTest, ServerThatTookLongerCostsMore)
+{
+  for (const char* id : { "i-1", "i-2" }) {
+    selector.begin(id, kStart);
+    selector.end(id, AttemptEnd::Served, milliseconds(200), kStart);
+  }
+  selector.begin("i-0", kStart);
+  selector.end("i-0", AttemptEnd::Served, milliseconds(2000), kStart);
+  EXPECT_GT(selector.cost("i-0", kStart), selector.cost("i-1", kStart));
+}
+
+// Guards against bodies that cross failure domains while a near server has room.
+TEST_F(ServerSelectorTest, LargeBodiesStayInTheFailureDomain)
+{
+  auto servers = make_servers(1, "a");
+  servers.push_back({ .service = "s", .id = "far", .incarnation = 1, .failure_domain = "b" });
+  selector.set_servers(servers, kStart);
+  selector.report("i-0", { .running = 2, .slots = 3 }, kStart);
+  selector.report("far", { .slots = 3 }, kStart);
+  EXPECT_EQ(pick(kStart), "far");
+  const auto near = selector.pick(kStart, {}, 200000, random);
+  EXPECT_EQ(near->id, "i-0");
+}
+
+// Guards against a new incarnation that inherits what was known about the one before.
+TEST_F(ServerSelectorTest, NewIncarnationStartsAfresh)
+{
+  selector.begin("i-0", kStart);
+  selector.end("i-0", AttemptEnd::Unreached, milliseconds(1), kStart);
+  auto servers = make_servers(3);
+  servers[0].incarnation = 2;
+  selector.set_servers(servers, kStart);
+  EXPECT_EQ(pick(kStart, { "i-1", "i-2" }), "i-0");
+  EXPECT_FALSE(selector.report_age("i-0", kStart).has_value());
+}
+
+// Guards against a choice outside the servers that are known and not tried, and against counts of
+// own requests that drift.
+RC_GTEST_PROP(ServerSelector, ChoosesKnownServersOnly, ())
+{
+  ServerSelector selector({ .failure_domain = "a", .host = "h" });
+  std::mt19937_64 random(7);
+  const auto count = *rc::gen::inRange(0U, 8U);
+  selector.set_servers(make_servers(count), kStart);
+  TimePoint now = kStart;
+  const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 9));
+  for (const int step : steps) {
+    now += milliseconds(10);
+    std::set<ServerId> tried;
+    if (step % 3 == 0) {
+      tried.insert("i-0");
+    }
+    const auto server = selector.pick(now, tried, 0, random);
+    const unsigned left = count - (count > 0 && !tried.empty() ? 1 : 0);
+    RC_ASSERT(server.has_value() == (left > 0));
+    if (server) {
+      RC_ASSERT(tried.count(server->id) == 0);
+      selector.begin(server->id, now);
+      selector.end(server->id, static_cast<AttemptEnd>(step % 7), milliseconds(5), now);
+    }
+  }
+}
+
+} // namespace
+} // namespace lovagehold
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
+#include <fmt/format.h>
 #include <sys/socket.h>
 
 namespace lovagehold {
@@ -295,14 +296,48 @@
                    TimePoint arrived,
                    const ForwardedRequest& forwarded)
   {
-    const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - arrived);
-    m_context->log.info("request",
-                        { { "id", id },
-                          { "route", route.name },
-                          { "status", std::to_string(status) },
-                          { "ms", std::to_string(taken.count()) },
-                          { "attempts", forwarded.describe_attempts() },
-                          { "reason", status >= 500 ? forwarded.refusal().reason : "" } });
+    const auto taken =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - arrived);
+    const bool failed = status >= 500 || forwarded.abandoned();
+    const std::string version = std::to_string(m_context->routing->version());
+    const std::string budget = fmt::format("{:.1f}", forwarded.budget_left());
+    const std::initializer_list<LogField> fields = {
+      { "id", id },
+      { "route", route.name },
+      { "service", forwarded.service() },
+      { "routing", version },
+      { "status", forwarded.abandoned() ? "caller_left" : std::to_string(status) },
+      { "ms", std::to_string(taken.count()) },
+      { "timeout_ms", std::to_string(route.timeout.count()) },
+      { "attempts", forwarded.describe_attempts() },
+      { "budget_left", budget },
+      { "reason", failed ? forwarded.refusal().reason : "" }
+    };
+    // Failures have a volume of their own, so that successes never displace them.
+    if (failed) {
+      m_context->log.warn("request_failed", fields);
+    } else {
+      m_context->log.info("request", fields);
+    }
+    record_latency(forwarded.service(), route, status, Clock::now() - arrived);
+  }
+
+  void record_latency(const ServiceName& service,
+                      const Route& route,
+                      unsigned status,
+                      Duration latency)
+  {
+    const RequestClass request_class =
+      route.kind == RouteKind::Idempotent ? RequestClass::Urgent : RequestClass::NonIdempotent;
+    RequestOutcome outcome = RequestOutcome::Served;
+    if (status == 0) {
+      outcome = RequestOutcome::Aborted;
+    } else if (status == 503) {
+      outcome = RequestOutcome::Refused;
+    } else if (status >= 500) {
+      outcome = RequestOutcome::Unknown;
+    }
+    m_context->metrics.record(service, request_class, outcome, latency);
   }
 
   void close_if_leaving(http::fields& fields)
@@ -368,7 +403,7 @@
     } else if (chunked) {
       written = co_await write("0\r\n\r\n", "");
     }
-    co_return complete && written;
+    co_return complete&& written;
   }
 
   awaitable<bool> write_piece(std::string_view piece, bool chunked)
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <fmt/format.h>
 
 namespace lovagehold {
 
@@ -18,7 +19,8 @@
 constexpr double kHedgeTime = 1.3;
 // Part of the retry budget that hedges leave to failures.
 constexpr double kHedgeReserve = 3;
-// A hedge goes only to a server that is about idle: otherwise it takes capacity from first attempts.
+// A hedge goes only to a server that is about idle: otherwise it takes capacity from first
+// attempts.
 constexpr double kHedgeMaxCost = 1.3;
 // Servers further away are asked for their load when the best near one costs more.
 constexpr double kNearEnoughCost = 1.15;
@@ -166,6 +168,7 @@
   attempt->begun = now;
   attempt->cost = selector->cost(server->id, now);
   attempt->report_age = selector->report_age(server->id, now);
+  attempt->load = selector->last_report(server->id);
   m_attempts.push_back(attempt);
   selector->begin(server->id, now);
   const OutgoingRequest request = outgoing(*server, now);
@@ -182,8 +185,9 @@
 ForwardedRequest::probe(bool local, const std::string& path)
 {
   const TimePoint now = Clock::now();
-  const auto targets = m_context.selector(m_request.service)
-                         .probe_targets(now, m_context.options.probes, local, m_tried, m_context.random);
+  const auto targets =
+    m_context.selector(m_request.service)
+      .probe_targets(now, m_context.options.probes, local, m_tried, m_context.random);
   co_await probe_loads(
     m_context, m_request.service, targets, path, now + m_context.options.probe_wait);
 }
@@ -271,9 +275,9 @@
 bool
 ForwardedRequest::running() const
 {
-  return m_choosing > 0 || std::any_of(m_attempts.begin(), m_attempts.end(), [](const auto& attempt) {
-           return !attempt->done;
-         });
+  return m_choosing > 0 || std::any_of(m_attempts.begin(),
+                                       m_attempts.end(),
+                                       [](const auto& attempt) { return !attempt->done; });
 }
 
 void
@@ -372,13 +376,28 @@
 {
   std::string text;
   for (const auto& attempt : m_attempts) {
-    text += text.empty() ? "" : ",";
-    text += attempt->server.id + ":" + to_string(attempt->exchange->status()) + ":" +
-            std::to_string(millis(attempt->elapsed).count()) + "ms:cost" +
-            std::to_string(static_cast<int>(100 * attempt->cost)) + ":age" +
-            (attempt->report_age ? std::to_string(millis(*attempt->report_age).count()) : "-");
+    const std::string age =
+      attempt->report_age ? std::to_string(millis(*attempt->report_age).count()) : "-";
+    const LoadReport& load = attempt->load;
+    text += fmt::format("{}{}:{}:{}ms:cost{}:age{}:load{}/{}/{}/{}",
+                        text.empty() ? "" : ",",
+                        attempt->server.id,
+                        to_string(attempt->exchange->status()),
+                        millis(attempt->elapsed).count(),
+                        static_cast<int>(100 * attempt->cost),
+                        age,
+                        load.running,
+                        load.waiting,
+                        load.slots,
+                        static_cast<int>(100 * load.slowdown));
   }
   return text.empty() ? "-" : text;
 }
 
+double
+ForwardedRequest::budget_left() const
+{
+  return m_context.budget(m_request.service).left(Clock::now());
+}
+
 } // namespace lovagehold
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -56,9 +56,15 @@
   /// Ends the request after its response has been passed on. \param complete whole
   void finish(bool complete);
 
-  /// \return one word for each attempt, for the log
+  /// \return one word for each attempt, for the log: server, end, time, expected cost in percent,
+  /// age of the load report in milliseconds, and that load as running/waiting/slots/slowdown
   std::string describe_attempts() const;
 
+  /// \return attempts that the retry budget still allows, for the log
+  double budget_left() const;
+
+  const ServiceName& service() const { return m_request.service; }
+
 private:
   struct Attempt
   {
@@ -68,6 +74,8 @@
     Duration elapsed{};
     double cost = 0;
     std::optional<Duration> report_age;
+    /// What the server was known to run when it was chosen.
+    LoadReport load;
     bool done = false;
     bool judged = false;
   };
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -136,4 +136,43 @@
   return m_impl->context->counters;
 }
 
+std::string
+Gateway::render_metrics() const
+{
+  const GatewayContext& context = *m_impl->context;
+  MetricsText text;
+  const auto add = [&text](const char* name, const char* type, const char* help, double value) {
+    text.begin(name, type, help);
+    text.sample({}, value);
+  };
+  const GatewayCounters& counters = context.counters;
+  const auto count = [&add](const char* name, const char* help, std::uint64_t value) {
+    add(name, "counter", help, static_cast<double>(value));
+  };
+  count("lovagehold_requests_total", "Requests of callers.", counters.requests);
+  count("lovagehold_served_total", "Responses passed on whole.", counters.served);
+  count("lovagehold_refused_total", "Requests refused with 503.", counters.refused);
+  count("lovagehold_failed_total", "Requests that ended otherwise.", counters.failed);
+  count("lovagehold_abandoned_total", "Requests whose caller left.", counters.abandoned);
+  count("lovagehold_retries_total", "Attempts after a failed one.", counters.retries);
+  count("lovagehold_hedges_total", "Attempts beside a slow one.", counters.hedges);
+  count("lovagehold_probes_total", "Health checks sent.", counters.probes);
+  count("lovagehold_server_connections_total",
+        "Connections opened to servers.",
+        counters.server_connections);
+  add("lovagehold_requests_in_progress",
+      "gauge",
+      "Requests being served.",
+      static_cast<double>(context.in_progress));
+  add("lovagehold_caller_connections",
+      "gauge",
+      "Connections of callers.",
+      static_cast<double>(context.connections));
+  add("lovagehold_routing_version",
+      "gauge",
+      "Version of the routing configuration in force.",
+      static_cast<double>(version()));
+  return text.text() + context.metrics.render();
+}
+
 } // namespace lovagehold
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -2,6 +2,7 @@
 
 #include "libproxy/connection_pool.h"
 #include "lovagehold/gateway.h"
+#include "lovagehold/metrics.h"
 #include "lovagehold/routing_table.h"
 
 #include <random>
@@ -31,6 +32,8 @@
   std::map<ServiceName, RetryBudget> budgets;
   ConnectionPool pool{ ConnectionPoolOptions{ .idle_per_address = 8, .idle_total = 512 } };
   GatewayCounters counters;
+  /// One shard: the gateway has one thread.
+  Metrics metrics{ 1 };
   std::size_t entry_hosts = 1;
   std::size_t in_progress = 0;
   std::size_t connections = 0;
@@ -43,9 +46,9 @@
   ServerSelector& selector(const ServiceName& service)
   {
     return selectors
-      .try_emplace(service,
-                   ServerSelectorOptions{ .failure_domain = options.failure_domain,
-                                          .host = options.host })
+      .try_emplace(
+        service,
+        ServerSelectorOptions{ .failure_domain = options.failure_domain, .host = options.host })
       .first->second;
   }
 
--- /dev/null
+++ b/src/libgateway/scripted_server.h
@@ -0,0 +1,177 @@
+#pragma once
+
+#include "libproxy/entry_fixture.h"
+
+#include <boost/asio/read.hpp>
+#include <functional>
+#include <mutex>
+#include <sys/socket.h>
+
+namespace lovagehold {
+
+/// A request as a scripted server received it.
+struct ReceivedRequest
+{
+  std::string head;
+  std::string body;
+
+  /// \return the value of the header; empty if there is none
+  std::string header(const std::string& name) const
+  {
+    const std::size_t start = head.find("\r\n" + name + ": ");
+    if (start == std::string::npos) {
+      return "";
+    }
+    const std::size_t value = start + name.size() + 4;
+    return head.substr(value, head.find("\r\n", value) - value);
+  }
+};
+
+/// What a scripted server does with a request.
+struct ScriptedAnswer
+{
+  std::string bytes;
+  bool close = false;
+  /// Closes with a reset instead of an orderly end.
+  bool reset = false;
+  /// Sends nothing and waits until the caller closes.
+  bool hang = false;
+};
+
+/// A server on loopback that answers requests by a script and health checks as an idle server.
+class ScriptedServer
+{
+public:
+  using Script = std::function<ScriptedAnswer(const ReceivedRequest&)>;
+
+  ScriptedServer(std::string id, const boost::asio::ip::tcp::endpoint& address, Script script)
+    : m_id(std::move(id))
+    , m_script(std::move(script))
+    , m_acceptor(m_context, address)
+    , m_thread([this] { accept(); })
+  {
+  }
+
+  ~ScriptedServer()
+  {
+    m_stopping = true;
+    boost::system::error_code ignored;
+    TestSocket wake(m_context);
+    wake.connect(m_acceptor.local_endpoint(), ignored);
+    m_thread.join();
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      for (const auto& socket : m_sockets) {
+        ::shutdown(socket->native_handle(), SHUT_RDWR);
+      }
+    }
+    for (std::thread& thread : m_threads) {
+      thread.join();
+    }
+  }
+
+  /// \return requests other than health checks
+  std::vector<ReceivedRequest> requests() const
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_requests;
+  }
+
+  /// A connection was closed by the caller while its request hung.
+  bool saw_close() const { return m_saw_close; }
+
+  /// \return a response with the id of the request, as servers send it
+  static std::string response(const ReceivedRequest& request, const std::string& body)
+  {
+    return "HTTP/1.1 200 OK\r\nLovagehold-Request-Id: " + request.header("Lovagehold-Request-Id") +
+           "\r\nLovagehold-Response-Seal: seal\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  }
+
+private:
+  void accept()
+  {
+    while (!m_stopping) {
+      auto socket = std::make_shared<TestSocket>(m_context);
+      boost::system::error_code error;
+      m_acceptor.accept(*socket, error);
+      if (m_stopping || error) {
+        return;
+      }
+      bound_reads(*socket);
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      m_sockets.push_back(socket);
+      m_threads.emplace_back([this, socket] { serve(*socket); });
+    }
+  }
+
+  void serve(TestSocket& socket)
+  {
+    std::string buffer;
+    while (true) {
+      boost::system::error_code error;
+      const std::size_t size =
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(buffer), "\r\n\r\n", error);
+      if (error) {
+        return;
+      }
+      ReceivedRequest request{ .head = buffer.substr(0, size) };
+      buffer.erase(0, size);
+      const std::string length = request.header("Content-Length");
+      const std::size_t body = length.empty() ? 0 : std::stoul(length);
+      while (buffer.size() < body && !error) {
+        std::array<char, 4096> piece{};
+        const std::size_t received = socket.read_some(boost::asio::buffer(piece), error);
+        buffer.append(piece.data(), received);
+      }
+      request.body = buffer.substr(0, body);
+      buffer.erase(0, body);
+      if (!answer(socket, request)) {
+        return;
+      }
+    }
+  }
+
+  bool answer(TestSocket& socket, const ReceivedRequest& request)
+  {
+    ScriptedAnswer scripted;
+    if (request.head.rfind("GET /health", 0) == 0) {
+      scripted.bytes = "HTTP/1.1 200 OK\r\nLovagehold-Instance-Id: " + m_id +
+                       "\r\nLovagehold-Server-Load: 0,0,3,100\r\nContent-Length: 0\r\n\r\n";
+    } else {
+      {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_requests.push_back(request);
+      }
+      scripted = m_script(request);
+    }
+    if (scripted.hang) {
+      m_saw_close = read_to_close(socket).has_value();
+      return false;
+    }
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(scripted.bytes), ignored);
+    if (scripted.reset) {
+      socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
+    if (scripted.close || scripted.reset) {
+      socket.close(ignored);
+      return false;
+    }
+    return true;
+  }
+
+  std::string m_id;
+  Script m_script;
+  boost::asio::io_context m_context;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  mutable std::mutex m_mutex;
+  std::vector<ReceivedRequest> m_requests;
+  std::vector<std::shared_ptr<TestSocket>> m_sockets;
+  std::vector<std::thread> m_threads;
+  std::atomic<bool> m_stopping{ false };
+  std::atomic<bool> m_saw_close{ false };
+  std::thread m_thread;
+};
+
+} // namespace lovagehold
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -28,8 +28,8 @@
   for (const auto& parameter : http::param_list(fields[http::field::keep_alive])) {
     if (beast::iequals(parameter.first, "timeout")) {
       const int seconds = std::atoi(std::string(parameter.second).c_str());
-      return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-        kIdleShare * std::max(0, seconds)));
+      return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(kIdleShare * std::max(0, seconds)));
     }
   }
   return std::nullopt;
@@ -158,7 +158,8 @@
       const auto data = http::make_chunk(asio::const_buffer(piece.data(), piece.size()));
       co_await asio::async_write(connection->socket, data, capture(error));
     } else {
-      co_await asio::async_write(connection->socket, asio::buffer(piece.data(), piece.size()), capture(error));
+      co_await asio::async_write(
+        connection->socket, asio::buffer(piece.data(), piece.size()), capture(error));
     }
   };
   if (request.upload == nullptr) {
--- a/src/libproxy/connection_pool.cpp
+++ b/src/libproxy/connection_pool.cpp
@@ -70,8 +70,8 @@
     const Idle last = idle.back();
     idle.pop_back();
     --m_idle_count;
-    const Duration lifetime =
-      std::min<Duration>(m_options.idle_lifetime, last.connection->idle_limit.value_or(Duration::max()));
+    const Duration lifetime = std::min<Duration>(
+      m_options.idle_lifetime, last.connection->idle_limit.value_or(Duration::max()));
     if (now - last.since < lifetime && last.connection->is_clean()) {
       taken = last.connection;
       taken->reused = true;
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -1,6 +1,7 @@
 #include "control_host.h"
 
 #include "lovagehold/file_disk.h"
+#include "lovagehold/metrics.h"
 
 #include <boost/asio/post.hpp>
 
@@ -115,13 +116,14 @@
   };
   ReplicaPorts ports{
     .send = send_hook,
-    .post = [this](std::function<void()> function) {
-      boost::asio::post(m_context, std::move(function));
-    },
-    .report = [this](std::string_view event, std::string_view key, const std::string& value) {
-      m_log.info(event, { { key, value } });
-    },
-    .entry_hosts = [this] { return m_directory.named(Clock::now()); } };
+    .post =
+      [this](std::function<void()> function) { boost::asio::post(m_context, std::move(function)); },
+    .report =
+      [this](std::string_view event, std::string_view key, const std::string& value) {
+        m_log.info(event, { { key, value } });
+      },
+    .entry_hosts = [this] { return m_directory.named(Clock::now()); }
+  };
   m_replica = std::make_unique<Replica>(replica_options(m_settings),
                                         std::move(ports),
                                         std::make_unique<FileDisk>(m_settings.data_folder));
@@ -162,6 +164,35 @@
                { "received_bytes", std::to_string(m_transport.bytes_received()) } });
 }
 
+std::string
+ControlHost::render_metrics() const
+{
+  const ReplicaStatus status = m_replica->status();
+  MetricsText text;
+  const auto gauge = [&text](const char* name, const char* help, double value) {
+    text.begin(name, "gauge", help);
+    text.sample({}, value);
+  };
+  gauge("lovagehold_leads", "1 if this host leads the control group.", m_replica->leads() ? 1 : 0);
+  gauge("lovagehold_in_contact", "1 if this host hears of a leader.", status.in_contact ? 1 : 0);
+  gauge("lovagehold_term", "Election term.", static_cast<double>(status.term));
+  gauge("lovagehold_commit_index", "Last committed entry.", static_cast<double>(status.commit));
+  gauge("lovagehold_applied_index", "Last applied entry.", static_cast<double>(status.applied));
+  gauge("lovagehold_group_members",
+        "Members of the control group.",
+        static_cast<double>(status.membership.size()));
+  gauge("lovagehold_routing_version",
+        "Version of the routing configuration held.",
+        static_cast<double>(m_replica->machine().routing()->version));
+  gauge("lovagehold_servers",
+        "Servers that requests may go to.",
+        static_cast<double>(m_replica->machine().all_servers().size()));
+  gauge("lovagehold_entry_hosts",
+        "Entry hosts that are ready.",
+        static_cast<double>(m_directory.live(Clock::now()).size()));
+  return text.text();
+}
+
 void
 ControlHost::send(const std::string& address, const ClusterMessage& message)
 {
@@ -201,8 +232,8 @@
   }
 }
 
-// Entry hosts answer callers that ask where to connect, so that one control host that hangs does not
-// hold up the callers of its failure domain.
+// Entry hosts answer callers that ask where to connect, so that one control host that hangs does
+// not hold up the callers of its failure domain.
 void
 ControlHost::update_directory_of(const std::string& entry_host, std::uint64_t held, TimePoint now)
 {
@@ -256,8 +287,7 @@
   EntryHosts message;
   for (const auto& [presence, age] : m_attached.known(now)) {
     message.hosts.push_back(
-      { .presence = presence,
-        .age = std::chrono::duration_cast<std::chrono::milliseconds>(age) });
+      { .presence = presence, .age = std::chrono::duration_cast<std::chrono::milliseconds>(age) });
   }
   if (message.hosts.empty()) {
     return;
@@ -285,12 +315,13 @@
 {
   for (const ServerInfo& server : m_registrar.expired(servers(), now)) {
     m_log.warn("server_lease_ended", { { "server", server.id }, { "service", server.service } });
-    m_client->propose(LeaveServer{ .service = server.service,
-                                   .id = server.id,
-                                   .incarnation = server.incarnation,
-                                   .expired = true },
-                      [](const Result<ApplyResult>&) {},
-                      now);
+    m_client->propose(
+      LeaveServer{ .service = server.service,
+                   .id = server.id,
+                   .incarnation = server.incarnation,
+                   .expired = true },
+      [](const Result<ApplyResult>&) {},
+      now);
   }
 }
 
@@ -371,9 +402,8 @@
   // The leader keeps the leases, so heartbeats go there directly.
   const std::string leader = m_replica->status().leader_address;
   const bool elsewhere = !leader.empty() && leader != m_settings.cluster_address;
-  return HeartbeatReplyTo{
-    .next_address = elsewhere ? ip_of(leader) + port_of(m_settings.control_address) : ""
-  };
+  return HeartbeatReplyTo{ .next_address =
+                             elsewhere ? ip_of(leader) + port_of(m_settings.control_address) : "" };
 }
 
 void
@@ -404,11 +434,10 @@
                { "incarnation", std::to_string(server.incarnation) },
                { "sequence", std::to_string(call.heartbeat.sequence) } });
   if (effect == HeartbeatEffect::Leave) {
-    propose(LeaveServer{ .service = server.service,
-                         .id = server.id,
-                         .incarnation = server.incarnation },
-            heartbeat_reply(),
-            reply);
+    propose(
+      LeaveServer{ .service = server.service, .id = server.id, .incarnation = server.incarnation },
+      heartbeat_reply(),
+      reply);
     return;
   }
   for (const ServerInfo& gone : ServerRegistrar::replaced_by(call.heartbeat, servers())) {
@@ -424,14 +453,15 @@
 ControlHost::answer(const LeaveCall& call, const AdminServer::Reply& reply)
 {
   for (const ServerInfo& server : servers()) {
-    const bool meant = server.id == call.id &&
-                       (call.incarnation == 0 || call.incarnation >= server.incarnation);
+    const bool meant =
+      server.id == call.id && (call.incarnation == 0 || call.incarnation >= server.incarnation);
     if (meant) {
       m_log.info("server_leaves", { { "server", server.id }, { "service", server.service } });
-      propose(
-        LeaveServer{ .service = server.service, .id = server.id, .incarnation = server.incarnation },
-        AcceptedReply{},
-        reply);
+      propose(LeaveServer{ .service = server.service,
+                           .id = server.id,
+                           .incarnation = server.incarnation },
+              AcceptedReply{},
+              reply);
       return;
     }
   }
@@ -459,8 +489,7 @@
 void
 ControlHost::answer(const RejectedCall& call, const AdminServer::Reply& reply)
 {
-  m_log.warn("call_rejected",
-             { { "error", call.error.message }, { "remedy", call.error.remedy } });
+  m_log.warn("call_rejected", { { "error", call.error.message }, { "remedy", call.error.remedy } });
   reply_with(reply, FailedReply{ call.error });
 }
 
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -28,6 +28,9 @@
   /// Closes the connections to other hosts.
   void stop();
 
+  /// \return the metrics page
+  std::string render_metrics() const;
+
 private:
   void send(const std::string& address, const ClusterMessage& message);
   void receive(const std::string& from, const ClusterMessage& message);
@@ -41,7 +44,9 @@
   void answer(const UnknownCall& call, const AdminServer::Reply& reply);
   void answer(const RejectedCall& call, const AdminServer::Reply& reply);
   void reply_with(const AdminServer::Reply& reply, const ControlReply& content) const;
-  void propose(const Command& command, const ControlReply& content, const AdminServer::Reply& reply);
+  void propose(const Command& command,
+               const ControlReply& content,
+               const AdminServer::Reply& reply);
   ControlReply heartbeat_reply() const;
   const std::vector<ServerInfo>& servers();
   void share_entry_hosts(TimePoint now);
@@ -68,8 +73,6 @@
   TimePoint m_shared_at;
   TimePoint m_leases_at;
   bool m_led = false;
-  std::string m_leader;
-  TimePoint m_stopped_waiting;
 };
 
 } // namespace lovagehold
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -1,7 +1,7 @@
 #include "entry_host.h"
 
-#include <boost/asio/post.hpp>
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <random>
 
 namespace lovagehold {
@@ -25,8 +25,8 @@
 // Descriptors for files, other hosts and connections to servers.
 constexpr std::size_t kOtherDescriptors = 900;
 
-// Hosts of one network usually share the beginning of their addresses; before the failure domains of
-// the control hosts are known, a near one is a better first choice.
+// Hosts of one network usually share the beginning of their addresses; before the failure domains
+// of the control hosts are known, a near one is a better first choice.
 std::vector<std::string>
 nearest_first(std::vector<std::string> addresses, const std::string& own)
 {
@@ -84,20 +84,20 @@
   , m_timer(context)
   , m_shutdown_timer(context)
 {
-  ControlClientOptions options{ .control_addresses =
-                                  nearest_first(m_settings.seeds, m_settings.cluster_address),
-                                .subscribe_interval = kStartTickInterval,
-                                .subscription_timeout = kControlSilence,
-                                .first_timeout = kFirstControlSilence,
-                                .failure_domain = m_settings.failure_domain,
-                                .on_entry_hosts =
-                                  [this](std::uint64_t hosts) { m_gateway.set_entry_hosts(hosts); },
-                                .presence = [this]() -> std::optional<EntryPresence> {
-                                  return EntryPresence{ .address = m_settings.entry_address,
-                                                        .failure_domain = m_settings.failure_domain,
-                                                        .ready = is_ready() };
-                                },
-                                .directory_version = [this] { return m_directory.version; } };
+  ControlClientOptions options{
+    .control_addresses = nearest_first(m_settings.seeds, m_settings.cluster_address),
+    .subscribe_interval = kStartTickInterval,
+    .subscription_timeout = kControlSilence,
+    .first_timeout = kFirstControlSilence,
+    .failure_domain = m_settings.failure_domain,
+    .on_entry_hosts = [this](std::uint64_t hosts) { m_gateway.set_entry_hosts(hosts); },
+    .presence = [this]() -> std::optional<EntryPresence> {
+      return EntryPresence{ .address = m_settings.entry_address,
+                            .failure_domain = m_settings.failure_domain,
+                            .ready = is_ready() };
+    },
+    .directory_version = [this] { return m_directory.version; }
+  };
   m_client = std::make_unique<ControlClient>(
     std::move(options),
     [this](const std::string& address, const ClusterMessage& message) {
@@ -165,18 +165,15 @@
     return;
   }
   const auto asked = m_directory.by_domain.find(resolve->failure_domain);
-  const auto found =
-    asked != m_directory.by_domain.end() ? asked : m_directory.by_domain.begin();
+  const auto found = asked != m_directory.by_domain.end() ? asked : m_directory.by_domain.begin();
   if (found == m_directory.by_domain.end() || found->second.empty()) {
-    reply(m_protocol.encode_reply(
-      FailedReply{ { .kind = ErrorKind::Unavailable,
-                     .message = "no entry host is known to be ready",
-                     .remedy = "ask another host" } }));
+    reply(m_protocol.encode_reply(FailedReply{ { .kind = ErrorKind::Unavailable,
+                                                 .message = "no entry host is known to be ready",
+                                                 .remedy = "ask another host" } }));
     return;
   }
-  reply(m_protocol.encode_reply(
-    AddressesReply{ .addresses = found->second,
-                    .keep = std::min(kDirectoryKeep, m_settings.max_directory_keep) }));
+  reply(m_protocol.encode_reply(AddressesReply{
+    .addresses = found->second, .keep = std::min(kDirectoryKeep, m_settings.max_directory_keep) }));
 }
 
 void
@@ -191,9 +188,9 @@
   if (routing->version > m_gateway.version()) {
     const auto config = m_protocol.decode_routing(routing->document);
     if (config.has_error()) {
-      m_log.warn("routing_unreadable",
-                 { { "version", std::to_string(routing->version) },
-                   { "error", config.error().message } });
+      m_log.warn(
+        "routing_unreadable",
+        { { "version", std::to_string(routing->version) }, { "error", config.error().message } });
     } else {
       m_gateway.set_routing(config.value());
       m_log.info("routing_in_force", { { "version", std::to_string(routing->version) } });
--- a/src/libsite/entry_host.h
+++ b/src/libsite/entry_host.h
@@ -28,6 +28,9 @@
 
   void stop();
 
+  /// \return the metrics page
+  std::string render_metrics() const { return m_gateway.render_metrics(); }
+
 private:
   void receive(const std::string& from, const ClusterMessage& message);
   void on_applied(const StateMachine& state);
--- a/src/libsite/site.cpp
+++ b/src/libsite/site.cpp
@@ -7,11 +7,23 @@
 
 namespace lovagehold {
 
+namespace {
+
+// An entry host serves up to some 30 requests a second; more lines than this come from a fault.
+constexpr std::size_t kLinesPerSecond = 100;
+constexpr std::size_t kEventsKept = 64;
+constexpr char kMetricsPath[] = "/metrics";
+
+} // namespace
+
 Result<void>
 run_site(const SiteSettings& settings, const SiteProtocol& protocol)
 {
   boost::asio::io_context context(1);
-  EventLog log({ .host = settings.host });
+  EventLog log({ .host = settings.host,
+                 .capacity = kEventsKept,
+                 .lines_per_second = kLinesPerSecond,
+                 .queued = true });
   std::unique_ptr<ControlHost> control;
   std::unique_ptr<EntryHost> entry;
   log.info("starting",
@@ -28,6 +40,18 @@
     entry = std::make_unique<EntryHost>(context, settings, protocol, log);
     BOOST_OUTCOME_TRYV(entry->start());
   }
+  AdminServer metrics(context, [&](const AdminRequest& request, const AdminServer::Reply& reply) {
+    if (request.path != kMetricsPath) {
+      reply({ .status = 404 });
+      return;
+    }
+    reply({ .content_type = "text/plain; version=0.0.4",
+            .body = (control ? control->render_metrics() : "") +
+                    (entry ? entry->render_metrics() : "") });
+  });
+  if (!settings.metrics_address.empty()) {
+    BOOST_OUTCOME_TRYV(metrics.start(settings.metrics_address));
+  }
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait([&](auto error, int) {
     if (error) {
@@ -56,7 +80,7 @@
   if (control) {
     control->stop();
   }
-  log.info("stopped");
+  log.info("stopped", { { "reason", "signal" } });
   return boost::outcome_v2::success();
 }
 
--- a/src/libstate/consensus_codec.cpp
+++ b/src/libstate/consensus_codec.cpp
@@ -12,7 +12,8 @@
 static void
 to_json(json& target, const Member& member)
 {
-  target = json::array({ member.id, member.host, member.address, member.voter, member.failure_domain });
+  target =
+    json::array({ member.id, member.host, member.address, member.voter, member.failure_domain });
 }
 
 static void
--- a/src/libstate/state_machine_test.cpp
+++ b/src/libstate/state_machine_test.cpp
@@ -34,6 +34,39 @@
   EXPECT_EQ(again.revision, first.revision);
 }
 
+// Guards against an older routing configuration that replaces a newer one, and against an operator
+// who is refused when a change is sent again.
+TEST(StateMachine, HighestRoutingVersionWins)
+{
+  StateMachine state;
+  EXPECT_EQ(state.routing()->version, 0U);
+  EXPECT_TRUE(state.apply(1, ReplaceRouting{ .version = 5, .document = "five" }).accepted);
+  EXPECT_TRUE(state.apply(2, ReplaceRouting{ .version = 3, .document = "three" }).accepted);
+  EXPECT_TRUE(state.apply(3, ReplaceRouting{ .version = 5, .document = "other" }).accepted);
+  EXPECT_EQ(state.routing()->document, "five");
+  StateMachine other;
+  ASSERT_TRUE(other.restore(state.snapshot()).has_value());
+  EXPECT_EQ(other.routing()->version, 5U);
+  EXPECT_EQ(other.routing()->document, "five");
+}
+
+// Guards against a server whose lease ended, because it was cut off, and that can't come back; and
+// against one that left and comes back by a delayed heartbeat.
+TEST(StateMachine, ExpiredServerMayJoinAgain)
+{
+  StateMachine state;
+  const JoinServer join{
+    { .service = "s", .id = "x", .address = "127.0.0.1:1", .incarnation = 7 }
+  };
+  state.apply(1, join);
+  state.apply(2, LeaveServer{ .service = "s", .id = "x", .incarnation = 7, .expired = true });
+  EXPECT_TRUE(state.all_servers().empty());
+  EXPECT_TRUE(state.apply(3, join).accepted);
+  state.apply(4, LeaveServer{ .service = "s", .id = "x", .incarnation = 7 });
+  EXPECT_FALSE(state.apply(5, join).accepted);
+  EXPECT_TRUE(state.all_servers().empty());
+}
+
 // Guards against a key that runs twice.
 TEST(StateMachine, KeyIsGrantedToOneAttempt)
 {
--- a/src/lovagehold/main.cpp
+++ b/src/lovagehold/main.cpp
@@ -15,13 +15,14 @@
 
 Usage:
   lovagehold --settings FILE
-  lovagehold --site
+  lovagehold --site [--metrics-port PORT]
   lovagehold --check [--settings FILE] [--declarations FOLDER]
 
 Run:
   -s, --settings FILE        settings of this process (YAML)
       --site                 run as a host of the users' platform, with the settings file
                              that the environment variable LOVAGEHOLD_NODE_FILE names
+      --metrics-port PORT    with --site: serve /metrics on this port of the host's address
 
 Check (starts nothing):
   -c, --check                print every mistake in the files named and exit
@@ -72,7 +73,7 @@
 }
 
 int
-run_on_platform()
+run_on_platform(unsigned metrics_port)
 {
   const char* path = std::getenv(platform::kSettingsVariable);
   if (path == nullptr) {
@@ -86,12 +87,17 @@
               << "\n";
     return ExitWrongUse;
   }
-  const auto settings = platform::parse_node_settings(content.value());
+  auto settings = platform::parse_node_settings(content.value());
   if (settings.has_error()) {
     std::cerr << "lovagehold: " << settings.error().message << "; " << settings.error().remedy
               << "\n";
     return ExitRefused;
   }
+  if (metrics_port != 0) {
+    const std::string& own = settings.value().cluster_address;
+    settings.value().metrics_address =
+      own.substr(0, own.rfind(':') + 1) + std::to_string(metrics_port);
+  }
   const Result<void> ended = run_site(settings.value(), platform::make_protocol());
   if (ended.has_error()) {
     std::cerr << "lovagehold: " << ended.error().message << "; " << ended.error().remedy << "\n";
@@ -122,10 +128,12 @@
     TCLAP::SwitchArg check("c", "check", "check files", command);
     TCLAP::ValueArg<std::string> declarations(
       "d", "declarations", "folder of declarations", false, "", "FOLDER", command);
+    TCLAP::ValueArg<unsigned> metrics_port(
+      "", "metrics-port", "port of the metrics page", false, 0, "PORT", command);
     TCLAP::SwitchArg site("", "site", "run on the users' platform", command);
     command.parse(argc, argv);
     if (site.isSet()) {
-      return run_on_platform();
+      return run_on_platform(metrics_port.getValue());
     }
     if (check.isSet()) {
       if (!settings.isSet() && !declarations.isSet()) {
