Back off when the first elections split; replace members under the fuzzer

Cause: the new fuzz test (members replaced, short first election timeout, 5 nodes) found a group without a leader for 6 s: with 100 ms for the first election the votes split again and again (term 34). Ruled out: a deadlock of memberships; all five members agreed on theirs. Change: the short timeout doubles with each try up to the usual one. Tests: replacement of silent members in the fuzzer (4,000 schedules) and with replicas; refusals without an id on a used connection (found by gateway_test: the request waited until its deadline).

--- a/src/libcontrol/replica_test.cpp
+++ b/src/libcontrol/replica_test.cpp
@@ -3,6 +3,7 @@
 #include "libstate/testing/fake_disk.h"
 #include "lovagehold/control_client.h"
 
+#include <algorithm>
 #include <deque>
 #include <gtest/gtest.h>
 #include <set>
@@ -48,6 +49,8 @@
 {
 protected:
   static constexpr unsigned kReplicas = 3;
+  /// The last one is started by tests that replace a host.
+  static constexpr unsigned kHosts = 4;
 
   ReplicaTest()
   {
@@ -70,6 +73,9 @@
     options.snapshot_bytes = 600;
     options.message_bytes = 200;
     options.consensus.trailing_entries = 2;
+    options.consensus.voters = m_voters;
+    options.consensus.lost_after = m_lost_after;
+    options.may_found = number < kReplicas;
     options.storage_thread = false;
     options.seed = m_random();
     ReplicaPorts ports;
@@ -117,7 +123,7 @@
       if (to == "client") {
         m_client->receive(from, received, m_now);
       }
-      for (unsigned i = 0; i < kReplicas; ++i) {
+      for (unsigned i = 0; i < kHosts; ++i) {
         if (to == address(i) && m_replicas[i]) {
           m_replicas[i]->receive(from, received);
         }
@@ -190,8 +196,10 @@
   std::deque<std::function<void()>> m_posted;
   TimePoint m_now{ std::chrono::hours(1) };
   std::mt19937_64 m_random{ kRandomSeed };
-  FakeDisk m_disks[kReplicas];
-  std::unique_ptr<Replica> m_replicas[kReplicas];
+  FakeDisk m_disks[kHosts];
+  std::unique_ptr<Replica> m_replicas[kHosts];
+  std::size_t m_voters = 5;
+  std::chrono::milliseconds m_lost_after{ 0 };
   std::unique_ptr<ControlClient> m_client;
   std::set<std::string> m_reports;
   std::function<bool(const std::string& to, const ClusterMessage&)> m_drop;
@@ -262,6 +270,33 @@
   EXPECT_EQ(leader()->machine().hosts().size(), 2U);
 }
 
+// Guards against a group that counts a host which is gone for ever, so that the next loss stops it:
+// another host at a new address, which knows the first hosts only, has to take its place.
+TEST_F(ReplicaTest, ReplacementAtAnotherAddressTakesTheVoteOfALostHost)
+{
+  m_voters = 3;
+  m_lost_after = std::chrono::milliseconds(2000);
+  for (unsigned i = 0; i < kReplicas; ++i) {
+    m_replicas[i].reset();
+    m_disks[i].wipe();
+    start(i);
+  }
+  ASSERT_TRUE(join("first"));
+  const unsigned lost = leader_number() == 0 ? 1 : 0;
+  m_replicas[lost].reset();
+  start(3);
+  const auto votes = [&](unsigned number) {
+    const Membership members = leader() == nullptr ? Membership() : leader()->status().membership;
+    return std::any_of(members.begin(), members.end(), [&](const Member& member) {
+      return member.address == address(number) && member.voter;
+    });
+  };
+  ASSERT_TRUE(run_until([&] { return votes(3) && !votes(lost); }));
+  EXPECT_EQ(voters(), 3U);
+  stop(leader_number() == 3 ? 2 : leader_number());
+  ASSERT_TRUE(join("second"));
+}
+
 // Guards against a leader that goes on with a full disk, and a host that never recovers from one.
 TEST_F(ReplicaTest, LeaderWithFullDiskStepsDownAndRecovers)
 {
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -214,7 +214,9 @@
   if (!id.empty()) {
     return id == beast::string_view(request.id.data(), request.id.size());
   }
-  return !m_reused && m_clean && header.result_int() >= 300;
+  // Second responses carry the id of their request; refusals may have none. A success always has
+  // one.
+  return m_clean && header.result_int() >= 300;
 }
 
 awaitable<bool>
--- a/src/libstate/consensus.cpp
+++ b/src/libstate/consensus.cpp
@@ -95,7 +95,11 @@
 Consensus::Impl::start_election_timer()
 {
   const bool first = !had_leader && options.first_election_timeout.count() > 0;
-  const Duration timeout = first ? options.first_election_timeout : options.election_timeout;
+  // Doubles with each try: members with short timeouts may split the votes again and again.
+  const Duration timeout =
+    first ? std::min<Duration>(options.first_election_timeout * (1U << std::min(first_tries, 8U)),
+                               options.election_timeout)
+          : Duration(options.election_timeout);
   election_at = clock + timeout + Duration(random() % static_cast<std::uint64_t>(timeout.count()));
 }
 
@@ -145,6 +149,7 @@
 void
 Consensus::Impl::campaign(bool pre_vote)
 {
+  ++first_tries;
   start_election_timer();
   if (!voter(self)) {
     return;
--- a/src/libstate/consensus_fuzz_test.cpp
+++ b/src/libstate/consensus_fuzz_test.cpp
@@ -21,6 +21,7 @@
 // Sequences within which each deliberate fault has to be noticed.
 constexpr int kFaultSequences = 5000;
 constexpr int kMaxOps = 60;
+constexpr int kReplacementSequences = 4000;
 
 std::uint64_t
 from_environment(const char* name, std::uint64_t fallback)
@@ -126,6 +127,22 @@
   EXPECT_TRUE(result.match(success)) << text.str();
 }
 
+// Guards against commands that are lost or reverted when silent members are replaced by learners
+// and come back later, and when restarted members stand for election early.
+TEST(ConsensusFuzz, ReplacingSilentMembersKeepsTheRules)
+{
+  const rc::detail::TestResult result =
+    fuzz({ .voters = 3,
+           .lost_after = std::chrono::milliseconds(800),
+           .first_election_timeout = std::chrono::milliseconds(100) },
+         kReplacementSequences,
+         true);
+  rc::detail::SuccessResult success;
+  std::ostringstream text;
+  rc::detail::printResultMessage(result, text);
+  EXPECT_TRUE(result.match(success)) << text.str();
+}
+
 TEST(ConsensusFuzzNotices, AcknowledgingBeforeSync)
 {
   expect_caught({ .faults = { .acknowledge_before_sync = true } });
--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -64,6 +64,8 @@
   Duration leader_heard{};
   /// A leader has been known since the start.
   bool had_leader = false;
+  /// Own campaigns before a leader was known.
+  unsigned first_tries = 0;
   Duration heartbeat_at{};
   std::set<MemberId> votes;
   std::map<MemberId, Peer> peers;
--- a/src/libstate/testing/group_harness.cpp
+++ b/src/libstate/testing/group_harness.cpp
@@ -99,9 +99,12 @@
     node.durable = log.entries.back().index;
   }
   ConsensusOptions options{ .election_timeout = m_options.election_timeout,
+                            .first_election_timeout = m_options.first_election_timeout,
                             .message_bytes = 192,
                             .window_entries = m_options.window_entries,
                             .trailing_entries = 4,
+                            .voters = m_options.voters,
+                            .lost_after = m_options.lost_after,
                             .seed = m_random() };
   options.faults = m_options.faults;
   node.consensus = std::make_unique<Consensus>(options, log, now(node));
--- a/src/libstate/testing/group_harness.h
+++ b/src/libstate/testing/group_harness.h
@@ -50,6 +50,10 @@
   std::uint64_t window_entries = 4096;
   std::chrono::milliseconds election_timeout{ 400 };
   std::uint64_t seed = 1;
+  std::size_t voters = 5;
+  /// Silent members are replaced after this time; zero: never.
+  std::chrono::milliseconds lost_after{ 0 };
+  std::chrono::milliseconds first_election_timeout{ 0 };
   ConsensusFaults faults = {};
   /// Gives the identity of an empty disk. Empty: a new one each time.
   std::function<MemberId(unsigned node)> make_identity;
