Explain a request from logs; soak of real processes

Cause: nobody could follow a request's id to its cause, and no run injected faults from outside. Change: lovagectl explain ID reads log files or standard input and names the cause in a sentence; refusals before a server is looked for are logged; testsuite/soak starts real processes, kills, pauses, stops and wipes them while links, servers and the configuration change, and checks what servers and callers see.

--- a/src/libdecision/server_registrar_test.cpp
+++ b/src/libdecision/server_registrar_test.cpp
@@ -19,6 +19,16 @@
   };
 }
 
+std::vector<ServerInfo>
+make_known(unsigned count)
+{
+  std::vector<ServerInfo> known(count);
+  for (unsigned i = 0; i < count; ++i) {
+    known[i] = make_heartbeat("i-" + std::to_string(i), 100, 1).server;
+  }
+  return known;
+}
+
 // Guards against a delayed heartbeat of a crashed server that takes its successor's address.
 TEST(ServerRegistrar, OlderServerDoesNotTakeTheAddressBack)
 {
@@ -64,10 +74,7 @@
 TEST(ServerRegistrar, ManySilentServersAtOnceAreKeptLonger)
 {
   ServerRegistrar registrar({ .lease = kLease });
-  std::vector<ServerInfo> known;
-  for (int i = 0; i < 9; ++i) {
-    known.push_back(make_heartbeat("i-" + std::to_string(i), 100, 1).server);
-  }
+  const std::vector<ServerInfo> known = make_known(9);
   EXPECT_TRUE(registrar.expired(known, kStart).empty());
   EXPECT_TRUE(registrar.expired(known, kStart + kLease).empty());
   EXPECT_EQ(registrar.expired(known, kStart + 3 * kLease).size(), known.size());
@@ -78,10 +85,7 @@
 TEST(ServerRegistrar, SilentServerIsRemovedAfterItsLease)
 {
   ServerRegistrar registrar({ .lease = kLease });
-  std::vector<ServerInfo> known;
-  for (int i = 0; i < 9; ++i) {
-    known.push_back(make_heartbeat("i-" + std::to_string(i), 100, 1).server);
-  }
+  const std::vector<ServerInfo> known = make_known(9);
   registrar.expired(known, kStart);
   const TimePoint later = kStart + kLease;
   for (std::size_t i = 1; i < known.size(); ++i) {
--- a/src/libdecision/server_selector_test.cpp
+++ b/src/libdecision/server_selector_test.cpp
@@ -29,27 +29,27 @@
 {
 protected:
   ServerSelectorTest()
-    : selector({ .failure_domain = "a", .host = "h" })
+    : m_selector({ .failure_domain = "a", .host = "h" })
   {
-    selector.set_servers(make_servers(3), kStart);
+    m_selector.set_servers(make_servers(3), kStart);
   }
 
   std::string pick(TimePoint now, const std::set<ServerId>& tried = {})
   {
-    const auto server = selector.pick(now, tried, 0, random);
+    const auto server = m_selector.pick(now, tried, 0, m_random);
     return server ? server->id : "";
   }
 
-  ServerSelector selector;
-  std::mt19937_64 random{ 1 };
+  ServerSelector m_selector;
+  std::mt19937_64 m_random{ 1 };
 };
 
 // Guards against requests to a server whose neighbour makes work slow at this moment.
 TEST_F(ServerSelectorTest, SlowedServerIsNotChosen)
 {
-  selector.report("i-0", { .running = 0, .slots = 3, .slowdown = 4 }, kStart);
-  selector.report("i-1", { .running = 1, .slots = 3, .slowdown = 1 }, kStart);
-  selector.report("i-2", { .running = 3, .slots = 3, .slowdown = 1 }, kStart);
+  m_selector.report("i-0", { .running = 0, .slots = 3, .slowdown = 4 }, kStart);
+  m_selector.report("i-1", { .running = 1, .slots = 3, .slowdown = 1 }, kStart);
+  m_selector.report("i-2", { .running = 3, .slots = 3, .slowdown = 1 }, kStart);
   EXPECT_EQ(pick(kStart), "i-1");
 }
 
@@ -57,13 +57,13 @@
 TEST_F(ServerSelectorTest, OwnRequestsCountUntilTheNextReport)
 {
   for (const char* id : { "i-0", "i-1", "i-2" }) {
-    selector.report(id, { .slots = 3 }, kStart);
+    m_selector.report(id, { .slots = 3 }, kStart);
   }
   std::map<std::string, int> chosen;
   for (int i = 0; i < 6; ++i) {
     const std::string id = pick(kStart);
     ++chosen[id];
-    selector.begin(id, kStart);
+    m_selector.begin(id, kStart);
   }
   EXPECT_EQ(chosen["i-0"], 2);
   EXPECT_EQ(chosen["i-1"], 2);
@@ -74,15 +74,15 @@
 // avoided for ever.
 TEST_F(ServerSelectorTest, UnreachedServerIsAvoidedForSomeTime)
 {
-  selector.report("i-0", { .slots = 3 }, kStart);
-  selector.begin("i-0", kStart);
-  selector.end("i-0", AttemptEnd::Unreached, milliseconds(1), kStart);
+  m_selector.report("i-0", { .slots = 3 }, kStart);
+  m_selector.begin("i-0", kStart);
+  m_selector.end("i-0", AttemptEnd::Unreached, milliseconds(1), kStart);
   EXPECT_NE(pick(kStart), "i-0");
   EXPECT_NE(pick(kStart, { "i-1" }), "i-0");
   // The last server is used even so.
   EXPECT_EQ(pick(kStart, { "i-1", "i-2" }), "i-0");
   const TimePoint later = kStart + std::chrono::seconds(5);
-  selector.report("i-0", { .slots = 3 }, later);
+  m_selector.report("i-0", { .slots = 3 }, later);
   EXPECT_EQ(pick(later), "i-0");
 }
 
@@ -90,12 +90,12 @@
 TEST_F(ServerSelectorTest, ServerThatTookLongerCostsMore)
 {
   for (const char* id : { "i-1", "i-2" }) {
-    selector.begin(id, kStart);
-    selector.end(id, AttemptEnd::Served, milliseconds(200), kStart);
+    m_selector.begin(id, kStart);
+    m_selector.end(id, AttemptEnd::Served, milliseconds(200), kStart);
   }
-  selector.begin("i-0", kStart);
-  selector.end("i-0", AttemptEnd::Served, milliseconds(2000), kStart);
-  EXPECT_GT(selector.cost("i-0", kStart), selector.cost("i-1", kStart));
+  m_selector.begin("i-0", kStart);
+  m_selector.end("i-0", AttemptEnd::Served, milliseconds(2000), kStart);
+  EXPECT_GT(m_selector.cost("i-0", kStart), m_selector.cost("i-1", kStart));
 }
 
 // Guards against bodies that cross failure domains while a near server has room.
@@ -103,24 +103,24 @@
 {
   auto servers = make_servers(1, "a");
   servers.push_back({ .service = "s", .id = "far", .incarnation = 1, .failure_domain = "b" });
-  selector.set_servers(servers, kStart);
-  selector.report("i-0", { .running = 2, .slots = 3 }, kStart);
-  selector.report("far", { .slots = 3 }, kStart);
+  m_selector.set_servers(servers, kStart);
+  m_selector.report("i-0", { .running = 2, .slots = 3 }, kStart);
+  m_selector.report("far", { .slots = 3 }, kStart);
   EXPECT_EQ(pick(kStart), "far");
-  const auto near = selector.pick(kStart, {}, 200000, random);
+  const auto near = m_selector.pick(kStart, {}, 200000, m_random);
   EXPECT_EQ(near->id, "i-0");
 }
 
 // Guards against a new incarnation that inherits what was known about the one before.
 TEST_F(ServerSelectorTest, NewIncarnationStartsAfresh)
 {
-  selector.begin("i-0", kStart);
-  selector.end("i-0", AttemptEnd::Unreached, milliseconds(1), kStart);
+  m_selector.begin("i-0", kStart);
+  m_selector.end("i-0", AttemptEnd::Unreached, milliseconds(1), kStart);
   auto servers = make_servers(3);
   servers[0].incarnation = 2;
-  selector.set_servers(servers, kStart);
+  m_selector.set_servers(servers, kStart);
   EXPECT_EQ(pick(kStart, { "i-1", "i-2" }), "i-0");
-  EXPECT_FALSE(selector.report_age("i-0", kStart).has_value());
+  EXPECT_FALSE(m_selector.report_age("i-0", kStart).has_value());
 }
 
 // Guards against a choice outside the servers that are known and not tried, and against counts of
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -157,6 +157,7 @@
       const GatewayRefusal refusal{ .status = 503,
                                     .reason = "this host has no routing configuration yet",
                                     .retry_after = kUnreadyRetry };
+      log_refusal(header, refusal);
       co_await answer_refusal(refusal);
       co_return;
     }
@@ -167,6 +168,7 @@
     if (route == nullptr) {
       m_open = m_open && upload.done();
       const GatewayRefusal refusal{ .status = 404, .reason = "no route matches the request" };
+      log_refusal(header, refusal);
       co_await answer_refusal(refusal);
       co_return;
     }
@@ -176,6 +178,7 @@
       const GatewayRefusal refusal{ .status = 503,
                                     .reason = "this host stops; ask another one",
                                     .retry_after = kStoppingRetry };
+      log_refusal(header, refusal);
       co_await answer_refusal(refusal);
       co_return;
     }
@@ -428,6 +431,19 @@
     co_await answer_refusal(refusal);
   }
 
+  // A refusal before any server was looked for.
+  void log_refusal(const http::request_header<>& header, const GatewayRefusal& refusal)
+  {
+    const std::uint64_t version = m_context->routing ? m_context->routing->version() : 0;
+    m_context->log.warn("request_refused",
+                        { { "id", std::string(header[m_context->options.headers.request_id]) },
+                          { "caller_host", std::string(header[http::field::host]) },
+                          { "target", std::string(header.target()) },
+                          { "routing", std::to_string(version) },
+                          { "status", std::to_string(refusal.status) },
+                          { "reason", refusal.reason } });
+  }
+
   void log_fault(const RequestFault& fault)
   {
     m_context->log.warn("request_rejected",
--- a/src/lovagectl/commands.h
+++ b/src/lovagectl/commands.h
@@ -35,6 +35,7 @@
 int status_command(const Invocation& invocation);
 int timeline_command(const Invocation& invocation);
 int key_command(const Invocation& invocation);
+int explain_command(const Invocation& invocation);
 
 /// Prints the error. \return its exit code.
 int report(const Error& error);
--- a/src/lovagectl/main.cpp
+++ b/src/lovagectl/main.cpp
@@ -25,6 +25,7 @@
   timeline               events of all hosts in causal order
       --format FORMAT    text, json or chrome (text)
   key SERVICE KEY        outcome of a non-idempotent request
+  explain ID [FILE...]   follow a request through log files (or standard input) to its cause
 
 General:
   -a, --admin IP:port    admin address of any host (127.0.0.1:7082)
@@ -64,6 +65,7 @@
   { "status", 0, 0, { "json" }, status_command },
   { "timeline", 0, 0, { "format" }, timeline_command },
   { "key", 2, 2, { "json" }, key_command },
+  { "explain", 1, 1000, {}, explain_command },
 };
 
 int
--- /dev/null
+++ b/testsuite/soak/cluster.py
@@ -0,0 +1,84 @@
+"""The real programs of the soak: started, signalled and ended by id."""
+
+import json
+import os
+import shutil
+import signal
+import subprocess
+
+CONTROL_PORT, CLUSTER_PORT, ENTRY_PORT, READY_PORT, DIRECTORY_PORT = 8649, 7620, 8641, 8640, 8644
+
+
+class Process:
+    """One host's process with its settings file, data folder and log."""
+
+    def __init__(self, cluster, name, ip, control):
+        self.cluster = cluster
+        self.name = name
+        self.ip = ip
+        self.control = control
+        self.child = None
+        self.paused = False
+        self.data = os.path.join(cluster.work, name + "-data")
+
+    def start(self, first=False):
+        # Overlapping faults may both want to restart a process; a second child would never be ended.
+        if self.running():
+            return
+        listen = {"control": f"{self.ip}:{CONTROL_PORT}"} if self.control else {
+            "front": f"{self.ip}:{ENTRY_PORT}", "readiness": f"{self.ip}:{READY_PORT}",
+            "directory": f"{self.ip}:{DIRECTORY_PORT}"}
+        settings = {
+            "self": {"nodeName": self.name, "zone": "a", "ip": self.ip, "bootstrap": first,
+                     "dataDir": self.data if self.control else None, "limits": {"maxFds": 1024}},
+            "network": {"listen": listen, "portRange": [CLUSTER_PORT, CLUSTER_PORT + 15],
+                        "seeds": self.cluster.seeds},
+            "terms": {"faultTolerance": {"machines": 1}, "bounds": {"gracePeriod": "6s"}}}
+        path = os.path.join(self.cluster.work, self.name + ".json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+        log = open(os.path.join(self.cluster.work, self.name + ".log"), "ab")
+        environment = dict(os.environ, LOVAGEHOLD_NODE_FILE=path)
+        self.child = subprocess.Popen([self.cluster.program, "--site"], env=environment, stdout=log,
+                                      stderr=log)
+        log.close()
+        self.paused = False
+
+    def running(self):
+        return self.child is not None and self.child.poll() is None
+
+    def signal(self, number):
+        if self.running():
+            self.child.send_signal(number)
+            self.paused = number == signal.SIGSTOP or (self.paused and number != signal.SIGCONT)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        if self.child is not None:
+            self.child.wait()
+
+    def wipe(self):
+        shutil.rmtree(self.data, ignore_errors=True)
+
+
+class Cluster:
+    """All processes of a run."""
+
+    def __init__(self, program, work, net, controls, entries):
+        self.program = program
+        self.work = work
+        ips = [f"{net}.1.{i + 1}" for i in range(controls)]
+        self.seeds = [f"{ip}:{CONTROL_PORT}" for ip in ips[:3]]
+        self.controls = [Process(self, f"control-{i + 1}", ip, True) for i, ip in enumerate(ips)]
+        self.entries = [Process(self, f"entry-{i + 1}", f"{net}.2.{i + 1}", False) for i in range(entries)]
+
+    def all(self):
+        return self.controls + self.entries
+
+    def start(self):
+        for process in self.all():
+            process.start(first=True)
+
+    def stop(self):
+        for process in self.all():
+            process.kill()
--- /dev/null
+++ b/testsuite/soak/soak.py
@@ -0,0 +1,355 @@
+"""Randomized soak: real processes, stand-in servers and callers, faults from outside, promises checked.
+
+Usage: soak.py PROGRAM [--seed N] [--seconds S] [--controls N] [--entries N] [--runs N]
+A run that breaks a promise prints it with its seed, keeps its folder and ends with exit code 1.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+from cluster import CONTROL_PORT, DIRECTORY_PORT, ENTRY_PORT, READY_PORT, Cluster
+from http_io import call, format_message, read_message
+from standins import Record, Server, body_of
+
+SERVICES = ("desk", "ledger")
+SERVERS_EACH = 4
+CALLERS = 12
+# The platform allows 2 s after the acknowledgement of a leave; the rest covers paused processes and a
+# busy machine. Checked only with --strict.
+DRAIN_LIMIT_S = 5.0
+RECOVERY_LIMIT_S = 60.0
+FAILURES = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError)
+
+
+class Soak:
+    """One run with one seed."""
+
+    def __init__(self, options, seed, work):
+        self.options = options
+        self.seed = seed
+        self.random = random.Random(seed)
+        net = os.environ.get("LOVAGEHOLD_TEST_NET", "127.10")
+        self.server_host = f"{net}.3.1"
+        self.cluster = Cluster(options.program, work, net, options.controls, options.entries)
+        self.record = Record()
+        self.servers = []
+        self.next_server = 0
+        self.version = 0
+        self.documents = {}
+        self.acknowledged = 0
+        self.next_id = 0
+        self.faults = []
+        self.ending = False
+        self.wiped_at = 0.0
+
+    def shuffled(self, items):
+        return self.random.sample(items, len(items))
+
+    def control_addresses(self):
+        return [f"{process.ip}:{CONTROL_PORT}" for process in self.cluster.controls]
+
+    def log_fault(self, text):
+        self.faults.append(text)
+        print(f"  fault: {text}", flush=True)
+
+    def check_arrival(self, server, request_id):
+        late = server.left_at is not None and time.monotonic() - server.left_at > DRAIN_LIMIT_S - 0.5
+        if self.options.strict and late:
+            self.record.violations.append(f"request {request_id} reached {server.id} long after its leave")
+
+    # Operator
+
+    def make_document(self, version):
+        moved = SERVICES[version % 2]
+
+        def rule(name, kind, prefix, service):
+            return {"name": name, "kind": kind, "targetLatency": "500ms", "priority": 1,
+                    "match": {"pathPrefix": prefix},
+                    "action": {"service": service, "timeout": "1500ms", "maxAttempts": 2}}
+
+        return json.dumps({
+            "version": version, "limits": {"idleTimeout": "5s"},
+            "listeners": [{"host": "a.example", "rules": [
+                rule("safe", "safe", "/safe/", "desk"), rule("once", "unsafe", "/once/", "ledger"),
+                rule("moved", "safe", "/moved/", moved)]}],
+            "clusters": [{"name": name, "healthCheckPath": "/healthz"} for name in SERVICES]})
+
+    async def change_config(self):
+        self.version += self.random.randint(1, 3)
+        version = self.version
+        self.documents[version] = self.make_document(version)
+        for _ in range(200):
+            for address in self.shuffled(self.control_addresses()):
+                try:
+                    body = self.documents[version].encode()
+                    response = await call(address, "PUT", "/config", body)
+                    if response.status == 200:
+                        self.acknowledged = max(self.acknowledged, version)
+                        return
+                    if response.status < 500:
+                        self.record.violations.append(f"configuration {version} was refused: {response.body}")
+                        return
+                except FAILURES:
+                    continue
+            await asyncio.sleep(0.1)
+        self.record.violations.append(f"configuration {version} was never acknowledged")
+
+    async def read_config(self, address):
+        known = self.acknowledged
+        try:
+            response = await call(address, "GET", "/config")
+        except FAILURES:
+            return 0
+        if response.status != 200:
+            return 0
+        version = json.loads(response.body)["version"]
+        if version < known:
+            self.record.violations.append(f"{address} read version {version} after {known} was acknowledged")
+        if response.body.decode() != self.documents.get(version):
+            self.record.violations.append(f"{address} read other content under version {version}")
+        return version
+
+    async def reader(self):
+        while not self.ending:
+            await self.read_config(self.random.choice(self.control_addresses()))
+            await asyncio.sleep(0.3)
+
+    # Callers
+
+    async def resolve(self):
+        for process in self.shuffled(self.cluster.entries):
+            try:
+                response = await call(f"{process.ip}:{DIRECTORY_PORT}", "GET", "/resolve?name=a.example&zone=a")
+                if response.status == 200:
+                    return json.loads(response.body)["addresses"]
+            except FAILURES:
+                continue
+        return [f"{process.ip}:{ENTRY_PORT}" for process in self.cluster.entries]
+
+    async def caller(self):
+        connection = None
+        while not self.ending:
+            try:
+                if connection is None:
+                    address = self.random.choice(await self.resolve())
+                    host, port = address.rsplit(":", 1)
+                    opening = asyncio.open_connection(host, int(port))
+                    connection = await asyncio.wait_for(opening, 1)
+                keep = await asyncio.wait_for(self.one_request(*connection), 4)
+            except FAILURES:
+                self.record.count("broken")
+                keep = False
+            if not keep and connection is not None:
+                connection[1].transport.abort()
+                connection = None
+            await asyncio.sleep(self.random.uniform(0.005, 0.05))
+        if connection is not None:
+            connection[1].transport.abort()
+
+    async def one_request(self, reader, writer):
+        self.next_id += 1
+        request_id = f"{self.seed:x}-{self.next_id:x}"
+        method, path = self.random.choice((("GET", "/safe/x"), ("POST", "/once/x"), ("GET", "/moved/x")))
+        headers = {"Host": "a.example", "Lovagehold-Request-Id": request_id, "Lovagehold-Deadline-Ms": "2000"}
+        body = b"x" * self.random.choice((0, 100, 40000)) if method == "POST" else b""
+        writer.write(format_message(f"{method} {path} HTTP/1.1", headers, body))
+        response = await read_message(reader)
+        self.record.count(str(response.status))
+        if response.status in (429, 503, 408, 421) and method == "POST":
+            self.record.promised(request_id, response.status)
+        if response.status == 200:
+            whole = response.body == body_of(request_id)
+            if not whole or response.headers.get("lovagehold-response-seal") != "seal-" + request_id:
+                self.record.violations.append(f"request {request_id} got another body or seal")
+        return response.headers.get("connection", "").lower() != "close"
+
+    # Faults
+
+    async def add_server(self, service):
+        self.next_server += 1
+        server = Server(self, service, self.next_server)
+        await server.start()
+        self.servers.append(server)
+
+    async def restart_later(self, process, delay):
+        await asyncio.sleep(delay)
+        if not process.running():
+            process.start()
+
+    async def fault_kill(self):
+        process = self.random.choice(self.cluster.all())
+        self.log_fault(f"kill {process.name}")
+        process.kill()
+        await self.restart_later(process, self.random.uniform(0.1, 1.5))
+
+    async def fault_kill_all(self):
+        self.log_fault("kill all")
+        for process in self.cluster.all():
+            process.kill()
+        await asyncio.sleep(0.5)
+        for process in self.cluster.all():
+            process.start()
+
+    async def fault_pause(self):
+        process = self.random.choice(self.cluster.all())
+        self.log_fault(f"pause {process.name}")
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.3, 3))
+        process.signal(signal.SIGCONT)
+
+    async def fault_terminate(self):
+        process = self.random.choice(self.cluster.entries)
+        self.log_fault(f"terminate {process.name}")
+        process.signal(signal.SIGTERM)
+        for _ in range(70):
+            await asyncio.sleep(0.1)
+            if not process.running():
+                break
+        process.kill()
+        process.start()
+
+    async def fault_wipe(self):
+        # One disk at a time may be lost, and its host needs time to catch up.
+        if time.monotonic() - self.wiped_at < 12 or any(not p.running() or p.paused for p in self.cluster.controls):
+            return
+        self.wiped_at = time.monotonic()
+        process = self.random.choice(self.cluster.controls)
+        self.log_fault(f"wipe {process.name}")
+        process.kill()
+        process.wipe()
+        await self.restart_later(process, 0.3)
+
+    async def fault_link(self):
+        server = self.random.choice(self.servers)
+        mode = self.random.choice(("delay", "reset", "silent", "one_way"))
+        self.log_fault(f"link {mode} {server.id}")
+        server.proxy.set_mode(mode)
+        await asyncio.sleep(self.random.uniform(0.5, 3))
+        server.proxy.set_mode("pass")
+
+    async def fault_answers(self):
+        server = self.random.choice(self.servers)
+        fault = self.random.choice(("lose_answers", "truncate", "extra"))
+        self.log_fault(f"{fault} {server.id}")
+        server.fault = fault
+        await asyncio.sleep(self.random.uniform(1, 4))
+        server.fault = None
+
+    async def fault_replace(self):
+        server = self.random.choice(self.servers)
+        self.servers.remove(server)
+        await self.add_server(server.service)
+        if self.random.random() < 0.5:
+            self.log_fault(f"crash {server.id}")
+            server.crash()
+        else:
+            self.log_fault(f"drain {server.id}")
+            await server.drain()
+
+    async def fault_config(self):
+        self.log_fault("configuration change")
+        await self.change_config()
+
+    async def inject(self):
+        faults = [self.fault_kill, self.fault_pause, self.fault_terminate, self.fault_wipe, self.fault_link,
+                  self.fault_answers, self.fault_replace, self.fault_config, self.fault_config]
+        running = set()
+        end = time.monotonic() + self.options.seconds
+        while time.monotonic() < end:
+            fault = self.fault_kill_all if self.random.random() < 0.04 else self.random.choice(faults)
+            running.add(asyncio.create_task(fault()))
+            await asyncio.sleep(self.random.expovariate(1 / 0.9))
+        await asyncio.gather(*running)
+
+    # The run
+
+    async def await_ready(self):
+        end = time.monotonic() + RECOVERY_LIMIT_S
+        waiting = list(self.cluster.entries)
+        while waiting and time.monotonic() < end:
+            try:
+                response = await call(f"{waiting[0].ip}:{READY_PORT}", "GET", "/ready")
+                if response.status == 200:
+                    waiting.pop(0)
+                    continue
+            except FAILURES:
+                pass
+            await asyncio.sleep(0.1)
+        return not waiting
+
+    async def check_end(self):
+        for process in self.cluster.all():
+            process.signal(signal.SIGCONT)
+            if not process.running():
+                process.start()
+        if not await self.await_ready():
+            self.record.violations.append("not all entry hosts were ready again")
+            return
+        end = time.monotonic() + RECOVERY_LIMIT_S
+        version = 0
+        while version == 0 and time.monotonic() < end:
+            version = await self.read_config(self.random.choice(self.control_addresses()))
+            await asyncio.sleep(0.1)
+        if version < self.acknowledged:
+            self.record.violations.append(f"version {self.acknowledged} was acknowledged and is lost")
+
+    async def run(self):
+        self.cluster.start()
+        try:
+            for service in SERVICES:
+                for _ in range(SERVERS_EACH):
+                    await self.add_server(service)
+            await self.change_config()
+            if not await self.await_ready():
+                self.record.violations.append("the entry hosts were never ready")
+                return
+            tasks = [asyncio.create_task(self.caller()) for _ in range(CALLERS)]
+            tasks.append(asyncio.create_task(self.reader()))
+            await self.inject()
+            await self.check_end()
+            self.ending = True
+            await asyncio.gather(*tasks)
+            if self.record.outcomes.get("200", 0) == 0:
+                self.record.violations.append("no request was served")
+        finally:
+            self.cluster.stop()
+            for server in self.servers:
+                server.crash()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("program")
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--controls", type=int, default=3)
+    parser.add_argument("--entries", type=int, default=4)
+    parser.add_argument("--runs", type=int, default=1)
+    parser.add_argument("--strict", action="store_true", help="check the time after a leave as well")
+    options = parser.parse_args()
+    first = options.seed if options.seed is not None else random.SystemRandom().randrange(1 << 30)
+    for seed in range(first, first + options.runs):
+        work = tempfile.mkdtemp(prefix="lovagehold-soak-")
+        print(f"seed {seed}", flush=True)
+        soak = Soak(options, seed, work)
+        asyncio.run(soak.run())
+        print(f"seed {seed}: {len(soak.faults)} faults, answers {dict(sorted(soak.record.outcomes.items()))}, "
+              f"{len(soak.record.violations)} broken promises", flush=True)
+        if soak.record.violations:
+            print("\n".join(soak.record.violations[:20]))
+            print(f"logs in {work}")
+            return 1
+        shutil.rmtree(work)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/testsuite/soak/standins.py
@@ -0,0 +1,203 @@
+"""Stand-ins of the soak: servers that announce themselves, a proxy that injects faults, a record of runs."""
+
+import asyncio
+import json
+import time
+
+from http_io import call, format_message, read_message
+
+SLOTS = 3
+
+
+class Record:
+    """What servers ran and what callers were told; broken promises are collected here."""
+
+    def __init__(self):
+        self.runs = {}
+        self.promised_not_run = {}
+        self.violations = []
+        self.outcomes = {}
+
+    def ran(self, request_id, idempotent):
+        self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        if not idempotent and self.runs[request_id] > 1:
+            self.violations.append(f"request {request_id} ran {self.runs[request_id]} times")
+        if request_id in self.promised_not_run:
+            self.violations.append(f"request {request_id} ran after its caller was told that it had not")
+
+    def promised(self, request_id, status):
+        self.promised_not_run[request_id] = status
+        if self.runs.get(request_id, 0) > 0:
+            self.violations.append(f"request {request_id} was answered {status} and had run")
+
+    def count(self, outcome):
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+
+
+def body_of(request_id):
+    """The body that a server gives; derived from the id, so that callers can check it."""
+    return (request_id * 20).encode()
+
+
+class FaultProxy:
+    """Forwards connections to a server. mode: pass, delay, reset, silent, one_way."""
+
+    def __init__(self, target):
+        self.target = target
+        self.mode = "pass"
+        self.server = None
+        self.writers = set()
+
+    async def start(self, host):
+        self.server = await asyncio.start_server(self.accept, host, 0)
+        return f"{host}:{self.server.sockets[0].getsockname()[1]}"
+
+    def close(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def set_mode(self, mode):
+        self.mode = mode
+        if mode == "reset":
+            for writer in list(self.writers):
+                writer.transport.abort()
+
+    async def accept(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            host, port = self.target.rsplit(":", 1)
+            upstream_reader, upstream = await asyncio.open_connection(host, int(port))
+            self.writers.add(upstream)
+            await asyncio.gather(self.pump(reader, upstream, True), self.pump(upstream_reader, writer, False))
+            self.writers.discard(upstream)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.transport.abort()
+            self.writers.discard(writer)
+
+    async def pump(self, reader, writer, to_server):
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "delay":
+                    await asyncio.sleep(0.15)
+                while self.mode == "silent" or (self.mode == "one_way" and not to_server):
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.transport.abort()
+
+
+class Server:
+    """A server of a service: serves, reports its load and announces itself to control."""
+
+    def __init__(self, soak, service, number):
+        self.soak = soak
+        self.service = service
+        self.id = f"i-{service}-{number}"
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.running = 0
+        self.draining = False
+        self.left_at = None
+        self.fault = None
+        self.tasks = set()
+
+    async def start(self):
+        self.listener = await asyncio.start_server(self.accept, self.soak.server_host, 0)
+        port = self.listener.sockets[0].getsockname()[1]
+        self.proxy = FaultProxy(f"{self.soak.server_host}:{port}")
+        self.address = await self.proxy.start(self.soak.server_host)
+        self.beating = asyncio.create_task(self.announce())
+
+    def crash(self):
+        self.beating.cancel()
+        self.listener.close()
+        self.proxy.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+    async def announce(self):
+        while True:
+            await self.report("ready")
+            await asyncio.sleep(0.5)
+
+    async def report(self, state):
+        self.sequence += 1
+        body = json.dumps({
+            "address": self.address, "born": self.born,
+            "info": {"service": self.service, "version": "v1", "zone": "a", "maxInflight": SLOTS},
+            "status": {"state": state, "sequence": self.sequence, "warmupLeft": "0ms"}}).encode()
+        for address in self.soak.shuffled(self.soak.control_addresses()):
+            try:
+                response = await call(address, "PUT", f"/instances/{self.id}", body)
+                if response.status == 200:
+                    return True
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                continue
+        return False
+
+    async def drain(self):
+        """Leaves as planned: reports it, serves on for some seconds, ends."""
+        self.draining = True
+        self.beating.cancel()
+        while not await self.report("draining"):
+            await asyncio.sleep(0.2)
+        self.left_at = time.monotonic()
+        await asyncio.sleep(5)
+        self.crash()
+
+    async def accept(self, reader, writer):
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        try:
+            while True:
+                request = await read_message(reader)
+                if not await self.answer(request, writer):
+                    return
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self.tasks.discard(task)
+            writer.transport.abort()
+
+    async def answer(self, request, writer):
+        method, path, _ = request.start.split()
+        load = f"{self.running},0,{SLOTS},100"
+        headers = {"Lovagehold-Instance-Id": self.id, "Lovagehold-Server-Load": load}
+        if path == "/healthz":
+            writer.write(format_message("HTTP/1.1 200 OK", headers))
+            return True
+        request_id = request.headers["lovagehold-request-id"]
+        headers["Lovagehold-Request-Id"] = request_id
+        if request.headers.get("lovagehold-expect-instance", self.id) != self.id:
+            writer.write(format_message("HTTP/1.1 421 Misdirected", headers))
+            return True
+        self.soak.check_arrival(self, request_id)
+        if self.running >= SLOTS:
+            headers["Lovagehold-Not-Executed"] = "1"
+            writer.write(format_message("HTTP/1.1 503 Full", headers))
+            return True
+        self.running += 1
+        try:
+            self.soak.record.ran(request_id, method == "GET")
+            await asyncio.sleep(self.soak.random.uniform(0.002, 0.03))
+        finally:
+            self.running -= 1
+        if self.fault == "lose_answers" and self.soak.random.random() < 0.3:
+            return False
+        headers["Lovagehold-Response-Seal"] = "seal-" + request_id
+        response = format_message("HTTP/1.1 200 OK", headers, body_of(request_id))
+        if self.fault == "truncate" and self.soak.random.random() < 0.3:
+            writer.write(response[:-3])
+            await writer.drain()
+            return False
+        writer.write(response)
+        if self.fault == "extra" and self.soak.random.random() < 0.3:
+            writer.write(response)
+        await writer.drain()
+        return True
