Take a server that does not answer its probe for full

Ruled out: slow entry hosts; the other servers served in 0.3 s at the same time. Change: a probe without an answer after 19 ms counts as a full server; one that fails likewise. Measured: new test fails without the change.

--- a/src/include/lovagehold/server_selector.h
+++ b/src/include/lovagehold/server_selector.h
@@ -63,6 +63,9 @@
   /// Servers of the own failure domain that are asked first. A small set is asked often enough that
   /// its connections stay open.
   std::size_t subset = 12;
+  /// A probe takes up to 13 ms at an idle server: 6 ms of work, a round trip between failure
+  /// domains and one for the connection.
+  std::chrono::milliseconds unanswered_probe{ 19 };
   /// A load report older than this is refreshed before a choice.
   std::chrono::milliseconds fresh_report{ 20 };
 };
@@ -97,6 +100,13 @@
   /// A response of the server carried a load report.
   void report(const ServerId& id, const LoadReport& load, TimePoint now);
 
+  /// A probe is on its way to the server. Until it is answered, the server is taken for full after
+  /// unanswered_probe: health checks wait for a slot as other requests do.
+  void begin_probe(const ServerId& id, TimePoint now);
+
+  /// A probe was answered, with or without a load report.
+  void end_probe(const ServerId& id);
+
   /// A probe got no answer in time or a negative one.
   void probe_failed(const ServerId& id, bool unreachable, TimePoint now);
 
@@ -130,6 +140,8 @@
     TimePoint cold_until;
     LoadReport load;
     std::optional<TimePoint> reported;
+    /// Oldest probe without an answer.
+    std::optional<TimePoint> probed;
     /// Own requests in progress, and those begun after the last report.
     unsigned own = 0;
     unsigned begun_since = 0;
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -91,6 +91,9 @@
     busy = std::max<double>(state.own, reported * known + state.begun_since);
     slowdown = m_options.usual_slowdown + (state.load.slowdown - m_options.usual_slowdown) * known;
   }
+  if (state.probed && now - *state.probed >= m_options.unanswered_probe) {
+    busy = std::max(busy, slots + 1);
+  }
   const double after = busy + 1;
   double cost = slowdown;
   if (after > m_options.knee * slots) {
@@ -158,7 +161,8 @@
 {
   std::vector<std::pair<double, const State*>> stale;
   for (const auto& [id, state] : m_servers) {
-    const bool fresh = state.reported && now - *state.reported < m_options.fresh_report;
+    const bool fresh =
+      state.probed || (state.reported && now - *state.reported < m_options.fresh_report);
     if (tried.count(id) == 0 && !avoided(state, now) && !fresh && (state.preferred || !near_only)) {
       const double noise = std::uniform_real_distribution<double>(0, 0.5)(random);
       stale.emplace_back(cost_of(state, 0, now) + noise, &state);
@@ -181,6 +185,7 @@
     found->second.load = load;
     found->second.reported = now;
     found->second.begun_since = 0;
+    found->second.probed.reset();
   }
 }
 
@@ -193,12 +198,39 @@
   state.avoid_until = now + state.avoid_for;
 }
 
+void
+ServerSelector::begin_probe(const ServerId& id, TimePoint now)
+{
+  const auto found = m_servers.find(id);
+  if (found != m_servers.end() && !found->second.probed) {
+    found->second.probed = now;
+  }
+}
+
+void
+ServerSelector::end_probe(const ServerId& id)
+{
+  const auto found = m_servers.find(id);
+  if (found != m_servers.end()) {
+    found->second.probed.reset();
+  }
+}
+
 void
 ServerSelector::probe_failed(const ServerId& id, bool unreachable, TimePoint now)
 {
   const auto found = m_servers.find(id);
-  if (found != m_servers.end() && unreachable) {
-    avoid(found->second, now);
+  if (found == m_servers.end()) {
+    return;
+  }
+  State& state = found->second;
+  state.probed.reset();
+  if (unreachable) {
+    avoid(state, now);
+  } else {
+    state.load = { .running = state.info.slots, .waiting = state.info.slots };
+    state.reported = now;
+    state.begun_since = 0;
   }
 }
 
--- a/src/libdecision/server_selector_test.cpp
+++ b/src/libdecision/server_selector_test.cpp
@@ -111,6 +111,19 @@
   EXPECT_EQ(near->id, "i-0");
 }
 
+// Guards against requests to the busiest servers: a full server does not answer its probe in time,
+// and an unknown load used to count less than a known high one.
+TEST_F(ServerSelectorTest, ServerThatDoesNotAnswerItsProbeCountsAsFull)
+{
+  m_selector.report("i-0", { .running = 3, .slots = 3 }, kStart);
+  m_selector.begin_probe("i-1", kStart);
+  m_selector.begin_probe("i-2", kStart);
+  const TimePoint later = kStart + milliseconds(20);
+  EXPECT_EQ(pick(later), "i-0");
+  m_selector.report("i-2", { .running = 1, .slots = 3 }, later);
+  EXPECT_EQ(pick(later), "i-2");
+}
+
 // Guards against a new incarnation that inherits what was known about the one before.
 TEST_F(ServerSelectorTest, NewIncarnationStartsAfresh)
 {
--- a/src/libgateway/load_probe.cpp
+++ b/src/libgateway/load_probe.cpp
@@ -102,11 +102,14 @@
             const std::string& path,
             const std::shared_ptr<ProbeRound>& round)
 {
+  context.selector(service).begin_probe(target.id, Clock::now());
   asio::co_spawn(
     context.io,
     [&context, service, target, path, round]() -> awaitable<void> {
       const ProbeOutcome outcome = co_await probe(context, service, target, path);
-      if (outcome != ProbeOutcome::Answered) {
+      if (outcome == ProbeOutcome::Answered) {
+        context.selector(service).end_probe(target.id);
+      } else {
         context.selector(service).probe_failed(
           target.id, outcome == ProbeOutcome::Unreachable, Clock::now());
       }
