--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -149,7 +149,7 @@
   const auto count = [&add](const char* name, const char* help, std::uint64_t value) {
     add(name, "counter", help, static_cast<double>(value));
   };
-  count("lovagehold_requests_total", "Requests of callers.", counters.requests);
+  count("lovagehold_caller_requests_total", "Requests of callers.", counters.requests);
   count("lovagehold_served_total", "Responses passed on whole.", counters.served);
   count("lovagehold_refused_total", "Requests refused with 503.", counters.refused);
   count("lovagehold_failed_total", "Requests that ended otherwise.", counters.failed);
--- a/src/libsite/control_host_test.cpp
+++ b/src/libsite/control_host_test.cpp
@@ -3,8 +3,13 @@
 #include "libproxy/entry_fixture.h"
 
 #include <boost/asio/post.hpp>
+#include <cstring>
 #include <filesystem>
+#include <fstream>
+#include <future>
 #include <gtest/gtest.h>
+#include <regex>
+#include <set>
 
 namespace lovagehold {
 namespace {
@@ -133,5 +138,47 @@
   EXPECT_EQ(call("/else"), 404);
 }
 
+std::set<std::string>
+metric_names(const std::string& text)
+{
+  std::set<std::string> names;
+  const std::regex pattern("lovagehold_[a-z_]+");
+  for (std::sregex_iterator match(text.begin(), text.end(), pattern), end; match != end; ++match) {
+    std::string name = match->str();
+    for (const char* suffix : { "_bucket", "_sum", "_count" }) {
+      const std::size_t place = name.rfind(suffix);
+      if (place != std::string::npos && place + std::strlen(suffix) == name.size()) {
+        name.resize(place);
+      }
+    }
+    names.insert(name);
+  }
+  return names;
+}
+
+// \return the metrics that the operators' page names in its tables
+std::set<std::string>
+documented_names()
+{
+  std::ifstream page(std::string(LOVAGEHOLD_SOURCE_DIR) + "/docs/OPERATIONS.md");
+  std::string rows;
+  for (std::string line; std::getline(page, line);) {
+    rows += line.rfind("| `lovagehold_", 0) == 0 ? line + "\n" : "";
+  }
+  return metric_names(rows);
+}
+
+// Guards against counters that the page names and nobody serves, and the reverse.
+TEST_F(ControlHostTest, PageNamesTheMetricsThatAreServed)
+{
+  start(true);
+  ASSERT_TRUE(await_status("/leave", 200));
+  const Gateway gateway(m_context, { .host = "h" }, m_log);
+  std::promise<std::string> control;
+  boost::asio::post(m_context, [&] { control.set_value(m_host->render_metrics()); });
+  const std::string served = control.get_future().get() + gateway.render_metrics();
+  EXPECT_EQ(metric_names(served), documented_names());
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/lovagehold/main.cpp
+++ b/src/lovagehold/main.cpp
@@ -21,7 +21,7 @@
 Run:
   -s, --settings FILE        settings of this process (YAML)
       --site                 run as a host of the users' platform, with the settings file
-                             that the environment variable LOVAGEHOLD_NODE_FILE names
+                             that the platform's environment variable names
       --metrics-port PORT    with --site: serve /metrics on this port of the host's address
 
 Check (starts nothing):
--- a/testsuite/soak/cluster.py
+++ b/testsuite/soak/cluster.py
@@ -6,6 +6,8 @@
 import signal
 import subprocess
 
+import wire
+
 CONTROL_PORT, CLUSTER_PORT, ENTRY_PORT, READY_PORT, DIRECTORY_PORT = 8649, 7620, 8641, 8640, 8644
 
 
@@ -28,17 +30,13 @@
         listen = {"control": f"{self.ip}:{CONTROL_PORT}"} if self.control else {
             "front": f"{self.ip}:{ENTRY_PORT}", "readiness": f"{self.ip}:{READY_PORT}",
             "directory": f"{self.ip}:{DIRECTORY_PORT}"}
-        settings = {
-            "self": {"nodeName": self.name, "zone": "a", "ip": self.ip, "bootstrap": first,
-                     "dataDir": self.data if self.control else None, "limits": {"maxFds": 1024}},
-            "network": {"listen": listen, "portRange": [CLUSTER_PORT, CLUSTER_PORT + 15],
-                        "seeds": self.cluster.seeds},
-            "terms": {"faultTolerance": {"machines": 1}, "bounds": {"gracePeriod": "6s"}}}
+        settings = wire.settings(self.name, self.ip, "a", first, self.data if self.control else None, listen,
+                                 [CLUSTER_PORT, CLUSTER_PORT + 15], self.cluster.seeds)
         path = os.path.join(self.cluster.work, self.name + ".json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
         log = open(os.path.join(self.cluster.work, self.name + ".log"), "ab")
-        environment = dict(os.environ, LOVAGEHOLD_NODE_FILE=path)
+        environment = dict(os.environ, **{wire.SETTINGS_VARIABLE: path})
         self.child = subprocess.Popen([self.cluster.program, "--site"], env=environment, stdout=log,
                                       stderr=log)
         log.close()
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -15,6 +15,9 @@
 import tempfile
 import time
 
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "platform", "testing"))
+
+import wire
 from cluster import CONTROL_PORT, DIRECTORY_PORT, ENTRY_PORT, READY_PORT, Cluster
 from http_io import call, format_message, read_message
 from standins import Record, Server, body_of
@@ -68,19 +71,9 @@
     # Operator
 
     def make_document(self, version):
-        moved = SERVICES[version % 2]
-
-        def rule(name, kind, prefix, service):
-            return {"name": name, "kind": kind, "targetLatency": "500ms", "priority": 1,
-                    "match": {"pathPrefix": prefix},
-                    "action": {"service": service, "timeout": "1500ms", "maxAttempts": 2}}
-
-        return json.dumps({
-            "version": version, "limits": {"idleTimeout": "5s"},
-            "listeners": [{"host": "a.example", "rules": [
-                rule("safe", "safe", "/safe/", "desk"), rule("once", "unsafe", "/once/", "ledger"),
-                rule("moved", "safe", "/moved/", moved)]}],
-            "clusters": [{"name": name, "healthCheckPath": "/healthz"} for name in SERVICES]})
+        routes = [wire.route("safe", "safe", "/safe/", "desk"), wire.route("once", "unsafe", "/once/", "ledger"),
+                  wire.route("moved", "safe", "/moved/", SERVICES[version % 2])]
+        return wire.configuration(version, "a.example", routes, SERVICES)
 
     async def change_config(self):
         self.version += self.random.randint(1, 3)
@@ -158,7 +151,7 @@
         self.next_id += 1
         request_id = f"{self.seed:x}-{self.next_id:x}"
         method, path = self.random.choice((("GET", "/safe/x"), ("POST", "/once/x"), ("GET", "/moved/x")))
-        headers = {"Host": "a.example", "Lovagehold-Request-Id": request_id, "Lovagehold-Deadline-Ms": "2000"}
+        headers = {"Host": "a.example", wire.ID_HEADER: request_id, wire.DEADLINE_HEADER: "2000"}
         body = b"x" * self.random.choice((0, 100, 40000)) if method == "POST" else b""
         writer.write(format_message(f"{method} {path} HTTP/1.1", headers, body))
         response = await read_message(reader)
@@ -167,7 +160,7 @@
             self.record.promised(request_id, response.status)
         if response.status == 200:
             whole = response.body == body_of(request_id)
-            if not whole or response.headers.get("lovagehold-response-seal") != "seal-" + request_id:
+            if not whole or response.headers.get(wire.SEAL_HEADER.lower()) != "seal-" + request_id:
                 self.record.violations.append(f"request {request_id} got another body or seal")
         return response.headers.get("connection", "").lower() != "close"
 
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -1,9 +1,9 @@
 """Stand-ins of the soak: servers that announce themselves, a proxy that injects faults, a record of runs."""
 
 import asyncio
-import json
 import time
 
+import wire
 from http_io import call, format_message, read_message
 
 SLOTS = 3
@@ -128,10 +128,7 @@
 
     async def report(self, state):
         self.sequence += 1
-        body = json.dumps({
-            "address": self.address, "born": self.born,
-            "info": {"service": self.service, "version": "v1", "zone": "a", "maxInflight": SLOTS},
-            "status": {"state": state, "sequence": self.sequence, "warmupLeft": "0ms"}}).encode()
+        body = wire.heartbeat(self.service, self.address, self.born, self.sequence, state, SLOTS)
         for address in self.soak.shuffled(self.soak.control_addresses()):
             try:
                 response = await call(address, "PUT", f"/instances/{self.id}", body)
@@ -168,18 +165,18 @@
     async def answer(self, request, writer):
         method, path, _ = request.start.split()
         load = f"{self.running},0,{SLOTS},100"
-        headers = {"Lovagehold-Instance-Id": self.id, "Lovagehold-Server-Load": load}
+        headers = {wire.INSTANCE_HEADER: self.id, wire.LOAD_HEADER: load}
         if path == "/healthz":
             writer.write(format_message("HTTP/1.1 200 OK", headers))
             return True
-        request_id = request.headers["lovagehold-request-id"]
-        headers["Lovagehold-Request-Id"] = request_id
-        if request.headers.get("lovagehold-expect-instance", self.id) != self.id:
+        request_id = request.headers[wire.ID_HEADER.lower()]
+        headers[wire.ID_HEADER] = request_id
+        if request.headers.get(wire.EXPECT_HEADER.lower(), self.id) != self.id:
             writer.write(format_message("HTTP/1.1 421 Misdirected", headers))
             return True
         self.soak.check_arrival(self, request_id)
         if self.running >= SLOTS:
-            headers["Lovagehold-Not-Executed"] = "1"
+            headers[wire.NOT_EXECUTED_HEADER] = "1"
             writer.write(format_message("HTTP/1.1 503 Full", headers))
             return True
         self.running += 1
@@ -190,7 +187,7 @@
             self.running -= 1
         if self.fault == "lose_answers" and self.soak.random.random() < 0.3:
             return False
-        headers["Lovagehold-Response-Seal"] = "seal-" + request_id
+        headers[wire.SEAL_HEADER] = "seal-" + request_id
         response = format_message("HTTP/1.1 200 OK", headers, body_of(request_id))
         if self.fault == "truncate" and self.soak.random.random() < 0.3:
             writer.write(response[:-3])
