Compute the directory's addresses at changes, not at each subscription

Cause, found on reading the whole change: each subscription of an entry host resolved all failure domains twice and serialised and hashed the result, on the control hosts, 2 times a second and host. Ruled out: leaving it to resolve(); callers that ask a control host still get the present answer. Change: the addresses, their version and the number of named hosts are kept and renewed at each change and every 100 ms, so an ended lease is noticed 100 ms later at most. ControlClient::source() and source_heard(), which nobody called, are gone.

--- a/src/include/lovagehold/control_client.h
+++ b/src/include/lovagehold/control_client.h
@@ -62,12 +62,6 @@
   /// Tells control at once what presence() returns.
   void announce(TimePoint now);
 
-  /// \return the control host that this host follows
-  const std::string& source() const;
-
-  /// \return when the control host was last heard
-  TimePoint source_heard() const;
-
   /// Whether the state has been confirmed by the leader since the start.
   bool ready() const;
 
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -292,18 +292,6 @@
   }
 }
 
-const std::string&
-ControlClient::source() const
-{
-  return m_impl->options.control_addresses[m_impl->source];
-}
-
-TimePoint
-ControlClient::source_heard() const
-{
-  return m_impl->source_heard;
-}
-
 bool
 ControlClient::ready() const
 {
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -21,6 +21,8 @@
 // A replacement has to vote before its predecessor stops to count as lost, 4 s after its start.
 constexpr std::chrono::milliseconds kMemberLostAfter{ 2000 };
 constexpr std::chrono::milliseconds kShareInterval{ 500 };
+// Hosts whose lease ends are noticed this late at most.
+constexpr std::chrono::milliseconds kRefreshInterval{ 100 };
 constexpr std::chrono::milliseconds kLeaseCheckInterval{ 500 };
 // Longer than the time for which servers may be cut off from control while entry hosts reach them.
 constexpr std::chrono::milliseconds kServerLease{ 12000 };
@@ -117,7 +119,7 @@
       [this](std::string_view event, std::string_view key, const std::string& value) {
         m_log.info(event, { { key, value } });
       },
-    .entry_hosts = [this] { return m_directory.named(Clock::now()); }
+    .entry_hosts = [this] { return m_named_hosts; }
   };
   m_replica = std::make_unique<Replica>(replica_options(m_settings),
                                         std::move(ports),
@@ -192,13 +194,20 @@
                    { { "address", subscribe->presence->address },
                      { "ready", subscribe->presence->ready ? "yes" : "no" } });
         share_entry_hosts(now);
+        refresh_addresses(now);
+      }
+      if (m_addresses.version != subscribe->directory_version) {
+        m_link.send(from, m_addresses);
       }
-      update_directory_of(from, subscribe->directory_version, now);
     }
     m_replica->receive(from, message);
   } else if (const auto* hosts = std::get_if<EntryHosts>(&message)) {
+    bool changed = false;
     for (const EntryHosts::Heard& heard : hosts->hosts) {
-      m_directory.heard(heard.presence, now - heard.age);
+      changed = m_directory.heard(heard.presence, now - heard.age) || changed;
+    }
+    if (changed) {
+      refresh_addresses(now);
     }
   } else if (const auto* renewal = std::get_if<ServerRenewal>(&message)) {
     m_registrar.renew(renewal->id, renewal->incarnation, now);
@@ -210,15 +219,15 @@
 }
 
 // Entry hosts answer callers that ask where to connect, so that one control host that hangs does
-// not hold up the callers of its failure domain.
+// not hold up the callers of its failure domain. Kept between changes, because every subscription
+// compares its version.
 void
-ControlHost::update_directory_of(const std::string& entry_host, std::uint64_t held, TimePoint now)
+ControlHost::refresh_addresses(TimePoint now)
 {
-  EntryAddresses addresses{ .by_domain = m_directory.resolve_all(now) };
-  addresses.version = version_of(addresses);
-  if (addresses.version != held) {
-    m_link.send(entry_host, addresses);
-  }
+  m_addresses.by_domain = m_directory.resolve_all(now);
+  m_addresses.version = version_of(m_addresses);
+  m_named_hosts = m_directory.named(now);
+  m_refreshed_at = now;
 }
 
 void
@@ -228,6 +237,9 @@
   m_replica->tick();
   m_client->tick(now);
   watch_leadership(now);
+  if (now - m_refreshed_at >= kRefreshInterval) {
+    refresh_addresses(now);
+  }
   if (now - m_shared_at >= kShareInterval) {
     share_entry_hosts(now);
     m_directory.expire(now);
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -51,7 +51,7 @@
   ControlReply heartbeat_reply() const;
   const std::vector<ServerInfo>& servers();
   void share_entry_hosts(TimePoint now);
-  void update_directory_of(const std::string& entry_host, std::uint64_t held, TimePoint now);
+  void refresh_addresses(TimePoint now);
   void end_leases(TimePoint now);
   void watch_leadership(TimePoint now);
 
@@ -68,6 +68,10 @@
   EntryDirectory m_directory;
   /// Entry hosts that told this host about themselves.
   EntryDirectory m_attached;
+  /// What m_directory names, as told to entry hosts.
+  EntryAddresses m_addresses;
+  std::size_t m_named_hosts = 0;
+  TimePoint m_refreshed_at;
   boost::asio::steady_timer m_timer;
   std::vector<ServerInfo> m_servers;
   std::uint64_t m_servers_index = 0;
