Read the beginning of a streamed body before a server is chosen

Cause of the recorded failure of framing_test ("bad chunk", PUT: 200 for 400): the head of a body of unknown length went to a server before the first piece was parsed, and a server that answers early won the race against the parser. Ruled out: a lost byte in the caller's buffer, as the rejected piece arrives with the head. Change: the first piece is read before the request is dispatched; it is kept, so that the request can still move to another server. Before: MalformedFirstChunkReachesNoServer fails each time (the server gets the request).

--- a/src/libproxy/framing_test.cpp
+++ b/src/libproxy/framing_test.cpp
@@ -107,6 +107,18 @@
   RC_ASSERT(!fixture().server().saw_smuggled());
 }
 
+// Guards against a response of a server that answers before the body, given to a request whose body
+// is malformed from its first chunk on.
+TEST(Framing, MalformedFirstChunkReachesNoServer)
+{
+  EntryFixture entry(kResponsePort);
+  const auto received =
+    entry.send(make_request("PUT", "Transfer-Encoding: chunked\r\n", "zz\r\nabc\r\n0\r\n\r\n"));
+  ASSERT_TRUE(received.has_value());
+  EXPECT_EQ(status_of(*received), 400);
+  EXPECT_EQ(entry.server().requests(), 0U);
+}
+
 // Guards against crashes and open connections on arbitrary input: a valid request with some bytes
 // replaced, removed or inserted, then the end of the input.
 RC_GTEST_PROP(Framing, RandomBytesNeverStopTheService, ())
--- a/src/libproxy/request_router.cpp
+++ b/src/libproxy/request_router.cpp
@@ -94,6 +94,19 @@
   co_return whole;
 }
 
+// Reads the body, or the beginning of one that is streamed: a server that answers early must not
+// get a request whose body is malformed from the start. \return whether the request may be served
+awaitable<bool>
+receive_body(Exchange& exchange)
+{
+  if (wants_buffer(exchange)) {
+    const bool whole = co_await buffer_body(exchange);
+    co_return whole;
+  }
+  co_await exchange.upload.read();
+  co_return !exchange.upload.failed();
+}
+
 awaitable<SessionOutcome>
 send_body_fault(Exchange& exchange)
 {
@@ -190,12 +203,10 @@
     co_return sent;
   }
   set_call_limits(exchange);
-  if (wants_buffer(exchange)) {
-    const bool whole = co_await buffer_body(exchange);
-    if (!whole) {
-      const SessionOutcome fault = co_await send_body_fault(exchange);
-      co_return fault;
-    }
+  const bool received = co_await receive_body(exchange);
+  if (!received) {
+    const SessionOutcome fault = co_await send_body_fault(exchange);
+    co_return fault;
   }
   const SessionOutcome routed = co_await route_to_service(exchange);
   co_return routed;
