Let requests wait for room at a server instead of queueing there

Cause: beyond 80% of their slots servers work 1.7 times slower, so three requests at three slots get less done than two. Ruled out: the choice itself (six of ten servers are probed, the best was found) and client retries alone. Change: a request goes to a server only if that has room below the knee. Else it waits, ordered by the priority of its route and its arrival, until the latest start that meets its objective, and is then refused unrun with Retry-After. Only the first request of a service asks for all that wait; probes have a budget from the platform's limit (a server may get 60 a second), and servers that tell no load are probed no more.

--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -43,6 +43,8 @@
   std::size_t max_connections = 1500;
   /// Servers asked for their load before a choice.
   std::size_t probes = 3;
+  /// Probes that a server may get each second from all hosts together.
+  double probes_per_second = 60;
   std::chrono::milliseconds connect_timeout{ 400 };
   /// A choice waits for probes this long; the round trip between failure domains and the probe's
   /// work on the server take up to 10 ms.
@@ -82,7 +84,7 @@
   /// Replaces the servers that requests may go to.
   void set_servers(const std::vector<ServerInfo>& servers, TimePoint now);
 
-  /// Entry hosts that callers are sent to; they share the retry budgets.
+  /// Entry hosts that callers are sent to; they share the retry budgets and the probes.
   void set_entry_hosts(std::size_t hosts);
 
   /// Closes connections as soon as their requests are answered, and refuses requests that are
--- a/src/include/lovagehold/server_selector.h
+++ b/src/include/lovagehold/server_selector.h
@@ -68,6 +68,12 @@
   std::chrono::milliseconds unanswered_probe{ 19 };
   /// A load report older than this is refreshed before a choice.
   std::chrono::milliseconds fresh_report{ 20 };
+  /// Probes that a server may get each second from all hosts together.
+  double probes_per_second = 60;
+  /// Share of these that is used; the rest covers the burst and hosts that count too few others.
+  double probe_share = 0.75;
+  /// Unused probes of this time may be sent at once.
+  std::chrono::seconds probe_burst{ 8 };
 };
 
 /// Chooses a server of one service from load reports, own requests in progress and failures. Time
@@ -77,6 +83,9 @@
 public:
   explicit ServerSelector(ServerSelectorOptions options);
 
+  /// The hosts that receive callers share the probes.
+  void set_hosts(std::size_t hosts) { m_hosts = hosts == 0 ? 1 : hosts; }
+
   /// Replaces the servers; what is known about those that stay is kept.
   void set_servers(const std::vector<ServerInfo>& servers, TimePoint now);
 
@@ -88,14 +97,15 @@
                                  std::size_t body_bytes,
                                  std::mt19937_64& random) const;
 
-  /// \return servers whose load should be asked for before the next choice, best first
+  /// \return servers whose load should be asked for before the next choice, best first; they count
+  /// as probed. None if the budget for probes is used up or if the servers report no load.
   /// \param count most servers to return
   /// \param near_only only servers of the set that is asked first
   std::vector<ServerInfo> probe_targets(TimePoint now,
                                         std::size_t count,
                                         bool near_only,
                                         const std::set<ServerId>& tried,
-                                        std::mt19937_64& random) const;
+                                        std::mt19937_64& random);
 
   /// A response of the server carried a load report.
   void report(const ServerId& id, const LoadReport& load, TimePoint now);
@@ -104,7 +114,7 @@
   /// unanswered_probe: health checks wait for a slot as other requests do.
   void begin_probe(const ServerId& id, TimePoint now);
 
-  /// A probe was answered, with or without a load report.
+  /// A probe was answered, with or without a load report before this call.
   void end_probe(const ServerId& id);
 
   /// A probe got no answer in time or a negative one.
@@ -125,6 +135,9 @@
   /// 0 if the server is not known
   double cost(const ServerId& id, TimePoint now) const;
 
+  /// \return whether the server can take another request without working slower
+  bool has_room(const ServerId& id, TimePoint now) const;
+
   /// \return the last load report; without one an empty report
   LoadReport last_report(const ServerId& id) const;
 
@@ -153,14 +166,23 @@
     TimePoint relative_since;
   };
 
+  static double slots_of(const State& state);
+  double busy_of(const State& state, TimePoint now) const;
   double cost_of(const State& state, std::size_t body_bytes, TimePoint now) const;
   void choose_subset();
+  std::size_t take_probes(std::size_t wanted, TimePoint now);
   bool avoided(const State& state, TimePoint now) const;
   void avoid(State& state, TimePoint now);
 
   ServerSelectorOptions m_options;
   std::map<ServerId, State> m_servers;
   std::optional<double> m_usual_ms;
+  std::size_t m_hosts = 1;
+  /// Probes that may be sent now, and when that was computed.
+  double m_probes_left = 0;
+  TimePoint m_probes_at;
+  /// Answered probes without a load report, while there has been no report at all.
+  unsigned m_probes_in_vain = 0;
 };
 
 } // namespace lovagehold
--- a/src/include/lovagehold/site.h
+++ b/src/include/lovagehold/site.h
@@ -31,6 +31,8 @@
   unsigned tolerated_losses = 1;
   std::size_t max_descriptors = 1024;
   RetryBudgetOptions retry_budget;
+  /// Health checks that a server may get each second from all hosts together.
+  double probes_per_second = 60;
   /// A process is killed this long after it was told to stop.
   std::chrono::milliseconds shutdown_grace{ 6000 };
   /// Longest time for which callers may keep an answer of the directory.
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -15,6 +15,12 @@
 constexpr std::chrono::milliseconds kRelativeMemory{ 4000 };
 // Costs closer than this are equal.
 constexpr double kEqualCost = 0.02;
+// Servers that answered so many probes without a load report are asked no more.
+constexpr unsigned kProbesInVain = 6;
+// A choice may need so many probes.
+constexpr double kLeastProbeBurst = 6;
+// A request that was reported some time ago and has probably ended counts less than a whole one.
+constexpr double kRoomTolerance = 0.3;
 // One timed-out request marks a server as this much slower than usual.
 constexpr double kTimeoutFactor = 4;
 
@@ -78,21 +84,36 @@
 }
 
 double
-ServerSelector::cost_of(const State& state, std::size_t body_bytes, TimePoint now) const
+ServerSelector::slots_of(const State& state)
+{
+  return std::max(1U, state.load.slots > 0 ? state.load.slots : state.info.slots);
+}
+
+double
+ServerSelector::busy_of(const State& state, TimePoint now) const
 {
-  const double slots = std::max(1U, state.load.slots > 0 ? state.load.slots : state.info.slots);
   double busy = state.own;
-  double slowdown = m_options.usual_slowdown;
   if (state.reported) {
-    const Duration age = now - *state.reported;
-    const double known = decay(age, m_options.slowdown_memory);
     // Requests that were there at the report leave one by one.
     const double reported = state.load.running + state.load.waiting;
+    const double known = decay(now - *state.reported, m_options.slowdown_memory);
     busy = std::max<double>(state.own, reported * known + state.begun_since);
-    slowdown = m_options.usual_slowdown + (state.load.slowdown - m_options.usual_slowdown) * known;
   }
   if (state.probed && now - *state.probed >= m_options.unanswered_probe) {
-    busy = std::max(busy, slots + 1);
+    busy = std::max(busy, slots_of(state) + 1);
+  }
+  return busy;
+}
+
+double
+ServerSelector::cost_of(const State& state, std::size_t body_bytes, TimePoint now) const
+{
+  const double slots = slots_of(state);
+  const double busy = busy_of(state, now);
+  double slowdown = m_options.usual_slowdown;
+  if (state.reported) {
+    const double known = decay(now - *state.reported, m_options.slowdown_memory);
+    slowdown = m_options.usual_slowdown + (state.load.slowdown - m_options.usual_slowdown) * known;
   }
   const double after = busy + 1;
   double cost = slowdown;
@@ -157,7 +178,7 @@
                               std::size_t count,
                               bool near_only,
                               const std::set<ServerId>& tried,
-                              std::mt19937_64& random) const
+                              std::mt19937_64& random)
 {
   std::vector<std::pair<double, const State*>> stale;
   for (const auto& [id, state] : m_servers) {
@@ -170,13 +191,32 @@
   }
   std::sort(
     stale.begin(), stale.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+  const std::size_t allowed = take_probes(std::min(count, stale.size()), now);
   std::vector<ServerInfo> targets;
-  for (std::size_t i = 0; i < std::min(count, stale.size()); ++i) {
+  for (std::size_t i = 0; i < allowed; ++i) {
     targets.push_back(stale[i].second->info);
   }
   return targets;
 }
 
+// Requests that wait for room ask again and again, so that the probes need a limit.
+std::size_t
+ServerSelector::take_probes(std::size_t wanted, TimePoint now)
+{
+  if (m_probes_in_vain >= kProbesInVain) {
+    return 0;
+  }
+  const double rate = m_options.probes_per_second * m_options.probe_share *
+                      static_cast<double>(m_servers.size()) / static_cast<double>(m_hosts);
+  const double most = std::max(rate * seconds(m_options.probe_burst), kLeastProbeBurst);
+  const double earned = rate * seconds(now - m_probes_at);
+  m_probes_left = std::clamp(m_probes_left + earned, 0.0, most);
+  m_probes_at = now;
+  const std::size_t taken = std::min(wanted, static_cast<std::size_t>(m_probes_left));
+  m_probes_left -= static_cast<double>(taken);
+  return taken;
+}
+
 void
 ServerSelector::report(const ServerId& id, const LoadReport& load, TimePoint now)
 {
@@ -186,6 +226,7 @@
     found->second.reported = now;
     found->second.begun_since = 0;
     found->second.probed.reset();
+    m_probes_in_vain = 0;
   }
 }
 
@@ -213,6 +254,7 @@
   const auto found = m_servers.find(id);
   if (found != m_servers.end()) {
     found->second.probed.reset();
+    m_probes_in_vain += found->second.reported ? 0 : 1;
   }
 }
 
@@ -313,6 +355,17 @@
   return found == m_servers.end() ? 0 : cost_of(found->second, 0, now);
 }
 
+bool
+ServerSelector::has_room(const ServerId& id, TimePoint now) const
+{
+  const auto found = m_servers.find(id);
+  if (found == m_servers.end()) {
+    return false;
+  }
+  const double usable = std::max(1.0, std::floor(m_options.knee * slots_of(found->second)));
+  return busy_of(found->second, now) + 1 <= usable + kRoomTolerance;
+}
+
 LoadReport
 ServerSelector::last_report(const ServerId& id) const
 {
--- a/src/libdecision/server_selector_test.cpp
+++ b/src/libdecision/server_selector_test.cpp
@@ -124,6 +124,61 @@
   EXPECT_EQ(pick(later), "i-2");
 }
 
+// Guards against requests beyond the knee, where every request of the server becomes slower, and
+// against a server that is taken for full long after its last report.
+TEST_F(ServerSelectorTest, RoomEndsBelowTheKnee)
+{
+  m_selector.report("i-0", { .running = 1, .slots = 3 }, kStart);
+  EXPECT_TRUE(m_selector.has_room("i-0", kStart));
+  m_selector.begin("i-0", kStart);
+  EXPECT_FALSE(m_selector.has_room("i-0", kStart));
+  m_selector.report("i-1", { .running = 3, .waiting = 2, .slots = 3 }, kStart);
+  EXPECT_FALSE(m_selector.has_room("i-1", kStart));
+  EXPECT_TRUE(m_selector.has_room("i-1", kStart + std::chrono::seconds(2)));
+  m_selector.report("i-2", { .slots = 1 }, kStart);
+  EXPECT_TRUE(m_selector.has_room("i-2", kStart));
+  EXPECT_FALSE(m_selector.has_room("unknown", kStart));
+}
+
+// Guards against probes at servers that never tell their load.
+TEST_F(ServerSelectorTest, ServersWithoutLoadReportsAreProbedNoMore)
+{
+  for (int i = 0; i < 10; ++i) {
+    const TimePoint now = kStart + std::chrono::seconds(i);
+    for (const ServerInfo& target : m_selector.probe_targets(now, 3, false, {}, m_random)) {
+      m_selector.begin_probe(target.id, now);
+      m_selector.end_probe(target.id);
+    }
+  }
+  EXPECT_TRUE(
+    m_selector.probe_targets(kStart + std::chrono::seconds(20), 3, false, {}, m_random).empty());
+  m_selector.report("i-0", { .slots = 3 }, kStart + std::chrono::seconds(20));
+  EXPECT_FALSE(
+    m_selector.probe_targets(kStart + std::chrono::seconds(30), 3, false, {}, m_random).empty());
+}
+
+// Guards against probes beyond what all hosts together may send.
+RC_GTEST_PROP(ServerSelector, ProbesStayInTheirBudget, ())
+{
+  ServerSelectorOptions options{ .failure_domain = "a", .host = "h", .probes_per_second = 40 };
+  ServerSelector selector(options);
+  std::mt19937_64 random(7);
+  const auto servers = *rc::gen::inRange(1U, 30U);
+  const auto hosts = *rc::gen::inRange<std::size_t>(1, 64);
+  const auto pause = milliseconds(*rc::gen::inRange(1, 200));
+  selector.set_servers(make_servers(servers), kStart);
+  selector.set_hosts(hosts);
+  constexpr std::chrono::seconds kSpan{ 20 };
+  std::size_t probes = 0;
+  for (TimePoint now = kStart; now < kStart + kSpan; now += pause) {
+    probes += selector.probe_targets(now, 6, false, {}, random).size();
+  }
+  // A single choice may always be made.
+  const double allowed = options.probes_per_second * options.probe_share * servers / hosts;
+  const auto counted = (kSpan + options.probe_burst).count();
+  RC_ASSERT(static_cast<double>(probes) <= allowed * static_cast<double>(counted) + 7);
+}
+
 // Guards against a new incarnation that inherits what was known about the one before.
 TEST_F(ServerSelectorTest, NewIncarnationStartsAfresh)
 {
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -14,6 +14,10 @@
 // A server needs at least this time for anything useful.
 constexpr std::chrono::milliseconds kLeastTime{ 20 };
 constexpr std::chrono::milliseconds kRetryAfter{ 200 };
+// Pause before servers are asked again whether they have room.
+constexpr std::chrono::milliseconds kRoomPause{ 40 };
+// Every request waits for room for at least this part of its objective.
+constexpr int kLeastWaitPart = 8;
 // A hedge is sent after this many usual times, and so early that it can still meet the objective.
 constexpr double kHedgeAfter = 1.2;
 constexpr double kHedgeTime = 1.3;
@@ -123,21 +127,9 @@
 awaitable<void>
 ForwardedRequest::run_attempt(bool hedge)
 {
+  const bool room = co_await await_room(hedge);
+  const TimePoint now = Clock::now();
   ServerSelector* selector = &m_context.selector(m_request.service);
-  const RoutedService* service = m_request.routing->service(m_request.service);
-  TimePoint now = Clock::now();
-  if (service != nullptr && !service->health_path.empty()) {
-    co_await probe(true, service->health_path);
-    now = Clock::now();
-    selector = &m_context.selector(m_request.service);
-    const auto near = selector->pick(now, m_tried, body_bytes(), m_context.random);
-    // Only when no near server is about idle is it worth asking further away.
-    if (near && selector->cost(near->id, now) > kNearEnoughCost) {
-      co_await probe(false, service->health_path);
-      now = Clock::now();
-      selector = &m_context.selector(m_request.service);
-    }
-  }
   const auto server = selector->pick(now, m_tried, body_bytes(), m_context.random);
   --m_choosing;
   const bool late = now + kLeastTime >= m_deadline;
@@ -147,6 +139,12 @@
     m_event.cancel();
     co_return;
   }
+  if (!room && !hedge) {
+    // A request that queues at its server would be late and slow down those that run there.
+    m_retryable = false;
+    m_event.cancel();
+    co_return;
+  }
   const bool crowded = hedge && selector->cost(server->id, now) > kHedgeMaxCost;
   if (crowded) {
     m_event.cancel();
@@ -181,6 +179,66 @@
   m_event.cancel();
 }
 
+// Waits until a server has room or the request is too late for its objective. A hedge doesn't wait.
+awaitable<bool>
+ForwardedRequest::await_room(bool hedge)
+{
+  WaitingQueue& queue = m_context.queues[m_request.service];
+  if (hedge || queue.is_empty()) {
+    const bool room = co_await look_for_room();
+    if (hedge || room) {
+      co_return room;
+    }
+  }
+  WaitingQueue::Place place(queue, m_context.io, m_request.route->priority, m_request.arrived);
+  while (!m_abandoned && !m_decided && Clock::now() < latest_start()) {
+    const TimePoint latest = latest_start();
+    co_await place.wait_until(place.is_first() ? std::min(Clock::now() + kRoomPause, latest)
+                                               : latest);
+    if (place.is_first()) {
+      const bool room = co_await look_for_room();
+      if (room) {
+        co_return true;
+      }
+    }
+  }
+  co_return false;
+}
+
+// Refreshes what is known about the best servers. \return whether the best one has room, or there
+// is none to wait for
+awaitable<bool>
+ForwardedRequest::look_for_room()
+{
+  const RoutedService* service = m_request.routing->service(m_request.service);
+  const auto best = [this] {
+    const ServerSelector& selector = m_context.selector(m_request.service);
+    return selector.pick(Clock::now(), m_tried, body_bytes(), m_context.random);
+  };
+  if (service != nullptr && !service->health_path.empty()) {
+    co_await probe(true, service->health_path);
+    const auto near = best();
+    // Only when no near server is about idle is it worth asking further away.
+    if (near &&
+        m_context.selector(m_request.service).cost(near->id, Clock::now()) > kNearEnoughCost) {
+      co_await probe(false, service->health_path);
+    }
+  }
+  const auto server = best();
+  co_return !server || m_context.selector(m_request.service).has_room(server->id, Clock::now());
+}
+
+// A request that starts later is unlikely to meet its objective.
+TimePoint
+ForwardedRequest::latest_start() const
+{
+  const Duration objective = m_request.route->target_latency;
+  const auto usual = m_context.selector(m_request.service).usual_time();
+  const Duration wait =
+    std::max<Duration>(objective / kLeastWaitPart, objective - usual.value_or(objective));
+  return std::min(m_request.arrived + wait, m_deadline - kLeastTime);
+}
+
 awaitable<void>
 ForwardedRequest::probe(bool local, const std::string& path)
 {
@@ -230,6 +288,7 @@
   if (attempt.exchange->load()) {
     selector.report(attempt.server.id, *attempt.exchange->load(), now);
   }
+  m_context.queues[m_request.service].wake_first();
   switch (status) {
     case ExchangeStatus::Responded:
       judge_response(attempt);
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -82,6 +82,9 @@
 
   void start_attempt(bool hedge);
   awaitable<void> run_attempt(bool hedge);
+  awaitable<bool> await_room(bool hedge);
+  awaitable<bool> look_for_room();
+  TimePoint latest_start() const;
   awaitable<void> probe(bool local, const std::string& path);
   std::size_t body_bytes() const;
   void judge(Attempt& attempt);
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -86,6 +86,9 @@
   for (auto& [service, budget] : context.budgets) {
     budget.set_hosts(hosts);
   }
+  for (auto& [service, selector] : context.selectors) {
+    selector.set_hosts(hosts);
+  }
 }
 
 void
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -4,6 +4,7 @@
 #include "lovagehold/gateway.h"
 #include "lovagehold/metrics.h"
 #include "lovagehold/routing_table.h"
+#include "waiting_queue.h"
 
 #include <random>
 #include <set>
@@ -30,6 +31,8 @@
   std::shared_ptr<RoutingTable> routing;
   std::map<ServiceName, ServerSelector> selectors;
   std::map<ServiceName, RetryBudget> budgets;
+  /// Places refer to their queue, so queues stay.
+  std::map<ServiceName, WaitingQueue> queues;
   ConnectionPool pool{ ConnectionPoolOptions{ .idle_per_address = 8, .idle_total = 512 } };
   GatewayCounters counters;
   /// One shard: the gateway has one thread.
@@ -45,11 +48,15 @@
 
   ServerSelector& selector(const ServiceName& service)
   {
-    return selectors
-      .try_emplace(
-        service,
-        ServerSelectorOptions{ .failure_domain = options.failure_domain, .host = options.host })
-      .first->second;
+    const auto [entry, is_new] = selectors.try_emplace(
+      service,
+      ServerSelectorOptions{ .failure_domain = options.failure_domain,
+                             .host = options.host,
+                             .probes_per_second = options.probes_per_second });
+    if (is_new) {
+      entry->second.set_hosts(entry_hosts);
+    }
+    return entry->second;
   }
 
   RetryBudget& budget(const ServiceName& service)
--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -51,7 +51,10 @@
                         .server_id = "Lovagehold-Instance-Id",
                         .not_executed = "Lovagehold-Not-Executed",
                         .load = "Lovagehold-Server-Load",
-                        .parse_load = [](std::string_view) { return LoadReport{ .slots = 3 }; } };
+                        .parse_load = [](std::string_view text) {
+                          return LoadReport{ .running = static_cast<unsigned>(text[0] - '0'),
+                                             .slots = 3 };
+                        } };
     return options;
   }
 
@@ -80,7 +83,8 @@
     return *m_servers.back();
   }
 
-  void configure(milliseconds timeout = milliseconds(3000))
+  void configure(milliseconds timeout = milliseconds(3000),
+                 milliseconds objective = milliseconds(2000))
   {
     const auto route = [&](const std::string& prefix, RouteKind kind) {
       return Route{ .name = prefix,
@@ -88,7 +92,7 @@
                     .kind = kind,
                     .targets = { { .service = "desk" } },
                     .timeout = timeout,
-                    .target_latency = milliseconds(2000),
+                    .target_latency = objective,
                     .max_attempts = 2 };
     };
     RoutingConfig config{ .version = 1 };
@@ -222,6 +226,31 @@
   EXPECT_EQ(arrivals(), 2U);
 }
 
+// Guards against requests that queue at full servers, which makes all of them late, and against a
+// refusal that does not say when to come back.
+TEST_F(GatewayTest, RequestWithoutRoomIsRefusedUnrun)
+{
+  for (int i = 0; i < 2; ++i) {
+    add_server(kServe).report_full(1000);
+  }
+  configure();
+  for (const std::string& bytes :
+       { request("POST", "/once/x", "body"), request("GET", "/safe/x") }) {
+    const std::string response = send(bytes);
+    EXPECT_EQ(status_of(response), 503);
+    EXPECT_NE(response.find("Retry-After: "), std::string::npos);
+  }
+  EXPECT_EQ(arrivals(), 0U);
+}
+
+// Guards against a refusal although a server becomes free in time.
+TEST_F(GatewayTest, RequestWaitsForRoom)
+{
+  add_server(kServe).report_full(2);
+  configure(milliseconds(3000), std::chrono::seconds(20));
+  EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+}
+
 // Guards against a server's own 503 that is passed on as a promise that the request did not run.
 TEST_F(GatewayTest, ServersFailureIsNoPromise)
 {
--- a/src/libgateway/scripted_server.h
+++ b/src/libgateway/scripted_server.h
@@ -38,7 +38,7 @@
   bool hang = false;
 };
 
-/// A server on loopback that answers requests by a script and health checks as an idle server.
+/// A server on loopback that answers requests by a script and health checks with its load.
 class ScriptedServer
 {
 public:
@@ -77,6 +77,9 @@
     return m_requests;
   }
 
+  /// The next health checks report 3 requests in progress at 3 slots.
+  void report_full(unsigned checks) { m_full_checks = checks; }
+
   /// A connection was closed by the caller while its request hung.
   bool saw_close() const { return m_saw_close; }
 
@@ -136,8 +139,11 @@
   {
     ScriptedAnswer scripted;
     if (request.head.rfind("GET /health", 0) == 0) {
+      const bool full = m_full_checks > 0;
+      m_full_checks -= full ? 1 : 0;
       scripted.bytes = "HTTP/1.1 200 OK\r\nLovagehold-Instance-Id: " + m_id +
-                       "\r\nLovagehold-Server-Load: 0,0,3,100\r\nContent-Length: 0\r\n\r\n";
+                       "\r\nLovagehold-Server-Load: " + (full ? "3" : "0") +
+                       ",0,3,100\r\nContent-Length: 0\r\n\r\n";
     } else {
       {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -169,6 +175,7 @@
   std::vector<ReceivedRequest> m_requests;
   std::vector<std::shared_ptr<TestSocket>> m_sockets;
   std::vector<std::thread> m_threads;
+  std::atomic<unsigned> m_full_checks{ 0 };
   std::atomic<bool> m_stopping{ false };
   std::atomic<bool> m_saw_close{ false };
   std::thread m_thread;
--- a/src/libproxy/entry_service_test.cpp
+++ b/src/libproxy/entry_service_test.cpp
@@ -40,12 +40,12 @@
   EventLog log({ .host = "host-1", .level = "error" });
   const auto endpoint = test_endpoint(".9.1", kPort);
   for (int round = 0; round < kRounds; ++round) {
-    EntryService entry({ .self = "host-1",
-                         .caller_address =
-                           endpoint.address().to_string() + ":" + std::to_string(endpoint.port()),
-                         .threads = kThreads },
-                       make_ports(),
-                       log);
+    EntryService entry(
+      { .self = "host-1",
+        .caller_address = endpoint.address().to_string() + ":" + std::to_string(endpoint.port()),
+        .threads = kThreads },
+      make_ports(),
+      log);
     ASSERT_TRUE(entry.start().has_value());
     // The next connection is accepted for another thread than the loop's.
     EXPECT_TRUE(accepts_callers(kPort));
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -51,6 +51,7 @@
            .max_connections = settings.max_descriptors > 2 * kOtherDescriptors
                                 ? settings.max_descriptors - kOtherDescriptors
                                 : settings.max_descriptors / 2,
+           .probes_per_second = settings.probes_per_second,
            .seed = std::random_device{}() };
 }
 
