Name three entry hosts to the callers of a failure domain

Cause: with five, each of 15 hosts sees a fifteenth of a service's requests and asks for loads that others know. Change: three a failure domain (up to 16 hosts; all of larger ones, as before).

--- a/src/include/lovagehold/entry_directory.h
+++ b/src/include/lovagehold/entry_directory.h
@@ -23,7 +23,7 @@
   std::chrono::milliseconds lease{ 1600 };
   /// Hosts named to the callers of a failure domain at least. Few hosts with much traffic each know
   /// the servers' load better and keep connections to them.
-  std::size_t subset = 5;
+  std::size_t subset = 3;
   /// A failure domain with more hosts than this has them because the traffic needs them: all are
   /// named.
   std::size_t large_domain = 16;
