Hold requests of a starting entry host until it knows its configuration

Ruled out: the time of the restart itself (leader 0.13 s and entry hosts ready 0.2 to 0.4 s after power is back). Change: such a request waits up to 0.7 s for the first configuration. GatewayTest.RequestWaitsForTheFirstConfiguration guards it.

--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::chrono::seconds kWriteTimeout{ 10 };
 constexpr std::chrono::milliseconds kUnreadyRetry{ 300 };
+// Hosts that restart together have their configuration again within half a second. A refusal would
+// cost callers one of their few retries.
+constexpr std::chrono::milliseconds kUnreadyWait{ 700 };
 constexpr std::chrono::milliseconds kStoppingRetry{ 10 };
 // A request that arrives during shutdown is served if this many times its objective is left.
 constexpr int kShutdownObjectives = 2;
@@ -149,9 +152,21 @@
     co_await route(parser, upload, whole, arrived);
   }
 
+  awaitable<void> await_routing(TimePoint limit)
+  {
+    asio::steady_timer waiting(m_context->io, limit);
+    m_context->awaiting_routing.insert(&waiting);
+    boost::system::error_code ignored;
+    co_await waiting.async_wait(capture(ignored));
+    m_context->awaiting_routing.erase(&waiting);
+  }
+
   awaitable<void> route(RequestParser& parser, UploadSource& upload, bool whole, TimePoint arrived)
   {
     const auto& header = parser.get();
+    if (!m_context->routing) {
+      co_await await_routing(arrived + kUnreadyWait);
+    }
     const auto routing = m_context->routing;
     if (!routing) {
       const GatewayRefusal refusal{ .status = 503,
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -61,6 +61,9 @@
 {
   GatewayContext& context = *m_impl->context;
   context.routing = std::make_shared<RoutingTable>(std::move(config), context.random());
+  for (asio::steady_timer* waiting : context.awaiting_routing) {
+    waiting->cancel();
+  }
 }
 
 void
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -43,6 +43,8 @@
   bool shutting_down = false;
   /// Set while shutting down.
   TimePoint shutdown_end;
+  /// Requests that wait for the first configuration.
+  std::set<asio::steady_timer*> awaiting_routing;
   /// Connections that wait for a request; shutdown wakes them.
   std::set<beast::tcp_stream*> idle_callers;
 
--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -366,6 +366,19 @@
   EXPECT_NE(unreached.find("Retry-After: "), std::string::npos);
 }
 
+// Guards against refusals of a host that has just started and is about to learn its configuration.
+TEST_F(GatewayTest, RequestWaitsForTheFirstConfiguration)
+{
+  add_server(kServe);
+  auto response = std::async(std::launch::async, [] { return send(request("GET", "/safe/x")); });
+  std::uint64_t requests = 0;
+  while (requests == 0) {
+    on_gateway([&] { requests = m_gateway.counters().requests; });
+  }
+  configure();
+  EXPECT_EQ(status_of(response.get()), 200);
+}
+
 // Guards against a stop that cuts requests, and against one that takes requests it can't end.
 TEST_F(GatewayTest, ShutdownServesWhatItCanEnd)
 {
