--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -31,6 +31,9 @@
   unsigned snapshot_changes = 20;
   /// Bytes of payloads or of a snapshot in one message to a subscriber.
   std::size_t message_bytes = std::size_t{ 256 } << 10;
+  /// A piece of a snapshot is not sent to the same subscriber again within this time: it may still
+  /// be on its way over a slow link.
+  std::chrono::milliseconds snapshot_resend{ 500 };
   std::chrono::milliseconds subscription_timeout{ 2000 };
   std::chrono::milliseconds join_interval{ 200 };
   /// After a storage failure, until the disk is tried again.
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -38,6 +38,14 @@
     TimePoint expires;
   };
 
+  // The last piece of a snapshot that a subscriber was sent.
+  struct SentPiece
+  {
+    std::uint64_t index = 0;
+    std::size_t offset = 0;
+    TimePoint sent;
+  };
+
   // A read that a majority confirms only while this host leads.
   struct LeadershipCheck
   {
@@ -72,6 +80,7 @@
   std::uint64_t submitted = 0;
   std::uint64_t written = 0;
   std::map<std::string, Subscription> subscriptions;
+  std::map<std::string, SentPiece> sent_pieces;
   /// By the read that confirms them.
   std::map<std::uint64_t, std::vector<Confirmation>> confirmations;
   /// Subscribers that wait for the next read.
@@ -401,7 +410,7 @@
     });
   }
 
-  void send_snapshot(const std::string& to, const Subscribe& message) const
+  void send_snapshot(const std::string& to, const Subscribe& message)
   {
     const auto snapshot = consensus->snapshot();
     if (!snapshot) {
@@ -411,6 +420,13 @@
     const bool continues = message.snapshot_index == snapshot->last.index;
     const std::size_t start =
       continues ? std::min<std::size_t>(message.snapshot_offset, whole.size()) : 0;
+    SentPiece& last = sent_pieces[to];
+    const TimePoint now = ports.now();
+    if (last.index == snapshot->last.index && last.offset == start &&
+        now - last.sent < options.snapshot_resend) {
+      return;
+    }
+    last = { .index = snapshot->last.index, .offset = start, .sent = now };
     const std::size_t end = std::min(whole.size(), start + options.message_bytes);
     ports.send(
       to,
@@ -534,6 +550,9 @@
     ask_to_join(now);
     const auto expired = [&](const auto& entry) { return entry.second.expires < now; };
     std::erase_if(subscriptions, expired);
+    std::erase_if(sent_pieces, [&](const auto& entry) {
+      return now - entry.second.sent >= options.snapshot_resend;
+    });
     std::erase_if(confirmations,
                   [&](const auto& entry) { return entry.second.front().expires < now; });
   }
--- a/src/libcontrol/replica_test.cpp
+++ b/src/libcontrol/replica_test.cpp
@@ -71,7 +71,7 @@
       options.members.emplace_back(address(i), address(i));
     }
     options.snapshot_bytes = 600;
-    options.message_bytes = 200;
+    options.message_bytes = 100;
     options.consensus.trailing_entries = 2;
     options.consensus.voters = m_voters;
     options.consensus.lost_after = m_lost_after;
@@ -246,6 +246,30 @@
   EXPECT_GT(pieces, 2U);
 }
 
+// Guards against a slow link that fills with copies of a snapshot which is still on its way, and
+// against a lost piece that never comes.
+TEST_F(ReplicaTest, SnapshotIsNotRepeatedWhileItMayBeOnItsWay)
+{
+  for (unsigned i = 0; i < 40; ++i) {
+    ASSERT_TRUE(join("entry-" + std::to_string(i)));
+  }
+  const std::chrono::milliseconds resend = ReplicaOptions{}.snapshot_resend;
+  std::map<std::string, std::vector<TimePoint>> first_pieces;
+  m_drop = [&](const std::string&, const ClusterMessage& message) {
+    const auto* piece = std::get_if<SnapshotTransfer>(&message);
+    if (piece != nullptr && piece->offset == 0) {
+      first_pieces[std::to_string(piece->index)].push_back(m_now);
+    }
+    return piece != nullptr && first_pieces.begin()->second.size() < 2;
+  };
+  start_client();
+  ASSERT_TRUE(run_until([&] { return m_client->ready(); }));
+  EXPECT_EQ(m_client->state().hosts().size(), 40U);
+  const std::vector<TimePoint>& sent = first_pieces.begin()->second;
+  ASSERT_EQ(sent.size(), 2U);
+  EXPECT_GE(sent[1] - sent[0], resend);
+}
+
 // Guards against a wiped host that founds a second group, and one that is not taken in again.
 TEST_F(ReplicaTest, WipedFirstHostRejoinsAsNewMember)
 {
--- a/src/libstate/document_codec.cpp
+++ b/src/libstate/document_codec.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 Bytes
-pack_document(const std::string& document)
+pack_document(std::string_view document)
 {
   uLongf size = compressBound(document.size());
   Bytes packed(kSizeBytes + size);
--- a/src/libstate/document_codec.h
+++ b/src/libstate/document_codec.h
@@ -3,12 +3,13 @@
 #include "lovagehold/types.h"
 
 #include <string>
+#include <string_view>
 
 namespace lovagehold {
 
-/// Compresses a configuration document for the log, snapshots and messages: each change goes to
-/// every host, and routes resemble each other.
-Bytes pack_document(const std::string& document);
+/// Compresses a configuration document or a state for the log, snapshots and messages: each goes to
+/// every host, and routes and servers resemble each other.
+Bytes pack_document(std::string_view document);
 
 /// \return the document. Throws std::invalid_argument if the bytes are not a packed document.
 std::string unpack_document(const Bytes& packed);
--- a/src/libstate/replicated_state.cpp
+++ b/src/libstate/replicated_state.cpp
@@ -1,5 +1,6 @@
 #include "lovagehold/replicated_state.h"
 
+#include "document_codec.h"
 #include "json_fields.h"
 
 namespace lovagehold {
@@ -106,7 +107,9 @@
     }
     sessions.push_back({ client, session.lowest, session.last_index, std::move(results) });
   }
-  return json::to_cbor(json::array({ json::binary(m_machine.snapshot()), std::move(sessions) }));
+  const Bytes plain =
+    json::to_cbor(json::array({ json::binary(m_machine.snapshot()), std::move(sessions) }));
+  return pack_document({ reinterpret_cast<const char*>(plain.data()), plain.size() });
 }
 
 Result<void>
@@ -115,7 +118,7 @@
   std::map<std::uint64_t, Session> sessions;
   std::map<std::uint64_t, std::uint64_t> by_use;
   try {
-    const json whole = json::from_cbor(snapshot);
+    const json whole = json::from_cbor(unpack_document(snapshot));
     for (const json& fields : whole.at(1)) {
       Session session{ .lowest = fields.at(1), .last_index = fields.at(2) };
       for (const json& result : fields.at(3)) {
