End attempts to connect to a silent host after 0.3 s

Change: the connect timeout of the websocket client is 0.3 s; ClusterTransport counts failed connections. ClusterTransport.AttemptsToReachASilentPeerEndSoon failed first (4 attempts in 20 s).

--- a/src/include/lovagehold/cluster_transport.h
+++ b/src/include/lovagehold/cluster_transport.h
@@ -16,7 +16,6 @@
   std::size_t message_bytes = std::size_t{ 64 } << 20;
   /// Bytes that wait for a connection to one peer at most; further messages are dropped.
   std::size_t backlog_bytes = std::size_t{ 8 } << 20;
-  std::chrono::milliseconds connect_timeout{ 300 };
   /// A connection whose data is not acknowledged for this time is closed.
   std::chrono::milliseconds unacknowledged_timeout{ 1000 };
 };
@@ -47,6 +46,9 @@
   std::uint64_t bytes_sent() const;
   std::uint64_t bytes_received() const;
 
+  /// Connections that could not be opened, for the metrics. One attempt ends after 0.3 s.
+  std::uint64_t failed_connections() const;
+
 private:
   struct Impl;
   std::unique_ptr<Impl> m_impl;
--- a/src/libadapters/cluster_transport.cpp
+++ b/src/libadapters/cluster_transport.cpp
@@ -17,8 +17,19 @@
 
 namespace {
 
+// A host without power does not answer, and the kernel asks again only after seconds: a host that
+// comes back would wait for the library's 5 s.
+struct ClientConfig : websocketpp::config::asio_client
+{
+  struct transport_config : websocketpp::config::asio_client::transport_config
+  {
+    static const long timeout_connect = 300;
+  };
+  using transport_type = websocketpp::transport::asio::endpoint<transport_config>;
+};
+
 using Server = websocketpp::server<websocketpp::config::asio>;
-using Client = websocketpp::client<websocketpp::config::asio_client>;
+using Client = websocketpp::client<ClientConfig>;
 using websocketpp::connection_hdl;
 
 constexpr char kAddressHeader[] = "Lovagehold-Address";
@@ -59,6 +70,7 @@
   std::thread thread;
   std::atomic<std::uint64_t> sent{ 0 };
   std::atomic<std::uint64_t> received{ 0 };
+  std::atomic<std::uint64_t> failed{ 0 };
   std::atomic<bool> stopping{ false };
 
   template<class Endpoint>
@@ -115,7 +127,7 @@
       return;
     }
     connection->append_header(kAddressHeader, options.listen_address);
-    connection->set_open_handshake_timeout(static_cast<long>(options.connect_timeout.count()));
+    connection->set_open_handshake_timeout(ClientConfig::transport_config::timeout_connect);
     connection->set_open_handler([this, address, connection](const connection_hdl&) {
       configure_socket(connection->get_raw_socket(), options.unacknowledged_timeout);
       Peer& opened = peers[address];
@@ -126,6 +138,7 @@
     });
     const auto on_end = [this, address](const connection_hdl&) {
       Peer& ended = peers[address];
+      failed += ended.connecting ? 1 : 0;
       ended.connecting = false;
       ended.outbound.reset();
       drop_backlog(ended);
@@ -263,4 +276,10 @@
   return m_impl->received;
 }
 
+std::uint64_t
+ClusterTransport::failed_connections() const
+{
+  return m_impl->failed;
+}
+
 } // namespace lovagehold
--- a/src/libadapters/cluster_transport_test.cpp
+++ b/src/libadapters/cluster_transport_test.cpp
@@ -1,9 +1,12 @@
 #include "lovagehold/cluster_transport.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <condition_variable>
 #include <cstdlib>
 #include <gtest/gtest.h>
 #include <mutex>
+#include <thread>
 
 namespace lovagehold {
 namespace {
@@ -76,6 +79,38 @@
   }
 }
 
+// Guards against a peer that stays out of reach for seconds after it came back, because an attempt
+// to connect from the time before is still waiting.
+TEST(ClusterTransport, AttemptsToReachASilentPeerEndSoon)
+{
+  using boost::asio::ip::tcp;
+  boost::asio::io_context context;
+  const tcp::endpoint silent(boost::asio::ip::make_address(test_network() + ".0.1"), 39504);
+  // A listener whose queue is full drops further connections without an answer.
+  tcp::acceptor acceptor(context);
+  acceptor.open(silent.protocol());
+  acceptor.set_option(tcp::acceptor::reuse_address(true));
+  acceptor.bind(silent);
+  acceptor.listen(0);
+  std::vector<tcp::socket> waiting;
+  for (int i = 0; i < 4; ++i) {
+    waiting.emplace_back(context).async_connect(silent, [](auto) {});
+  }
+  ClusterTransport transport({ test_network() + ".0.1:39503" },
+                             [](const std::string&, const Bytes&) {});
+  std::string error;
+  ASSERT_TRUE(transport.start(error)) << error;
+  constexpr std::uint64_t kAttempts = 8;
+  const TimePoint limit = Clock::now() + kGenerousLimit;
+  for (std::uint64_t failed = 0; failed < kAttempts && Clock::now() < limit; ++failed) {
+    transport.send(test_network() + ".0.1:39504", Bytes{ 1 });
+    while (transport.failed_connections() <= failed && Clock::now() < limit) {
+      std::this_thread::yield();
+    }
+  }
+  EXPECT_EQ(transport.failed_connections(), kAttempts);
+}
+
 // Guards against a process that starts without its listener.
 TEST(ClusterTransport, SaysWhyItCannotListen)
 {
