Read the settings again, ask the seeds when all known control hosts are silent

Cause: SIGHUP was only logged, a change of the file without a signal was not noticed, and a host that had learned the group's members asked only those, also when all of them had been replaced while it was cut off. Change: the settings are read at SIGHUP and every 5 s; seeds, grace period and the time for which directory answers are kept take effect at once. Entry hosts ask the seeds after all known control hosts; control hosts ask them for membership.

--- a/src/include/lovagehold/control_client.h
+++ b/src/include/lovagehold/control_client.h
@@ -11,7 +11,8 @@
 
 struct ControlClientOptions
 {
-  /// Cluster addresses of the control hosts.
+  /// Cluster addresses of the control hosts at the start; also asked when all hosts learned since
+  /// are silent.
   std::vector<std::string> control_addresses;
   /// A proposal that has no answer by then fails with Timeout: its effect is not known.
   std::chrono::milliseconds proposal_timeout{ 3000 };
@@ -59,6 +60,9 @@
   /// Subscribes again and times proposals out; to be called every 100 ms or so.
   void tick(TimePoint now);
 
+  /// Replaces the addresses that are asked when all known control hosts are silent.
+  void set_seeds(std::vector<std::string> addresses);
+
   /// Tells control at once what presence() returns.
   void announce(TimePoint now);
 
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -87,6 +87,9 @@
   /// To be called every 50 ms or so.
   void tick();
 
+  /// Further cluster addresses at which to ask for membership.
+  void set_seeds(std::vector<std::string> addresses);
+
   /// Whether this host leads the group.
   bool leads() const;
 
--- a/src/include/lovagehold/retry_budget.h
+++ b/src/include/lovagehold/retry_budget.h
@@ -15,6 +15,8 @@
   double slack = 10;
   /// Share of the budget that is used; the rest covers what other hosts count in between.
   double margin = 0.8;
+
+  bool operator==(const RetryBudgetOptions&) const = default;
 };
 
 /// This host's part of a service's retry budget: attempts beyond the first in a sliding window.
--- a/src/include/lovagehold/site.h
+++ b/src/include/lovagehold/site.h
@@ -37,6 +37,8 @@
   std::chrono::milliseconds shutdown_grace{ 6000 };
   /// Longest time for which callers may keep an answer of the directory.
   std::chrono::milliseconds max_directory_keep{ 5000 };
+
+  bool operator==(const SiteSettings&) const = default;
 };
 
 /// How the deployment speaks: decodes its calls and messages into the project's types.
@@ -49,8 +51,15 @@
   GatewayHeaders headers;
 };
 
-/// Runs the process until it is told to stop.
+/// Reads the settings as they are now.
+using ReadSettings = std::function<Result<SiteSettings>()>;
+
+/// Runs the process until it is told to stop. Reads the settings again at SIGHUP and every 5 s, as
+/// they may change without a signal: seeds, the grace period and the time for which directory
+/// answers are kept take effect at once, the rest at the next start.
 /// \return an error if it can't start
-Result<void> run_site(const SiteSettings& settings, const SiteProtocol& protocol);
+Result<void> run_site(const SiteSettings& settings,
+                      const SiteProtocol& protocol,
+                      const ReadSettings& read_settings);
 
 } // namespace lovagehold
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -45,6 +45,7 @@
   /// Where proposals go: the leader as far as known.
   std::string proposal_target;
   std::size_t next_target = 0;
+  std::vector<std::string> seeds;
   /// Position of the control host that entries come from.
   std::size_t source = 0;
   TimePoint source_heard;
@@ -108,6 +109,21 @@
     }
   }
 
+  // All known hosts may have been replaced while this one was cut off.
+  void turn_to_next_source()
+  {
+    std::vector<std::string>& known = options.control_addresses;
+    if (++source < known.size()) {
+      return;
+    }
+    for (const std::string& seed : seeds) {
+      if (std::find(known.begin(), known.end(), seed) == known.end()) {
+        known.push_back(seed);
+      }
+    }
+    source = source < known.size() ? source : 0;
+  }
+
   void send_proposal(std::uint64_t id, Pending& proposal, TimePoint now)
   {
     proposal.resend_at = now + options.resend_interval;
@@ -229,6 +245,7 @@
   : m_impl(std::make_unique<Impl>())
 {
   m_impl->options = std::move(options);
+  m_impl->seeds = m_impl->options.control_addresses;
   m_impl->send = std::move(send);
   m_impl->applied = std::move(applied);
   if (m_impl->options.client == 0) {
@@ -268,7 +285,7 @@
   const bool first = !impl.ready && impl.options.first_timeout.count() > 0;
   const Duration limit = first ? impl.options.first_timeout : impl.options.subscription_timeout;
   if (impl.last_subscribe && now - impl.source_heard >= limit) {
-    impl.source = (impl.source + 1) % impl.options.control_addresses.size();
+    impl.turn_to_next_source();
     impl.stay_until = now + kStayAfterLoss;
     impl.source_heard = now;
     impl.incoming = {};
@@ -284,6 +301,12 @@
   impl.expire(now);
 }
 
+void
+ControlClient::set_seeds(std::vector<std::string> addresses)
+{
+  m_impl->seeds = std::move(addresses);
+}
+
 void
 ControlClient::announce(TimePoint now)
 {
--- /dev/null
+++ b/src/libcontrol/control_client_test.cpp
@@ -0,0 +1,56 @@
+#include "lovagehold/control_client.h"
+
+#include <gtest/gtest.h>
+
+namespace lovagehold {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+class ControlClientTest : public ::testing::Test
+{
+protected:
+  ControlClientTest()
+    : m_client(
+        { .control_addresses = { "seed" } },
+        [this](const std::string& to, const ClusterMessage&) { m_asked.insert(to); },
+        [](const StateMachine&) {})
+  {
+    m_client.tick(kStart);
+    // The group tells its members, none of which is a seed any more.
+    Entries entries{ .first_index = 1, .confirmed = true };
+    entries.control = { { .address = "member" } };
+    m_client.receive("seed", entries, kStart);
+    m_asked.clear();
+  }
+
+  void run_silent()
+  {
+    for (TimePoint now = kStart; now < kStart + std::chrono::seconds(5); now += milliseconds(50)) {
+      m_client.tick(now);
+    }
+  }
+
+  std::set<std::string> m_asked;
+  ControlClient m_client;
+};
+
+// Guards against a host that asks only members which were all replaced while it was cut off.
+TEST_F(ControlClientTest, SeedsAreAskedWhenAllMembersAreSilent)
+{
+  run_silent();
+  EXPECT_EQ(m_asked, (std::set<std::string>{ "member", "seed" }));
+}
+
+// Guards against settings whose new seeds are not used.
+TEST_F(ControlClientTest, ChangedSeedsAreAsked)
+{
+  m_client.set_seeds({ "new seed" });
+  run_silent();
+  EXPECT_EQ(m_asked, (std::set<std::string>{ "member", "new seed" }));
+}
+
+} // namespace
+} // namespace lovagehold
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -73,6 +73,7 @@
   std::uint64_t nonce = random();
   std::uint64_t heard_nonce = 0;
   std::map<HostId, Member> empty_members;
+  std::vector<std::string> seeds;
   std::map<MemberId, std::string> addresses;
   std::map<ProposalId, std::string> waiting;
   std::vector<Payload> queue;
@@ -359,6 +360,7 @@
     for (const auto& [host, address] : options.members) {
       targets.insert(address);
     }
+    targets.insert(seeds.begin(), seeds.end());
     // The hosts of the settings may have been replaced since.
     for (const Member& member : consensus->membership()) {
       targets.insert(member.address);
@@ -600,6 +602,12 @@
   m_impl->tick();
 }
 
+void
+Replica::set_seeds(std::vector<std::string> addresses)
+{
+  m_impl->seeds = std::move(addresses);
+}
+
 bool
 Replica::leads() const
 {
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -153,6 +153,14 @@
   m_link.stop();
 }
 
+void
+ControlHost::reload(const SiteSettings& settings)
+{
+  m_settings.seeds = settings.seeds;
+  m_settings.max_directory_keep = settings.max_directory_keep;
+  m_replica->set_seeds(settings.seeds);
+}
+
 std::string
 ControlHost::render_metrics() const
 {
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -28,6 +28,9 @@
   /// Closes the connections to other hosts.
   void stop();
 
+  /// Takes up what may change while the process runs.
+  void reload(const SiteSettings& settings);
+
   /// \return the metrics page
   std::string render_metrics() const;
 
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -125,6 +125,15 @@
   m_link.stop();
 }
 
+void
+EntryHost::reload(const SiteSettings& settings)
+{
+  m_settings.seeds = settings.seeds;
+  m_settings.shutdown_grace = settings.shutdown_grace;
+  m_settings.max_directory_keep = settings.max_directory_keep;
+  m_client->set_seeds(nearest_first(m_settings.seeds, m_settings.cluster_address));
+}
+
 bool
 EntryHost::is_ready() const
 {
--- a/src/libsite/site.cpp
+++ b/src/libsite/site.cpp
@@ -2,6 +2,7 @@
 
 #include "control_host.h"
 #include "entry_host.h"
+#include "settings_watch.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -17,7 +18,9 @@
 } // namespace
 
 Result<void>
-run_site(const SiteSettings& settings, const SiteProtocol& protocol)
+run_site(const SiteSettings& settings,
+         const SiteProtocol& protocol,
+         const ReadSettings& read_settings)
 {
   boost::asio::io_context context(1);
   EventLog log({ .host = settings.host,
@@ -63,16 +66,15 @@
       context.stop();
     }
   });
-  boost::asio::signal_set reloads(context, SIGHUP);
-  std::function<void()> await_reload = [&] {
-    reloads.async_wait([&](auto error, int) {
-      if (!error) {
-        log.info("reload_requested");
-        await_reload();
+  const SettingsWatch watch(
+    context, log, settings, read_settings, [&](const SiteSettings& changed) {
+      if (control) {
+        control->reload(changed);
+      }
+      if (entry) {
+        entry->reload(changed);
       }
     });
-  };
-  await_reload();
   context.run();
   if (entry) {
     entry->stop();
--- a/src/lovagehold/main.cpp
+++ b/src/lovagehold/main.cpp
@@ -72,6 +72,18 @@
   return ExitDone;
 }
 
+Result<SiteSettings>
+read_site_settings(const char* path, unsigned metrics_port)
+{
+  BOOST_OUTCOME_TRY(content, read_text_file(path));
+  BOOST_OUTCOME_TRY(settings, platform::parse_node_settings(content));
+  if (metrics_port != 0) {
+    const std::string& own = settings.cluster_address;
+    settings.metrics_address = own.substr(0, own.rfind(':') + 1) + std::to_string(metrics_port);
+  }
+  return settings;
+}
+
 int
 run_on_platform(unsigned metrics_port)
 {
@@ -81,24 +93,11 @@
               << " is not set; set it to the path of the settings file\n";
     return ExitWrongUse;
   }
-  const Result<std::string> content = read_text_file(path);
-  if (content.has_error()) {
-    std::cerr << "lovagehold: " << content.error().message << "; " << content.error().remedy
-              << "\n";
-    return ExitWrongUse;
-  }
-  auto settings = platform::parse_node_settings(content.value());
-  if (settings.has_error()) {
-    std::cerr << "lovagehold: " << settings.error().message << "; " << settings.error().remedy
-              << "\n";
-    return ExitRefused;
-  }
-  if (metrics_port != 0) {
-    const std::string& own = settings.value().cluster_address;
-    settings.value().metrics_address =
-      own.substr(0, own.rfind(':') + 1) + std::to_string(metrics_port);
-  }
-  const Result<void> ended = run_site(settings.value(), platform::make_protocol());
+  const ReadSettings read = [=] { return read_site_settings(path, metrics_port); };
+  const Result<SiteSettings> settings = read();
+  const Result<void> ended = settings.has_error()
+                               ? Result<void>(settings.error())
+                               : run_site(settings.value(), platform::make_protocol(), read);
   if (ended.has_error()) {
     std::cerr << "lovagehold: " << ended.error().message << "; " << ended.error().remedy << "\n";
     return ExitRefused;
