Log what decided a refusal for lack of room; a retry may wait for room too

Cause: a refusal without an attempt named neither the best server's load nor the queue; and the wait for room was counted from the request's arrival, so that a retry after a broken answer got none.

--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -329,7 +329,8 @@
       { "timeout_ms", std::to_string(route.timeout.count()) },
       { "attempts", forwarded.describe_attempts() },
       { "budget_left", budget },
-      { "reason", failed ? forwarded.refusal().reason : "" }
+      { "reason", failed ? forwarded.refusal().reason : "" },
+      { "detail", failed ? forwarded.refusal().detail : "" }
     };
     // Failures have a volume of their own, so that successes never displace them.
     if (failed) {
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -141,6 +141,7 @@
   }
   if (!room && !hedge) {
     // A request that queues at its server would be late and slow down those that run there.
+    m_crowd = describe_crowd(*server, now);
     m_retryable = false;
     m_event.cancel();
     co_return;
@@ -183,6 +184,7 @@
 awaitable<bool>
 ForwardedRequest::await_room(bool hedge)
 {
+  const TimePoint latest = latest_start(Clock::now());
   WaitingQueue& queue = m_context.queues[m_request.service];
   if (hedge || queue.is_empty()) {
     const bool room = co_await look_for_room();
@@ -191,8 +193,7 @@
     }
   }
   WaitingQueue::Place place(queue, m_context.io, m_request.route->priority, m_request.arrived);
-  while (!m_abandoned && !m_decided && Clock::now() < latest_start()) {
-    const TimePoint latest = latest_start();
+  while (!m_abandoned && !m_decided && Clock::now() < latest) {
     co_await place.wait_until(place.is_first() ? std::min(Clock::now() + kRoomPause, latest)
                                                : latest);
     if (place.is_first()) {
@@ -231,10 +232,26 @@
 // A longer wait takes the caller's time for a retry, and room that a newer request would use in
 // time.
 TimePoint
-ForwardedRequest::latest_start() const
+ForwardedRequest::latest_start(TimePoint since) const
 {
-  return std::min(m_request.arrived + m_request.route->target_latency / kWaitPart,
-                  m_deadline - kLeastTime);
+  return std::min(since + m_request.route->target_latency / kWaitPart, m_deadline - kLeastTime);
+}
+
+std::string
+ForwardedRequest::describe_crowd(const ServerInfo& best, TimePoint now) const
+{
+  const ServerSelector& selector = m_context.selector(m_request.service);
+  const LoadReport load = selector.last_report(best.id);
+  const auto age = selector.report_age(best.id, now);
+  return fmt::format("best {}:age{}:load{}/{}/{}/{} waiting {} limit {} ms",
+                     best.id,
+                     age ? std::to_string(millis(*age).count()) : "-",
+                     load.running,
+                     load.waiting,
+                     load.slots,
+                     static_cast<int>(100 * load.slowdown),
+                     m_context.queues[m_request.service].size(),
+                     millis(m_request.route->target_latency / kWaitPart).count());
 }
 
 awaitable<void>
@@ -403,6 +420,7 @@
     refuse_unrun("the time ran out before a server was reached");
   } else {
     refuse_unrun("the servers are full");
+    m_refusal.detail = m_crowd;
   }
 }
 
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -31,6 +31,8 @@
 {
   unsigned status = 503;
   std::string reason;
+  /// What decided it, for the log.
+  std::string detail;
   /// When the caller should come back; only for requests that did not run.
   std::optional<std::chrono::milliseconds> retry_after;
 };
@@ -84,7 +86,8 @@
   awaitable<void> run_attempt(bool hedge);
   awaitable<bool> await_room(bool hedge);
   awaitable<bool> look_for_room();
-  TimePoint latest_start() const;
+  TimePoint latest_start(TimePoint since) const;
+  std::string describe_crowd(const ServerInfo& best, TimePoint now) const;
   awaitable<void> probe(bool local, const std::string& path);
   std::size_t body_bytes() const;
   void judge(Attempt& attempt);
@@ -110,6 +113,8 @@
   /// A server's failure, passed on if no attempt does better.
   std::shared_ptr<ServerExchange> m_failure;
   GatewayRefusal m_refusal;
+  /// Set if no server had room.
+  std::string m_crowd;
   unsigned m_choosing = 0;
   unsigned m_sent = 0;
   bool m_may_have_run = false;
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -156,6 +156,14 @@
       "gauge",
       "Requests being served.",
       static_cast<double>(context.in_progress));
+  std::size_t waiting = 0;
+  for (const auto& [service, queue] : context.queues) {
+    waiting += queue.size();
+  }
+  add("lovagehold_requests_waiting",
+      "gauge",
+      "Requests that wait for room at a server.",
+      static_cast<double>(waiting));
   add("lovagehold_caller_connections",
       "gauge",
       "Connections of callers.",
--- a/src/lovagectl/explain.cpp
+++ b/src/lovagectl/explain.cpp
@@ -82,6 +82,10 @@
 std::string
 explain_refusal(const LogLine& line, const std::vector<Attempt>& attempts)
 {
+  if (attempts.empty() && !line.field("detail").empty()) {
+    return "refused by " + line.field("host") + " for lack of room: " + line.field("reason") +
+           " (" + line.field("detail") + "); the request did not run.";
+  }
   if (attempts.empty()) {
     return "refused by " + line.field("host") +
            " before any server was tried: " + line.field("reason") + "; the request did not run.";
--- a/src/lovagectl/explain_test.cpp
+++ b/src/lovagectl/explain_test.cpp
@@ -22,6 +22,10 @@
   "route=r-2 service=ledger routing=5 status=502 ms=329 timeout_ms=1500 "
   "attempts=i-c07b:broken:327ms:cost100:age0:load0/0/3/100 budget_left=9.5 "
   "reason=\"the server's response was lost or broken\"",
+  "time=2026-09-03T01:15:20.950Z level=warning host=entry-3 event=request_failed id=5d01 "
+  "route=r-1 service=desk routing=5 status=503 ms=75 timeout_ms=1200 attempts=- budget_left=9.6 "
+  "reason=\"the servers are full\" detail=\"best i-e106:age12:load2/0/3/100 waiting 4 limit 75 "
+  "ms\"",
   "time=2026-09-03T01:15:21.050Z level=info host=entry-5 event=request id=9ab778c7 route=r-3 "
   "service=notes routing=5 status=200 ms=1552 timeout_ms=5000 "
   "attempts=i-8fd9:responded:1549ms:cost100:age0:load1/0/3/400 budget_left=6.8 reason=\"\"",
@@ -56,6 +60,14 @@
   EXPECT_TRUE(contains(explanation.lines[1], "server=i-e106"));
 }
 
+// Guards against a refusal without an attempt whose cause is not told.
+TEST(Explain, RefusalWithoutAnAttemptNamesWhatDecided)
+{
+  const Explanation explanation = explain("5d01");
+  EXPECT_TRUE(contains(explanation.cause, "for lack of room")) << explanation.cause;
+  EXPECT_TRUE(contains(explanation.cause, "waiting 4 limit 75 ms"));
+}
+
 // Guards against a lost answer that is told as a request that did not run.
 TEST(Explain, LostAnswerIsUnknown)
 {
