Drop a comment on the waiting queues that is no longer true

Places share the list of their queue since they may outlive it, so nothing depends on the queue's address. Ruled out: a change of behaviour; only the comment goes. gateway_test passes before and after.

--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -31,7 +31,6 @@
   std::shared_ptr<RoutingTable> routing;
   std::map<ServiceName, ServerSelector> selectors;
   std::map<ServiceName, RetryBudget> budgets;
-  /// Places refer to their queue, so queues stay.
   std::map<ServiceName, WaitingQueue> queues;
   ConnectionPool pool{ ConnectionPoolOptions{ .idle_per_address = 8, .idle_total = 512 } };
   GatewayCounters counters;
