--- a/src/include/lovagehold/site.h
+++ b/src/include/lovagehold/site.h
@@ -41,6 +41,9 @@
   bool operator==(const SiteSettings&) const = default;
 };
 
+/// Looks for settings with which the process can't do its work. \return all mistakes found
+std::vector<Error> check_settings(const SiteSettings& settings);
+
 /// How the deployment speaks: decodes its calls and messages into the project's types.
 struct SiteProtocol
 {
--- /dev/null
+++ b/src/libsite/site_settings_test.cpp
@@ -0,0 +1,45 @@
+#include "lovagehold/site.h"
+
+#include <gtest/gtest.h>
+
+namespace lovagehold {
+namespace {
+
+SiteSettings
+valid_settings()
+{
+  return { .host = "core-1",
+           .failure_domain = "a",
+           .control_address = "10.0.0.1:8080",
+           .cluster_address = "10.0.0.1:7000",
+           .seeds = { "10.0.0.1:7000", "10.0.0.2:7000" },
+           .data_folder = "/data" };
+}
+
+// Guards against a check that refuses settings with which the process works.
+TEST(SiteSettingsCheck, AcceptsValidSettings)
+{
+  EXPECT_TRUE(check_settings(valid_settings()).empty());
+}
+
+// Guards against settings that only fail once requests arrive, and against a first mistake that
+// hides the others.
+TEST(SiteSettingsCheck, FindsEveryMistake)
+{
+  SiteSettings settings = valid_settings();
+  settings.data_folder.clear();
+  settings.control_address = "core-1:8080";
+  settings.seeds = { "10.0.0.1" };
+  const std::vector<Error> mistakes = check_settings(settings);
+  ASSERT_EQ(mistakes.size(), 3U);
+  EXPECT_NE(mistakes[0].message.find("no data folder"), std::string::npos);
+  EXPECT_NE(mistakes[1].message.find("core-1:8080"), std::string::npos);
+  EXPECT_NE(mistakes[2].message.find("10.0.0.1"), std::string::npos);
+  settings = valid_settings();
+  settings.control_address.clear();
+  settings.seeds.clear();
+  EXPECT_EQ(check_settings(settings).size(), 2U);
+}
+
+} // namespace
+} // namespace lovagehold
--- a/src/lovagehold/check_command.cpp
+++ b/src/lovagehold/check_command.cpp
@@ -2,6 +2,7 @@
 
 #include "lovagehold/declaration_folder.h"
 #include "lovagehold/settings.h"
+#include "platform/platform.h"
 
 #include <iostream>
 
@@ -16,6 +17,42 @@
   return ExitWrongUse;
 }
 
+int
+report_mistakes(const std::vector<Mistake>& mistakes, const std::string& checked)
+{
+  for (const Mistake& mistake : mistakes) {
+    std::cout << to_string(mistake) << "\n";
+  }
+  if (!mistakes.empty()) {
+    std::cout << mistakes.size() << (mistakes.size() == 1 ? " mistake" : " mistakes") << "\n";
+    return ExitRefused;
+  }
+  std::cout << "no mistakes: " << checked << "\n";
+  return ExitDone;
+}
+
+void
+add_mistakes(std::vector<Mistake>& mistakes,
+             const std::string& file,
+             const std::vector<Error>& errors)
+{
+  for (const Error& error : errors) {
+    mistakes.push_back({ .file = file, .message = error.message, .remedy = error.remedy });
+  }
+}
+
+std::string
+describe(const RoutingConfig& config)
+{
+  std::size_t routes = 0;
+  for (const VirtualHost& host : config.hosts) {
+    routes += host.routes.size();
+  }
+  return "routing configuration " + std::to_string(config.version) + " with " +
+         std::to_string(routes) + " routes and " + std::to_string(config.services.size()) +
+         " services";
+}
+
 } // namespace
 
 int
@@ -43,15 +80,37 @@
                " declaration files, " + std::to_string(outcome.configuration.services.size()) +
                " services";
   }
-  for (const Mistake& mistake : mistakes) {
-    std::cout << to_string(mistake) << "\n";
+  return report_mistakes(mistakes, checked);
+}
+
+int
+check_site_files(const std::string& settings, const std::string& routing)
+{
+  std::vector<Mistake> mistakes;
+  std::string checked;
+  if (!settings.empty()) {
+    const Result<std::string> content = read_text_file(settings);
+    if (content.has_error()) {
+      return report_unreadable(content.error());
+    }
+    const Result<SiteSettings> parsed = platform::parse_node_settings(content.value());
+    if (parsed.has_error()) {
+      add_mistakes(mistakes, settings, { parsed.error() });
+    } else {
+      add_mistakes(mistakes, settings, check_settings(parsed.value()));
+      checked = "settings of " + parsed.value().host;
+    }
   }
-  if (!mistakes.empty()) {
-    std::cout << mistakes.size() << (mistakes.size() == 1 ? " mistake" : " mistakes") << "\n";
-    return ExitRefused;
+  if (!routing.empty()) {
+    const Result<std::string> content = read_text_file(routing);
+    if (content.has_error()) {
+      return report_unreadable(content.error());
+    }
+    const platform::RoutingOutcome outcome = platform::read_routing_document(content.value());
+    add_mistakes(mistakes, routing, outcome.mistakes);
+    checked += (checked.empty() ? "" : ", ") + describe(outcome.config);
   }
-  std::cout << "no mistakes: " << checked << "\n";
-  return ExitDone;
+  return report_mistakes(mistakes, checked);
 }
 
 } // namespace lovagehold
--- a/src/lovagehold/check_command.h
+++ b/src/lovagehold/check_command.h
@@ -19,4 +19,9 @@
 /// \return an exit code
 int check_files(const std::string& settings, const std::string& declarations);
 
+/// The same for files of the users' platform.
+/// \param settings settings file of a process, or empty
+/// \param routing routing configuration, or empty
+int check_site_files(const std::string& settings, const std::string& routing);
+
 } // namespace lovagehold
--- a/src/lovagehold/main.cpp
+++ b/src/lovagehold/main.cpp
@@ -17,6 +17,7 @@
   lovagehold --settings FILE
   lovagehold --site [--metrics-port PORT]
   lovagehold --check [--settings FILE] [--declarations FOLDER]
+  lovagehold --check --site [--settings FILE] [--routing FILE]
 
 Run:
   -s, --settings FILE        settings of this process (YAML)
@@ -27,6 +28,8 @@
 Check (starts nothing):
   -c, --check                print every mistake in the files named and exit
   -d, --declarations FOLDER  folder of declaration files to check
+      --site                 the files are those of the users' platform
+  -r, --routing FILE         with --site: routing configuration to check
 
 Information:
   -h, --help                 print this text
@@ -130,7 +133,18 @@
     TCLAP::ValueArg<unsigned> metrics_port(
       "", "metrics-port", "port of the metrics page", false, 0, "PORT", command);
     TCLAP::SwitchArg site("", "site", "run on the users' platform", command);
+    TCLAP::ValueArg<std::string> routing(
+      "r", "routing", "routing configuration", false, "", "FILE", command);
     command.parse(argc, argv);
+    if (routing.isSet() && !(check.isSet() && site.isSet())) {
+      return report_wrong_use("--routing is used only with --check --site");
+    }
+    if (check.isSet() && site.isSet()) {
+      if (declarations.isSet() || (!settings.isSet() && !routing.isSet())) {
+        return report_wrong_use("--check --site needs --settings FILE or --routing FILE");
+      }
+      return check_site_files(settings.getValue(), routing.getValue());
+    }
     if (site.isSet()) {
       return run_on_platform(metrics_port.getValue());
     }
