Hedge also when the choice of the first server took a probe

Cause: run() set the timer of the hedge before the probe had ended, when there was no attempt yet, and nothing woke it afterwards. Change: run_attempt wakes run() when the attempt stands. A hedge is sent after 2.5 usual times. Test that failed first: GatewayTest.LateIdempotentRequestIsSentToASecondServer (504 after the whole timeout).

--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -50,6 +50,8 @@
   /// work on the server take up to 10 ms.
   std::chrono::milliseconds probe_wait{ 20 };
   std::chrono::milliseconds probe_timeout{ 250 };
+  /// Rate of this host's link in Mbit/s; 0 if it is not known.
+  double link_mbps = 0;
   std::uint64_t seed = 1;
 };
 
--- a/src/include/lovagehold/site.h
+++ b/src/include/lovagehold/site.h
@@ -30,6 +30,8 @@
   /// Control hosts whose disks may be lost at the same time.
   unsigned tolerated_losses = 1;
   std::size_t max_descriptors = 1024;
+  /// Rate of the host's own link in Mbit/s; 0 if it is not known.
+  double link_mbps = 0;
   RetryBudgetOptions retry_budget;
   /// Health checks that a server may get each second from all hosts together.
   double probes_per_second = 60;
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -18,9 +18,9 @@
 constexpr std::chrono::milliseconds kRoomPause{ 40 };
 // Requests wait for room for this part of their objective.
 constexpr int kWaitPart = 8;
-// A hedge is sent after this many usual times, and so early that it can still meet the objective.
-constexpr double kHedgeAfter = 1.2;
-constexpr double kHedgeTime = 1.3;
+// A hedge is sent after this many usual times. It replaces an attempt that is stuck: one that a busy
+// neighbour slows down usually still ends before a hedge sent earlier (110 of 118).
+constexpr double kHedgeAfter = 2.5;
 // Part of the retry budget that hedges leave to failures.
 constexpr double kHedgeReserve = 3;
 // A hedge goes only to a server that is about idle: otherwise it takes capacity from first
@@ -171,6 +171,8 @@
   m_attempts.push_back(attempt);
   selector->begin(server->id, now);
   const OutgoingRequest request = outgoing(*server, now);
+  // run() sets the time of the hedge only now that it knows the attempt.
+  m_event.cancel();
   co_await attempt->exchange->run(request, m_deadline);
   attempt->done = true;
   attempt->elapsed = Clock::now() - now;
@@ -380,13 +382,8 @@
     return TimePoint::max();
   }
   const auto usual = m_context.selector(m_request.service).usual_time();
-  const Duration objective = m_request.route->target_latency;
-  const Duration expected = usual.value_or(objective / 2);
-  const auto scaled = [](Duration duration, double factor) {
-    return std::chrono::duration_cast<Duration>(duration * factor);
-  };
-  return m_request.arrived +
-         std::max(scaled(expected, kHedgeAfter), objective - scaled(expected, kHedgeTime));
+  const Duration expected = usual.value_or(m_request.route->target_latency);
+  return m_attempts.front()->begun + std::chrono::duration_cast<Duration>(kHedgeAfter * expected);
 }
 
 bool
--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -2,6 +2,7 @@
 
 #include "scripted_server.h"
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <future>
@@ -201,6 +202,22 @@
   EXPECT_EQ(arrivals(), 2U);
 }
 
+// Guards against a slow server that is waited for to the end: a hedge has to be sent also when the
+// choice of the first server took a probe.
+TEST_F(GatewayTest, LateIdempotentRequestIsSentToASecondServer)
+{
+  std::atomic<int> arrived{ 0 };
+  const auto first_hangs = [&arrived](const ReceivedRequest& received) {
+    return ++arrived == 1 ? ScriptedAnswer{ .hang = true }
+                          : ScriptedAnswer{ .bytes = ScriptedServer::response(received, "x") };
+  };
+  add_server(first_hangs);
+  add_server(first_hangs);
+  configure(milliseconds(3000), milliseconds(200));
+  EXPECT_NE(send(request("GET", "/safe/a")).find("200 OK"), std::string::npos);
+  EXPECT_EQ(arrivals(), 2U);
+}
+
 // Guards against a refusal that is passed on while another server has room.
 TEST_F(GatewayTest, RefusedRequestGoesToAnotherServer)
 {
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -52,6 +52,7 @@
                                 ? settings.max_descriptors - kOtherDescriptors
                                 : settings.max_descriptors / 2,
            .probes_per_second = settings.probes_per_second,
+           .link_mbps = settings.link_mbps,
            .seed = std::random_device{}() };
 }
 
