Keep the first MiB of an upload that is streamed

Cause: read_all went on until a body of over 1 MiB no longer fitted into what is kept, and read() then dropped all that was kept, before a server had been chosen. The server waited for bytes that never came, and the caller got 504. Ruled out: a limit of the caller's connection; the same body with 1 MB passes. Change: read_all stops one piece before the limit, so that kept() still holds everything read. Test that failed first: GatewayTest.LongBodiesArriveWhole with 1.3 MB (before: no response for 2.5 s).

--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -433,5 +433,23 @@
   EXPECT_EQ(arrivals(), 1U);
 }
 
+// Guards against bytes that are lost or doubled. The larger body is streamed, as it does not fit into
+// the memory for one request.
+TEST_F(GatewayTest, LongBodiesArriveWhole)
+{
+  add_server([](const ReceivedRequest& received) {
+    return ScriptedAnswer{ .bytes = ScriptedServer::response(received, "stored") };
+  });
+  configure(milliseconds(20000), milliseconds(20000));
+  for (const std::size_t size : { std::size_t{ 60000 }, std::size_t{ 1300000 } }) {
+    std::string body(size, '\0');
+    for (std::size_t i = 0; i < size; ++i) {
+      body[i] = static_cast<char>('a' + i % 23);
+    }
+    EXPECT_NE(send(request("POST", "/once/a", body)).find("stored"), std::string::npos);
+    EXPECT_TRUE(m_servers.front()->requests().back().body == body) << size;
+  }
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libproxy/upload_source.cpp
+++ b/src/libproxy/upload_source.cpp
@@ -78,10 +78,11 @@
 awaitable<bool>
 UploadSource::read_all()
 {
-  while (!done() && !m_error && replayable()) {
+  // One more piece might not fit, and then what was read before it would be dropped.
+  while (!done() && !m_error && m_received + kChunkBytes <= kBufferedBodyBytes) {
     co_await read();
   }
-  co_return done() && replayable() && !m_error;
+  co_return done() && !m_error;
 }
 
 bool
--- a/src/libproxy/upload_source.h
+++ b/src/libproxy/upload_source.h
@@ -27,8 +27,8 @@
   /// the end; it is valid until the next call.
   awaitable<std::string_view> read();
 
-  /// Reads up to the end. \return false on errors and if the body is larger than
-  /// kBufferedBodyBytes.
+  /// Reads up to the end. \return false on errors and if the body does not fit into
+  /// kBufferedBodyBytes; what was read is in kept() then.
   awaitable<bool> read_all();
 
   /// Ends a read in progress; no byte is lost.
