Spread long bodies over a slow link

Cause: on the grown sites an entry host's link carries 2.2 Mbit/s. An upload of 60 KB fills its queue for 0.2 s in each direction, and what passes beside it waits: of the slot reads that overlapped an upload on their host 20% took over 400 ms, of the others 3.6%, and 3% of all choices got no answer to their probes in time. Ruled out: smaller socket buffers (650 late reads instead of 695: no difference); spreading only what is sent to servers (650). What callers send is the larger part, and it follows the rate at which the host reads. Change: LinkPacer, one for each direction, spreads bodies over time at 0.8 of the link's rate in pieces of 4 KB. It does nothing on links of 32 Mbit/s and more. Tests: LinkPacer unit tests; SlowLinkTest.LongBodiesArriveWhole with 60 KB and 1.3 MB at 30 Mbit/s.

--- /dev/null
+++ b/src/libdecision/link_pacer_test.cpp
@@ -0,0 +1,45 @@
+#include "lovagehold/link_pacer.h"
+
+#include <gtest/gtest.h>
+
+namespace lovagehold {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Guards against a long body that fills the queue of a slow link at once.
+TEST(LinkPacer, SpreadsPiecesOverTime)
+{
+  LinkPacer pacer({ .link_mbps = 0.8, .share = 0.8 });
+  const TimePoint now{ milliseconds(1000) };
+  ASSERT_TRUE(pacer.active());
+  EXPECT_EQ(pacer.reserve(8000, now), now);
+  EXPECT_EQ(pacer.reserve(4000, now), now + milliseconds(100));
+  EXPECT_EQ(pacer.reserve(4000, now), now + milliseconds(150));
+}
+
+// Guards against a rate that is saved up while the link is idle and then spent at once.
+TEST(LinkPacer, IdleTimeIsNotSavedUp)
+{
+  LinkPacer pacer({ .link_mbps = 0.8, .share = 0.8 });
+  const TimePoint now{ milliseconds(1000) };
+  pacer.reserve(8000, now);
+  const TimePoint later = now + milliseconds(5000);
+  EXPECT_EQ(pacer.reserve(8000, later), later);
+  EXPECT_EQ(pacer.reserve(8000, later), later + milliseconds(100));
+}
+
+// Guards against waits on links that are fast or of unknown rate.
+TEST(LinkPacer, LeavesFastLinksAlone)
+{
+  for (const double rate : { 0.0, 700.0 }) {
+    LinkPacer pacer({ .link_mbps = rate });
+    const TimePoint now{ milliseconds(1000) };
+    EXPECT_FALSE(pacer.active());
+    pacer.reserve(std::size_t{ 1 } << 20, now);
+    EXPECT_EQ(pacer.reserve(1, now), now);
+  }
+}
+
+} // namespace
+} // namespace lovagehold
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -139,7 +139,8 @@
                         m_buffer,
                         parser,
                         caller_limits,
-                        header.count(http::field::expect) > 0);
+                        header.count(http::field::expect) > 0,
+                        &m_context->received_bodies);
     const bool whole = co_await upload.read_all();
     if (upload.failed()) {
       m_open = false;
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -18,8 +18,8 @@
 constexpr std::chrono::milliseconds kRoomPause{ 40 };
 // Requests wait for room for this part of their objective.
 constexpr int kWaitPart = 8;
-// A hedge is sent after this many usual times. It replaces an attempt that is stuck: one that a busy
-// neighbour slows down usually still ends before a hedge sent earlier (110 of 118).
+// A hedge is sent after this many usual times. It replaces an attempt that is stuck: one that a
+// busy neighbour slows down usually still ends before a hedge sent earlier (110 of 118).
 constexpr double kHedgeAfter = 2.5;
 // Part of the retry budget that hedges leave to failures.
 constexpr double kHedgeReserve = 3;
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -2,6 +2,7 @@
 
 #include "libproxy/connection_pool.h"
 #include "lovagehold/gateway.h"
+#include "lovagehold/link_pacer.h"
 #include "lovagehold/metrics.h"
 #include "lovagehold/routing_table.h"
 #include "waiting_queue.h"
@@ -20,6 +21,8 @@
     , options(std::move(given))
     , log(given_log)
     , random(options.seed)
+    , received_bodies({ .link_mbps = options.link_mbps })
+    , sent_bodies({ .link_mbps = options.link_mbps })
   {
   }
 
@@ -27,6 +30,9 @@
   GatewayOptions options;
   EventLog& log;
   std::mt19937_64 random;
+  /// Bodies of requests on their way from callers and to servers.
+  LinkPacer received_bodies;
+  LinkPacer sent_bodies;
   /// Null before the first configuration.
   std::shared_ptr<RoutingTable> routing;
   std::map<ServiceName, ServerSelector> selectors;
--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -25,9 +25,9 @@
 protected:
   static constexpr unsigned short kPort = 17410;
 
-  GatewayTest()
+  explicit GatewayTest(double link_mbps = 0)
     : m_log({ .host = "gateway-test", .level = "error" })
-    , m_gateway(m_context, make_options(), m_log)
+    , m_gateway(m_context, make_options(link_mbps), m_log)
   {
     EXPECT_TRUE(m_gateway.start().has_value());
     m_thread = std::thread([this] {
@@ -42,9 +42,9 @@
     m_thread.join();
   }
 
-  static GatewayOptions make_options()
+  static GatewayOptions make_options(double link_mbps)
   {
-    GatewayOptions options{ .host = "h", .failure_domain = "a" };
+    GatewayOptions options{ .host = "h", .failure_domain = "a", .link_mbps = link_mbps };
     options.listen_address = text(test_endpoint(".8.1", kPort));
     options.headers = { .request_id = "Lovagehold-Request-Id",
                         .deadline = "Lovagehold-Deadline-Ms",
@@ -433,9 +433,19 @@
   EXPECT_EQ(arrivals(), 1U);
 }
 
-// Guards against bytes that are lost or doubled. The larger body is streamed, as it does not fit into
-// the memory for one request.
-TEST_F(GatewayTest, LongBodiesArriveWhole)
+// A link on which long bodies are read and sent in pieces.
+class SlowLinkTest : public GatewayTest
+{
+protected:
+  SlowLinkTest()
+    : GatewayTest(30)
+  {
+  }
+};
+
+// Guards against bytes that are lost, doubled or reordered when a body is spread over time. The
+// larger body is streamed, as it does not fit into the memory for one request.
+TEST_F(SlowLinkTest, LongBodiesArriveWhole)
 {
   add_server([](const ReceivedRequest& received) {
     return ScriptedAnswer{ .bytes = ScriptedServer::response(received, "stored") };
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -148,12 +148,26 @@
   }
 }
 
+// Long bodies leave room on a slow link for the messages of other requests.
+awaitable<void>
+ServerExchange::await_link(std::size_t bytes)
+{
+  const TimePoint now = Clock::now();
+  const TimePoint free = m_context.sent_bodies.reserve(bytes, now);
+  if (free > now) {
+    asio::steady_timer wait(m_context.io, free);
+    boost::system::error_code ignored;
+    co_await wait.async_wait(capture(ignored));
+  }
+}
+
 awaitable<void>
 ServerExchange::send_body(const OutgoingRequest& request)
 {
   const auto connection = m_connection;
   boost::system::error_code error;
   const auto write = [&](std::string_view piece) -> awaitable<void> {
+    co_await await_link(piece.size());
     if (request.chunked) {
       const auto data = http::make_chunk(asio::const_buffer(piece.data(), piece.size()));
       co_await asio::async_write(connection->socket, data, capture(error));
@@ -162,13 +176,20 @@
         connection->socket, asio::buffer(piece.data(), piece.size()), capture(error));
     }
   };
+  const auto write_all = [&](std::string_view bytes) -> awaitable<void> {
+    const std::size_t most = m_context.sent_bodies.active() ? LinkPacer::kPieceBytes : bytes.size();
+    while (!error && !bytes.empty()) {
+      co_await write(bytes.substr(0, most));
+      bytes.remove_prefix(std::min(most, bytes.size()));
+    }
+  };
   if (request.upload == nullptr) {
-    co_await write(*request.body);
+    co_await write_all(*request.body);
     m_sent_whole = !error;
     co_return;
   }
   if (!request.upload->kept().empty()) {
-    co_await write(request.upload->kept());
+    co_await write_all(request.upload->kept());
   }
   while (!error && !request.upload->done() && connection->socket.is_open()) {
     const std::string_view piece = co_await request.upload->read();
@@ -177,7 +198,7 @@
       co_return;
     }
     if (!piece.empty()) {
-      co_await write(piece);
+      co_await write_all(piece);
     }
   }
   if (!error && request.chunked) {
--- a/src/libproxy/upload_source.cpp
+++ b/src/libproxy/upload_source.cpp
@@ -1,6 +1,9 @@
 #include "upload_source.h"
 
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <limits>
 
 namespace lovagehold {
 
@@ -9,14 +12,25 @@
                            beast::flat_buffer& buffer,
                            RequestParser& parser,
                            const CallerLimits& limits,
-                           bool expects_continue)
+                           bool expects_continue,
+                           LinkPacer* pacer)
   : m_caller(caller)
   , m_read_limit(limit)
   , m_buffer(buffer)
   , m_parser(parser)
   , m_limits(limits)
   , m_expects_continue(expects_continue)
+  , m_pacer(pacer != nullptr && pacer->active() ? pacer : nullptr)
 {
+  if (m_pacer != nullptr) {
+    // Otherwise one read takes all that has arrived.
+    m_buffer.max_size(std::max(m_buffer.size(), LinkPacer::kPieceBytes));
+  }
+}
+
+UploadSource::~UploadSource()
+{
+  m_buffer.max_size(std::numeric_limits<std::size_t>::max());
 }
 
 awaitable<void>
@@ -41,6 +55,24 @@
   return std::min(Clock::now() + m_limits.body_idle, *m_started + m_limits.body_idle + earned);
 }
 
+std::size_t
+UploadSource::piece_bytes() const
+{
+  return m_pacer != nullptr ? LinkPacer::kPieceBytes : kChunkBytes;
+}
+
+awaitable<void>
+UploadSource::await_link()
+{
+  const TimePoint now = Clock::now();
+  const TimePoint free = m_pacer->reserve(0, now);
+  if (free > now) {
+    asio::steady_timer wait(m_caller.get_executor(), free);
+    boost::system::error_code ignored;
+    co_await wait.async_wait(capture(ignored));
+  }
+}
+
 awaitable<std::string_view>
 UploadSource::read()
 {
@@ -53,8 +85,11 @@
   if (!m_started) {
     m_started = Clock::now();
   }
-  m_chunk.resize(kChunkBytes);
+  m_chunk.resize(piece_bytes());
   std::size_t size = 0;
+  if (m_pacer != nullptr) {
+    co_await await_link();
+  }
   while (!m_error && size == 0 && !m_parser.is_done()) {
     m_parser.get().body().data = m_chunk.data();
     m_parser.get().body().size = m_chunk.size();
@@ -66,6 +101,9 @@
     }
     size = m_chunk.size() - m_parser.get().body().size;
   }
+  if (m_pacer != nullptr) {
+    m_pacer->reserve(size, Clock::now());
+  }
   m_received += size;
   if (m_received <= kBufferedBodyBytes) {
     m_kept.append(m_chunk.data(), size);
@@ -79,7 +117,7 @@
 UploadSource::read_all()
 {
   // One more piece might not fit, and then what was read before it would be dropped.
-  while (!done() && !m_error && m_received + kChunkBytes <= kBufferedBodyBytes) {
+  while (!done() && !m_error && m_received + piece_bytes() <= kBufferedBodyBytes) {
     co_await read();
   }
   co_return done() && !m_error;
--- a/src/libproxy/upload_source.h
+++ b/src/libproxy/upload_source.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http_types.h"
+#include "lovagehold/link_pacer.h"
 #include "lovagehold/settings.h"
 #include "lovagehold/types.h"
 #include "read_limit.h"
@@ -11,8 +12,10 @@
 
 namespace lovagehold {
 
-/// The body of a caller's request as it arrives. Keeps the first kBufferedBodyBytes, so that the
-/// request can move to another server until more has been read. Belongs to one thread.
+/// The body of a caller's request as it arrives. On a slow link it is read in pieces at a limited
+/// rate: the caller then sends no faster, as the receive window is full. Keeps the first
+/// kBufferedBodyBytes, so that the request can move to another server until more has been read.
+/// Belongs to one thread.
 class UploadSource
 {
 public:
@@ -21,7 +24,12 @@
                beast::flat_buffer& buffer,
                RequestParser& parser,
                const CallerLimits& limits,
-               bool expects_continue);
+               bool expects_continue,
+               LinkPacer* pacer = nullptr);
+
+  ~UploadSource();
+  UploadSource(const UploadSource&) = delete;
+  UploadSource& operator=(const UploadSource&) = delete;
 
   /// Reads the next piece; answers Expect: 100-continue first. The piece is empty on errors and at
   /// the end; it is valid until the next call.
@@ -53,6 +61,8 @@
 
 private:
   awaitable<void> send_continue();
+  awaitable<void> await_link();
+  std::size_t piece_bytes() const;
   TimePoint read_deadline() const;
 
   beast::tcp_stream& m_caller;
@@ -61,6 +71,8 @@
   RequestParser& m_parser;
   const CallerLimits& m_limits;
   bool m_expects_continue;
+  /// Bodies that callers send to this host share it; null if their rate is not limited.
+  LinkPacer* m_pacer;
   std::vector<char> m_chunk;
   std::string m_kept;
   std::uint64_t m_received = 0;
