Answer lovagectl status and timeline on the platform

Cause: hosts on the platform served only /metrics, so that the operator's command could not list hosts or merge their events. Ruled out: a second listener for it; the metrics address is there already and is for operators only. Change: /status and /events on the metrics address, in the form that lovagectl reads; make_event_page moves to the adapters, as both kinds of process use it.

--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -69,6 +69,15 @@
   std::uint64_t server_connections = 0;
 };
 
+/// A service as a gateway has it.
+struct GatewayServiceStatus
+{
+  ServiceName name;
+  std::size_t servers = 0;
+  /// Requests of this host at its servers.
+  std::size_t in_progress = 0;
+};
+
 /// Accepts callers and forwards their requests to servers by the routing configuration. Chooses the
 /// server by itself from load reports. Runs on the thread of its context. Not thread-safe.
 class Gateway
@@ -105,6 +114,8 @@
 
   const GatewayCounters& counters() const;
 
+  std::vector<GatewayServiceStatus> services() const;
+
   /// \return counters and latency histograms in the Prometheus text format
   std::string render_metrics() const;
 
--- a/src/include/lovagehold/server_selector.h
+++ b/src/include/lovagehold/server_selector.h
@@ -131,6 +131,9 @@
 
   std::size_t size() const { return m_servers.size(); }
 
+  /// \return own attempts in progress at all servers
+  std::size_t in_progress() const;
+
   /// \return expected cost of the next request at the server relative to an idle one, for logs;
   /// 0 if the server is not known
   double cost(const ServerId& id, TimePoint now) const;
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -348,6 +348,16 @@
     std::chrono::duration<double, std::milli>(*m_usual_ms));
 }
 
+std::size_t
+ServerSelector::in_progress() const
+{
+  std::size_t sum = 0;
+  for (const auto& [id, state] : m_servers) {
+    sum += state.own;
+  }
+  return sum;
+}
+
 double
 ServerSelector::cost(const ServerId& id, TimePoint now) const
 {
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -128,6 +128,17 @@
   return m_impl->context->counters;
 }
 
+std::vector<GatewayServiceStatus>
+Gateway::services() const
+{
+  std::vector<GatewayServiceStatus> services;
+  for (const auto& [name, selector] : m_impl->context->selectors) {
+    services.push_back(
+      { .name = name, .servers = selector.size(), .in_progress = selector.in_progress() });
+  }
+  return services;
+}
+
 std::string
 Gateway::render_metrics() const
 {
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -190,6 +190,28 @@
   return text.text();
 }
 
+SiteStatus
+ControlHost::status() const
+{
+  const ReplicaStatus replica = m_replica->status();
+  SiteStatus status{ .host = m_settings.host,
+                     .version = m_replica->machine().routing()->version,
+                     .ready = replica.in_contact };
+  const auto add = [&](const HostId& id, const std::string& domain, const std::string& address) {
+    status.hosts.push_back({ .id = id,
+                             .failure_domain = domain,
+                             .status_address = with_port_of(address, m_settings.metrics_address) });
+  };
+  for (const Member& member : replica.membership) {
+    const bool own = member.address == m_settings.cluster_address;
+    add(own ? m_settings.host : member.address, member.failure_domain, member.address);
+  }
+  for (const auto& [presence, age] : m_directory.known(Clock::now())) {
+    add(presence.address, presence.failure_domain, presence.address);
+  }
+  return status;
+}
+
 void
 ControlHost::receive(const std::string& from, const ClusterMessage& message)
 {
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -7,6 +7,7 @@
 #include "lovagehold/replica.h"
 #include "lovagehold/server_registrar.h"
 #include "lovagehold/site.h"
+#include "status_page.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -34,6 +35,9 @@
   /// \return the metrics page
   std::string render_metrics() const;
 
+  /// \return what the status page tells, with all members of the group and all entry hosts
+  SiteStatus status() const;
+
 private:
   void receive(const std::string& from, const ClusterMessage& message);
   void tick();
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -135,6 +135,20 @@
   m_client->set_seeds(nearest_first(m_settings.seeds, m_settings.cluster_address));
 }
 
+SiteStatus
+EntryHost::status() const
+{
+  SiteStatus status{ .host = m_settings.host,
+                     .version = m_gateway.version(),
+                     .ready = is_ready(),
+                     .services = m_gateway.services() };
+  for (const std::string& seed : m_settings.seeds) {
+    status.hosts.push_back(
+      { .id = seed, .status_address = with_port_of(seed, m_settings.metrics_address) });
+  }
+  return status;
+}
+
 bool
 EntryHost::is_ready() const
 {
--- a/src/libsite/entry_host.h
+++ b/src/libsite/entry_host.h
@@ -4,6 +4,7 @@
 #include "lovagehold/control_client.h"
 #include "lovagehold/event_log.h"
 #include "lovagehold/site.h"
+#include "status_page.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -34,6 +35,9 @@
   /// \return the metrics page
   std::string render_metrics() const { return m_gateway.render_metrics(); }
 
+  /// \return what the status page tells; as other hosts the control hosts of the settings
+  SiteStatus status() const;
+
 private:
   void receive(const std::string& from, const ClusterMessage& message);
   void on_applied(const StateMachine& state);
--- a/src/libsite/site.cpp
+++ b/src/libsite/site.cpp
@@ -2,6 +2,7 @@
 
 #include "control_host.h"
 #include "entry_host.h"
+#include "lovagehold/event_page.h"
 #include "settings_watch.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -14,6 +15,8 @@
 constexpr std::size_t kLinesPerSecond = 100;
 constexpr std::size_t kEventsKept = 64;
 constexpr char kMetricsPath[] = "/metrics";
+constexpr char kStatusPath[] = "/status";
+constexpr char kEventsPath[] = "/events";
 
 } // namespace
 
@@ -44,13 +47,17 @@
     BOOST_OUTCOME_TRYV(entry->start());
   }
   AdminServer metrics(context, [&](const AdminRequest& request, const AdminServer::Reply& reply) {
-    if (request.path != kMetricsPath) {
+    if (request.path == kMetricsPath) {
+      reply({ .content_type = "text/plain; version=0.0.4",
+              .body = (control ? control->render_metrics() : "") +
+                      (entry ? entry->render_metrics() : "") });
+    } else if (request.path == kStatusPath) {
+      reply(make_status_page(control ? control->status() : entry->status()));
+    } else if (request.path == kEventsPath) {
+      reply(make_event_page(log.recent()));
+    } else {
       reply({ .status = 404 });
-      return;
     }
-    reply({ .content_type = "text/plain; version=0.0.4",
-            .body = (control ? control->render_metrics() : "") +
-                    (entry ? entry->render_metrics() : "") });
   });
   if (!settings.metrics_address.empty()) {
     BOOST_OUTCOME_TRYV(metrics.start(settings.metrics_address));
--- a/src/lovagehold/admin_pages.cpp
+++ b/src/lovagehold/admin_pages.cpp
@@ -59,24 +59,6 @@
   return { .body = dump(page) };
 }
 
-AdminResponse
-make_event_page(const std::vector<Event>& events)
-{
-  json page = json::array();
-  for (const Event& event : events) {
-    json fields = json::object();
-    for (const auto& [key, value] : event.fields) {
-      fields[key] = value;
-    }
-    page.push_back({ { "time_ms", event.time.time_since_epoch().count() },
-                     { "hlc", { event.hybrid_time.millis, event.hybrid_time.counter } },
-                     { "host", event.host },
-                     { "event", event.name },
-                     { "fields", fields } });
-  }
-  return { .body = dump(page) };
-}
-
 AdminResponse
 make_history_page(const StateMachine& state)
 {
--- a/src/lovagehold/admin_pages.h
+++ b/src/lovagehold/admin_pages.h
@@ -2,7 +2,6 @@
 
 #include "lovagehold/admin_server.h"
 #include "lovagehold/dispatcher.h"
-#include "lovagehold/event_log.h"
 #include "lovagehold/state_machine.h"
 
 #include <functional>
@@ -33,9 +32,6 @@
 /// GET /status
 AdminResponse make_status_page(const StatusInput& input, const StateMachine& state);
 
-/// GET /events
-AdminResponse make_event_page(const std::vector<Event>& events);
-
 /// GET /config/changes: the changes that still have their content, by number.
 AdminResponse make_history_page(const StateMachine& state);
 
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include "admin_pages.h"
+#include "lovagehold/event_page.h"
 #include "lovagehold/file_disk.h"
 #include "metrics_page.h"
 
--- /dev/null
+++ b/testsuite/site/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# lovagectl works against hosts on the platform. Guards against pages of the metrics address that lovagectl can't read.
+set -eu
+BUILD="${1:-build}"
+here="$(cd "$(dirname "$0")" && pwd)"
+python3 "$here/site.py" "$BUILD/src/lovagehold/lovagehold" "$BUILD/src/lovagectl/lovagectl"
--- a/testsuite/soak/cluster.py
+++ b/testsuite/soak/cluster.py
@@ -9,6 +9,7 @@
 import wire
 
 CONTROL_PORT, CLUSTER_PORT, ENTRY_PORT, READY_PORT, DIRECTORY_PORT = 8649, 7620, 8641, 8640, 8644
+METRICS_PORT = 9464
 
 
 class Process:
@@ -37,7 +38,7 @@
             json.dump(settings, file)
         log = open(os.path.join(self.cluster.work, self.name + ".log"), "ab")
         environment = dict(os.environ, **{wire.SETTINGS_VARIABLE: path})
-        self.child = subprocess.Popen([self.cluster.program, "--site"], env=environment, stdout=log,
+        self.child = subprocess.Popen([self.cluster.program, "--site", "--metrics-port", str(METRICS_PORT)], env=environment, stdout=log,
                                       stderr=log)
         log.close()
         self.paused = False
