Give checks of files, descriptions of load and waits for the link one place each

Cause: two commands read and reported files by their own loops, the load text of a refusal and of an attempt and the wait for a slow link each stood twice. Change: check_file and CheckReport, describe_load, await_link. No behaviour changes. Measured: unit tests of gateway, proxy, framing, site and platform and the cases check and site pass.

--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -37,6 +37,18 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
 
+// A load report for the log, with its age in milliseconds.
+std::string
+describe_load(std::optional<Duration> age, const LoadReport& load)
+{
+  return fmt::format("age{}:load{}/{}/{}/{}",
+                     age ? std::to_string(millis(*age).count()) : "-",
+                     load.running,
+                     load.waiting,
+                     load.slots,
+                     static_cast<int>(100 * load.slowdown));
+}
+
 AttemptEnd
 end_of(ExchangeStatus status, bool server_error)
 {
@@ -243,17 +255,12 @@
 ForwardedRequest::describe_crowd(const ServerInfo& best, TimePoint now) const
 {
   const ServerSelector& selector = m_context.selector(m_request.service);
-  const LoadReport load = selector.last_report(best.id);
-  const auto age = selector.report_age(best.id, now);
-  return fmt::format("best {}:age{}:load{}/{}/{}/{} waiting {} limit {} ms",
-                     best.id,
-                     age ? std::to_string(millis(*age).count()) : "-",
-                     load.running,
-                     load.waiting,
-                     load.slots,
-                     static_cast<int>(100 * load.slowdown),
-                     m_context.queues[m_request.service].size(),
-                     millis(m_request.route->target_latency / kWaitPart).count());
+  return fmt::format(
+    "best {}:{} waiting {} limit {} ms",
+    best.id,
+    describe_load(selector.report_age(best.id, now), selector.last_report(best.id)),
+    m_context.queues[m_request.service].size(),
+    millis(m_request.route->target_latency / kWaitPart).count());
 }
 
 awaitable<void>
@@ -448,20 +455,13 @@
 {
   std::string text;
   for (const auto& attempt : m_attempts) {
-    const std::string age =
-      attempt->report_age ? std::to_string(millis(*attempt->report_age).count()) : "-";
-    const LoadReport& load = attempt->load;
-    text += fmt::format("{}{}:{}:{}ms:cost{}:age{}:load{}/{}/{}/{}",
+    text += fmt::format("{}{}:{}:{}ms:cost{}:{}",
                         text.empty() ? "" : ",",
                         attempt->server.id,
                         to_string(attempt->exchange->status()),
                         millis(attempt->elapsed).count(),
                         static_cast<int>(100 * attempt->cost),
-                        age,
-                        load.running,
-                        load.waiting,
-                        load.slots,
-                        static_cast<int>(100 * load.slowdown));
+                        describe_load(attempt->report_age, attempt->load));
   }
   return text.empty() ? "-" : text;
 }
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -1,6 +1,7 @@
 #include "server_exchange.h"
 
 #include "libproxy/framing.h"
+#include "libproxy/link_wait.h"
 #include "lovagehold/address.h"
 
 #include <array>
@@ -148,26 +149,14 @@
   }
 }
 
-// Long bodies leave room on a slow link for the messages of other requests.
-awaitable<void>
-ServerExchange::await_link(std::size_t bytes)
-{
-  const TimePoint now = Clock::now();
-  const TimePoint free = m_context.sent_bodies.reserve(bytes, now);
-  if (free > now) {
-    asio::steady_timer wait(m_context.io, free);
-    boost::system::error_code ignored;
-    co_await wait.async_wait(capture(ignored));
-  }
-}
-
 awaitable<void>
 ServerExchange::send_body(const OutgoingRequest& request)
 {
   const auto connection = m_connection;
   boost::system::error_code error;
   const auto write = [&](std::string_view piece) -> awaitable<void> {
-    co_await await_link(piece.size());
+    // Leaves room on a slow link for the messages of other requests.
+    co_await await_link(m_context.sent_bodies, piece.size());
     if (request.chunked) {
       const auto data = http::make_chunk(asio::const_buffer(piece.data(), piece.size()));
       co_await asio::async_write(connection->socket, data, capture(error));
--- a/src/libgateway/server_exchange.h
+++ b/src/libgateway/server_exchange.h
@@ -71,7 +71,6 @@
   void start_sending(const OutgoingRequest& request);
   awaitable<void> send(const OutgoingRequest& request);
   awaitable<void> send_body(const OutgoingRequest& request);
-  awaitable<void> await_link(std::size_t bytes);
   awaitable<bool> read_response(const OutgoingRequest& request);
   awaitable<bool> read_header(const OutgoingRequest& request);
   awaitable<bool> skip_body();
--- a/src/libproxy/upload_source.cpp
+++ b/src/libproxy/upload_source.cpp
@@ -1,7 +1,8 @@
 #include "upload_source.h"
 
+#include "link_wait.h"
+
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <limits>
 
@@ -61,18 +62,6 @@
   return m_pacer != nullptr ? LinkPacer::kPieceBytes : kChunkBytes;
 }
 
-awaitable<void>
-UploadSource::await_link()
-{
-  const TimePoint now = Clock::now();
-  const TimePoint free = m_pacer->reserve(0, now);
-  if (free > now) {
-    asio::steady_timer wait(m_caller.get_executor(), free);
-    boost::system::error_code ignored;
-    co_await wait.async_wait(capture(ignored));
-  }
-}
-
 awaitable<std::string_view>
 UploadSource::read()
 {
@@ -88,7 +77,7 @@
   m_chunk.resize(piece_bytes());
   std::size_t size = 0;
   if (m_pacer != nullptr) {
-    co_await await_link();
+    co_await await_link(*m_pacer, 0);
   }
   while (!m_error && size == 0 && !m_parser.is_done()) {
     m_parser.get().body().data = m_chunk.data();
--- a/src/libproxy/upload_source.h
+++ b/src/libproxy/upload_source.h
@@ -61,7 +61,6 @@
 
 private:
   awaitable<void> send_continue();
-  awaitable<void> await_link();
   std::size_t piece_bytes() const;
   TimePoint read_deadline() const;
 
--- a/src/lovagehold/check_command.cpp
+++ b/src/lovagehold/check_command.cpp
@@ -17,28 +17,47 @@
   return ExitWrongUse;
 }
 
-int
-report_mistakes(const std::vector<Mistake>& mistakes, const std::string& checked)
+// What a check found.
+struct CheckReport
 {
-  for (const Mistake& mistake : mistakes) {
-    std::cout << to_string(mistake) << "\n";
+  std::vector<Mistake> mistakes;
+  /// What was read, for the line that says that there are no mistakes.
+  std::string checked;
+
+  void add_checked(const std::string& text) { checked += (checked.empty() ? "" : ", ") + text; }
+
+  void add_mistakes(const std::string& file, const std::vector<Error>& errors)
+  {
+    for (const Error& error : errors) {
+      mistakes.push_back({ .file = file, .message = error.message, .remedy = error.remedy });
+    }
   }
-  if (!mistakes.empty()) {
-    std::cout << mistakes.size() << (mistakes.size() == 1 ? " mistake" : " mistakes") << "\n";
-    return ExitRefused;
+
+  /// \return an exit code
+  int print() const
+  {
+    for (const Mistake& mistake : mistakes) {
+      std::cout << to_string(mistake) << "\n";
+    }
+    if (!mistakes.empty()) {
+      std::cout << mistakes.size() << (mistakes.size() == 1 ? " mistake" : " mistakes") << "\n";
+      return ExitRefused;
+    }
+    std::cout << "no mistakes: " << checked << "\n";
+    return ExitDone;
   }
-  std::cout << "no mistakes: " << checked << "\n";
-  return ExitDone;
-}
+};
 
-void
-add_mistakes(std::vector<Mistake>& mistakes,
-             const std::string& file,
-             const std::vector<Error>& errors)
+// Calls the check with the content of the file; does nothing without a file.
+template<class Check>
+Result<void>
+check_file(const std::string& path, const Check& check)
 {
-  for (const Error& error : errors) {
-    mistakes.push_back({ .file = file, .message = error.message, .remedy = error.remedy });
+  if (!path.empty()) {
+    BOOST_OUTCOME_TRY(content, read_text_file(path));
+    check(content);
   }
+  return boost::outcome_v2::success();
 }
 
 std::string
@@ -58,16 +77,14 @@
 int
 check_files(const std::string& settings, const std::string& declarations)
 {
-  std::vector<Mistake> mistakes;
-  std::string checked;
-  if (!settings.empty()) {
-    const Result<std::string> content = read_text_file(settings);
-    if (content.has_error()) {
-      return report_unreadable(content.error());
-    }
-    const SettingsOutcome outcome = parse_settings(settings, content.value());
-    mistakes = outcome.mistakes;
-    checked = "settings of " + outcome.settings.host;
+  CheckReport report;
+  const Result<void> read = check_file(settings, [&](const std::string& content) {
+    const SettingsOutcome outcome = parse_settings(settings, content);
+    report.mistakes = outcome.mistakes;
+    report.add_checked("settings of " + outcome.settings.host);
+  });
+  if (read.has_error()) {
+    return report_unreadable(read.error());
   }
   if (!declarations.empty()) {
     const Result<std::vector<DeclarationFile>> files = read_declaration_folder(declarations);
@@ -75,42 +92,37 @@
       return report_unreadable(files.error());
     }
     const MergeOutcome outcome = merge_declarations(files.value());
-    mistakes.insert(mistakes.end(), outcome.mistakes.begin(), outcome.mistakes.end());
-    checked += (checked.empty() ? "" : ", ") + std::to_string(files.value().size()) +
-               " declaration files, " + std::to_string(outcome.configuration.services.size()) +
-               " services";
+    report.mistakes.insert(report.mistakes.end(), outcome.mistakes.begin(), outcome.mistakes.end());
+    report.add_checked(std::to_string(files.value().size()) + " declaration files, " +
+                       std::to_string(outcome.configuration.services.size()) + " services");
   }
-  return report_mistakes(mistakes, checked);
+  return report.print();
 }
 
 int
 check_site_files(const std::string& settings, const std::string& routing)
 {
-  std::vector<Mistake> mistakes;
-  std::string checked;
-  if (!settings.empty()) {
-    const Result<std::string> content = read_text_file(settings);
-    if (content.has_error()) {
-      return report_unreadable(content.error());
-    }
-    const Result<SiteSettings> parsed = platform::parse_node_settings(content.value());
+  CheckReport report;
+  const Result<void> settings_read = check_file(settings, [&](const std::string& content) {
+    const Result<SiteSettings> parsed = platform::parse_node_settings(content);
     if (parsed.has_error()) {
-      add_mistakes(mistakes, settings, { parsed.error() });
+      report.add_mistakes(settings, { parsed.error() });
     } else {
-      add_mistakes(mistakes, settings, check_settings(parsed.value()));
-      checked = "settings of " + parsed.value().host;
+      report.add_mistakes(settings, check_settings(parsed.value()));
+      report.add_checked("settings of " + parsed.value().host);
     }
-  }
-  if (!routing.empty()) {
-    const Result<std::string> content = read_text_file(routing);
-    if (content.has_error()) {
-      return report_unreadable(content.error());
+  });
+  const Result<void> routing_read = check_file(routing, [&](const std::string& content) {
+    const platform::RoutingOutcome outcome = platform::read_routing_document(content);
+    report.add_mistakes(routing, outcome.mistakes);
+    report.add_checked(describe(outcome.config));
+  });
+  for (const Result<void>& read : { settings_read, routing_read }) {
+    if (read.has_error()) {
+      return report_unreadable(read.error());
     }
-    const platform::RoutingOutcome outcome = platform::read_routing_document(content.value());
-    add_mistakes(mistakes, routing, outcome.mistakes);
-    checked += (checked.empty() ? "" : ", ") + describe(outcome.config);
   }
-  return report_mistakes(mistakes, checked);
+  return report.print();
 }
 
 } // namespace lovagehold
