Decide once whether a late request is hedged

Cause: since hedges are timed after the probe, run() looked for a hedge as soon as its time had passed. If the budget or the attempts did not allow it, the time stood in the past and the loop ran without a pause until the response came. Change: the hedge is decided once, at its time. Test that failed first: GatewayTest.LateRequestWithoutHedgeWaitsIdle (736 ms of processor time in a wait of 1 s).

--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -118,8 +118,12 @@
       } else {
         give_up(now);
       }
-    } else if (wants_hedge(now)) {
-      start_attempt(true);
+    } else if (now >= hedge) {
+      // Decided once: after a denial a hedge time in the past would keep this loop busy.
+      m_hedged = true;
+      if (may_hedge(now)) {
+        start_attempt(true);
+      }
     }
   }
   cancel_running();
@@ -394,10 +398,9 @@
 }
 
 bool
-ForwardedRequest::wants_hedge(TimePoint now)
+ForwardedRequest::may_hedge(TimePoint now)
 {
-  return now >= hedge_time() && m_retryable && m_sent < m_request.route->max_attempts &&
-         now + kLeastTime < m_deadline &&
+  return m_retryable && m_sent < m_request.route->max_attempts && now + kLeastTime < m_deadline &&
          m_context.budget(m_request.service).left(now) > kHedgeReserve;
 }
 
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -98,7 +98,7 @@
   void give_up(TimePoint now);
   void refuse_unrun(const char* reason);
   TimePoint hedge_time() const;
-  bool wants_hedge(TimePoint now);
+  bool may_hedge(TimePoint now);
   OutgoingRequest outgoing(const ServerInfo& server, TimePoint now) const;
   bool idempotent() const { return m_request.route->kind == RouteKind::Idempotent; }
 
--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <ctime>
 #include <future>
 #include <gtest/gtest.h>
 
@@ -85,7 +86,8 @@
   }
 
   void configure(milliseconds timeout = milliseconds(3000),
-                 milliseconds objective = milliseconds(2000))
+                 milliseconds objective = milliseconds(2000),
+                 unsigned max_attempts = 2)
   {
     const auto route = [&](const std::string& prefix, RouteKind kind) {
       return Route{ .name = prefix,
@@ -94,7 +96,7 @@
                     .targets = { { .service = "desk" } },
                     .timeout = timeout,
                     .target_latency = objective,
-                    .max_attempts = 2 };
+                    .max_attempts = max_attempts };
     };
     RoutingConfig config{ .version = 1 };
     config.hosts = { { .name = "a.example",
@@ -218,6 +220,23 @@
   EXPECT_EQ(arrivals(), 2U);
 }
 
+// Guards against a busy loop of a request that is late but must not be hedged: processor time was
+// three times as high on a quiet day. The bound is half of the time that the request waits.
+TEST_F(GatewayTest, LateRequestWithoutHedgeWaitsIdle)
+{
+  add_server([](const ReceivedRequest&) { return ScriptedAnswer{ .hang = true }; });
+  add_server([](const ReceivedRequest&) { return ScriptedAnswer{ .hang = true }; });
+  configure(milliseconds(1000), milliseconds(40), 1);
+  const auto processor_time = [this] {
+    timespec time{};
+    on_gateway([&] { ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time); });
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+  };
+  const auto before = processor_time();
+  EXPECT_EQ(status_of(send(request("GET", "/safe/a"))), 504);
+  EXPECT_LT(processor_time() - before, milliseconds(500));
+}
+
 // Guards against a refusal that is passed on while another server has room.
 TEST_F(GatewayTest, RefusedRequestGoesToAnotherServer)
 {
