Keep the platform's example files in platform/testing

Cause: the files that case check reads in the platform's format stood under testsuite/, although only platform/ may name the platform's fields. Change: they move to platform/testing/check-site; the case reads them there.

--- a/testsuite/check/run.sh
+++ b/testsuite/check/run.sh
@@ -39,9 +39,11 @@
 expect wrong-use/nothing-to-check.expected 2 --check
 expect wrong-use/unknown-option.expected 2 --chek
 expect wrong-use/empty-folder.expected 2 --check --declarations wrong-use
-expect site/valid.expected 0 --check --site --settings site/settings.json --routing site/routing.json
-expect site/wrong-settings.expected 1 --check --site --settings site/wrong-settings.json
-expect site/wrong-ports.expected 1 --check --site --settings site/wrong-ports.json
-expect site/wrong-routing.expected 1 --check --site --routing site/wrong-routing.json
 expect wrong-use/routing-alone.expected 2 --routing site/routing.json
+# Files in the platform's format stand with its other names.
+cd "$HERE/../../platform/testing" || exit 1
+expect check-site/valid.expected 0 --check --site --settings check-site/settings.json --routing check-site/routing.json
+expect check-site/wrong-settings.expected 1 --check --site --settings check-site/wrong-settings.json
+expect check-site/wrong-ports.expected 1 --check --site --settings check-site/wrong-ports.json
+expect check-site/wrong-routing.expected 1 --check --site --routing check-site/wrong-routing.json
 exit "$FAILED"
