libgateway: honour leaving servers and pauses, bound responses without end

Cause: a server that announced in a response that it leaves kept getting requests until the control group removed it; Retry-After of a server's 503 was ignored; interim responses, the body of a response to another request and a streamed body were read without a limit; a caller that disconnected behind pipelined bytes was not noticed; a refusal left the count of started requests on top of the reported load. Change: ServerSelector keeps the mark of a leaving incarnation apart from the list of servers and pauses a server for the time it asked for; the gateway only reads the headers. If no server can be called, requests are refused at once with the earliest end of a pause. The limits are constants beside the code that reads; bodies are passed on until the caller stops waiting. Bytes of pipelined requests are moved to the buffer while a request is served. Whether the group should learn of a leaving server: no, its own drain report reaches all hosts, and a forged or stale mark would take a server from all of them.

--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -27,6 +27,8 @@
   std::string server_id;
   /// Present in a response if the server did not execute the request.
   std::string not_executed;
+  /// Has the value 1 in each response of a server that is leaving.
+  std::string leaving;
   /// Current load of the server, decoded by parse_load.
   std::string load;
   std::function<std::optional<LoadReport>(std::string_view)> parse_load;
--- a/src/include/lovagehold/server_selector.h
+++ b/src/include/lovagehold/server_selector.h
@@ -80,6 +80,12 @@
   double probe_share = 0.75;
   /// Unused probes of this period may be sent at once.
   std::chrono::seconds probe_burst{ 8 };
+  /// Upper limit of the time for which a server may ask not to be called, so that an absurd value
+  /// does not exclude it for ever.
+  std::chrono::seconds max_pause{ 600 };
+  /// How long the mark of a leaving incarnation is kept after the incarnation was last listed. A
+  /// leaving server runs for some seconds to minutes.
+  std::chrono::seconds leaving_retention{ 3600 };
 };
 
 /// Selects a server of one service from load reports, this host's requests in progress and recent
@@ -97,7 +103,8 @@
 
   /// \param tried servers to exclude
   /// \param body_bytes size of the request body; raises the cost of other failure domains
-  /// \return the server with the lowest expected cost; nothing if no server is left
+  /// \return the server with the lowest expected cost that is neither leaving nor paused; nothing
+  /// if no server is left
   std::optional<ServerInfo> pick(TimePoint now,
                                  const std::set<ServerId>& tried,
                                  std::size_t body_bytes,
@@ -129,6 +136,23 @@
   /// A probe was answered negatively or not in time.
   void probe_failed(const ServerId& id, bool unreachable, TimePoint now);
 
+  /// An answer of the server said that it is leaving. From now on the incarnation is excluded from
+  /// pick() and probe_targets(), also if it is removed from the servers and listed again. Only a
+  /// later incarnation ends this.
+  void mark_leaving(const ServerId& id, std::uint64_t incarnation, TimePoint now);
+
+  /// The server asked not to be called for a time. Until then it is excluded from pick() and
+  /// probe_targets(); an earlier, longer pause stays in force.
+  /// \param pause values up to 0 have no effect; longer ones than max_pause are limited to it
+  void pause(const ServerId& id, std::uint64_t incarnation, Duration pause, TimePoint now);
+
+  /// \return whether requests may be sent to at least one server, however loaded it is
+  bool has_callable_server(TimePoint now) const;
+
+  /// \return the earliest time at which a pause of a server ends; nothing if no server that is not
+  /// leaving is paused
+  std::optional<TimePoint> earliest_pause_end(TimePoint now) const;
+
   /// An attempt starts.
   void begin(const ServerId& id, TimePoint now);
 
@@ -173,6 +197,10 @@
     unsigned failures = 0;
     TimePoint ejected_until;
     std::chrono::milliseconds ejection_time{ 0 };
+    /// The server asked not to be called until then.
+    TimePoint paused_until;
+    /// The incarnation is leaving; a copy of its entry in m_leaving.
+    bool leaving = false;
     /// Moving average of the time of its requests, relative to the service's average, as of
     /// relative_time_updated. Decays towards 1.
     double relative_time = 1;
@@ -188,10 +216,22 @@
   void choose_subset();
   std::size_t take_probes(std::size_t wanted, TimePoint now);
   bool is_ejected(const State& state, TimePoint now) const;
+  static bool is_callable(const State& state, TimePoint now);
+  bool is_marked_leaving(const ServerInfo& server) const;
+  void expire_leaving_marks(TimePoint now);
   void eject(State& state, TimePoint now);
 
+  struct LeavingMark
+  {
+    std::uint64_t incarnation = 0;
+    /// When the incarnation was marked or last listed.
+    TimePoint updated_at;
+  };
+
   ServerSelectorOptions m_options;
   std::map<ServerId, State> m_servers;
+  /// Incarnations that are leaving, also those that are not listed any more.
+  std::map<ServerId, LeavingMark> m_leaving;
   /// Moving average of the time of served requests.
   std::optional<double> m_mean_ms;
   std::size_t m_hosts = 1;
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -68,11 +68,80 @@
       state.relative_time_updated = now;
     }
     state.info = server;
+    const auto mark = m_leaving.find(server.id);
+    if (mark != m_leaving.end()) {
+      mark->second.updated_at = now;
+    }
+    state.leaving = is_marked_leaving(server);
   }
   m_servers = std::move(next);
+  expire_leaving_marks(now);
   choose_subset();
 }
 
+bool
+ServerSelector::is_marked_leaving(const ServerInfo& server) const
+{
+  const auto mark = m_leaving.find(server.id);
+  return mark != m_leaving.end() && server.incarnation <= mark->second.incarnation;
+}
+
+void
+ServerSelector::expire_leaving_marks(TimePoint now)
+{
+  std::erase_if(m_leaving, [&](const auto& entry) {
+    return now - entry.second.updated_at >= m_options.leaving_retention;
+  });
+}
+
+void
+ServerSelector::mark_leaving(const ServerId& id, std::uint64_t incarnation, TimePoint now)
+{
+  LeavingMark& mark = m_leaving[id];
+  mark = { .incarnation = std::max(mark.incarnation, incarnation), .updated_at = now };
+  const auto found = m_servers.find(id);
+  if (found != m_servers.end()) {
+    found->second.leaving = is_marked_leaving(found->second.info);
+  }
+}
+
+void
+ServerSelector::pause(const ServerId& id, std::uint64_t incarnation, Duration pause, TimePoint now)
+{
+  const auto found = m_servers.find(id);
+  if (found == m_servers.end() || found->second.info.incarnation != incarnation) {
+    return;
+  }
+  TimePoint& paused_until = found->second.paused_until;
+  paused_until = std::max(paused_until, now + std::min<Duration>(pause, m_options.max_pause));
+}
+
+bool
+ServerSelector::is_callable(const State& state, TimePoint now)
+{
+  return !state.leaving && now >= state.paused_until;
+}
+
+bool
+ServerSelector::has_callable_server(TimePoint now) const
+{
+  return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& entry) {
+    return is_callable(entry.second, now);
+  });
+}
+
+std::optional<TimePoint>
+ServerSelector::earliest_pause_end(TimePoint now) const
+{
+  std::optional<TimePoint> earliest;
+  for (const auto& [id, state] : m_servers) {
+    if (!state.leaving && now < state.paused_until) {
+      earliest = std::min(earliest.value_or(TimePoint::max()), state.paused_until);
+    }
+  }
+  return earliest;
+}
+
 // Rendezvous hashing: a server that joins or leaves changes at most one member of the subset.
 void
 ServerSelector::choose_subset()
@@ -163,7 +232,8 @@
   // second pass ignores ejection.
   for (const bool skip_ejected : { true, false }) {
     for (const auto& [id, state] : m_servers) {
-      if (tried.count(id) > 0 || (skip_ejected && is_ejected(state, now))) {
+      const bool excluded = tried.count(id) > 0 || !is_callable(state, now);
+      if (excluded || (skip_ejected && is_ejected(state, now))) {
         continue;
       }
       const double cost = cost_of(state, body_bytes, now);
@@ -194,7 +264,7 @@
   for (const auto& [id, state] : m_servers) {
     const bool fresh = state.pending_probe ||
                        (state.report_time && now - *state.report_time < m_options.fresh_report);
-    if (tried.count(id) == 0 && !is_ejected(state, now) && !fresh &&
+    if (tried.count(id) == 0 && is_callable(state, now) && !is_ejected(state, now) && !fresh &&
         (state.preferred || !preferred_only)) {
       const double noise = std::uniform_real_distribution<double>(0, kProbeCostNoise)(random);
       stale.emplace_back(cost_of(state, 0, now) + noise, &state);
@@ -328,6 +398,7 @@
       state.load.running = std::max(state.load.running, state.info.slots);
       state.load.waiting = std::max(state.load.waiting, state.info.slots);
       state.report_time = now;
+      state.started_since_report = 0;
       break;
     case AttemptEnd::TimedOut:
       add_relative_time(kTimeoutFactor);
--- a/src/libdecision/server_selector_test.cpp
+++ b/src/libdecision/server_selector_test.cpp
@@ -219,5 +219,109 @@
   }
 }
 
+// Guards against a server that looks loaded long after it refused a request: the requests that it
+// refused and their successors were counted again on top of the reported ones.
+TEST_F(ServerSelectorTest, RefusalIncludesTheRequestsStartedBefore)
+{
+  m_selector.report("i-0", { .slots = 3 }, kStart);
+  for (int i = 0; i < 3; ++i) {
+    m_selector.begin("i-0", kStart);
+  }
+  for (int i = 0; i < 3; ++i) {
+    m_selector.end("i-0", AttemptEnd::Shed, milliseconds(1), kStart);
+  }
+  EXPECT_FALSE(m_selector.has_free_capacity("i-0", kStart));
+  EXPECT_TRUE(m_selector.has_free_capacity("i-0", kStart + std::chrono::seconds(3)));
+}
+
+// Guards against calling a server before the pause that it asked for has ended, against a later,
+// shorter pause that ends it early, and against a pause without end.
+TEST_F(ServerSelectorTest, PausedServerIsNotChosen)
+{
+  m_selector.pause("i-0", 1, std::chrono::seconds(2), kStart);
+  m_selector.pause("i-0", 1, milliseconds(100), kStart);
+  m_selector.pause("i-1", 1, std::chrono::hours(24), kStart);
+  const TimePoint before = kStart + milliseconds(1999);
+  EXPECT_EQ(pick(before, { "i-2" }), "");
+  EXPECT_EQ(m_selector.probe_targets(before, 3, false, {}, m_random).size(), 1U);
+  EXPECT_EQ(m_selector.earliest_pause_end(before), kStart + std::chrono::seconds(2));
+  EXPECT_EQ(pick(kStart + std::chrono::seconds(2), { "i-2" }), "i-0");
+  EXPECT_EQ(pick(kStart + std::chrono::minutes(11), { "i-0", "i-2" }), "i-1");
+  // Another incarnation did not ask for a pause.
+  m_selector.pause("i-2", 7, std::chrono::seconds(2), kStart);
+  EXPECT_EQ(pick(kStart, { "i-0", "i-1" }), "i-2");
+}
+
+// Guards against calling a leaving server, whatever is listed, reported or lost afterwards.
+RC_GTEST_PROP(ServerSelectorProperty, LeavingIncarnationIsNeverChosen, ())
+{
+  ServerSelector selector({ .failure_domain = "a", .host = "h" });
+  std::mt19937_64 random(*rc::gen::arbitrary<unsigned>());
+  constexpr unsigned kServers = 4;
+  std::vector<std::uint64_t> incarnations(kServers, 1);
+  std::vector<bool> leaving(kServers, false);
+  const auto list = [&](bool with_all) {
+    std::vector<ServerInfo> servers = make_servers(kServers);
+    for (unsigned i = 0; i < kServers; ++i) {
+      servers[i].incarnation = incarnations[i];
+    }
+    std::erase_if(servers, [&](const ServerInfo&) { return !with_all && random() % 2 == 0; });
+    return servers;
+  };
+  TimePoint now = kStart;
+  selector.set_servers(list(true), now);
+  const auto steps = *rc::gen::container<std::vector<unsigned>>(60, rc::gen::inRange(0U, 9U));
+  for (const unsigned step : steps) {
+    now += milliseconds(*rc::gen::inRange(0, 3000));
+    const auto index = *rc::gen::inRange(0U, kServers);
+    const ServerId id = "i-" + std::to_string(index);
+    switch (step) {
+      case 0:
+        selector.set_servers(list(false), now);
+        break;
+      case 1:
+        selector.set_servers(list(true), now);
+        break;
+      case 2:
+        selector.mark_leaving(id, incarnations[index], now);
+        leaving[index] = true;
+        break;
+      case 3:
+        ++incarnations[index];
+        leaving[index] = false;
+        selector.set_servers(list(true), now);
+        break;
+      case 4:
+        // A late response of the earlier incarnation.
+        if (incarnations[index] > 1) {
+          selector.mark_leaving(id, incarnations[index] - 1, now);
+        }
+        break;
+      case 5:
+        selector.report(id, { .slots = 3 }, now);
+        break;
+      case 6:
+        selector.begin(id, now);
+        selector.end(id, AttemptEnd::Unreached, milliseconds(1), now);
+        break;
+      case 7:
+        selector.pause(id, incarnations[index], milliseconds(50), now);
+        break;
+      default:
+        break;
+    }
+    const auto check = [&](const ServerInfo& server) {
+      const unsigned number = std::stoul(server.id.substr(2));
+      RC_ASSERT(!leaving[number] || server.incarnation != incarnations[number]);
+    };
+    if (const auto picked = selector.pick(now, {}, 0, random)) {
+      check(*picked);
+    }
+    for (const ServerInfo& target : selector.probe_targets(now, 4, false, {}, random)) {
+      check(target);
+    }
+  }
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -27,6 +27,9 @@
 // During shutdown idle connections are closed after this time, so that a request that is already on
 // its way is still served.
 constexpr std::chrono::milliseconds kShutdownIdleTimeout{ 1500 };
+// Bytes of further requests that are read while a request is served. A caller that has sent more is
+// not noticed when it disconnects.
+constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 64 } << 10;
 // Longest time without progress while a body is transferred.
 constexpr std::chrono::milliseconds kBodyIdleTimeout{ 10000 };
 
@@ -253,22 +256,28 @@
     return request;
   }
 
-  // Abandons the request if the caller closes the connection while it is served.
+  // Abandons the request if the caller closes the connection while it is served. The end of the
+  // stream only shows once all bytes before it have been read, so bytes of pipelined requests are
+  // moved to the buffer, up to its limit.
   awaitable<void> watch_for_disconnect(std::weak_ptr<ForwardedRequest> forwarded)
   {
-    boost::system::error_code error;
-    co_await m_stream.socket().async_wait(tcp::socket::wait_read, capture(error));
-    const auto request = forwarded.lock();
-    if (error || !request) {
-      co_return;
-    }
-    char byte = 0;
-    const auto received =
-      ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool disconnected =
-      received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    if (disconnected) {
-      request->abandon();
+    while (true) {
+      boost::system::error_code error;
+      co_await m_stream.socket().async_wait(tcp::socket::wait_read, capture(error));
+      const auto request = forwarded.lock();
+      const std::size_t limit = std::min(m_buffer.max_size(), kMaxPipelinedBytes);
+      if (error || !request || m_buffer.size() >= limit) {
+        co_return;
+      }
+      const auto space = m_buffer.prepare(limit - m_buffer.size());
+      const auto received =
+        ::recv(m_stream.socket().native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+      if (received > 0) {
+        m_buffer.commit(static_cast<std::size_t>(received));
+      } else if (received == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)) {
+        request->abandon();
+        co_return;
+      }
     }
   }
 
@@ -281,6 +290,7 @@
   {
     GatewayRequest request = make_request(parser, upload, buffered, arrived, routing, route);
     const std::string id = request.id;
+    const TimePoint caller_deadline = request.caller_deadline;
     const auto forwarded = std::make_shared<ForwardedRequest>(*m_context, std::move(request));
     if (buffered) {
       start_disconnect_watch(forwarded);
@@ -299,7 +309,7 @@
       // Ends the disconnect watch.
       m_stream.socket().cancel();
       status = response->response().result_int();
-      const bool complete = co_await forward_response(*response);
+      const bool complete = co_await forward_response(*response, caller_deadline);
       ++(complete ? m_context->counters.served : m_context->counters.failed);
       forwarded->finish(complete);
     } else {
@@ -396,8 +406,9 @@
     co_return !error;
   }
 
-  // Forwards the response of a server. \return whether the caller was sent the whole response
-  awaitable<bool> forward_response(ServerExchange& exchange)
+  // Forwards the response of a server until the caller stops waiting: a broken server may send
+  // without end. \return whether the caller was sent the whole response
+  awaitable<bool> forward_response(ServerExchange& exchange, TimePoint caller_deadline)
   {
     http::response_header<> header = exchange.response().base();
     const bool bodiless = m_head_method || header.result() == http::status::no_content ||
@@ -424,7 +435,8 @@
       written = co_await write_piece(exchange.buffered_body(), true);
     }
     while (written && !exchange.is_complete()) {
-      const std::string_view piece = co_await exchange.read_body(Clock::now() + kBodyIdleTimeout);
+      const TimePoint read_deadline = std::min(Clock::now() + kBodyIdleTimeout, caller_deadline);
+      const std::string_view piece = co_await exchange.read_body(read_deadline);
       if (piece.empty()) {
         break;
       }
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -217,7 +217,8 @@
     }
   }
   WaitingQueue::Waiter waiter(queue, m_context.io, m_request.route->priority, m_request.arrived);
-  while (!m_abandoned && !m_given_up && Clock::now() < latest) {
+  while (!m_abandoned && !m_given_up && Clock::now() < latest &&
+         m_context.selector(m_request.service).has_callable_server(Clock::now())) {
     co_await waiter.wait_until(
       waiter.is_first() ? std::min(Clock::now() + kCapacityCheckInterval, latest) : latest);
     if (waiter.is_first()) {
@@ -328,6 +329,7 @@
   if (attempt.exchange->load()) {
     selector.report(attempt.server.id, *attempt.exchange->load(), now);
   }
+  apply_notice(attempt.exchange->notice(), attempt.server, selector, now);
   m_context.queues[m_request.service].wake_first();
   switch (status) {
     case ExchangeStatus::Responded:
@@ -422,9 +424,11 @@
 }
 
 void
-ForwardedRequest::refuse_not_executed(const char* reason)
+ForwardedRequest::refuse_not_executed(const char* reason, Duration retry_after)
 {
-  m_error_response = { .status = 503, .reason = reason, .retry_after = kRefusalRetryAfter };
+  m_error_response = { .status = 503,
+                       .reason = reason,
+                       .retry_after = to_milliseconds(retry_after) };
 }
 
 void
@@ -439,11 +443,13 @@
   } else if (m_may_have_executed) {
     m_error_response = { .status = 502, .reason = "the server's response was lost or broken" };
   } else if (m_no_server) {
-    refuse_not_executed("no server of the service is available");
+    const auto pause_end = m_context.selector(m_request.service).earliest_pause_end(now);
+    refuse_not_executed("no server of the service is available",
+                        pause_end ? *pause_end - now : kRefusalRetryAfter);
   } else if (now >= m_deadline) {
-    refuse_not_executed("the time ran out before a server was reached");
+    refuse_not_executed("the time ran out before a server was reached", kRefusalRetryAfter);
   } else {
-    refuse_not_executed("the servers are full");
+    refuse_not_executed("the servers are full", kRefusalRetryAfter);
     m_error_response.detail = m_overload_detail;
   }
 }
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -103,7 +103,7 @@
   bool has_active_attempts() const;
   bool may_retry(TimePoint now);
   void give_up(TimePoint now);
-  void refuse_not_executed(const char* reason);
+  void refuse_not_executed(const char* reason, Duration retry_after);
   TimePoint hedge_time() const;
   bool may_hedge(TimePoint now);
   OutgoingRequest make_outgoing_request(const ServerInfo& server, TimePoint now) const;
--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -1,6 +1,7 @@
 #include "lovagehold/gateway.h"
 
 #include "scripted_server.h"
+#include "server_notice.h"
 
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
@@ -52,6 +53,7 @@
                         .expected_server = "Lovagehold-Expect-Instance",
                         .server_id = "Lovagehold-Instance-Id",
                         .not_executed = "Lovagehold-Not-Executed",
+                        .leaving = "Server-Leaving",
                         .load = "Lovagehold-Server-Load",
                         .parse_load = [](std::string_view text) {
                           return LoadReport{ .running = static_cast<unsigned>(text[0] - '0'),
@@ -459,6 +461,224 @@
   EXPECT_EQ(arrivals(), 1U);
 }
 
+// Guards against a disconnect that goes unnoticed because bytes of the next request precede it: the
+// server would go on working for nobody.
+TEST_F(GatewayTest, DisconnectIsNoticedBehindAPipelinedRequest)
+{
+  ScriptedServer& server =
+    add_server([](const ReceivedRequest&) { return ScriptedResponse{ .hang = true }; });
+  configure(std::chrono::seconds(8));
+  {
+    boost::asio::io_context context;
+    TestSocket socket(context);
+    socket.connect(test_endpoint(".8.1", kPort));
+    const std::string get =
+      "GET /safe/x HTTP/1.1\r\nHost: a.example\r\nLovagehold-Request-Id: id-1\r\n"
+      "Lovagehold-Deadline-Ms: 7000\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(get + get));
+    while (arrivals() == 0) {
+      std::this_thread::yield();
+    }
+  }
+  const TimePoint limit = Clock::now() + std::chrono::seconds(5);
+  while (!server.peer_closed() && Clock::now() < limit) {
+    std::this_thread::yield();
+  }
+  EXPECT_TRUE(server.peer_closed());
+  EXPECT_EQ(arrivals(), 1U);
+}
+
+// Guards against responses to pipelined requests that are lost or in another order, and against
+// forwarding what was sent behind a response that closes the connection.
+TEST_F(GatewayTest, PipelinedRequestsAreAnsweredInOrder)
+{
+  ScriptedServer& server = add_server([](const ReceivedRequest& received) {
+    return ScriptedResponse{ .bytes = ScriptedServer::response(
+                               received, received.head.substr(0, received.head.find(" HTTP"))) };
+  });
+  configure();
+  const auto get = [](const std::string& path, bool close) {
+    return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\nLovagehold-Request-Id: id" + path +
+           "\r\n" + (close ? "Connection: close\r\n" : "") + "\r\n";
+  };
+  const std::string responses = send(get("/safe/1", false) + get("/safe/2", false) +
+                                     get("/safe/3", true) + get("/safe/4", false));
+  const std::size_t first = responses.find("GET /safe/1");
+  const std::size_t second = responses.find("GET /safe/2");
+  const std::size_t third = responses.find("GET /safe/3");
+  ASSERT_NE(third, std::string::npos) << responses;
+  EXPECT_LT(first, second);
+  EXPECT_LT(second, third);
+  EXPECT_EQ(responses.find("GET /safe/4"), std::string::npos);
+  EXPECT_EQ(server.requests().size(), 3U);
+}
+
+// Guards against a request that is sent to a server after the server said in a response that it is
+// leaving, and against delaying the refusal if no other server is left.
+TEST_F(GatewayTest, LeavingServerGetsNoFurtherRequest)
+{
+  add_server([](const ReceivedRequest& received) {
+    std::string response = ScriptedServer::response(received, "hello");
+    return ScriptedResponse{ .bytes =
+                               response.insert(response.find("\r\n"), "\r\nServer-Leaving: 1") };
+  });
+  configure(std::chrono::seconds(30), std::chrono::seconds(20));
+  EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+  const unsigned checks = m_servers.front()->checks();
+  for (int i = 0; i < 3; ++i) {
+    // The same incarnation is listed again.
+    on_gateway([&] { m_gateway.set_servers(m_server_infos, Clock::now()); });
+    const TimePoint sent = Clock::now();
+    EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 503);
+    // A request waits for capacity for an eighth of the target latency.
+    EXPECT_LT(Clock::now() - sent, milliseconds(2500));
+  }
+  EXPECT_EQ(arrivals(), 1U);
+  EXPECT_EQ(m_servers.front()->checks(), checks);
+  m_server_infos.front().incarnation = 2;
+  configure();
+  EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+}
+
+// Guards against ignoring the mark in the response to a health check.
+TEST_F(GatewayTest, ServerThatLeavesInItsHealthCheckGetsNoRequest)
+{
+  add_server(kServe).leave();
+  add_server(kServe);
+  configure();
+  // A server that has not been probed yet may get the first request.
+  EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+  const std::size_t before = m_servers[0]->requests().size();
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+  }
+  EXPECT_EQ(m_servers[0]->requests().size(), before);
+}
+
+// Guards against requests and health checks to a server that asked for a pause, and against a
+// refusal that names an earlier time to return than the server did.
+TEST_F(GatewayTest, PausedServerGetsNothingUntilThePauseEnds)
+{
+  add_server([](const ReceivedRequest&) {
+    return ScriptedResponse{ .bytes = "HTTP/1.1 503 Full\r\nLovagehold-Not-Executed: 1\r\n"
+                                      "Retry-After: 30.5\r\nContent-Length: 0\r\n\r\n" };
+  });
+  configure();
+  EXPECT_EQ(status_of(send(request("POST", "/once/x", "body"))), 503);
+  const unsigned checks = m_servers.front()->checks();
+  const std::string refused = send(request("POST", "/once/x", "body"));
+  EXPECT_EQ(status_of(refused), 503);
+  const std::size_t retry_after = refused.find("Retry-After: ");
+  ASSERT_NE(retry_after, std::string::npos);
+  EXPECT_GT(std::stod(refused.substr(retry_after + 13)), 20);
+  EXPECT_EQ(arrivals(), 1U);
+  EXPECT_EQ(m_servers.front()->checks(), checks);
+}
+
+// Guards against misreading Retry-After of a server.
+TEST(ServerNotice, RetryAfterIsParsed)
+{
+  EXPECT_EQ(parse_retry_after("2"), std::chrono::seconds(2));
+  EXPECT_EQ(parse_retry_after(" 0.25 "), milliseconds(250));
+  EXPECT_EQ(parse_retry_after("0"), Duration::zero());
+  EXPECT_EQ(parse_retry_after("1e300"), std::chrono::hours(24));
+  EXPECT_EQ(parse_retry_after("1e999"), std::chrono::hours(24));
+  for (const char* unreadable : { "", "-1", "-1e999", "nan", "inf", "2 s", "soon", "1,5" }) {
+    EXPECT_EQ(parse_retry_after(unreadable), std::nullopt) << unreadable;
+  }
+}
+
+// A server that sends bytes without end.
+class EndlessResponseTest : public GatewayTest
+{
+protected:
+  // The response must end in time, must not be a complete success, and the connection to the server
+  // must be closed.
+  void expect_bounded(const ScriptedResponse& response)
+  {
+    add_server([response](const ReceivedRequest& received) {
+      ScriptedResponse endless = response;
+      const std::size_t id = endless.bytes.find("ID");
+      if (id != std::string::npos) {
+        endless.bytes.replace(id, 2, received.header("Lovagehold-Request-Id"));
+      }
+      return endless;
+    });
+    configure(milliseconds(1000));
+    const std::string received = send(request("POST", "/once/x", "body"));
+    const bool whole = received.find("200 OK") != std::string::npos && received.size() >= 5 &&
+                       received.substr(received.size() - 5) == "0\r\n\r\n";
+    EXPECT_FALSE(whole) << received.substr(0, 200);
+    EXPECT_NE(received, "(not closed)");
+    if (received.find("200 OK") == std::string::npos) {
+      EXPECT_TRUE(status_of(received) == 502 || status_of(received) == 504) << received;
+    }
+    const TimePoint limit = Clock::now() + std::chrono::seconds(5);
+    while (!m_servers.front()->peer_closed() && Clock::now() < limit) {
+      std::this_thread::yield();
+    }
+    EXPECT_TRUE(m_servers.front()->peer_closed());
+  }
+};
+
+// Guards against collecting a header without end.
+TEST_F(EndlessResponseTest, Header)
+{
+  expect_bounded({ .bytes = "HTTP/1.1 200 OK\r\n", .endless = "X-Noise: 0123456789\r\n" });
+}
+
+// Guards against waiting for a header without end that arrives slowly.
+TEST_F(EndlessResponseTest, SlowHeader)
+{
+  expect_bounded(
+    { .bytes = "HTTP/1.1 200 OK\r\nX-Noise: ", .endless = "x", .pause = milliseconds(20) });
+}
+
+// Guards against reading bytes that are no response.
+TEST_F(EndlessResponseTest, Noise)
+{
+  expect_bounded({ .endless = std::string(1000, '\x07') });
+}
+
+// Guards against skipping interim responses without end.
+TEST_F(EndlessResponseTest, InterimResponses)
+{
+  expect_bounded({ .endless = "HTTP/1.1 102 Processing\r\n\r\n" });
+}
+
+// Guards against discarding the body of a response to another request without end.
+TEST_F(EndlessResponseTest, BodyOfAnotherResponse)
+{
+  expect_bounded({ .bytes = "HTTP/1.1 200 OK\r\nLovagehold-Request-Id: other\r\n\r\n",
+                   .endless = std::string(1000, 'x') });
+}
+
+// Guards against collecting a body without length and end, and against passing it on for longer
+// than the caller waits.
+TEST_F(EndlessResponseTest, BodyWithoutLength)
+{
+  expect_bounded({ .bytes = "HTTP/1.1 200 OK\r\nLovagehold-Request-Id: ID\r\n\r\n",
+                   .endless = std::string(1000, 'x'),
+                   .pause = milliseconds(1) });
+}
+
+// Guards against a body without length and end that arrives too slowly to be passed on.
+TEST_F(EndlessResponseTest, SlowBody)
+{
+  expect_bounded({ .bytes = "HTTP/1.1 200 OK\r\nLovagehold-Request-Id: ID\r\n\r\n",
+                   .endless = "x",
+                   .pause = milliseconds(20) });
+}
+
+// Guards against a chunked body without end.
+TEST_F(EndlessResponseTest, ChunkedBody)
+{
+  expect_bounded({ .bytes = "HTTP/1.1 200 OK\r\nLovagehold-Request-Id: ID\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n",
+                   .endless = "5\r\nhello\r\n",
+                   .pause = milliseconds(1) });
+}
+
 // A gateway on a slow link, which reads and sends long bodies in pieces.
 class SlowLinkTest : public GatewayTest
 {
--- a/src/libgateway/load_probe.cpp
+++ b/src/libgateway/load_probe.cpp
@@ -1,5 +1,7 @@
 #include "load_probe.h"
 
+#include "server_notice.h"
+
 #include "lovagehold/address.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -83,6 +85,10 @@
   const beast::string_view load = parser.get()[names.load];
   const bool id_matches =
     id.empty() || id == beast::string_view(server.id.data(), server.id.size());
+  if (id_matches) {
+    const ServerNotice notice = read_notice(parser.get(), names);
+    apply_notice(notice, server, context.selector(service), Clock::now());
+  }
   if (id_matches && !load.empty()) {
     if (const auto report = names.parse_load(std::string_view(load.data(), load.size()))) {
       context.selector(service).report(server.id, *report, Clock::now());
--- a/src/libgateway/scripted_server.h
+++ b/src/libgateway/scripted_server.h
@@ -36,6 +36,10 @@
   bool reset = false;
   /// Sends nothing and waits until the peer closes the connection.
   bool hang = false;
+  /// Sent repeatedly after \p bytes until the peer closes the connection.
+  std::string endless;
+  /// Pause between two repetitions.
+  std::chrono::milliseconds pause{ 0 };
 };
 
 /// An HTTP server on a loopback address that responds to requests by calling a script, and to
@@ -81,7 +85,14 @@
   /// The next \p checks health checks report a full server: 3 requests in progress and 3 slots.
   void report_full_load(unsigned checks) { m_full_checks = checks; }
 
-  /// \return whether the peer closed a connection on which the script left a request hanging
+  /// From now on, health checks say that the server is leaving.
+  void leave() { m_leaving = true; }
+
+  /// \return number of health checks received so far
+  unsigned checks() const { return m_checks; }
+
+  /// \return whether the peer closed a connection on which the script left a request hanging or
+  /// sent bytes without end
   bool peer_closed() const { return m_peer_closed; }
 
   /// \return a successful response that carries the id of the request, as servers send it
@@ -136,6 +147,17 @@
     }
   }
 
+  // \return whether the peer closed the connection
+  bool send_without_end(TestSocket& socket, const ScriptedResponse& scripted) const
+  {
+    boost::system::error_code error;
+    while (!error && !m_stopping) {
+      boost::asio::write(socket, boost::asio::buffer(scripted.endless), error);
+      std::this_thread::sleep_for(scripted.pause);
+    }
+    return bool(error);
+  }
+
   bool respond(TestSocket& socket, const ReceivedRequest& request)
   {
     ScriptedResponse scripted;
@@ -143,8 +165,9 @@
       const bool full = m_full_checks > 0;
       m_full_checks -= full ? 1 : 0;
       scripted.bytes = "HTTP/1.1 200 OK\r\nLovagehold-Instance-Id: " + m_id +
-                       "\r\nLovagehold-Server-Load: " + (full ? "3" : "0") +
-                       ",0,3,100\r\nContent-Length: 0\r\n\r\n";
+                       "\r\nLovagehold-Server-Load: " + (full ? "3" : "0") + ",0,3,100\r\n" +
+                       (m_leaving ? "Server-Leaving: 1\r\n" : "") + "Content-Length: 0\r\n\r\n";
+      ++m_checks;
     } else {
       {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -158,6 +181,10 @@
     }
     boost::system::error_code ignored;
     boost::asio::write(socket, boost::asio::buffer(scripted.bytes), ignored);
+    if (!scripted.endless.empty()) {
+      m_peer_closed = send_without_end(socket, scripted);
+      return false;
+    }
     if (scripted.reset) {
       socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     }
@@ -177,6 +204,8 @@
   std::vector<std::shared_ptr<TestSocket>> m_sockets;
   std::vector<std::thread> m_threads;
   std::atomic<unsigned> m_full_checks{ 0 };
+  std::atomic<unsigned> m_checks{ 0 };
+  std::atomic<bool> m_leaving{ false };
   std::atomic<bool> m_stopping{ false };
   std::atomic<bool> m_peer_closed{ false };
   std::thread m_thread;
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -19,8 +19,12 @@
 // Bodies up to this size are sent together with the header. Larger ones are sent while the response
 // is awaited, because a server may respond early.
 constexpr std::size_t kMaxDirectBodyBytes = std::size_t{ 16 } << 10;
-// A connection is closed after this many responses to other requests.
+// A connection is closed after this many responses to other requests, or if one of them has a body
+// of more than this size: it may have no end.
 constexpr int kMaxMismatchedResponses = 4;
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 1 } << 20;
+// A connection is closed after this many interim (1xx) responses to one request.
+constexpr int kMaxInterimResponses = 8;
 // Fraction of the server's advertised idle timeout for which a connection is kept in the pool.
 constexpr double kIdleTimeoutShare = 0.7;
 
@@ -67,7 +71,6 @@
   const TimePoint now = Clock::now();
   m_connection = m_context.pool.take(m_server.address, now);
   if (m_connection) {
-    m_reused = true;
     co_return true;
   }
   const auto endpoint = parse_endpoint(m_server.address);
@@ -203,7 +206,7 @@
 ServerExchange::read_header(const OutgoingRequest& request)
 {
   const auto connection = m_connection;
-  do {
+  for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
     m_parser.emplace();
     m_parser->header_limit(kMaxResponseHeaderBytes);
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -213,8 +216,13 @@
     if (m_error) {
       co_return false;
     }
-  } while (m_parser->get().result_int() / 100 == 1);
-  co_return true;
+    if (m_parser->get().result_int() / 100 != 1) {
+      const ServerNotice notice = read_notice(m_parser->get(), m_context.options.headers);
+      m_notice = { .leaving = m_notice.leaving || notice.leaving, .pause = notice.pause };
+      co_return true;
+    }
+  }
+  co_return false;
 }
 
 // Checks the request id of the response, because a duplicate response to an earlier request may
@@ -236,10 +244,12 @@
 ServerExchange::discard_body()
 {
   m_clean = false;
-  while (!m_error && !m_parser->is_done()) {
-    co_await read_piece();
+  std::size_t discarded = 0;
+  while (!m_error && !m_parser->is_done() && discarded <= kMaxDiscardedBytes) {
+    const std::string_view piece = co_await read_piece();
+    discarded += piece.size();
   }
-  co_return !m_error;
+  co_return !m_error && m_parser->is_done();
 }
 
 awaitable<bool>
--- a/src/libgateway/server_exchange.h
+++ b/src/libgateway/server_exchange.h
@@ -2,6 +2,7 @@
 
 #include "gateway_context.h"
 #include "libproxy/upload_source.h"
+#include "server_notice.h"
 
 namespace lovagehold {
 
@@ -64,9 +65,11 @@
   const ResponseParser::value_type& response() const { return m_parser->get(); }
   std::optional<std::uint64_t> content_length() const;
   const std::string& buffered_body() const { return m_buffered_body; }
+  /// \return what the server's responses on this connection said about further requests, those to
+  /// other requests included
+  const ServerNotice& notice() const { return m_notice; }
   /// \return the load report in the response; nothing if there is none
   const std::optional<LoadReport>& load() const { return m_load; }
-  bool reused_connection() const { return m_reused; }
 
 private:
   awaitable<bool> connect(TimePoint deadline);
@@ -90,9 +93,9 @@
   /// Beginning of the response body that run() read.
   std::string m_buffered_body;
   std::optional<LoadReport> m_load;
+  ServerNotice m_notice;
   boost::system::error_code m_error;
   ExchangeStatus m_status = ExchangeStatus::Unreached;
-  bool m_reused = false;
   bool m_request_sent = false;
   /// False after a response to another request has been read from the connection.
   bool m_clean = true;
