platform, libproxy: limit what an entry of another writer can do

Cause: a heartbeat of 3 MB of brackets was parsed into some 250 MB; numbers above 32 bits were truncated; a duration of 1e300s overflowed; an announcement with invalid UTF-8 got no response, as the error text could not be encoded.

--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -300,7 +300,8 @@
 std::uint64_t
 version_of(const EntryAddresses& addresses)
 {
-  const std::string text = json(addresses.by_domain).dump();
+  const std::string text =
+    json(addresses.by_domain).dump(-1, ' ', false, json::error_handler_t::replace);
   return XXH64(text.data(), text.size(), 1);
 }
 
--- a/src/libproxy/entry_service_test.cpp
+++ b/src/libproxy/entry_service_test.cpp
@@ -57,5 +57,59 @@
   }
 }
 
+std::string
+request_with_body(const std::string& method, const std::string& path, const std::string& body)
+{
+  return method + " " + path + " HTTP/1.1\r\nHost: desk\r\nConnection: close\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Guards against an announcement by another writer that ends the process, takes up its memory or is
+// stored as a server that no request can be sent to.
+TEST(EntryService, OddAnnouncementsAreRejected)
+{
+  EntryFixture entry(kPort + 1);
+  const std::string valid =
+    R"({"service":"desk","id":"s","address":"127.0.0.1:80","incarnation":1)";
+  const auto announce = [&](const std::string& body) {
+    return status_of(
+      entry.send(request_with_body("POST", "/.lovagehold/servers", body)).value_or(""));
+  };
+  EXPECT_EQ(announce(valid + "}"), 200);
+  EXPECT_EQ(entry.proposed.size(), 1U);
+  const std::string deep = std::string(20000, '[') + std::string(20000, ']');
+  for (const std::string& odd :
+       { valid + R"(,"slots":4294967299})",
+         valid + R"(,"slots":1e300})",
+         valid + R"(,"connections":-1})",
+         valid + R"(,"warmup_ms":9223372036854775807})",
+         valid + R"(,"odd":)" + deep + "}",
+         deep,
+         std::string(R"({"service":"desk","id":"s","address":"127.0.0.1:65537"})"),
+         std::string(R"({"service":"desk","id":"s","address":"127.0.0.1:0"})"),
+         std::string("[1]"),
+         std::string("\xff") }) {
+    EXPECT_EQ(announce(odd), 400) << odd.substr(0, 100);
+  }
+  EXPECT_EQ(entry.proposed.size(), 1U);
+  EXPECT_EQ(announce(valid + "}"), 200);
+}
+
+// Guards against a leave for an incarnation that the text does not name: a prefix of it was taken.
+TEST(EntryService, LeaveWithAnUnreadableIncarnationIsRejected)
+{
+  EntryFixture entry(kPort + 2);
+  const auto leave = [&](const std::string& incarnation) {
+    const std::string path =
+      "/.lovagehold/servers/s?service=desk&incarnation=" + std::string(incarnation);
+    return status_of(entry.send(request_with_body("DELETE", path, "")).value_or(""));
+  };
+  for (const char* odd : { "12x", "-1", "x", "99999999999999999999" }) {
+    EXPECT_EQ(leave(odd), 400) << odd;
+  }
+  EXPECT_TRUE(entry.proposed.empty());
+  EXPECT_EQ(leave("12"), 200);
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libproxy/local_routes.cpp
+++ b/src/libproxy/local_routes.cpp
@@ -1,11 +1,16 @@
 #include "local_routes.h"
 
 #include "libstate/json_fields.h"
+#include "libstate/untrusted_json.h"
+#include "lovagehold/address.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <limits>
 
 namespace lovagehold {
 
@@ -13,13 +18,18 @@
 
 using nlohmann::json;
 
+// Limits of the numbers in an announcement, far above those of any server.
+constexpr std::uint64_t kMaxSlots = 1'000'000;
+constexpr std::uint64_t kMaxWarmupMs = 86'400'000;
+
 StringResponse
 make_json_response(const StringRequest& request, http::status status, const json& body)
 {
   StringResponse response(status, request.version());
   response.keep_alive(request.keep_alive());
   response.set(http::field::content_type, "application/json");
-  response.body() = body.dump();
+  // Texts from a request may not be valid UTF-8.
+  response.body() = body.dump(-1, ' ', false, json::error_handler_t::replace);
   response.prepare_payload();
   return response;
 }
@@ -101,12 +111,40 @@
   return std::find(servers.begin(), servers.end(), server) != servers.end();
 }
 
+// Checks what would otherwise be truncated or fail when requests are sent.
+// \throws std::exception if the announcement is invalid
+ServerInfo
+read_announcement(const std::string& body)
+{
+  const json fields = parse_untrusted_json(body);
+  const std::initializer_list<std::pair<const char*, std::uint64_t>> limits = {
+    { "slots", kMaxSlots },
+    { "connections", kMaxSlots },
+    { "incarnation", std::numeric_limits<std::uint64_t>::max() - 1 },
+    { "warmup_ms", kMaxWarmupMs }
+  };
+  for (const auto& [name, limit] : limits) {
+    const auto found = fields.is_object() ? fields.find(name) : fields.end();
+    const bool valid = found == fields.end() ||
+                       (found->is_number_unsigned() && found->get<std::uint64_t>() <= limit);
+    if (!valid) {
+      throw std::invalid_argument(std::string("'") + name + "' is not a whole number from 0 to " +
+                                  std::to_string(limit));
+    }
+  }
+  auto server = fields.get<ServerInfo>();
+  if (!parse_endpoint(server.address)) {
+    throw std::invalid_argument("'address' is not an IP:port address: " + server.address);
+  }
+  return server;
+}
+
 awaitable<StringResponse>
 answer_announce(EntryContext& context, const StringRequest& request)
 {
   ServerInfo server;
   try {
-    server = json::parse(request.body()).get<ServerInfo>();
+    server = read_announcement(request.body());
   } catch (const std::exception& exception) {
     co_return make_error_response(
       request,
@@ -133,8 +171,15 @@
   const std::string target(request.target());
   LeaveServer leave{ .service = query_value(target, "service"), .id = id };
   const std::string incarnation = query_value(target, "incarnation");
-  leave.incarnation =
-    incarnation.empty() ? ~std::uint64_t{ 0 } : std::strtoull(incarnation.c_str(), nullptr, 10);
+  leave.incarnation = std::numeric_limits<std::uint64_t>::max();
+  const char* end = incarnation.data() + incarnation.size();
+  const auto parsed = std::from_chars(incarnation.data(), end, leave.incarnation);
+  if (!incarnation.empty() && (parsed.ec != std::errc() || parsed.ptr != end)) {
+    co_return make_error_response(request,
+                                  http::status::bad_request,
+                                  "incarnation '" + incarnation + "' is not a 64-bit number",
+                                  "send the incarnation that the server announced, or none");
+  }
   const Command command = leave;
   const Result<ApplyResult> result = co_await propose(context, command);
   if (result.has_error()) {
