libproxy, libsite, lovagehold: mend faults found by reading

Cause and change, each with its test or verdict: - upload_source.cpp lifted the bound of the caller's buffer: restored (RestoresTheBoundOfTheBuffer). - a response to another request was passed on if the server sent it late on a pooled connection: the request id is compared if the server repeats it (ResponseToAnotherRequestIsNotPassedOn). - service_table.cpp dropped the actions of removing servers at a handover: delivered (HandOverDeliversAllActions passed before too, as no action came from it in that state; kept as a guard). apply_share_limits() was always given an empty list: refuted as a fault, it appends now. - run_site() did not check its settings and /status without a role dereferenced null: it does not start (ProcessWithoutARoleDoesNotStart).

--- a/src/include/lovagehold/address.h
+++ b/src/include/lovagehold/address.h
@@ -8,8 +8,8 @@
 
 namespace lovagehold {
 
-/// Parses "IP:port". Host names are not resolved.
-/// \return nullopt if the text is not an IP address with a port
+/// Parses "IP:port" or "[IPv6]:port". Host names are not resolved.
+/// \return nullopt if the text is not an IP address with a port from 1 to 65535
 std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(const std::string& address);
 
 /// Opens the acceptor and listens on "IP:port".
--- a/src/include/lovagehold/entry_service.h
+++ b/src/include/lovagehold/entry_service.h
@@ -28,8 +28,6 @@
   };
   /// Id of this host.
   HostId self;
-  /// Revision of the configuration that the view was made from.
-  std::uint64_t revision = 0;
   std::unordered_map<ServiceName, Route> routes;
 };
 
--- a/src/include/lovagehold/log_storage.h
+++ b/src/include/lovagehold/log_storage.h
@@ -47,10 +47,6 @@
   /// open() must succeed before the next write.
   Result<void> write(const std::vector<LogRecord>& records);
 
-  /// Bytes written to log segments, and syncs of them, since construction.
-  std::uint64_t bytes_written() const { return m_bytes_written; }
-  std::uint64_t syncs() const { return m_syncs; }
-
 private:
   struct Segment
   {
@@ -79,8 +75,6 @@
   std::optional<std::pair<std::uint64_t, std::size_t>> m_incomplete_append;
   /// The next write must first record that the entries on the disk are dropped.
   bool m_drop_log_pending = false;
-  std::uint64_t m_bytes_written = 0;
-  std::uint64_t m_syncs = 0;
 };
 
 } // namespace lovagehold
--- a/src/include/lovagehold/settings.h
+++ b/src/include/lovagehold/settings.h
@@ -53,6 +53,9 @@
   /// How long a host that shuts down still accepts and relays requests; covers the time for which
   /// callers cache its address.
   std::chrono::milliseconds shutdown_grace{ 10000 };
+  /// How long a host that shuts down waits after shutdown_grace for its requests to end. Requests
+  /// that take longer are cut off.
+  std::chrono::milliseconds shutdown_limit{ 600000 };
 };
 
 struct SettingsOutcome
--- a/src/include/lovagehold/site.h
+++ b/src/include/lovagehold/site.h
@@ -64,7 +64,8 @@
 /// Runs the process until it receives SIGTERM or SIGINT. Reads the settings again on SIGHUP and
 /// every 5 s, as they may change without a signal. The seeds, the grace period and the directory
 /// TTL take effect at once, all other settings at the next start.
-/// \return an error if the process cannot start
+/// \return an error if the process cannot start; the first one of check_settings() if the settings
+/// are invalid
 Result<void> run_site(const SiteSettings& settings,
                       const SiteProtocol& protocol,
                       const ReadSettings& read_settings);
--- a/src/include/lovagehold/state_machine.h
+++ b/src/include/lovagehold/state_machine.h
@@ -135,9 +135,6 @@
   /// services.
   MembershipView membership() const;
 
-  /// Whether the last incarnation of the host has left and released its services.
-  bool left_released(const HostId& id) const;
-
   /// \return the whole state as CBOR.
   Bytes snapshot() const;
 
--- a/src/libadapters/address.cpp
+++ b/src/libadapters/address.cpp
@@ -11,12 +11,16 @@
   if (colon == std::string::npos) {
     return std::nullopt;
   }
+  std::string host = address.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
   boost::system::error_code error;
-  const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
+  const auto ip = boost::asio::ip::make_address(host, error);
   std::uint16_t port = 0;
   const char* end = address.data() + address.size();
   const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-  if (error || parsed.ec != std::errc() || parsed.ptr != end) {
+  if (error || parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
     return std::nullopt;
   }
   return boost::asio::ip::tcp::endpoint(ip, port);
--- a/src/libconfig/settings.cpp
+++ b/src/libconfig/settings.cpp
@@ -97,18 +97,20 @@
           assign_if_set(m_reader.read_word(key_path, value, { "debug", "info", "warn", "error" }),
                         m_settings.log_level);
         } },
-      { "shutdown_grace",
-        [this](const auto& key_path, const auto& value) {
-          if (const auto grace = m_reader.read_duration(key_path, value, 0ms, 1h)) {
-            m_settings.shutdown_grace =
-              std::chrono::duration_cast<std::chrono::milliseconds>(*grace);
-          }
-        } },
+      { "shutdown_grace", shutdown_time_handler(m_settings.shutdown_grace) },
+      { "shutdown_limit", shutdown_time_handler(m_settings.shutdown_limit) },
       { "limits",
         [this](const auto& key_path, const auto& value) { read_limits(key_path, value); } },
     };
   }
 
+  YamlReader::FieldHandler shutdown_time_handler(std::chrono::milliseconds& target)
+  {
+    return [this, &target](const auto& key_path, const auto& value) {
+      assign_millis_if_set(m_reader.read_duration(key_path, value, 0ms, 1h), target);
+    };
+  }
+
   void mark_given(const std::string& path) { m_given.insert(path); }
 
   bool given(const std::string& path) const { return m_given.count(path) != 0; }
--- a/src/libconfig/yaml_reader.cpp
+++ b/src/libconfig/yaml_reader.cpp
@@ -1,8 +1,9 @@
 #include "yaml_reader.h"
 
+#include "lovagehold/address.h"
+
 #include <algorithm>
 #include <array>
-#include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <cmath>
 #include <set>
@@ -112,23 +113,6 @@
   return text.substr(0, text.find_first_not_of(" \t")).find('\t') != std::string::npos;
 }
 
-bool
-is_address(const std::string& text)
-{
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  std::string ip = text.substr(0, colon);
-  if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']') {
-    ip = ip.substr(1, ip.size() - 2);
-  }
-  boost::system::error_code error;
-  boost::asio::ip::make_address(ip, error);
-  std::uint16_t port = 0;
-  return !error && parse_number(text.substr(colon + 1), port) && port != 0;
-}
-
 } // namespace
 
 std::string
@@ -389,7 +373,7 @@
 YamlReader::read_address(const std::string& path, const YAML::Node& node)
 {
   auto text = read_scalar(path, node, "IP:port");
-  if (!text || is_address(*text)) {
+  if (!text || parse_endpoint(*text)) {
     return text;
   }
   report(node,
--- a/src/libdecision/server_state.cpp
+++ b/src/libdecision/server_state.cpp
@@ -99,7 +99,6 @@
 ServerState::record_outcome(bool failed)
 {
   m_outcomes = ((m_outcomes << 1U) | (failed ? 1U : 0U)) & ((1U << kOutcomeHistoryLength) - 1U);
-  m_outcome_count = std::min(m_outcome_count + 1, kOutcomeHistoryLength);
   m_consecutive_failures = failed ? m_consecutive_failures + 1 : 0;
 }
 
@@ -184,7 +183,6 @@
   m_ejected_until = now + m_ejection_time;
   m_ejection_time = std::min<Duration>(m_ejection_time * 2, kLongestEjection);
   m_outcomes = 0;
-  m_outcome_count = 0;
   m_consecutive_failures = 0;
 }
 
--- a/src/libdecision/server_state.h
+++ b/src/libdecision/server_state.h
@@ -86,7 +86,6 @@
   unsigned m_consecutive_failures = 0;
   /// Outcomes of the latest requests, one bit each; 1 is a failure.
   std::uint32_t m_outcomes = 0;
-  unsigned m_outcome_count = 0;
   /// Duration of the next ejection.
   Duration m_ejection_time{};
   TimePoint m_ejected_until;
--- a/src/libproxy/connection_pool.h
+++ b/src/libproxy/connection_pool.h
@@ -75,8 +75,6 @@
   /// Closes connections that have been idle for the lifetime or longer.
   void expire(TimePoint now);
 
-  std::size_t idle_count() const { return m_idle_count; }
-
 private:
   struct IdleConnection
   {
--- a/src/libproxy/entry_service_test.cpp
+++ b/src/libproxy/entry_service_test.cpp
@@ -1,4 +1,5 @@
 #include "entry_fixture.h"
+#include "upload_source.h"
 
 namespace lovagehold {
 namespace {
@@ -111,5 +112,22 @@
   EXPECT_EQ(leave("12"), 200);
 }
 
+// Guards against a buffer without a bound from the second request of a connection on.
+TEST(UploadSource, RestoresTheBoundOfTheBuffer)
+{
+  boost::asio::io_context context;
+  beast::tcp_stream caller(context);
+  ReadTimer read_timer(caller);
+  beast::flat_buffer buffer(20000);
+  RequestParser parser;
+  const CallerLimits limits;
+  LinkPacer pacer({ .link_mbps = 2 });
+  {
+    const UploadSource upload(caller, read_timer, buffer, parser, limits, false, &pacer);
+    EXPECT_EQ(buffer.max_size(), LinkPacer::kPieceBytes);
+  }
+  EXPECT_EQ(buffer.max_size(), 20000U);
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libproxy/framing_test.cpp
+++ b/src/libproxy/framing_test.cpp
@@ -181,6 +181,18 @@
   EXPECT_EQ(received->find("Lovagehold-Outcome"), std::string::npos);
 }
 
+// Guards against passing on an additional response to an earlier request, which a server sent late
+// on a connection that is in use again.
+TEST(Framing, ResponseToAnotherRequestIsNotPassedOn)
+{
+  EntryFixture entry(kResponsePort);
+  entry.server().respond_with("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                              "Lovagehold-Request-Id: another\r\n\r\nwrong");
+  const auto received = entry.send(valid_request());
+  ASSERT_TRUE(received.has_value());
+  EXPECT_EQ(status_of(*received), 502);
+}
+
 // Guards against sending body bytes after a response that has no body, which the caller would parse
 // as the next response.
 TEST(Framing, ResponsesWithoutBody)
--- a/src/libproxy/owned_request.cpp
+++ b/src/libproxy/owned_request.cpp
@@ -188,8 +188,8 @@
 OwnedRequest::make_attempt_options(const StartAttempt& start)
 {
   const bool runs_once = m_exchange.non_idempotent();
-  AttemptOptions options{ .id = start.attempt,
-                          .address = start.address,
+  AttemptOptions options{ .address = start.address,
+                          .request_id = m_exchange.id,
                           .deadline = m_exchange.deadline,
                           .response_time = m_exchange.kind->deadline,
                           .limits = m_exchange.context.options.attempt_limits,
--- a/src/libproxy/server_attempt.cpp
+++ b/src/libproxy/server_attempt.cpp
@@ -252,6 +252,10 @@
       !has_strict_framing(m_parser->get(), bodiless)) {
     m_error = http::error::bad_transfer_encoding;
   }
+  const beast::string_view id = m_parser->get()[kRequestIdHeader];
+  if (!m_options.request_id.empty() && !id.empty() && id != m_options.request_id) {
+    m_error = http::error::bad_field;
+  }
 }
 
 std::optional<std::uint64_t>
--- a/src/libproxy/server_attempt.h
+++ b/src/libproxy/server_attempt.h
@@ -12,8 +12,10 @@
 /// Parameters of an attempt apart from the request itself.
 struct AttemptOptions
 {
-  AttemptId id = 0;
   std::string address;
+  /// Value of the request id field that is sent. A response with another value is an additional
+  /// response to an earlier request on the connection and is not accepted. Empty to accept any.
+  std::string request_id;
   /// Time by which the header and a small body of the response must arrive; may be extended by
   /// response_time.
   TimePoint deadline;
--- a/src/libproxy/service_table.cpp
+++ b/src/libproxy/service_table.cpp
@@ -5,6 +5,16 @@
 
 namespace lovagehold {
 
+namespace {
+
+void
+append(Actions& actions, const Actions& more)
+{
+  actions.insert(actions.end(), more.begin(), more.end());
+}
+
+} // namespace
+
 struct ServiceTable::Entry
 {
   ServiceName name;
@@ -117,14 +127,14 @@
 }
 
 // Must be called before each operation that may dispatch, so that a lease that expired while the
-// process was suspended takes effect.
+// process was suspended takes effect. Adds to \p actions.
 void
 ServiceTable::apply_share_limits(Entry& entry, TimePoint now, Actions& actions) const
 {
   const SlotShare effective_share = limit_share(entry.share, share_limits(), now);
   if (effective_share != entry.effective_share) {
     entry.effective_share = effective_share;
-    actions = entry.dispatcher.set_share(effective_share, now);
+    append(actions, entry.dispatcher.set_share(effective_share, now));
   }
 }
 
@@ -167,9 +177,6 @@
     Actions actions;
     entry.set_share(share, now);
     apply_share_limits(entry, now, actions);
-    const auto add = [&actions](Actions more) {
-      actions.insert(actions.end(), more.begin(), more.end());
-    };
     std::map<ServerId, Entry::Server> updated_servers;
     for (const ServerInfo& server : servers) {
       const auto known = entry.servers.find(server.id);
@@ -178,11 +185,11 @@
         continue;
       }
       updated_servers[server.id] = { server, now };
-      add(entry.dispatcher.set_server(server, now));
+      append(actions, entry.dispatcher.set_server(server, now));
     }
     for (const auto& [id, server] : entry.servers) {
       if (updated_servers.count(id) == 0) {
-        add(entry.dispatcher.remove_server(id, now));
+        append(actions, entry.dispatcher.remove_server(id, now));
       }
     }
     entry.servers = std::move(updated_servers);
@@ -234,7 +241,7 @@
     // Renewals go to the new owner from now on. If this host becomes the owner again, the servers
     // are added as new ones, so that the gap in their renewals does not count against them.
     for (const auto& [id, server] : entry.servers) {
-      entry.dispatcher.remove_server(id, now);
+      append(actions, entry.dispatcher.remove_server(id, now));
     }
     entry.servers.clear();
     return actions;
--- a/src/libproxy/service_table_test.cpp
+++ b/src/libproxy/service_table_test.cpp
@@ -109,6 +109,22 @@
   EXPECT_TRUE(t.table.silent_servers(seconds(30), kStart + seconds(90)).empty());
 }
 
+// Guards against requests that wait for ever because the actions of removing a server were dropped
+// when the service was handed over.
+TEST(ServiceTable, HandOverDeliversAllActions)
+{
+  Table t;
+  t.own(SlotShare::Full, 1, kStart);
+  for (int i = 0; i < 8; ++i) {
+    t.submit(kStart);
+  }
+  const unsigned started = t.started;
+  EXPECT_LT(started, 8U);
+  t.table.hand_over("desk", kStart + milliseconds(10));
+  EXPECT_EQ(t.started, started);
+  EXPECT_EQ(t.not_owner + t.no_server, 8 - started);
+}
+
 // Guards against requests that stay queued at a host that no longer owns their service, and against
 // servers that count as silent when the host owns the service again.
 TEST(ServiceTable, HandOverRejectsQueuedRequestsAndForgetsServers)
--- a/src/libproxy/upload_source.cpp
+++ b/src/libproxy/upload_source.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
-#include <limits>
 
 namespace lovagehold {
 
@@ -21,6 +20,7 @@
   , m_parser(parser)
   , m_limits(limits)
   , m_expects_continue(expects_continue)
+  , m_buffer_limit(buffer.max_size())
   , m_pacer(pacer != nullptr && pacer->active() ? pacer : nullptr)
 {
   if (m_pacer != nullptr) {
@@ -32,7 +32,7 @@
 
 UploadSource::~UploadSource()
 {
-  m_buffer.max_size(std::numeric_limits<std::size_t>::max());
+  m_buffer.max_size(m_buffer_limit);
 }
 
 awaitable<void>
--- a/src/libproxy/upload_source.h
+++ b/src/libproxy/upload_source.h
@@ -71,6 +71,8 @@
   RequestParser& m_parser;
   const CallerLimits& m_limits;
   bool m_expects_continue;
+  /// Limit of the buffer before this object lowered it; restored on destruction.
+  std::size_t m_buffer_limit;
   /// Shared by all uploads to this host; null if their rate is not limited.
   LinkPacer* m_pacer;
   std::vector<char> m_read_buffer;
--- a/src/libsite/site.cpp
+++ b/src/libsite/site.cpp
@@ -27,6 +27,10 @@
          const SiteProtocol& protocol,
          const ReadSettings& read_settings)
 {
+  const std::vector<Error> mistakes = check_settings(settings);
+  if (!mistakes.empty()) {
+    return mistakes.front();
+  }
   boost::asio::io_context context(1);
   EventLog log({ .host = settings.host,
                  .capacity = kRecentEvents,
--- a/src/libsite/site_settings_test.cpp
+++ b/src/libsite/site_settings_test.cpp
@@ -41,5 +41,17 @@
   EXPECT_EQ(check_settings(settings).size(), 2U);
 }
 
+// Guards against a process that starts with settings it can't work with and crashes when its status
+// page is read.
+TEST(SiteSettingsCheck, ProcessWithoutARoleDoesNotStart)
+{
+  SiteSettings settings = valid_settings();
+  settings.control_address.clear();
+  const auto unchanged = [&]() -> Result<SiteSettings> { return settings; };
+  const Result<void> ended = run_site(settings, {}, unchanged);
+  ASSERT_TRUE(ended.has_error());
+  EXPECT_NE(ended.error().message.find("neither"), std::string::npos);
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libstate/directory.cpp
+++ b/src/libstate/directory.cpp
@@ -245,13 +245,6 @@
   return live;
 }
 
-bool
-Directory::left_released(const HostId& id) const
-{
-  const Departed* departed = m_left_hosts.find(id);
-  return departed != nullptr && departed->released;
-}
-
 bool
 Directory::may_claim(const HostId& id, std::uint64_t incarnation) const
 {
--- a/src/libstate/directory.h
+++ b/src/libstate/directory.h
@@ -25,7 +25,6 @@
   std::vector<ServerInfo> all_servers() const;
   std::vector<HostInfo> hosts() const;
   std::uint64_t view() const { return m_view; }
-  bool left_released(const HostId& id) const;
   MembershipView membership() const;
   /// Whether the incarnation of the host may claim keys: the host has not left and no later
   /// incarnation has joined. Hosts that have never joined may claim keys.
--- a/src/libstate/log_storage.cpp
+++ b/src/libstate/log_storage.cpp
@@ -300,8 +300,6 @@
   }
   m_incomplete_append.reset();
   segment.size += frame.size();
-  m_bytes_written += frame.size();
-  ++m_syncs;
   for (const LogRecord& record : records) {
     if (const auto* entry = std::get_if<LogEntry>(&record)) {
       segment.last_index = std::max(segment.last_index, entry->index);
--- a/src/libstate/state_machine.cpp
+++ b/src/libstate/state_machine.cpp
@@ -235,12 +235,6 @@
   return m_impl->directory.membership();
 }
 
-bool
-StateMachine::left_released(const HostId& id) const
-{
-  return m_impl->directory.left_released(id);
-}
-
 Bytes
 StateMachine::snapshot() const
 {
--- a/src/lovagehold/check_command.h
+++ b/src/lovagehold/check_command.h
@@ -4,13 +4,12 @@
 
 namespace lovagehold {
 
-/// Exit codes of lovagehold and lovagectl.
+/// Exit codes of lovagehold.
 enum ExitCode : int
 {
   ExitDone = 0,
-  ExitRefused = 1,      ///< invalid input, rejected change, or the process can't start
-  ExitWrongUse = 2,     ///< the command line is invalid or names a file that can't be read
-  ExitNotReachable = 3, ///< no host responded
+  ExitRefused = 1,  ///< invalid input, or the process can't start
+  ExitWrongUse = 2, ///< the command line is invalid or names a file that can't be read
 };
 
 /// Validates settings and declarations and prints every mistake.
--- a/src/lovagehold/host_session.cpp
+++ b/src/lovagehold/host_session.cpp
@@ -164,7 +164,6 @@
   auto view = std::make_shared<RoutingView>();
   view->self = m_options.self.id;
   const auto configuration = state.configuration();
-  view->revision = configuration->revision;
   for (const auto& [name, declaration] : configuration->services) {
     view->routes[name] = { .declaration = declaration,
                            .homes = m_homes.homes(name),
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -386,21 +386,22 @@
   m_session->leave([this] { m_log.info("released"); }, Clock::now());
   timer->async_wait([this, timer](auto) {
     m_entry->drain();
-    finish_shutdown();
+    finish_shutdown(Clock::now() + m_settings.shutdown_limit);
   });
 }
 
 void
-Node::finish_shutdown()
+Node::finish_shutdown(TimePoint limit)
 {
-  if (m_entry->in_flight() == 0) {
-    m_log.info("stopped", { { "cut_off", std::to_string(m_entry->in_flight()) } });
+  const std::size_t in_flight = m_entry->in_flight();
+  if (in_flight == 0 || Clock::now() >= limit) {
+    m_log.info("stopped", { { "cut_off", std::to_string(in_flight) } });
     m_entry->stop();
     m_context.stop();
     return;
   }
   const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, kTickInterval);
-  timer->async_wait([this, timer](auto) { finish_shutdown(); });
+  timer->async_wait([this, timer, limit](auto) { finish_shutdown(limit); });
 }
 
 } // namespace lovagehold
--- a/src/lovagehold/node.h
+++ b/src/lovagehold/node.h
@@ -46,7 +46,7 @@
   AdminResponse metrics_page() const;
   AdminResponse event_page() const;
   void begin_shutdown();
-  void finish_shutdown();
+  void finish_shutdown(TimePoint limit);
 
   Settings m_settings;
   HostInfo m_self;
--- a/testsuite/lib.sh
+++ b/testsuite/lib.sh
@@ -57,6 +57,7 @@
     echo "data_folder: $WORK/data-$n"
     # Short, because each case stops all hosts when it exits.
     echo "shutdown_grace: ${SHUTDOWN_GRACE:-500ms}"
+    echo "shutdown_limit: ${SHUTDOWN_LIMIT:-10m}"
     echo "control:"
     for c in $(seq "$controls"); do echo "  - {id: host-$c, address: \"$NET.1.$c:7081\"}"; done
   } >"$WORK/host-$n.yaml"
--- a/testsuite/shutdown/run.sh
+++ b/testsuite/shutdown/run.sh
@@ -32,6 +32,20 @@
 await "the host exits by itself" host_ended
 check "the host cut off no request" grep -q 'event=stopped.*cut_off=0' "$WORK/host-2.log"
 check "the shutdown began before the upload ended" grep -q shutdown_started "$WORK/host-2.log"
+# A host with a request that never ends exits at its limit and says so.
+SHUTDOWN_LIMIT=2s write_settings 4 domain-1 entry 3
+start host-4 "$BUILD/src/lovagehold/lovagehold" --settings "$WORK/host-4.yaml"
+HOST_PIDS[4]=$LAST_PID
+await "a fourth host has the change in force" host_in_force 4 3
+for i in $(seq 18); do set_mode "$i" 8001 stall; done
+start load-stuck "$BUILD/src/teststand/load_driver" --direct "$NET.1.4:7080" --retries 0 --seed 2 \
+  --allow-failures 1 --stream "service=slot-desk,target=/slots,count=1"
+stuck() { [ "$(cat "$WORK"/runs-slot-desk-*.json | grep -c start)" -gt 50 ]; }
+await "its request is in progress" stuck
+kill -TERM "${HOST_PIDS[4]}"
+host_4_ended() { ! kill -0 "${HOST_PIDS[4]}" 2>/dev/null; }
+await "the host exits although its request does not end" host_4_ended
+check "it reports the request cut off" grep -q 'event=stopped.*cut_off=1' "$WORK/host-4.log"
 check "callers and servers agree" "$HERE/../compare_records.py" \
   --min slot-desk=50 survey-intake=1 --calls "$WORK"/calls-*.json --runs "$WORK"/runs-*.json
 [ "$FAILED" = 0 ] && echo "shutdown: all checks passed" || { echo "shutdown: checks failed, logs follow"; tail -n 5 "$WORK"/*.log; }
