libcontrol: direct starting subscribers to a control host of their own

Servers whose heartbeats arrived before the state was current were proposed as joins again. Change: a control host that is asked by a starting subscriber names the one that it is to follow (select_source in libdecision, rendezvous hashing within the failure domain, only hosts that run); the state is sent as one image with the confirmed entries behind it, made anew when 16 KB of entries have followed; early heartbeats wait for a confirmed state.

--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -4,6 +4,7 @@
 #include "lovagehold/consensus_message.h"
 #include "lovagehold/entry_directory.h"
 #include "lovagehold/hybrid_clock.h"
+#include "lovagehold/subscription_source.h"
 
 #include <map>
 #include <optional>
@@ -45,21 +46,16 @@
   /// Requests a linearizable read: the answer must include all entries committed before the
   /// request.
   bool confirm = false;
-  /// Log index of the snapshot that the subscriber is receiving; 0 if none.
+  /// Log index of the image that the subscriber is receiving; 0 if none.
   std::uint64_t snapshot_index = 0;
-  /// Bytes of that snapshot already received.
+  /// Bytes of that image already received.
   std::uint64_t snapshot_offset = 0;
   /// Set if the subscriber is an entry host.
   std::optional<EntryPresence> presence;
   /// Version of the EntryAddresses that the subscriber has.
   std::uint64_t directory_version = 0;
-};
-
-/// Cluster address of a control host.
-struct ControlAddress
-{
-  std::string address;
-  std::string failure_domain;
+  /// The answer may name another control host to subscribe to, see Entries::source.
+  bool accepts_source = false;
 };
 
 /// Payloads of consecutive committed entries, as ReplicatedState::apply() takes them; empty for
@@ -74,6 +70,9 @@
   std::vector<ControlAddress> control;
   /// Number of entry hosts that callers are directed to; 0 if the message doesn't carry it.
   std::uint64_t entry_hosts = 0;
+  /// Control host that the subscriber is to follow instead of the sender; the message then carries
+  /// no payloads. Empty: the sender.
+  std::string source;
 };
 
 /// Entry hosts that have reported to a control host, which passes them on to the other control
@@ -89,15 +88,15 @@
   std::vector<ReportedHost> hosts;
 };
 
-/// Chunk of a ReplicatedState snapshot, sent to a subscriber whose next entry has been compacted or
-/// that is starting.
+/// Chunk of an image of the replicated state, sent to a subscriber whose next entry has been
+/// compacted or that is starting. The last chunk is followed by the entries after the image.
 struct SnapshotTransfer
 {
-  /// Log index of the last entry that the snapshot includes.
+  /// Log index of the last entry that the image includes.
   std::uint64_t index = 0;
-  /// Position of this chunk in the snapshot, in bytes.
+  /// Position of this chunk in the image, in bytes.
   std::uint64_t offset = 0;
-  /// Size of the snapshot in bytes.
+  /// Size of the image in bytes.
   std::uint64_t total = 0;
   Bytes state;
 };
--- a/src/include/lovagehold/control_client.h
+++ b/src/include/lovagehold/control_client.h
@@ -29,6 +29,9 @@
   std::string failure_domain;
   /// Whether to subscribe to the replicated state; false: the client only sends proposals.
   bool follow = true;
+  /// Called when the client begins to follow another control host, with its address and the reason.
+  /// May be empty.
+  std::function<void(const std::string& address, const char* reason)> on_source;
   /// Called with the number of entry hosts that callers are directed to. May be empty.
   std::function<void(std::uint64_t)> on_entry_hosts;
   /// Returns what this host reports to control; empty if it is not an entry host.
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -41,6 +41,12 @@
   std::chrono::milliseconds join_interval{ 200 };
   /// Delay after a storage failure before the disk is opened again.
   std::chrono::milliseconds storage_retry{ 5000 };
+  /// A starting subscriber is directed only to control hosts that have been heard from within this
+  /// time, or to any during the same time after the start.
+  std::chrono::milliseconds source_heard{ 1500 };
+  /// A new image of the state is made for starting subscribers when the entries since the last one
+  /// exceed this size.
+  std::size_t image_lag_bytes = std::size_t{ 16 } << 10;
   /// Seed for member ids and election timeouts; 0 draws a random one.
   std::uint64_t seed = 0;
   /// Whether to write on a separate thread; false: writes block the calling thread, for tests.
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -57,6 +57,9 @@
     fields["entry"] = to_array(*message.presence);
     fields["directory"] = message.directory_version;
   }
+  if (message.accepts_source) {
+    fields["accepts_source"] = true;
+  }
   return fields;
 }
 
@@ -77,6 +80,9 @@
   if (message.entry_hosts > 0) {
     fields["entry_hosts"] = message.entry_hosts;
   }
+  if (!message.source.empty()) {
+    fields["source"] = message.source;
+  }
   return fields;
 }
 
@@ -201,6 +207,7 @@
     entries.payloads.push_back(get_bytes(payload));
   }
   entries.entry_hosts = fields.value("entry_hosts", entries.entry_hosts);
+  entries.source = fields.value("source", "");
   if (fields.contains("control")) {
     for (const json& control : fields.at("control")) {
       entries.control.push_back({ .address = control.at(0), .failure_domain = control.at(1) });
@@ -246,6 +253,7 @@
                          .confirm = fields.at("confirm").get<bool>(),
                          .snapshot_index = fields.at("snapshot").get<std::uint64_t>(),
                          .snapshot_offset = fields.at("offset").get<std::uint64_t>() };
+    subscribe.accepts_source = fields.value("accepts_source", false);
     if (fields.contains("entry")) {
       subscribe.presence = parse_presence(fields.at("entry"));
       subscribe.directory_version = fields.value("directory", std::uint64_t{ 0 });
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -58,6 +58,9 @@
   bool state_received = false;
   /// Snapshot received so far.
   SnapshotTransfer incoming_snapshot;
+  /// Cleared once the client was directed to another control host, so that it is not directed back
+  /// if that one does not answer.
+  bool accepts_source = true;
 
   // Each request makes the control host send again what may still be in transit. To keep that from
   // saturating a slow link, the interval doubles until the state is confirmed.
@@ -71,14 +74,42 @@
   void subscribe(TimePoint now)
   {
     last_subscribe = now;
-    send(options.control_addresses[source],
-         Subscribe{ .from_index = state.applied_index() + 1,
-                    .confirm = !ready,
-                    .snapshot_index = incoming_snapshot.index,
-                    .snapshot_offset = incoming_snapshot.state.size(),
-                    .presence = options.presence ? options.presence() : std::nullopt,
-                    .directory_version =
-                      options.directory_version ? options.directory_version() : 0 });
+    send(
+      options.control_addresses[source],
+      Subscribe{ .from_index = state.applied_index() + 1,
+                 .confirm = !ready,
+                 .snapshot_index = incoming_snapshot.index,
+                 .snapshot_offset = incoming_snapshot.state.size(),
+                 .presence = options.presence ? options.presence() : std::nullopt,
+                 .directory_version = options.directory_version ? options.directory_version() : 0,
+                 .accepts_source = !ready && accepts_source });
+  }
+
+  // Subscribes to control_addresses[source] from the beginning.
+  void follow_source(const char* reason, TimePoint now)
+  {
+    last_source_contact = now;
+    incoming_snapshot = {};
+    if (options.on_source) {
+      options.on_source(options.control_addresses[source], reason);
+    }
+    subscribe(now);
+  }
+
+  void follow_assigned_source(const Entries& entries, TimePoint now)
+  {
+    if (ready || !std::exchange(accepts_source, false)) {
+      return;
+    }
+    std::vector<std::string>& addresses = options.control_addresses;
+    addresses = { entries.source };
+    for (const ControlAddress& control : entries.control) {
+      if (control.address != entries.source) {
+        addresses.push_back(control.address);
+      }
+    }
+    source = 0;
+    follow_source("assigned", now);
   }
 
   // Control hosts are replaced over time. Subscribing to one in the own failure domain saves
@@ -105,9 +136,7 @@
        now >= failback_at);
     source = move ? nearest_index.value_or(0) : current_index;
     if (move) {
-      last_source_contact = now;
-      incoming_snapshot = {};
-      subscribe(now);
+      follow_source(current_index == control.size() ? "replaced" : "nearer", now);
     }
   }
 
@@ -164,6 +193,10 @@
   void handle(const Entries& entries, TimePoint now)
   {
     last_source_contact = now;
+    if (!entries.source.empty()) {
+      follow_assigned_source(entries, now);
+      return;
+    }
     state_received = true;
     const std::uint64_t old_applied_index = state.applied_index();
     if (entries.first_index > old_applied_index + 1) {
@@ -200,13 +233,15 @@
     }
     incoming_snapshot.state.insert(
       incoming_snapshot.state.end(), chunk.state.begin(), chunk.state.end());
-    if (incoming_snapshot.state.size() >= incoming_snapshot.total) {
-      const Result<void> restored = state.restore(std::exchange(incoming_snapshot, {}).state);
-      if (restored.has_value() && ready) {
-        applied(state.machine());
-      }
+    if (incoming_snapshot.state.size() < incoming_snapshot.total) {
+      subscribe(now);
+      return;
+    }
+    // The entries after the image follow without a further request.
+    const Result<void> restored = state.restore(std::exchange(incoming_snapshot, {}).state);
+    if (restored.has_value() && ready) {
+      applied(state.machine());
     }
-    subscribe(now);
   }
 
   void resend_proposals(TimePoint now)
@@ -292,9 +327,7 @@
   if (impl.last_subscribe && now - impl.last_source_contact >= timeout) {
     impl.switch_to_next_source();
     impl.failback_at = now + kFailbackDelay;
-    impl.last_source_contact = now;
-    impl.incoming_snapshot = {};
-    impl.subscribe(now);
+    impl.follow_source("silent", now);
   } else if (!impl.last_subscribe) {
     impl.last_source_contact = now;
     impl.subscribe(now);
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -3,6 +3,7 @@
 #include "storage_worker.h"
 
 #include <algorithm>
+#include <deque>
 #include <random>
 #include <set>
 
@@ -10,6 +11,9 @@
 
 namespace {
 
+// A subscriber may still be receiving the image before the latest one.
+constexpr std::size_t kKeptImages = 2;
+
 std::uint64_t
 random_seed()
 {
@@ -39,7 +43,14 @@
     TimePoint expires;
   };
 
-  // Snapshot chunk that was last sent to a subscriber.
+  // The whole state as of a log index, in the format of a snapshot.
+  struct StateImage
+  {
+    std::uint64_t index = 0;
+    std::shared_ptr<const Bytes> bytes;
+  };
+
+  // Chunk of an image that was last sent to a subscriber.
   struct SentChunk
   {
     std::uint64_t index = 0;
@@ -60,7 +71,7 @@
   struct Confirmation
   {
     std::string subscriber;
-    std::uint64_t from_index = 1;
+    Subscribe request;
     /// Index that has to be applied first; set once a majority has confirmed.
     std::optional<std::uint64_t> required_index;
     TimePoint expires;
@@ -89,6 +100,13 @@
   std::uint64_t written_token = 0;
   std::map<std::string, Subscription> subscriptions;
   std::map<std::string, SentChunk> sent_chunks;
+  /// Images sent to starting subscribers, the latest one last.
+  std::deque<StateImage> images;
+  /// Size of the entries applied after the latest image.
+  std::size_t bytes_since_image = 0;
+  TimePoint started;
+  /// When a message of a host last arrived, by its address.
+  std::map<std::string, TimePoint> heard_at;
   /// By the id of the read that confirms them.
   std::map<std::uint64_t, std::vector<Confirmation>> confirmations;
   /// Subscribers to be confirmed by the next read.
@@ -137,7 +155,8 @@
     }
     ConsensusOptions consensus_options = options.consensus;
     consensus_options.seed = random();
-    consensus = std::make_unique<Consensus>(consensus_options, restored, ports.now());
+    started = ports.now();
+    consensus = std::make_unique<Consensus>(consensus_options, restored, started);
     submitted_token = 0;
     written_token = 0;
     if (worker) {
@@ -216,6 +235,7 @@
   {
     const std::uint64_t revision = state.machine().configuration()->revision;
     const auto applied = state.apply(entry.index, payload_of(entry));
+    bytes_since_image += payload_of(entry).size();
     changes_since_snapshot += state.machine().configuration()->revision == revision ? 0 : 1;
     if (!applied) {
       return;
@@ -397,18 +417,54 @@
     if (!consensus->in_contact()) {
       return;
     }
-    // A starting subscriber gets the snapshot even if the entries are still in the log, because
-    // restoring it costs less than applying them.
-    const auto snapshot = consensus->snapshot();
-    const bool starting = message.confirm && snapshot && message.from_index <= snapshot->last.index;
-    if (starting || message.from_index < consensus->first_index()) {
-      send_snapshot(from, message);
-    } else if (message.confirm) {
+    if (message.confirm && message.accepts_source && redirect(from, message)) {
+      return;
+    }
+    if (message.confirm) {
       queue_confirmation({ .subscriber = from,
-                           .from_index = message.from_index,
+                           .request = message,
                            .expires = ports.now() + options.subscription_timeout });
     } else {
-      subscribe(from, message.from_index, false);
+      answer(from, message, false);
+    }
+  }
+
+  // Directs a starting subscriber to the control host that it is to follow. Many hosts may start
+  // together, and all of them know the same few control hosts. \return false if that is this host
+  bool redirect(const std::string& from, const Subscribe& message) const
+  {
+    const TimePoint now = ports.now();
+    std::vector<ControlAddress> running;
+    std::vector<ControlAddress> all;
+    for (const Member& member : consensus->membership()) {
+      const auto heard = heard_at.find(member.address);
+      const bool runs = member.address == options.address || now - started < options.source_heard ||
+                        (heard != heard_at.end() && now - heard->second < options.source_heard);
+      all.push_back({ .address = member.address, .failure_domain = member.failure_domain });
+      if (runs) {
+        running.push_back(all.back());
+      }
+    }
+    const std::string source =
+      select_source(from, message.presence ? message.presence->failure_domain : "", running);
+    if (source.empty() || source == options.address) {
+      return false;
+    }
+    ports.send(from, Entries{ .control = std::move(all), .source = source });
+    return true;
+  }
+
+  void answer(const std::string& to, const Subscribe& message, bool confirmed)
+  {
+    // A starting subscriber gets an image even if the entries are still in the log, because
+    // restoring it costs less than applying them.
+    const bool starting = message.confirm && message.from_index == 1 && state.applied_index() > 0;
+    if (!starting && message.from_index >= consensus->first_index()) {
+      subscribe(to, message.from_index, confirmed);
+    } else if (const auto index = send_image(to, message)) {
+      // An earlier subscription may be that of the same host before it restarted.
+      subscriptions.erase(to);
+      subscribe(to, *index + 1, confirmed);
     }
   }
 
@@ -426,31 +482,47 @@
     });
   }
 
-  void send_snapshot(const std::string& to, const Subscribe& message)
+  const StateImage& latest_image()
   {
-    const auto snapshot = consensus->snapshot();
-    if (!snapshot) {
-      return;
+    const bool usable = !images.empty() && images.back().index + 1 >= consensus->first_index() &&
+                        bytes_since_image <= options.image_lag_bytes;
+    if (!usable) {
+      images.push_back({ .index = state.applied_index(),
+                         .bytes = std::make_shared<const Bytes>(state.snapshot()) });
+      bytes_since_image = 0;
+      if (images.size() > kKeptImages) {
+        images.pop_front();
+      }
     }
-    const Bytes& snapshot_state = snapshot->state;
-    const bool resumes = message.snapshot_index == snapshot->last.index;
+    return images.back();
+  }
+
+  // Sends the next chunk of an image. \return the index of the image if that was the last chunk
+  std::optional<std::uint64_t> send_image(const std::string& to, const Subscribe& message)
+  {
+    const auto resumed = std::find_if(images.begin(), images.end(), [&](const StateImage& image) {
+      return image.index == message.snapshot_index && image.index + 1 >= consensus->first_index();
+    });
+    const bool resumes = message.snapshot_offset > 0 && resumed != images.end();
+    const StateImage image = resumes ? *resumed : latest_image();
     const std::size_t start =
-      resumes ? std::min<std::size_t>(message.snapshot_offset, snapshot_state.size()) : 0;
+      resumes ? std::min<std::size_t>(message.snapshot_offset, image.bytes->size()) : 0;
     SentChunk& last_sent = sent_chunks[to];
     const TimePoint now = ports.now();
-    if (last_sent.index == snapshot->last.index && last_sent.offset == start &&
+    if (last_sent.index == image.index && last_sent.offset == start &&
         now - last_sent.sent < options.snapshot_resend) {
-      return;
+      return std::nullopt;
     }
-    last_sent = { .index = snapshot->last.index, .offset = start, .sent = now };
-    const std::size_t end = std::min(snapshot_state.size(), start + options.message_bytes);
-    ports.send(to,
-               SnapshotTransfer{
-                 .index = snapshot->last.index,
-                 .offset = start,
-                 .total = snapshot_state.size(),
-                 .state = Bytes(snapshot_state.begin() + static_cast<std::ptrdiff_t>(start),
-                                snapshot_state.begin() + static_cast<std::ptrdiff_t>(end)) });
+    last_sent = { .index = image.index, .offset = start, .sent = now };
+    const std::size_t end = std::min(image.bytes->size(), start + options.message_bytes);
+    ports.send(
+      to,
+      SnapshotTransfer{ .index = image.index,
+                        .offset = start,
+                        .total = image.bytes->size(),
+                        .state = Bytes(image.bytes->begin() + static_cast<std::ptrdiff_t>(start),
+                                       image.bytes->begin() + static_cast<std::ptrdiff_t>(end)) });
+    return end == image.bytes->size() ? std::optional(image.index) : std::nullopt;
   }
 
   void on_read_result(const ReadResult& read)
@@ -503,7 +575,7 @@
       const std::vector<Confirmation> confirmed = std::move(entry->second);
       entry = confirmations.erase(entry);
       for (const Confirmation& confirmation : confirmed) {
-        subscribe(confirmation.subscriber, confirmation.from_index, true);
+        answer(confirmation.subscriber, confirmation.request, true);
       }
     }
   }
@@ -564,6 +636,8 @@
     }
     perform(consensus->tick(now));
     ask_to_join(now);
+    std::erase_if(heard_at,
+                  [&](const auto& entry) { return now - entry.second >= options.source_heard; });
     const auto expired = [&](const auto& entry) { return entry.second.expires < now; };
     std::erase_if(subscriptions, expired);
     std::erase_if(sent_chunks, [&](const auto& entry) {
@@ -607,6 +681,7 @@
 void
 Replica::receive(const std::string& from, const ClusterMessage& message)
 {
+  m_impl->heard_at[from] = m_impl->ports.now();
   std::visit([&](const auto& typed) { m_impl->handle(from, typed); }, message);
 }
 
--- a/src/libcontrol/replica_test.cpp
+++ b/src/libcontrol/replica_test.cpp
@@ -94,12 +94,13 @@
     ASSERT_TRUE(m_replicas[number]->open().has_value());
   }
 
-  void start_client()
+  // \param first number of the control host that the client asks first
+  void start_client(unsigned first = 0)
   {
     ControlClientOptions options{ .proposal_timeout = std::chrono::seconds(10),
                                   .client = m_random() };
     for (unsigned i = 0; i < kReplicas; ++i) {
-      options.control_addresses.push_back(address(i));
+      options.control_addresses.push_back(address((first + i) % kReplicas));
     }
     m_client = std::make_unique<ControlClient>(
       options,
@@ -247,6 +248,39 @@
   EXPECT_GT(chunks, 2U);
 }
 
+// Guards against starting subscribers that all stay at the control hosts of their settings, and
+// against one that is directed to a control host that does not run.
+TEST_F(ReplicaTest, StartingSubscriberIsDirectedToARunningSource)
+{
+  ASSERT_TRUE(join("first"));
+  std::vector<ControlAddress> hosts;
+  for (unsigned i = 0; i < kReplicas; ++i) {
+    hosts.push_back({ .address = address(i) });
+  }
+  std::set<std::string> sources;
+  m_drop = [&](const std::string& to, const ClusterMessage& message) {
+    const auto* entries = std::get_if<Entries>(&message);
+    if (to == "client" && entries != nullptr && !entries->source.empty()) {
+      sources.insert(entries->source);
+    }
+    return false;
+  };
+  const std::string expected = select_source("client", "", hosts);
+  const auto expected_number = static_cast<unsigned>(expected.back() - '0');
+  const unsigned first = (expected_number + 1) % kReplicas;
+  start_client(first);
+  ASSERT_TRUE(run_until([&] { return m_client->ready(); }));
+  EXPECT_EQ(sources, std::set<std::string>{ expected });
+  stop(expected_number);
+  const TimePoint stopped = m_now;
+  ASSERT_TRUE(run_until([&] { return m_now - stopped > std::chrono::seconds(3); }));
+  ASSERT_TRUE(run_until([&] { return leader() != nullptr; }));
+  sources.clear();
+  start_client(first);
+  ASSERT_TRUE(run_until([&] { return m_client->ready(); }));
+  EXPECT_EQ(sources.count(expected), 0U);
+}
+
 // Guards against a slow link that is filled with copies of a snapshot chunk that is still in
 // transit, and against a lost chunk that is never sent again.
 TEST_F(ReplicaTest, SnapshotIsNotResentWhileItMayBeInTransit)
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -244,6 +244,8 @@
       m_refresh_pending =
         m_directory.apply_announcement(reported.presence, now - reported.age) || m_refresh_pending;
     }
+    // Tells the replica that the sender runs.
+    m_replica->receive(from, message);
   } else if (const auto* renewal = std::get_if<ServerRenewal>(&message)) {
     m_registrar.renew(renewal->id, renewal->incarnation, now);
   } else if (std::holds_alternative<ProposeReply>(message)) {
@@ -450,6 +452,28 @@
   };
 }
 
+// After a start, the state may lack servers that have joined. Their heartbeats would be taken for
+// joins and would fill the log.
+void
+ControlHost::await_current_state(const HeartbeatCall& call, const AdminServer::Reply& reply)
+{
+  m_early_heartbeats.emplace_back(call, reply);
+  if (m_early_heartbeats.size() > 1) {
+    return;
+  }
+  confirm([this](bool confirmed) {
+    m_state_current = m_state_current || confirmed;
+    for (const auto& [early_call, early_reply] : std::exchange(m_early_heartbeats, {})) {
+      if (confirmed) {
+        handle_call(early_call, early_reply);
+      } else {
+        send_reply(early_reply,
+                   FailedReply{ unavailable("this host can't confirm that its state is current") });
+      }
+    }
+  });
+}
+
 void
 ControlHost::handle_call(const HeartbeatCall& call, const AdminServer::Reply& reply)
 {
@@ -461,6 +485,10 @@
                FailedReply{ unavailable("this host is not in contact with the control group") });
     return;
   }
+  if (!m_state_current) {
+    await_current_state(call, reply);
+    return;
+  }
   const HeartbeatEffect effect = m_registrar.heartbeat(call.heartbeat, servers(), now);
   if (effect == HeartbeatEffect::None) {
     const std::string leader = m_replica->status().leader_address;
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -56,6 +56,7 @@
   void confirm(const std::function<void(bool confirmed)>& done);
   bool propose_leave(const LeaveCall& call, const AdminServer::Reply& reply);
   ControlReply heartbeat_reply() const;
+  void await_current_state(const HeartbeatCall& call, const AdminServer::Reply& reply);
   const std::vector<ServerInfo>& servers();
   void share_entry_hosts(TimePoint now);
   void refresh_addresses(TimePoint now);
@@ -97,6 +98,10 @@
   TimePoint m_leases_checked_at;
   /// Whether this host led the group at the last tick.
   bool m_is_leader = false;
+  /// The state has included all that was committed at some time since the start.
+  bool m_state_current = false;
+  /// Heartbeats that arrived before that.
+  std::vector<std::pair<HeartbeatCall, AdminServer::Reply>> m_early_heartbeats;
 };
 
 } // namespace lovagehold
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -88,6 +88,10 @@
     .subscription_timeout = kControlTimeout,
     .initial_subscription_timeout = kFirstControlTimeout,
     .failure_domain = m_settings.failure_domain,
+    .on_source =
+      [this](const std::string& address, const char* reason) {
+        m_log.info("control_followed", { { "control", address }, { "reason", reason } });
+      },
     .on_entry_hosts = [this](std::uint64_t hosts) { m_gateway.set_entry_hosts(hosts); },
     .presence = [this]() -> std::optional<EntryPresence> {
       return EntryPresence{ .address = m_settings.entry_address,
