libsite: spread callers after a restart of all, and servers over control hosts

Change: the directory judges the size of a failure domain by all hosts that have announced themselves and names at least 16, other failure domains' hosts included, until enough are ready; answers may be cached for 0.6 s for 2 s after a change; an entry host closes callers' connections after each response in its first 3 s. Servers report to a control host of their own; renewals go to the leader in one message each 0.5 s.

--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -122,6 +122,12 @@
   std::uint64_t incarnation = 0;
 };
 
+/// Renewals that a control host has received from servers, for the leader that keeps their leases.
+struct ServerRenewals
+{
+  std::vector<ServerRenewal> renewals;
+};
+
 /// Renews a host's session at the control leader.
 struct Heartbeat
 {
@@ -173,7 +179,8 @@
                                     Heartbeat,
                                     HeartbeatReply,
                                     EntryHosts,
-                                    EntryAddresses>;
+                                    EntryAddresses,
+                                    ServerRenewals>;
 
 /// \return the message encoded as CBOR
 Bytes encode(const ClusterMessage& message);
--- a/src/include/lovagehold/entry_directory.h
+++ b/src/include/lovagehold/entry_directory.h
@@ -24,10 +24,18 @@
   /// Number of hosts advertised to the callers of a failure domain. With few hosts, each has enough
   /// traffic to know the servers' load and to keep connections to them open.
   std::size_t subset = 3;
-  /// In a failure domain with more hosts than this, the traffic needs them all: all are advertised.
+  /// In a failure domain with more hosts than this, ready or not, the traffic needs them all: all
+  /// ready ones are advertised.
   std::size_t large_domain = 16;
 };
 
+/// \param since_change time since the advertised addresses last changed
+/// \param max_ttl upper limit in a calm system
+/// \return the time for which callers may cache the addresses. It is short while they change:
+/// callers that found only the first hosts to be ready after a restart of all would otherwise stay
+/// with them.
+std::chrono::milliseconds directory_ttl(Duration since_change, std::chrono::milliseconds max_ttl);
+
 /// The entry hosts and their readiness; selects the ones that are advertised to callers. Not
 /// thread-safe.
 class EntryDirectory
@@ -49,7 +57,7 @@
   std::vector<std::pair<EntryPresence, Duration>> unexpired_hosts(TimePoint now) const;
 
   /// \return addresses for callers of the failure domain: a stable choice of its hosts, completed
-  /// with hosts of other failure domains if it has too few
+  /// with hosts of other failure domains if it has too few that are ready
   std::vector<std::string> resolve(const std::string& failure_domain, TimePoint now) const;
 
   /// \return the result of resolve() for each failure domain with a ready host
--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -53,6 +53,10 @@
   /// check on the server takes up to 10 ms.
   std::chrono::milliseconds probe_wait{ 20 };
   std::chrono::milliseconds probe_timeout{ 250 };
+  /// For this time after the first routing configuration, callers' connections are closed after
+  /// each response. Hosts that restart together become ready one after the other; callers that
+  /// found only the first ones are spread over all of them by this.
+  std::chrono::milliseconds spread_time{ 0 };
   /// Bandwidth of this host's network link in Mbit/s. On a slow link request bodies are paced; 0 if
   /// unknown, without pacing.
   double link_mbps = 0;
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -111,6 +111,10 @@
 
   ReplicaStatus status() const;
 
+  /// \return the members that are known to run, this host included: those heard from recently, and
+  /// all of them shortly after the start
+  std::vector<ControlAddress> running_members() const;
+
   const StateMachine& machine() const;
 
 private:
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -142,6 +142,16 @@
            { "incarnation", message.incarnation } };
 }
 
+json
+to_fields(const ServerRenewals& message)
+{
+  json renewals = json::array();
+  for (const ServerRenewal& renewal : message.renewals) {
+    renewals.push_back({ renewal.service, renewal.id, renewal.incarnation });
+  }
+  return { { "t", "renewals" }, { "v", std::move(renewals) } };
+}
+
 // Heartbeats are the most frequent control messages. Their fields are an array without names to
 // keep them small.
 json
@@ -280,6 +290,15 @@
                           .id = fields.at("id").get<std::string>(),
                           .incarnation = fields.at("incarnation").get<std::uint64_t>() };
   }
+  if (type == "renewals") {
+    ServerRenewals message;
+    for (const json& renewal : fields.at("v")) {
+      message.renewals.push_back({ .service = renewal.at(0).get<std::string>(),
+                                   .id = renewal.at(1).get<std::string>(),
+                                   .incarnation = renewal.at(2).get<std::uint64_t>() });
+    }
+    return message;
+  }
   if (type == "entry_addresses") {
     EntryAddresses message{ .version = fields.at("version").get<std::uint64_t>() };
     fields.at("domains").get_to(message.by_domain);
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -433,27 +433,37 @@
   // together, and all of them know the same few control hosts. \return false if that is this host
   bool redirect(const std::string& from, const Subscribe& message) const
   {
-    const TimePoint now = ports.now();
-    std::vector<ControlAddress> running;
-    std::vector<ControlAddress> all;
-    for (const Member& member : consensus->membership()) {
-      const auto heard = heard_at.find(member.address);
-      const bool runs = member.address == options.address || now - started < options.source_heard ||
-                        (heard != heard_at.end() && now - heard->second < options.source_heard);
-      all.push_back({ .address = member.address, .failure_domain = member.failure_domain });
-      if (runs) {
-        running.push_back(all.back());
-      }
-    }
-    const std::string source =
-      select_source(from, message.presence ? message.presence->failure_domain : "", running);
+    const std::string source = select_source(
+      from, message.presence ? message.presence->failure_domain : "", running_members());
     if (source.empty() || source == options.address) {
       return false;
     }
-    ports.send(from, Entries{ .control = std::move(all), .source = source });
+    ports.send(from, Entries{ .control = all_members(), .source = source });
     return true;
   }
 
+  std::vector<ControlAddress> all_members() const
+  {
+    std::vector<ControlAddress> members;
+    for (const Member& member : consensus->membership()) {
+      members.push_back({ .address = member.address, .failure_domain = member.failure_domain });
+    }
+    return members;
+  }
+
+  std::vector<ControlAddress> running_members() const
+  {
+    const TimePoint now = ports.now();
+    std::vector<ControlAddress> members = all_members();
+    std::erase_if(members, [&](const ControlAddress& member) {
+      const auto heard = heard_at.find(member.address);
+      const bool was_heard = heard != heard_at.end() && now - heard->second < options.source_heard;
+      return member.address != options.address && now - started >= options.source_heard &&
+             !was_heard;
+    });
+    return members;
+  }
+
   void answer(const std::string& to, const Subscribe& message, bool confirmed)
   {
     // A starting subscriber gets an image even if the entries are still in the log, because
@@ -609,10 +619,7 @@
     }
     entries.confirmed = confirmed && subscription.next > state.applied_index();
     if (entries.payloads.empty() || confirmed) {
-      for (const Member& member : consensus->membership()) {
-        entries.control.push_back(
-          { .address = member.address, .failure_domain = member.failure_domain });
-      }
+      entries.control = all_members();
       entries.entry_hosts = ports.entry_hosts ? ports.entry_hosts() : 0;
     }
     ports.send(to, std::move(entries));
@@ -725,6 +732,12 @@
            .in_contact = consensus.in_contact() };
 }
 
+std::vector<ControlAddress>
+Replica::running_members() const
+{
+  return m_impl->running_members();
+}
+
 const StateMachine&
 Replica::machine() const
 {
--- a/src/libdecision/entry_directory.cpp
+++ b/src/libdecision/entry_directory.cpp
@@ -11,6 +11,9 @@
 
 // Maximum number of addresses that callers accept in one response.
 constexpr std::size_t kMaxAddresses = 64;
+// Hosts that start together are ready within this time of each other.
+constexpr std::chrono::milliseconds kUnsettledTime{ 2000 };
+constexpr std::chrono::milliseconds kUnsettledTtl{ 600 };
 
 std::uint64_t
 rank(const std::string& failure_domain, const std::string& address)
@@ -21,6 +24,12 @@
 
 } // namespace
 
+std::chrono::milliseconds
+directory_ttl(Duration since_change, std::chrono::milliseconds max_ttl)
+{
+  return since_change < kUnsettledTime ? std::min(kUnsettledTtl, max_ttl) : max_ttl;
+}
+
 bool
 EntryDirectory::apply_announcement(const EntryPresence& presence, TimePoint now)
 {
@@ -71,10 +80,17 @@
   std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
     return std::tie(a.remote, a.rank) < std::tie(b.remote, b.rank);
   });
-  const auto local_count = static_cast<std::size_t>(std::count_if(
+  const auto ready_count = static_cast<std::size_t>(std::count_if(
     candidates.begin(), candidates.end(), [](const Candidate& host) { return !host.remote; }));
-  const std::size_t count =
-    std::min(local_count > m_options.large_domain ? local_count : m_options.subset, kMaxAddresses);
+  const auto known = unexpired_hosts(now);
+  const auto known_count =
+    static_cast<std::size_t>(std::count_if(known.begin(), known.end(), [&](const auto& host) {
+      return host.first.failure_domain == failure_domain;
+    }));
+  const std::size_t wanted = known_count > m_options.large_domain
+                               ? std::max(ready_count, m_options.large_domain)
+                               : m_options.subset;
+  const std::size_t count = std::min(wanted, kMaxAddresses);
   std::vector<std::string> addresses;
   for (const Candidate& candidate : candidates) {
     if (addresses.size() < count) {
--- a/src/libdecision/entry_directory_test.cpp
+++ b/src/libdecision/entry_directory_test.cpp
@@ -68,5 +68,31 @@
   RC_ASSERT(remote_address_count == 0 || local_count < options.subset);
 }
 
+// Guards against a cold start of all hosts in which the callers of a large failure domain are sent
+// to the first few hosts that are ready, and stay with them.
+TEST(EntryDirectory, ColdStartDoesNotConcentrateCallers)
+{
+  const EntryDirectoryOptions options{ .lease = kLease };
+  EntryDirectory directory(options);
+  for (const char* domain : { "a", "b", "c" }) {
+    for (int i = 0; i < 90; ++i) {
+      directory.apply_announcement(make_presence(domain, i, i < 8), kStart);
+    }
+  }
+  const auto addresses = directory.resolve("a", kStart);
+  EXPECT_EQ(addresses.size(), options.large_domain);
+  EXPECT_EQ(std::count_if(addresses.begin(),
+                          addresses.end(),
+                          [](const std::string& address) { return address[0] == 'a'; }),
+            8);
+  for (int i = 8; i < 60; ++i) {
+    directory.apply_announcement(make_presence("a", i), kStart + milliseconds(1));
+  }
+  EXPECT_EQ(directory.resolve("a", kStart + milliseconds(1)).size(), 60U);
+  EXPECT_EQ(directory_ttl(milliseconds(100), milliseconds(5000)), milliseconds(600));
+  EXPECT_EQ(directory_ttl(milliseconds(100), milliseconds(300)), milliseconds(300));
+  EXPECT_EQ(directory_ttl(milliseconds(2000), milliseconds(5000)), milliseconds(5000));
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -386,7 +386,7 @@
   // Sets "Connection: close" if this response is the last one on the connection.
   void add_connection_close(http::fields& fields)
   {
-    if (m_context->shutting_down) {
+    if (m_context->shutting_down || Clock::now() < m_context->spread_until) {
       m_open = false;
     }
     if (!m_open) {
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -60,6 +60,9 @@
 Gateway::set_routing(RoutingConfig config)
 {
   GatewayContext& context = *m_impl->context;
+  if (!context.routing) {
+    context.spread_until = Clock::now() + context.options.spread_time;
+  }
   context.routing = std::make_shared<RoutingTable>(std::move(config), context.random());
   for (asio::steady_timer* waiter : context.routing_waiters) {
     waiter->cancel();
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -49,6 +49,8 @@
   /// Open connections of callers.
   std::size_t connections = 0;
   bool shutting_down = false;
+  /// Until then callers' connections are closed after each response.
+  TimePoint spread_until;
   /// Latest time at which the process exits; valid if shutting_down is set.
   TimePoint shutdown_deadline;
   /// Timers of requests that wait for the first routing configuration; cancelled when it arrives.
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -27,6 +27,8 @@
 // addresses.
 constexpr std::chrono::milliseconds kAddressRefreshInterval{ 100 };
 constexpr std::chrono::milliseconds kLeaseCheckInterval{ 500 };
+// Short compared with the lease.
+constexpr std::chrono::milliseconds kRenewalInterval{ 500 };
 // Longer than the time for which a server may be unable to reach control hosts while entry hosts
 // can still reach the server.
 constexpr std::chrono::milliseconds kServerLease{ 12000 };
@@ -246,8 +248,10 @@
     }
     // Tells the replica that the sender runs.
     m_replica->receive(from, message);
-  } else if (const auto* renewal = std::get_if<ServerRenewal>(&message)) {
-    m_registrar.renew(renewal->id, renewal->incarnation, now);
+  } else if (const auto* renewals = std::get_if<ServerRenewals>(&message)) {
+    for (const ServerRenewal& renewal : renewals->renewals) {
+      m_registrar.renew(renewal.id, renewal.incarnation, now);
+    }
   } else if (std::holds_alternative<ProposeReply>(message)) {
     m_client->receive(from, message, now);
   } else {
@@ -285,7 +289,10 @@
     m_directory.expire(now);
     m_subscribed_hosts.expire(now);
   }
-  if (m_is_leader && now - m_leases_checked_at >= kLeaseCheckInterval) {
+  if (now - m_renewals_sent_at >= kRenewalInterval) {
+    send_renewals(now);
+  }
+  if (now - m_leases_checked_at >= kLeaseCheckInterval) {
     m_leases_checked_at = now;
     remove_expired_servers(now);
   }
@@ -344,7 +351,12 @@
 void
 ControlHost::remove_expired_servers(TimePoint now)
 {
-  for (const ServerInfo& server : m_registrar.expired(servers(), now)) {
+  // On other hosts the check only removes leases of servers that are gone.
+  const std::vector<ServerInfo> expired = m_registrar.expired(servers(), now);
+  if (!m_is_leader) {
+    return;
+  }
+  for (const ServerInfo& server : expired) {
     m_log.warn("server_lease_ended", { { "server", server.id }, { "service", server.service } });
     m_client->propose(
       LeaveServer{ .service = server.service,
@@ -441,17 +453,34 @@
           reply);
 }
 
+// Servers are spread over the control hosts, because a group has one leader but any number of
+// servers.
 ControlReply
-ControlHost::heartbeat_reply() const
+ControlHost::heartbeat_reply(const ServerInfo& server) const
 {
-  // The leader tracks the leases, so servers are redirected to it.
-  const std::string leader = m_replica->status().leader_address;
-  const bool leader_is_remote = !leader.empty() && leader != m_settings.cluster_address;
+  const std::string source =
+    select_source(server.id, server.failure_domain, m_replica->running_members());
+  const bool is_remote = !source.empty() && source != m_settings.cluster_address;
   return ServerHeartbeatReply{
-    .next_address = leader_is_remote ? ip_of(leader) + port_of(m_settings.control_address) : ""
+    .next_address = is_remote ? ip_of(source) + port_of(m_settings.control_address) : ""
   };
 }
 
+// The leader keeps the leases of all servers.
+void
+ControlHost::send_renewals(TimePoint now)
+{
+  m_renewals_sent_at = now;
+  ServerRenewals message;
+  for (auto& [id, renewal] : std::exchange(m_renewals, {})) {
+    message.renewals.push_back(std::move(renewal));
+  }
+  const std::string leader = m_replica->status().leader_address;
+  if (!message.renewals.empty() && !leader.empty() && leader != m_settings.cluster_address) {
+    m_link.send(leader, message);
+  }
+}
+
 // After a start, the state may lack servers that have joined. Their heartbeats would be taken for
 // joins and would fill the log.
 void
@@ -491,14 +520,10 @@
   }
   const HeartbeatEffect effect = m_registrar.heartbeat(call.heartbeat, servers(), now);
   if (effect == HeartbeatEffect::None) {
-    const std::string leader = m_replica->status().leader_address;
-    if (!leader.empty() && leader != m_settings.cluster_address) {
-      m_link.send(leader,
-                  ServerRenewal{ .service = server.service,
-                                 .id = server.id,
-                                 .incarnation = server.incarnation });
-    }
-    send_reply(reply, heartbeat_reply());
+    m_renewals[server.id] = { .service = server.service,
+                              .id = server.id,
+                              .incarnation = server.incarnation };
+    send_reply(reply, heartbeat_reply(server));
     return;
   }
   m_log.info(effect == HeartbeatEffect::Join ? "server_joins" : "server_drains",
@@ -510,7 +535,7 @@
   if (effect == HeartbeatEffect::Leave) {
     propose(
       LeaveServer{ .service = server.service, .id = server.id, .incarnation = server.incarnation },
-      heartbeat_reply(),
+      heartbeat_reply(server),
       reply);
     return;
   }
@@ -521,7 +546,7 @@
       [](const Result<ApplyResult>&) {},
       now);
   }
-  propose(JoinServer{ server }, heartbeat_reply(), reply);
+  propose(JoinServer{ server }, heartbeat_reply(server), reply);
 }
 
 void
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -55,7 +55,8 @@
                const AdminServer::Reply& reply);
   void confirm(const std::function<void(bool confirmed)>& done);
   bool propose_leave(const LeaveCall& call, const AdminServer::Reply& reply);
-  ControlReply heartbeat_reply() const;
+  ControlReply heartbeat_reply(const ServerInfo& server) const;
+  void send_renewals(TimePoint now);
   void await_current_state(const HeartbeatCall& call, const AdminServer::Reply& reply);
   const std::vector<ServerInfo>& servers();
   void share_entry_hosts(TimePoint now);
@@ -94,6 +95,10 @@
   std::uint64_t m_servers_index = 0;
   /// When the subscribed entry hosts were last sent to the other control hosts.
   TimePoint m_shared_at;
+  /// Heartbeats received since m_renewals_sent_at, by server.
+  std::map<ServerId, ServerRenewal> m_renewals;
+  /// When the leader was last sent the renewals.
+  TimePoint m_renewals_sent_at;
   /// When the leases of the servers were last checked for expiry.
   TimePoint m_leases_checked_at;
   /// Whether this host led the group at the last tick.
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds kFirstControlTimeout{ 400 };
 // Time for which callers may cache the addresses of entry hosts; the settings may lower it.
 constexpr std::chrono::milliseconds kDirectoryTtl{ 5000 };
+// Hosts that start together are ready within two seconds, and callers learn of it within another.
+constexpr std::chrono::milliseconds kSpreadTime{ 3000 };
 constexpr std::chrono::milliseconds kShutdownCheckInterval{ 200 };
 // A shutdown takes at least this time, because callers cache an address after it has been
 // withdrawn.
@@ -55,6 +57,7 @@
                                 ? settings.max_descriptors - kReservedDescriptors
                                 : settings.max_descriptors / 2,
            .probes_per_second = settings.probes_per_second,
+           .spread_time = kSpreadTime,
            .link_mbps = settings.link_mbps,
            .seed = std::random_device{}() };
 }
@@ -166,6 +169,9 @@
 EntryHost::receive(const std::string& from, const ClusterMessage& message)
 {
   if (const auto* addresses = std::get_if<EntryAddresses>(&message)) {
+    if (addresses->version != m_directory.version) {
+      m_directory_changed_at = Clock::now();
+    }
     m_directory = *addresses;
     return;
   }
@@ -190,8 +196,10 @@
                                                  .remedy = "retry on another host" } }));
     return;
   }
-  reply(m_protocol.encode_reply(AddressesReply{
-    .addresses = found->second, .ttl = std::min(kDirectoryTtl, m_settings.max_directory_ttl) }));
+  const auto max_ttl = std::min(kDirectoryTtl, m_settings.max_directory_ttl);
+  reply(m_protocol.encode_reply(
+    AddressesReply{ .addresses = found->second,
+                    .ttl = directory_ttl(Clock::now() - m_directory_changed_at, max_ttl) }));
 }
 
 void
--- a/src/libsite/entry_host.h
+++ b/src/libsite/entry_host.h
@@ -60,6 +60,8 @@
   std::unique_ptr<AdminServer> m_directory_server;
   /// Addresses of entry hosts by failure domain, as received from control.
   EntryAddresses m_directory;
+  /// When the addresses last changed.
+  TimePoint m_directory_changed_at;
   /// StateMachine::routes_index() of the state passed to the gateway.
   std::uint64_t m_routes_index = 0;
   bool m_was_ready = false;
