libstate, libcontrol: reads share heartbeat rounds

Change: a read that arrives while others wait for their round joins the next one; a control host has one read for its subscribers on the way. A control host that does not answer is left after 1 s, one that can't be reached after 0.25 s; the WebSocket handshake has 1 s. Entry hosts spread over the seeds.

--- a/src/include/lovagehold/cluster_transport.h
+++ b/src/include/lovagehold/cluster_transport.h
@@ -18,6 +18,8 @@
   std::size_t backlog_bytes = std::size_t{ 8 } << 20;
   /// A connection is closed when sent data stays unacknowledged for this long.
   std::chrono::milliseconds unacknowledged_timeout{ 1000 };
+  /// Called on the transport's thread when a connection could not be opened. May be empty.
+  std::function<void(const std::string& peer_address)> on_unreachable;
 };
 
 /// Exchanges binary messages between the processes of the cluster over WebSocket connections.
@@ -46,7 +48,8 @@
   std::uint64_t bytes_sent() const;
   std::uint64_t bytes_received() const;
 
-  /// Failed attempts to open a connection, for the metrics. An attempt times out after 0.3 s.
+  /// Failed attempts to open a connection, for the metrics. An attempt times out after 0.3 s
+  /// without a TCP connection, and after another second without a WebSocket handshake.
   std::uint64_t failed_connections() const;
 
 private:
--- a/src/include/lovagehold/control_client.h
+++ b/src/include/lovagehold/control_client.h
@@ -68,6 +68,11 @@
   /// ms.
   void tick(TimePoint now);
 
+  /// No connection to the address could be opened. If the client follows it and its state is not
+  /// confirmed yet, it turns to the next control host without waiting for
+  /// initial_subscription_timeout.
+  void unreachable(const std::string& address, TimePoint now);
+
   /// Replaces the seed addresses, which are tried when no known control host responds.
   void set_seeds(std::vector<std::string> addresses);
 
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -39,6 +39,8 @@
   std::chrono::milliseconds snapshot_resend{ 500 };
   std::chrono::milliseconds subscription_timeout{ 2000 };
   std::chrono::milliseconds join_interval{ 200 };
+  /// A read that confirms the state of subscribers is taken for lost after this time.
+  std::chrono::milliseconds read_retry{ 300 };
   /// Delay after a storage failure before the disk is opened again.
   std::chrono::milliseconds storage_retry{ 5000 };
   /// A starting subscriber is directed only to control hosts that have been heard from within this
--- a/src/libadapters/cluster_transport.cpp
+++ b/src/libadapters/cluster_transport.cpp
@@ -35,6 +35,9 @@
 using Client = websocketpp::client<ClientConfig>;
 using websocketpp::connection_hdl;
 
+// A peer that many hosts connect to at once answers late. Ending the attempt early would make it
+// answer another one.
+constexpr long kHandshakeTimeoutMs = 1000;
 constexpr char kAddressHeader[] = "Lovagehold-Address";
 
 // Disables Nagle's algorithm, because messages are small and latency-sensitive. A network partition
@@ -130,7 +133,7 @@
       return;
     }
     connection->append_header(kAddressHeader, options.listen_address);
-    connection->set_open_handshake_timeout(ClientConfig::transport_config::timeout_connect);
+    connection->set_open_handshake_timeout(kHandshakeTimeoutMs);
     connection->set_open_handler([this, address, connection](const connection_hdl&) {
       configure_socket(connection->get_raw_socket(), options.unacknowledged_timeout);
       Peer& opened = peers[address];
@@ -141,8 +144,12 @@
     });
     const auto on_end = [this, address](const connection_hdl&) {
       Peer& ended = peers[address];
-      failed += ended.connecting ? 1 : 0;
-      ended.connecting = false;
+      if (std::exchange(ended.connecting, false)) {
+        ++failed;
+        if (options.on_unreachable) {
+          options.on_unreachable(address);
+        }
+      }
       ended.outbound.reset();
       drop_backlog(ended);
     };
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -13,6 +13,8 @@
 // ms, 0.8 s once the control host has answered, and 0.1 s before, because it may just have started.
 constexpr unsigned kMaxDoublings = 4;
 constexpr unsigned kMaxDoublingsBeforeAnswer = 1;
+// A control host that refuses connections for this time may just be starting, as this host is.
+constexpr std::chrono::milliseconds kStartupPatience{ 250 };
 // Time after a failover before the client may return to the control host in its failure domain.
 constexpr std::chrono::seconds kFailbackDelay{ 3 };
 
@@ -96,6 +98,13 @@
     subscribe(now);
   }
 
+  void fail_over(const char* reason, TimePoint now)
+  {
+    switch_to_next_source();
+    failback_at = now + kFailbackDelay;
+    follow_source(reason, now);
+  }
+
   void follow_assigned_source(const Entries& entries, TimePoint now)
   {
     if (ready || !std::exchange(accepts_source, false)) {
@@ -325,9 +334,7 @@
   const Duration timeout =
     initial ? impl.options.initial_subscription_timeout : impl.options.subscription_timeout;
   if (impl.last_subscribe && now - impl.last_source_contact >= timeout) {
-    impl.switch_to_next_source();
-    impl.failback_at = now + kFailbackDelay;
-    impl.follow_source("silent", now);
+    impl.fail_over("silent", now);
   } else if (!impl.last_subscribe) {
     impl.last_source_contact = now;
     impl.subscribe(now);
@@ -339,6 +346,17 @@
   impl.expire_proposals(now);
 }
 
+void
+ControlClient::unreachable(const std::string& address, TimePoint now)
+{
+  Impl& impl = *m_impl;
+  const bool follows = impl.options.follow && !impl.ready && impl.last_subscribe &&
+                       impl.options.control_addresses[impl.source] == address;
+  if (follows && now - impl.last_source_contact >= kStartupPatience) {
+    impl.fail_over("unreachable", now);
+  }
+}
+
 void
 ControlClient::set_seeds(std::vector<std::string> addresses)
 {
--- a/src/libcontrol/control_client_test.cpp
+++ b/src/libcontrol/control_client_test.cpp
@@ -53,5 +53,30 @@
   EXPECT_EQ(m_contacted, (std::set<std::string>{ "member", "new seed" }));
 }
 
+// Guards against waiting for the whole timeout of a control host that is known to be unreachable,
+// and against leaving one that is only starting.
+TEST(ControlClientStart, UnreachableSeedIsLeft)
+{
+  std::vector<std::string> contacted;
+  ControlClient client(
+    { .control_addresses = { "first", "second" },
+      .initial_subscription_timeout = milliseconds(1000) },
+    [&](const std::string& to, const ClusterMessage&) { contacted.push_back(to); },
+    [](const StateMachine&) {});
+  client.tick(kStart);
+  client.unreachable("first", kStart + milliseconds(50));
+  client.unreachable("second", kStart + milliseconds(300));
+  EXPECT_EQ(contacted, std::vector<std::string>{ "first" });
+  client.unreachable("first", kStart + milliseconds(300));
+  EXPECT_EQ(contacted.back(), "second");
+  const std::size_t count = contacted.size();
+  client.tick(kStart + milliseconds(301));
+  client.tick(kStart + milliseconds(1299));
+  EXPECT_EQ(contacted.back(), "second");
+  client.tick(kStart + milliseconds(1301));
+  EXPECT_EQ(contacted.back(), "first");
+  EXPECT_GT(contacted.size(), count);
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -109,8 +109,11 @@
   std::map<std::string, TimePoint> heard_at;
   /// By the id of the read that confirms them.
   std::map<std::uint64_t, std::vector<Confirmation>> confirmations;
-  /// Subscribers to be confirmed by the next read.
-  std::vector<Confirmation> awaiting_read;
+  /// Subscribers to be confirmed by the next read, by address.
+  std::map<std::string, Confirmation> awaiting_read;
+  /// When the read that confirms subscribers was sent; nothing if its result has arrived.
+  std::optional<TimePoint> read_sent_at;
+  bool read_posted = false;
   std::map<std::uint64_t, LeadershipCheck> leadership_checks;
   std::uint64_t next_read = 1;
   TimePoint join_at;
@@ -481,15 +484,27 @@
   // Subscribers share a read, because each read sends messages to all members.
   void queue_confirmation(Confirmation confirmation)
   {
-    awaiting_read.push_back(std::move(confirmation));
-    if (awaiting_read.size() > 1) {
+    awaiting_read[confirmation.subscriber] = std::move(confirmation);
+    if (!read_sent_at && !std::exchange(read_posted, true)) {
+      post([this] {
+        read_posted = false;
+        start_confirmation();
+      });
+    }
+  }
+
+  void start_confirmation()
+  {
+    if (awaiting_read.empty()) {
       return;
     }
-    post([this] {
-      const std::uint64_t id = next_read++;
-      confirmations[id] = std::exchange(awaiting_read, {});
-      perform(consensus->read(id, ports.now()));
-    });
+    const std::uint64_t id = next_read++;
+    std::vector<Confirmation>& confirmed = confirmations[id];
+    for (auto& [subscriber, confirmation] : std::exchange(awaiting_read, {})) {
+      confirmed.push_back(std::move(confirmation));
+    }
+    read_sent_at = ports.now();
+    perform(consensus->read(id, ports.now()));
   }
 
   const StateImage& latest_image()
@@ -500,6 +515,7 @@
       images.push_back({ .index = state.applied_index(),
                          .bytes = std::make_shared<const Bytes>(state.snapshot()) });
       bytes_since_image = 0;
+      ports.report("state_image_made", "bytes", std::to_string(images.back().bytes->size()));
       if (images.size() > kKeptImages) {
         images.pop_front();
       }
@@ -550,14 +566,16 @@
     if (found == confirmations.end()) {
       return;
     }
-    if (!read.confirmed) {
+    read_sent_at.reset();
+    if (read.confirmed) {
+      for (Confirmation& confirmation : found->second) {
+        confirmation.required_index = read.index;
+      }
+      confirm_subscribers();
+    } else {
       confirmations.erase(found);
-      return;
-    }
-    for (Confirmation& confirmation : found->second) {
-      confirmation.required_index = read.index;
     }
-    confirm_subscribers();
+    start_confirmation();
   }
 
   void finish_leadership_checks()
@@ -642,6 +660,10 @@
       retry_storage(now);
     }
     perform(consensus->tick(now));
+    if (read_sent_at && now - *read_sent_at >= options.read_retry) {
+      read_sent_at.reset();
+      start_confirmation();
+    }
     ask_to_join(now);
     std::erase_if(heard_at,
                   [&](const auto& entry) { return now - entry.second >= options.source_heard; });
--- a/src/libcontrol/replica_test.cpp
+++ b/src/libcontrol/replica_test.cpp
@@ -207,6 +207,28 @@
   std::function<bool(const std::string& to, const ClusterMessage&)> m_drop;
 };
 
+// Guards against a heartbeat round for each of many reads: after a restart of all hosts the leader
+// had no time left for anything else.
+TEST_F(ReplicaTest, ReadsShareHeartbeatRounds)
+{
+  ASSERT_TRUE(join("first"));
+  unsigned messages = 0;
+  m_drop = [&](const std::string&, const ClusterMessage& message) {
+    messages += std::holds_alternative<ConsensusEnvelope>(message) ? 1 : 0;
+    return false;
+  };
+  constexpr unsigned kReads = 200;
+  unsigned confirmed = 0;
+  const TimePoint started = m_now;
+  for (unsigned i = 0; i < kReads; ++i) {
+    leader()->confirm_leadership([&](TimePoint) { ++confirmed; });
+  }
+  ASSERT_TRUE(run_until([&] { return confirmed == kReads; }));
+  // Two rounds of a request and a reply for each of two followers, and as much for heartbeats.
+  EXPECT_LT(messages, 2 * 2 * 4U);
+  EXPECT_LT(m_now - started, std::chrono::milliseconds(200));
+}
+
 // Guards against a command that is applied twice when its reply is lost and the client resends it.
 TEST_F(ReplicaTest, ResentProposalIsAppliedOnce)
 {
--- a/src/libsite/cluster_link.cpp
+++ b/src/libsite/cluster_link.cpp
@@ -7,14 +7,24 @@
 ClusterLink::ClusterLink(boost::asio::io_context& context,
                          std::string address,
                          EventLog& log,
-                         Handler handler)
+                         Handler handler,
+                         std::function<void(const std::string& address)> on_unreachable)
   : m_context(context)
   , m_address(std::move(address))
   , m_log(log)
   , m_handler(std::move(handler))
-  , m_transport({ .listen_address = m_address }, [this](const std::string& from, Bytes bytes) {
-    boost::asio::post(m_context, [this, from, bytes = std::move(bytes)] { receive(from, bytes); });
-  })
+  , m_transport({ .listen_address = m_address,
+                  .on_unreachable =
+                    [this, on_unreachable = std::move(on_unreachable)](const std::string& peer) {
+                      if (on_unreachable) {
+                        boost::asio::post(m_context,
+                                          [on_unreachable, peer] { on_unreachable(peer); });
+                      }
+                    } },
+                [this](const std::string& from, Bytes bytes) {
+                  boost::asio::post(
+                    m_context, [this, from, bytes = std::move(bytes)] { receive(from, bytes); });
+                })
 {
 }
 
--- a/src/libsite/cluster_link.h
+++ b/src/libsite/cluster_link.h
@@ -17,10 +17,12 @@
   using Handler = std::function<void(const std::string& from, const ClusterMessage& message)>;
 
   /// \param address "IP:port" to listen on
+  /// \param on_unreachable called when no connection to a host could be opened; may be empty
   ClusterLink(boost::asio::io_context& context,
               std::string address,
               EventLog& log,
-              Handler handler);
+              Handler handler,
+              std::function<void(const std::string& address)> on_unreachable = {});
 
   Result<void> start();
 
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -1,5 +1,7 @@
 #include "entry_host.h"
 
+#include "lovagehold/home_selector.h"
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <random>
@@ -14,8 +16,9 @@
 // Another control host is followed if the current one has not replied for this time, so that an
 // acknowledged change arrives within 2 s.
 constexpr std::chrono::milliseconds kControlTimeout{ 1200 };
-// The same timeout before the first reply.
-constexpr std::chrono::milliseconds kFirstControlTimeout{ 400 };
+// The same timeout before the first reply. After a restart of all, the control hosts of the
+// settings answer many entry hosts; one that can't be reached at all is left earlier.
+constexpr std::chrono::milliseconds kFirstControlTimeout{ 1000 };
 // Time for which callers may cache the addresses of entry hosts; the settings may lower it.
 constexpr std::chrono::milliseconds kDirectoryTtl{ 5000 };
 // Hosts that start together are ready within two seconds, and callers learn of it within another.
@@ -31,16 +34,17 @@
 
 // Orders the addresses by the length of the prefix they share with the own address. Hosts of one
 // network usually share a prefix; until the failure domains of the control hosts are known, a near
-// one is the better first choice.
+// one is the better first choice. Hosts spread over addresses that are equally near.
 std::vector<std::string>
 nearest_first(std::vector<std::string> addresses, const std::string& own)
 {
-  const auto common_prefix = [&own](const std::string& address) {
-    return std::mismatch(address.begin(), address.end(), own.begin(), own.end()).first -
-           address.begin();
+  const auto rank = [&own](const std::string& address) {
+    const auto common_prefix =
+      std::mismatch(address.begin(), address.end(), own.begin(), own.end()).first - address.begin();
+    return std::pair(common_prefix, rendezvous_weight(own, address));
   };
-  std::stable_sort(addresses.begin(), addresses.end(), [&](const auto& a, const auto& b) {
-    return common_prefix(a) > common_prefix(b);
+  std::sort(addresses.begin(), addresses.end(), [&](const auto& a, const auto& b) {
+    return rank(a) > rank(b);
   });
   return addresses;
 }
@@ -76,7 +80,8 @@
       context,
       m_settings.cluster_address,
       log,
-      [this](const std::string& from, const ClusterMessage& message) { receive(from, message); })
+      [this](const std::string& from, const ClusterMessage& message) { receive(from, message); },
+      [this](const std::string& address) { m_client->unreachable(address, Clock::now()); })
   , m_gateway(context, gateway_options(m_settings, m_protocol), log)
   , m_readiness_server(context,
                        [this](const AdminRequest&, const AdminServer::Reply& reply) {
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -248,8 +248,13 @@
     }
     return;
   }
+  // A read that arrives while others wait for their round joins the next one, so that the number of
+  // rounds does not grow with the number of reads.
+  const bool round_in_progress = !reads.empty() && reads.front().round <= round;
   reads.push_back({ .requester = requester, .id = id, .index = commit_index, .round = round + 1 });
-  heartbeat();
+  if (!round_in_progress) {
+    heartbeat();
+  }
 }
 
 void
@@ -257,6 +262,11 @@
 {
   while (!reads.empty()) {
     const PendingRead read = reads.front();
+    if (read.round > round) {
+      // The reads of the round before are answered; this starts the next round.
+      heartbeat();
+      return;
+    }
     std::set<MemberId> confirmed{ self };
     for (const auto& [id, peer] : peers) {
       if (peer.acknowledged_round >= read.round) {
