libdecision: decide waits and returns of refused callers in one module

Cause: how long a request waits and when a refused caller comes back were constants in the connection code; all callers refused in one moment were asked to return after the same 100 ms. Change: AdmissionPolicy (no clock, no socket). The wait is unchanged. Retry-After is about the time in which the service takes on what waits, spread by half to one and a half of it, at most a third of the caller's time, and not before a pause that all servers asked for ends.

--- /dev/null
+++ b/src/include/lovagehold/admission.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "lovagehold/types.h"
+
+#include <optional>
+#include <random>
+
+namespace lovagehold {
+
+struct AdmissionOptions
+{
+  /// A request waits for free capacity for at most this share of its latency objective. A longer
+  /// wait would leave the caller no time to come back, and would take capacity that a newer request
+  /// could still use in time.
+  double wait_share = 1.0 / 8;
+  /// No attempt is started with less than this time left: a server could not do anything useful.
+  std::chrono::milliseconds min_attempt_time{ 20 };
+  /// Shortest and, without a pause of the servers, longest time after which a refused caller is
+  /// asked to come back.
+  std::chrono::milliseconds min_return{ 50 };
+  std::chrono::milliseconds max_return{ 1000 };
+  /// A caller is asked to come back within this share of the time that it still has, because
+  /// callers give up on a longer time.
+  double max_return_share = 1.0 / 3;
+};
+
+/// What is known about a service when a request for it is refused.
+struct RefusalState
+{
+  /// Earliest time at which a server accepts calls again, if all asked for a pause.
+  std::optional<TimePoint> pause_end;
+  /// Mean time of a request; nothing if not known yet.
+  std::optional<Duration> mean_request_time;
+  /// Requests of the service that wait on this host.
+  std::size_t waiting = 0;
+  /// Servers of the service.
+  std::size_t servers = 0;
+  TimePoint caller_deadline;
+};
+
+/// Decides how long a request may wait for a server with free capacity and when a refused caller
+/// should come back. Has no state; time and randomness are arguments.
+class AdmissionPolicy
+{
+public:
+  explicit AdmissionPolicy(AdmissionOptions options = {})
+    : m_options(options)
+  {
+  }
+
+  /// \param since when the request began to wait
+  /// \param target_latency latency objective of its route
+  /// \param deadline when its caller or its route gives up
+  /// \return the latest time at which the request may still be sent to a server
+  TimePoint latest_start(TimePoint since,
+                         std::chrono::milliseconds target_latency,
+                         TimePoint deadline) const;
+
+  /// \return whether enough time is left for an attempt
+  bool has_time_for_attempt(TimePoint now, TimePoint deadline) const
+  {
+    return now + m_options.min_attempt_time < deadline;
+  }
+
+  /// \return the value of Retry-After for a request that was not executed: about the time in which
+  /// the service takes on the requests that wait, spread so that callers refused together do not
+  /// return together; not before a pause of all servers ends
+  std::chrono::milliseconds retry_after(const RefusalState& state,
+                                        TimePoint now,
+                                        std::mt19937_64& random) const;
+
+private:
+  AdmissionOptions m_options;
+};
+
+} // namespace lovagehold
--- /dev/null
+++ b/src/libdecision/admission.cpp
@@ -0,0 +1,59 @@
+#include "lovagehold/admission.h"
+
+#include <algorithm>
+
+namespace lovagehold {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Assumed before the first request of a service has been served.
+constexpr milliseconds kDefaultMeanTime{ 200 };
+// A slot of a busy server becomes free after half of a request's time on average.
+constexpr double kTimeToFreeSlot = 0.5;
+// Range of the random factor that spreads returns.
+constexpr double kMinSpread = 0.5;
+constexpr double kMaxSpread = 1.5;
+
+milliseconds
+scaled(Duration duration, double factor)
+{
+  return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(duration) * factor);
+}
+
+} // namespace
+
+TimePoint
+AdmissionPolicy::latest_start(TimePoint since,
+                              milliseconds target_latency,
+                              TimePoint deadline) const
+{
+  return std::min<TimePoint>(since + scaled(target_latency, m_options.wait_share),
+                             deadline - m_options.min_attempt_time);
+}
+
+milliseconds
+AdmissionPolicy::retry_after(const RefusalState& state,
+                             TimePoint now,
+                             std::mt19937_64& random) const
+{
+  const double spread = std::uniform_real_distribution<double>(kMinSpread, kMaxSpread)(random);
+  const Duration mean = state.mean_request_time.value_or(kDefaultMeanTime);
+  const double queue = 1 + static_cast<double>(state.waiting) /
+                             static_cast<double>(std::max<std::size_t>(state.servers, 1));
+  milliseconds time = std::clamp(
+    scaled(mean, kTimeToFreeSlot * queue * spread), m_options.min_return, m_options.max_return);
+  const milliseconds limit =
+    std::max(scaled(state.caller_deadline - now, m_options.max_return_share), milliseconds(0));
+  time = std::min(time, limit);
+  // A return before the end of the pause would be refused again, whatever the caller's limit is.
+  if (state.pause_end) {
+    const Duration pause = *state.pause_end - now;
+    const auto pause_ms = std::chrono::ceil<milliseconds>(pause);
+    time = std::max(time, pause_ms + scaled(milliseconds(100), spread - kMinSpread));
+  }
+  return time;
+}
+
+} // namespace lovagehold
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -11,14 +11,8 @@
 
 namespace {
 
-// No attempt is started with less than this time left: a server could not do anything useful.
-constexpr std::chrono::milliseconds kMinAttemptTime{ 20 };
-// Time after which a caller may repeat a request that was refused without being executed.
-constexpr std::chrono::milliseconds kRefusalRetryAfter{ 100 };
 // Interval at which the first waiting request checks again for free capacity.
 constexpr std::chrono::milliseconds kCapacityCheckInterval{ 40 };
-// A request waits for free capacity for at most its route's target latency divided by this.
-constexpr int kQueueWaitDivisor = 8;
 // A hedge is sent after this multiple of the mean response time. It is meant to replace an attempt
 // that is stuck. An earlier hedge gains little: an attempt that is slowed down by a busy neighbour
 // of its server usually still ends before the hedge does (110 of 118 cases).
@@ -154,7 +148,7 @@
   ServerSelector* selector = &m_context.selector(m_request.service);
   const auto server = selector->pick(now, m_tried_servers, body_bytes(), m_context.random);
   --m_pending_selections;
-  const bool too_late = now + kMinAttemptTime >= m_deadline;
+  const bool too_late = !m_context.admission.has_time_for_attempt(now, m_deadline);
   if (!server || too_late || m_abandoned || m_given_up || m_winner) {
     m_no_server = !server;
     m_retryable = m_retryable && server && !too_late;
@@ -208,7 +202,8 @@
 awaitable<bool>
 ForwardedRequest::wait_for_capacity(bool hedge)
 {
-  const TimePoint latest = latest_start(Clock::now());
+  const TimePoint latest =
+    m_context.admission.latest_start(Clock::now(), m_request.route->target_latency, m_deadline);
   WaitingQueue& queue = m_context.queues[m_request.service];
   if (hedge || queue.is_empty()) {
     const bool has_capacity = co_await check_capacity();
@@ -256,15 +251,6 @@
     m_context.selector(m_request.service).has_free_capacity(server->id, Clock::now());
 }
 
-// A longer wait would leave the caller no time for a retry, and would take capacity that a newer
-// request could still use in time.
-TimePoint
-ForwardedRequest::latest_start(TimePoint since) const
-{
-  return std::min(since + m_request.route->target_latency / kQueueWaitDivisor,
-                  m_deadline - kMinAttemptTime);
-}
-
 std::string
 ForwardedRequest::describe_overload(const ServerInfo& best, TimePoint now) const
 {
@@ -274,7 +260,10 @@
     best.id,
     describe_load(selector.report_age(best.id, now), selector.last_report(best.id)),
     m_context.queues[m_request.service].size(),
-    to_milliseconds(m_request.route->target_latency / kQueueWaitDivisor).count());
+    to_milliseconds(
+      m_context.admission.latest_start(now, m_request.route->target_latency, TimePoint::max()) -
+      now)
+      .count());
 }
 
 awaitable<void>
@@ -398,7 +387,7 @@
 {
   const bool streamed = m_request.upload != nullptr && !m_attempts.empty();
   return m_retryable && !streamed && m_counted_attempts < m_request.route->max_attempts &&
-         now + kMinAttemptTime < m_deadline;
+         m_context.admission.has_time_for_attempt(now, m_deadline);
 }
 
 TimePoint
@@ -419,16 +408,25 @@
 ForwardedRequest::may_hedge(TimePoint now)
 {
   return m_retryable && m_counted_attempts < m_request.route->max_attempts &&
-         now + kMinAttemptTime < m_deadline &&
+         m_context.admission.has_time_for_attempt(now, m_deadline) &&
          m_context.budget(m_request.service).left(now) > kRetryReserve;
 }
 
 void
-ForwardedRequest::refuse_not_executed(const char* reason, Duration retry_after)
+ForwardedRequest::refuse_not_executed(const char* reason, TimePoint now)
 {
+  const ServerSelector& selector = m_context.selector(m_request.service);
+  const RefusalState state{ .pause_end = selector.has_callable_server(now)
+                                           ? std::nullopt
+                                           : selector.earliest_pause_end(now),
+                            .mean_request_time = selector.mean_request_time(),
+                            .waiting = m_context.queues[m_request.service].size(),
+                            .servers = selector.size(),
+                            .caller_deadline = m_request.caller_deadline };
   m_error_response = { .status = 503,
                        .reason = reason,
-                       .retry_after = to_milliseconds(retry_after) };
+                       .retry_after =
+                         m_context.admission.retry_after(state, now, m_context.random) };
 }
 
 void
@@ -443,13 +441,11 @@
   } else if (m_may_have_executed) {
     m_error_response = { .status = 502, .reason = "the server's response was lost or broken" };
   } else if (m_no_server) {
-    const auto pause_end = m_context.selector(m_request.service).earliest_pause_end(now);
-    refuse_not_executed("no server of the service is available",
-                        pause_end ? *pause_end - now : kRefusalRetryAfter);
+    refuse_not_executed("no server of the service is available", now);
   } else if (now >= m_deadline) {
-    refuse_not_executed("the time ran out before a server was reached", kRefusalRetryAfter);
+    refuse_not_executed("the time ran out before a server was reached", now);
   } else {
-    refuse_not_executed("the servers are full", kRefusalRetryAfter);
+    refuse_not_executed("the servers are full", now);
     m_error_response.detail = m_overload_detail;
   }
 }
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -93,7 +93,6 @@
   awaitable<void> run_attempt(bool hedge);
   awaitable<bool> wait_for_capacity(bool hedge);
   awaitable<bool> check_capacity();
-  TimePoint latest_start(TimePoint since) const;
   std::string describe_overload(const ServerInfo& best, TimePoint now) const;
   awaitable<void> probe(bool preferred_only, const std::string& path);
   std::size_t body_bytes() const;
@@ -103,7 +102,7 @@
   bool has_active_attempts() const;
   bool may_retry(TimePoint now);
   void give_up(TimePoint now);
-  void refuse_not_executed(const char* reason, Duration retry_after);
+  void refuse_not_executed(const char* reason, TimePoint now);
   TimePoint hedge_time() const;
   bool may_hedge(TimePoint now);
   OutgoingRequest make_outgoing_request(const ServerInfo& server, TimePoint now) const;
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libproxy/connection_pool.h"
+#include "lovagehold/admission.h"
 #include "lovagehold/gateway.h"
 #include "lovagehold/link_pacer.h"
 #include "lovagehold/metrics.h"
@@ -35,6 +36,7 @@
   LinkPacer send_pacer;
   /// Null until the first routing configuration has been received.
   std::shared_ptr<RoutingTable> routing;
+  AdmissionPolicy admission;
   std::map<ServiceName, ServerSelector> selectors;
   std::map<ServiceName, RetryBudget> budgets;
   std::map<ServiceName, WaitingQueue> queues;
