libgateway: send long bodies to the server while they arrive on slow links

Change: ArrivingBody holds the bytes; one reader appends, the sender follows it. A body that breaks off closes the server's connection; after an early response the rest is read, so that the response is not lost. All bytes are kept for a retry.

--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -30,6 +30,8 @@
 // Bytes of further requests that are read while a request is served. A caller that has sent more is
 // not noticed when it disconnects.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 64 } << 10;
+// Shorter bodies arrive at once.
+constexpr std::size_t kMinArrivingBodyBytes = std::size_t{ 16 } << 10;
 // Longest time without progress while a body is transferred.
 constexpr std::chrono::milliseconds kBodyIdleTimeout{ 10000 };
 
@@ -147,6 +149,10 @@
                         caller_limits,
                         header.count(http::field::expect) > 0,
                         &m_context->receive_pacer);
+    if (may_forward_while_arriving(parser)) {
+      co_await serve_while_arriving(parser, upload, arrived);
+      co_return;
+    }
     const bool buffered = co_await upload.read_all();
     if (upload.failed()) {
       m_open = false;
@@ -156,7 +162,61 @@
       }
       co_return;
     }
-    co_await route(parser, upload, buffered, arrived);
+    co_await route(parser, upload, buffered, nullptr, arrived);
+  }
+
+  // On a slow link, a long body is sent to the server while it arrives, which saves the time for
+  // receiving it.
+  bool may_forward_while_arriving(const RequestParser& parser) const
+  {
+    const std::uint64_t length = parser.content_length().value_or(0);
+    return m_context->receive_pacer.active() && !parser.chunked() &&
+           length > kMinArrivingBodyBytes && length <= kBufferedBodyBytes;
+  }
+
+  awaitable<void> serve_while_arriving(RequestParser& parser,
+                                       UploadSource& upload,
+                                       TimePoint arrived)
+  {
+    const auto body = std::make_shared<ArrivingBody>(
+      m_context->io, static_cast<std::size_t>(*parser.content_length()));
+    upload.keep_nothing();
+    // The first read may have to answer an expectation, so it precedes any response.
+    const std::string_view first = co_await upload.read();
+    if (upload.failed()) {
+      m_open = false;
+      co_return;
+    }
+    body->append(first);
+    asio::co_spawn(
+      m_context->io,
+      [self = shared_from_this(), body, &upload]() -> awaitable<void> {
+        co_await self->receive_body(body, upload);
+      },
+      asio::detached);
+    co_await route(parser, upload, false, body, arrived);
+    // A response that is sent before the end of the body would be lost if the connection were
+    // closed with unread bytes.
+    while (!body->ended()) {
+      co_await body->wait();
+    }
+    m_arriving_request.reset();
+    m_open = m_open && !body->failed();
+  }
+
+  awaitable<void> receive_body(std::shared_ptr<ArrivingBody> body, UploadSource& upload)
+  {
+    while (!upload.done() && !upload.failed()) {
+      const std::string_view piece = co_await upload.read();
+      body->append(piece);
+    }
+    body->end();
+    const auto request = m_arriving_request.lock();
+    if (request && body->failed()) {
+      request->abandon();
+    } else if (request) {
+      start_disconnect_watch(request);
+    }
   }
 
   awaitable<void> wait_for_routing(TimePoint deadline)
@@ -171,6 +231,7 @@
   awaitable<void> route(RequestParser& parser,
                         UploadSource& upload,
                         bool buffered,
+                        const std::shared_ptr<ArrivingBody>& arriving,
                         TimePoint arrived)
   {
     const auto& header = parser.get();
@@ -192,7 +253,7 @@
     const Route* route = routing->find(std::string_view(host.data(), host.size()),
                                        std::string_view(target).substr(0, target.find('?')));
     if (route == nullptr) {
-      m_open = m_open && upload.done();
+      m_open = m_open && (arriving || upload.done());
       const GatewayErrorResponse error_response{ .status = 404,
                                                  .reason = "no route matches the request" };
       log_refused_request(header, error_response);
@@ -210,12 +271,13 @@
       co_await send_error_response(error_response);
       co_return;
     }
-    co_await forward(parser, upload, buffered, arrived, routing, *route);
+    co_await forward(parser, upload, buffered, arriving, arrived, routing, *route);
   }
 
   GatewayRequest make_request(RequestParser& parser,
                               UploadSource& upload,
                               bool buffered,
+                              const std::shared_ptr<ArrivingBody>& arriving,
                               TimePoint arrived,
                               const std::shared_ptr<RoutingTable>& routing,
                               const Route& route) const
@@ -238,7 +300,10 @@
     const bool has_body = parser.chunked() || parser.content_length().value_or(0) > 0 ||
                           header.count(http::field::content_length) > 0;
     request.chunked = !buffered && parser.chunked();
-    if (buffered) {
+    if (arriving) {
+      request.body = std::make_shared<const std::string>();
+      request.arriving = arriving;
+    } else if (buffered) {
       request.body = std::make_shared<const std::string>(upload.take_kept());
       if (has_body) {
         header.set(http::field::content_length, std::to_string(request.body->size()));
@@ -284,19 +349,23 @@
   awaitable<void> forward(RequestParser& parser,
                           UploadSource& upload,
                           bool buffered,
+                          const std::shared_ptr<ArrivingBody>& arriving,
                           TimePoint arrived,
                           const std::shared_ptr<RoutingTable>& routing,
                           const Route& route)
   {
-    GatewayRequest request = make_request(parser, upload, buffered, arrived, routing, route);
+    GatewayRequest request =
+      make_request(parser, upload, buffered, arriving, arrived, routing, route);
     const std::string id = request.id;
     const TimePoint caller_deadline = request.caller_deadline;
     const auto forwarded = std::make_shared<ForwardedRequest>(*m_context, std::move(request));
-    if (buffered) {
+    if (buffered || (arriving && arriving->ended())) {
       start_disconnect_watch(forwarded);
+    } else if (arriving) {
+      m_arriving_request = forwarded;
     }
     co_await forwarded->run();
-    if (!upload.done()) {
+    if (!arriving && !upload.done()) {
       upload.interrupt();
       m_open = false;
     }
@@ -522,6 +591,8 @@
   beast::tcp_stream m_stream;
   ReadTimer m_read_timer;
   beast::flat_buffer m_buffer;
+  /// The current request while its body is still arriving.
+  std::weak_ptr<ForwardedRequest> m_arriving_request;
   /// Cleared when the connection is to be closed after the current request.
   bool m_open = true;
   bool m_head_method = false;
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -283,6 +283,9 @@
 std::size_t
 ForwardedRequest::body_bytes() const
 {
+  if (m_request.arriving) {
+    return m_request.arriving->size();
+  }
   return m_request.upload != nullptr ? kBufferedBodyBytes : m_request.body->size();
 }
 
@@ -293,6 +296,7 @@
   OutgoingRequest request{ .head = m_request.head,
                            .id = m_request.id,
                            .body = m_request.body,
+                           .arriving = m_request.arriving,
                            .upload = m_request.upload,
                            .chunked = m_request.chunked,
                            .head_method = m_request.head_method };
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -14,7 +14,9 @@
   /// each attempt.
   std::string head;
   std::shared_ptr<const std::string> body;
-  /// Source of a streamed body; null if \p body holds the whole body.
+  /// The body if it is still arriving; \p body is empty then.
+  std::shared_ptr<ArrivingBody> arriving;
+  /// Source of a streamed body; null if \p body or \p arriving has the body.
   UploadSource* upload = nullptr;
   bool chunked = false;
   bool head_method = false;
--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -707,5 +707,74 @@
   }
 }
 
+// Guards against sending a part of a body that is still arriving to the second server, after the
+// first one has refused the request.
+TEST_F(SlowLinkTest, RefusedUploadIsSentWholeToAnotherServer)
+{
+  std::atomic<int> calls{ 0 };
+  const auto script = [&](const ReceivedRequest& received) {
+    return ++calls == 1 ? kRefuse(received) : kServe(received);
+  };
+  add_server(script).respond_early();
+  add_server(script);
+  configure(milliseconds(20000), milliseconds(20000));
+  const std::string body(200000, 'x');
+  // The server that answers early may be asked second; its answer is a success then.
+  EXPECT_EQ(status_of(send(request("POST", "/once/a", body))), 200);
+  EXPECT_GE(arrivals(), 1U);
+  if (calls == 2) {
+    for (const auto& server : m_servers) {
+      for (const ReceivedRequest& received : server->requests()) {
+        EXPECT_TRUE(received.body.empty() || received.body == body);
+      }
+    }
+  }
+}
+
+// Guards against a response that is lost because the server sent it before the whole body had
+// arrived, and against bytes of the body that are taken for the next request.
+TEST_F(SlowLinkTest, EarlyResponseReachesACallerThatIsStillSending)
+{
+  add_server(kServe).respond_early();
+  configure(milliseconds(20000), milliseconds(20000));
+  const std::string body(200000, 'x');
+  const std::string bytes = request("POST", "/once/a", body);
+  boost::asio::io_context context;
+  TestSocket socket(context);
+  socket.connect(test_endpoint(".8.1", kPort));
+  set_read_timeout(socket);
+  boost::asio::write(socket, boost::asio::buffer(bytes.substr(0, bytes.size() - 100000)));
+  std::string received(15, '\0');
+  boost::asio::read(socket, boost::asio::buffer(received));
+  EXPECT_EQ(received, "HTTP/1.1 200 OK");
+  boost::asio::write(socket, boost::asio::buffer(bytes.substr(bytes.size() - 100000)));
+  const std::string rest = read_to_close(socket).value_or("(not closed)");
+  EXPECT_EQ(rest.substr(rest.size() - 5), "hello");
+  EXPECT_EQ(rest.find("HTTP/1.1"), std::string::npos);
+}
+
+// Guards against a request that is executed with a part of its body after its caller has left.
+TEST_F(SlowLinkTest, UploadOfACallerThatLeavesIsNotCompleted)
+{
+  add_server(kServe);
+  configure(milliseconds(20000), milliseconds(20000));
+  const std::string bytes = request("POST", "/once/a", std::string(200000, 'x'));
+  {
+    boost::asio::io_context context;
+    TestSocket socket(context);
+    socket.connect(test_endpoint(".8.1", kPort));
+    boost::asio::write(socket, boost::asio::buffer(bytes.substr(0, bytes.size() - 100000)));
+  }
+  std::uint64_t abandoned = 0;
+  const TimePoint limit = Clock::now() + std::chrono::seconds(10);
+  while (abandoned == 0 && Clock::now() < limit) {
+    on_gateway([&] { abandoned = m_gateway.counters().abandoned; });
+  }
+  EXPECT_EQ(abandoned, 1U);
+  for (const ReceivedRequest& received : m_servers.front()->requests()) {
+    EXPECT_LT(received.body.size(), 200000U);
+  }
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libgateway/scripted_server.h
+++ b/src/libgateway/scripted_server.h
@@ -85,6 +85,9 @@
   /// The next \p checks health checks report a full server: 3 requests in progress and 3 slots.
   void report_full_load(unsigned checks) { m_full_checks = checks; }
 
+  /// From now on, requests are answered before their body is read.
+  void respond_early() { m_early = true; }
+
   /// From now on, health checks say that the server is leaving.
   void leave() { m_leaving = true; }
 
@@ -133,7 +136,7 @@
       ReceivedRequest request{ .head = buffer.substr(0, size) };
       buffer.erase(0, size);
       const std::string length = request.header("Content-Length");
-      const std::size_t body_size = length.empty() ? 0 : std::stoul(length);
+      const std::size_t body_size = length.empty() || m_early ? 0 : std::stoul(length);
       while (buffer.size() < body_size && !error) {
         std::array<char, 4096> read_buffer{};
         const std::size_t received = socket.read_some(boost::asio::buffer(read_buffer), error);
@@ -206,6 +209,7 @@
   std::atomic<unsigned> m_full_checks{ 0 };
   std::atomic<unsigned> m_checks{ 0 };
   std::atomic<bool> m_leaving{ false };
+  std::atomic<bool> m_early{ false };
   std::atomic<bool> m_stopping{ false };
   std::atomic<bool> m_peer_closed{ false };
   std::thread m_thread;
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -112,7 +112,8 @@
   }
   m_connection->set_deadline(deadline);
   m_status = ExchangeStatus::Broken;
-  const bool direct = request.upload == nullptr && request.body->size() <= kMaxDirectBodyBytes;
+  const bool direct =
+    request.upload == nullptr && !request.arriving && request.body->size() <= kMaxDirectBodyBytes;
   if (direct) {
     const std::array<asio::const_buffer, 2> buffers{ asio::buffer(request.head),
                                                      asio::buffer(*request.body) };
@@ -148,32 +149,66 @@
   const auto connection = m_connection;
   boost::system::error_code error;
   co_await asio::async_write(connection->socket, asio::buffer(request.head), capture(error));
-  if (!error) {
+  if (error) {
+    co_return;
+  }
+  if (request.arriving) {
+    co_await send_arriving(request);
+  } else {
     co_await send_body(request);
   }
 }
 
 awaitable<void>
-ServerExchange::send_body(const OutgoingRequest& request)
+ServerExchange::write_piece(const OutgoingRequest& request,
+                            std::string_view piece,
+                            boost::system::error_code& error)
+{
+  const auto connection = m_connection;
+  // Leaves bandwidth of a slow link for the messages of other requests.
+  co_await await_link(m_context.send_pacer, piece.size());
+  if (request.chunked) {
+    const auto data = http::make_chunk(asio::const_buffer(piece.data(), piece.size()));
+    co_await asio::async_write(connection->socket, data, capture(error));
+  } else {
+    co_await asio::async_write(
+      connection->socket, asio::buffer(piece.data(), piece.size()), capture(error));
+  }
+}
+
+awaitable<void>
+ServerExchange::send_arriving(const OutgoingRequest& request)
 {
   const auto connection = m_connection;
+  ArrivingBody& body = *request.arriving;
   boost::system::error_code error;
-  const auto write = [&](std::string_view piece) -> awaitable<void> {
-    // Leaves bandwidth of a slow link for the messages of other requests.
-    co_await await_link(m_context.send_pacer, piece.size());
-    if (request.chunked) {
-      const auto data = http::make_chunk(asio::const_buffer(piece.data(), piece.size()));
-      co_await asio::async_write(connection->socket, data, capture(error));
+  std::size_t sent = 0;
+  while (!error && sent < body.size() && connection->socket.is_open()) {
+    const std::string_view piece = body.from(sent).substr(0, LinkPacer::kPieceBytes);
+    if (!piece.empty()) {
+      co_await write_piece(request, piece, error);
+      sent += piece.size();
+    } else if (body.failed()) {
+      // A request with a part of its body must not look complete to the server.
+      connection->close();
+      co_return;
     } else {
-      co_await asio::async_write(
-        connection->socket, asio::buffer(piece.data(), piece.size()), capture(error));
+      co_await body.wait();
     }
-  };
+  }
+  m_request_sent = !error && sent == body.size();
+}
+
+awaitable<void>
+ServerExchange::send_body(const OutgoingRequest& request)
+{
+  const auto connection = m_connection;
+  boost::system::error_code error;
   const auto write_all = [&](std::string_view bytes) -> awaitable<void> {
     const std::size_t max_piece =
       m_context.send_pacer.active() ? LinkPacer::kPieceBytes : bytes.size();
     while (!error && !bytes.empty()) {
-      co_await write(bytes.substr(0, max_piece));
+      co_await write_piece(request, bytes.substr(0, max_piece), error);
       bytes.remove_prefix(std::min(max_piece, bytes.size()));
     }
   };
--- a/src/libgateway/server_exchange.h
+++ b/src/libgateway/server_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "arriving_body.h"
 #include "gateway_context.h"
 #include "libproxy/upload_source.h"
 #include "server_notice.h"
@@ -28,7 +29,9 @@
   std::string head;
   std::string id;
   std::shared_ptr<const std::string> body;
-  /// Source of a streamed body; null if \p body holds the whole body.
+  /// The body if it is still arriving; \p body is empty then.
+  std::shared_ptr<ArrivingBody> arriving;
+  /// Source of a streamed body; null if \p body or \p arriving has the body.
   UploadSource* upload = nullptr;
   bool chunked = false;
   /// Responses to HEAD have no body.
@@ -76,6 +79,10 @@
   void start_sending(const OutgoingRequest& request);
   awaitable<void> send(const OutgoingRequest& request);
   awaitable<void> send_body(const OutgoingRequest& request);
+  awaitable<void> write_piece(const OutgoingRequest& request,
+                              std::string_view piece,
+                              boost::system::error_code& error);
+  awaitable<void> send_arriving(const OutgoingRequest& request);
   awaitable<bool> read_response(const OutgoingRequest& request);
   awaitable<bool> read_header(const OutgoingRequest& request);
   awaitable<bool> discard_body();
--- a/src/libproxy/upload_source.cpp
+++ b/src/libproxy/upload_source.cpp
@@ -97,7 +97,7 @@
     m_pacer->reserve(size, Clock::now());
   }
   m_received += size;
-  if (m_received <= kBufferedBodyBytes) {
+  if (m_keeps && m_received <= kBufferedBodyBytes) {
     m_kept.append(m_read_buffer.data(), size);
   } else {
     m_kept.clear();
@@ -124,6 +124,13 @@
          m_error == http::error::end_of_stream;
 }
 
+void
+UploadSource::keep_nothing()
+{
+  m_keeps = false;
+  m_kept.clear();
+}
+
 void
 UploadSource::interrupt()
 {
--- a/src/libproxy/upload_source.h
+++ b/src/libproxy/upload_source.h
@@ -48,6 +48,9 @@
   /// \return whether all bytes read so far are in kept(), so that they can be resent.
   bool replayable() const { return m_received == m_kept.size(); }
 
+  /// From now on, read() keeps no bytes; those kept so far are dropped.
+  void keep_nothing();
+
   /// First bytes of the body; empty once more than kBufferedBodyBytes have been read.
   const std::string& kept() const { return m_kept; }
   std::string take_kept() { return std::move(m_kept); }
@@ -77,6 +80,7 @@
   LinkPacer* m_pacer;
   std::vector<char> m_read_buffer;
   std::string m_kept;
+  bool m_keeps = true;
   std::uint64_t m_received = 0;
   std::optional<TimePoint> m_started;
   boost::system::error_code m_error;
