libdecision: expect a server without a fresh report to be as loaded as the others

Change: the expected load of a server regresses to the mean of all reports instead of 0 as its report ages. A request for which no server is expected to have room waits and probes others, as before, or is refused unrun. Also: the test of a disconnect behind a pipelined request sends the second request after the first has arrived; before, both were read at once and the test could not fail.

--- a/src/include/lovagehold/server_selector.h
+++ b/src/include/lovagehold/server_selector.h
@@ -232,6 +232,8 @@
   std::map<ServerId, State> m_servers;
   /// Incarnations that are leaving, also those that are not listed any more.
   std::map<ServerId, LeavingMark> m_leaving;
+  /// Moving average of the requests running and waiting at a server, over all reports.
+  double m_mean_busy = 0;
   /// Moving average of the time of served requests.
   std::optional<double> m_mean_ms;
   std::size_t m_hosts = 1;
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -11,6 +11,8 @@
 // Weights of the latest request in the moving averages of the service and of a server.
 constexpr double kMeanTimeSmoothing = 0.2;
 constexpr double kRelativeTimeSmoothing = 0.4;
+// Weight of the latest report in the moving average of the servers' load.
+constexpr double kMeanBusySmoothing = 0.1;
 // Time constant of the decay of a server's relative time towards 1.
 constexpr std::chrono::milliseconds kRelativeTimeDecay{ 4000 };
 // Costs that differ by less than this are considered equal.
@@ -169,13 +171,15 @@
 double
 ServerSelector::busy_of(const State& state, TimePoint now) const
 {
-  double busy = state.in_progress;
+  // The older a report, the more the server is expected to be loaded like the others. If all are, a
+  // server without a fresh report must not look idle.
+  double expected = m_mean_busy;
   if (state.report_time) {
-    // The requests counted in the report finish one by one.
     const double reported = state.load.running + state.load.waiting;
     const double weight = decay(now - *state.report_time, m_options.report_decay);
-    busy = std::max<double>(state.in_progress, reported * weight + state.started_since_report);
+    expected += (reported - expected) * weight;
   }
+  double busy = std::max<double>(state.in_progress, expected + state.started_since_report);
   if (state.pending_probe && now - *state.pending_probe >= m_options.unanswered_probe) {
     busy = std::max(busy, slots_of(state) + 1);
   }
@@ -308,6 +312,7 @@
     found->second.started_since_report = 0;
     found->second.pending_probe.reset();
     m_probes_without_report = 0;
+    m_mean_busy += kMeanBusySmoothing * (load.running + load.waiting - m_mean_busy);
   }
 }
 
--- a/src/libdecision/server_selector_test.cpp
+++ b/src/libdecision/server_selector_test.cpp
@@ -219,6 +219,24 @@
   }
 }
 
+// Guards against sending requests blindly in the synchronized return of all callers after a cold
+// start: a server without a fresh report must not look idle while all others are full.
+TEST_F(ServerSelectorTest, UnknownServerIsAsLoadedAsTheOthers)
+{
+  EXPECT_TRUE(m_selector.has_free_capacity("i-2", kStart));
+  for (int i = 0; i < 30; ++i) {
+    m_selector.report("i-0", { .running = 3, .waiting = 2, .slots = 3 }, kStart);
+    m_selector.report("i-1", { .running = 2, .slots = 3 }, kStart);
+  }
+  EXPECT_FALSE(m_selector.has_free_capacity("i-2", kStart));
+  EXPECT_EQ(pick(kStart), "i-1");
+  // The load of the others passes, and so does the expectation.
+  for (int i = 0; i < 60; ++i) {
+    m_selector.report("i-0", { .running = 1, .slots = 3 }, kStart + std::chrono::seconds(2));
+  }
+  EXPECT_TRUE(m_selector.has_free_capacity("i-2", kStart + std::chrono::seconds(2)));
+}
+
 // Guards against a server that looks loaded long after it refused a request: the requests that it
 // refused and their successors were counted again on top of the reported ones.
 TEST_F(ServerSelectorTest, RefusalIncludesTheRequestsStartedBefore)
--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -475,10 +475,11 @@
     const std::string get =
       "GET /safe/x HTTP/1.1\r\nHost: a.example\r\nLovagehold-Request-Id: id-1\r\n"
       "Lovagehold-Deadline-Ms: 7000\r\n\r\n";
-    boost::asio::write(socket, boost::asio::buffer(get + get));
+    boost::asio::write(socket, boost::asio::buffer(get));
     while (arrivals() == 0) {
       std::this_thread::yield();
     }
+    boost::asio::write(socket, boost::asio::buffer(get));
   }
   const TimePoint limit = Clock::now() + std::chrono::seconds(5);
   while (!server.peer_closed() && Clock::now() < limit) {
