--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -43,8 +43,8 @@
   std::chrono::milliseconds read_retry{ 300 };
   /// Delay after a storage failure before the disk is opened again.
   std::chrono::milliseconds storage_retry{ 5000 };
-  /// A starting subscriber is directed only to control hosts that have been heard from within this
-  /// time, or to any during the same time after the start.
+  /// A starting subscriber is directed only to control hosts from which a message arrived within
+  /// this time, or to any during the same time after the start.
   std::chrono::milliseconds source_heard{ 1500 };
   /// A new image of the state is made for starting subscribers when the entries since the last one
   /// exceed this size.
@@ -113,8 +113,8 @@
 
   ReplicaStatus status() const;
 
-  /// \return the members that are known to run, this host included: those heard from recently, and
-  /// all of them shortly after the start
+  /// \return the members that are known to run, this host included: those whose messages arrived
+  /// recently, and all of them shortly after the start
   std::vector<ControlAddress> running_members() const;
 
   const StateMachine& machine() const;
--- a/src/libdecision/subscription_source_test.cpp
+++ b/src/libdecision/subscription_source_test.cpp
@@ -7,11 +7,14 @@
 namespace lovagehold {
 namespace {
 
+constexpr int kControlHosts = 10;
+
 std::vector<ControlAddress>
 control_hosts()
 {
   std::vector<ControlAddress> hosts;
-  for (int i = 0; i < 10; ++i) {
+  hosts.reserve(kControlHosts);
+  for (int i = 0; i < kControlHosts; ++i) {
     hosts.push_back({ .address = "control-" + std::to_string(i),
                       .failure_domain = "domain-" + std::to_string(i / 2) });
   }
