testsuite: odd entries of another writer are sent to real control hosts

Cause: the report of odd entries was tested on the decoder only. Change: case_site sends eight odd entries to each control host; all have to be refused and all hosts have to go on.

--- a/testsuite/site/site.py
+++ b/testsuite/site/site.py
@@ -36,6 +36,29 @@
     return False
 
 
+def odd_entries():
+    """Entries that another writer might leave under the id of a server."""
+    deep = b"[" * 20000 + b"]" * 20000
+    entry = b'{"address":"%s","born":%s,"info":{"service":"desk","zone":"z","maxInflight":%s},' \
+            b'"status":{"state":"ready","sequence":1}%s}'
+    return [entry % (b"127.0.0.1:65537", b"1", b"3", b""), entry % (b"127.0.0.1:0", b"1", b"3", b""),
+            entry % (b"127.0.0.1:80", b"1e300", b"3", b""), entry % (b"127.0.0.1:80", b"1", b"4294967299", b""),
+            entry % (b"127.0.0.1:80", b"1", b"3", b',"odd":' + deep), deep, b"[" * 3000000, b"\xff{"]
+
+
+async def odd_entries_are_refused(cluster):
+    """Sends each odd entry to each control host. Returns whether all were refused and the hosts go on."""
+    for control in cluster.controls:
+        address = f"{control.ip}:{CONTROL_PORT}"
+        for body in odd_entries():
+            if (await call(address, "PUT", "/instances/odd", body, TIMEOUT_S)).status != 400:
+                return False
+        response = await call(address, "GET", "/config", timeout=TIMEOUT_S)
+        if response.status not in (200, 503):
+            return False
+    return True
+
+
 def run_lovagectl(lovagectl, host, command):
     return subprocess.run([lovagectl, "--admin", f"{host.ip}:{METRICS_PORT}", command], capture_output=True,
                           text=True, timeout=TIMEOUT_S, check=False).stdout
@@ -70,6 +93,10 @@
         passed &= check("the status of a control host lists all hosts",
                         await_status(lovagectl, control, entries | {control.name}))
         passed &= check("the status of an entry host lists itself", await_status(lovagectl, entry, {entry.name}))
+        passed &= check("odd entries of another writer are refused by all control hosts",
+                        asyncio.run(odd_entries_are_refused(cluster)))
+        passed &= check("all hosts go on after them",
+                        await_status(lovagectl, control, entries | {control.name}))
         timeline = run_lovagectl(lovagectl, control, "timeline")
         passed &= check("the timeline has events of control and entry hosts",
                         "group_founded" in timeline and "routing_in_force" in timeline)
