--- a/src/libproxy/entry_service_test.cpp
+++ b/src/libproxy/entry_service_test.cpp
@@ -79,12 +79,14 @@
   EXPECT_EQ(announce(valid + "}"), 200);
   EXPECT_EQ(entry.proposed.size(), 1U);
   const std::string deep = std::string(20000, '[') + std::string(20000, ']');
+  std::string with_deep = valid;
+  with_deep.append(R"(,"odd":)").append(deep).append("}");
   for (const std::string& odd :
        { valid + R"(,"slots":4294967299})",
          valid + R"(,"slots":1e300})",
          valid + R"(,"connections":-1})",
          valid + R"(,"warmup_ms":9223372036854775807})",
-         valid + R"(,"odd":)" + deep + "}",
+         with_deep,
          deep,
          std::string(R"({"service":"desk","id":"s","address":"127.0.0.1:65537"})"),
          std::string(R"({"service":"desk","id":"s","address":"127.0.0.1:0"})"),
