testsuite: case_site builds its odd entries from wire.heartbeat

Cause: the case wrote the platform's heartbeat a second time, with the platform's names outside platform/. Change: the entries are made from wire.heartbeat with one value replaced; the same eight entries and checks.

--- a/testsuite/site/site.py
+++ b/testsuite/site/site.py
@@ -38,12 +38,13 @@
 
 def odd_entries():
     """Entries that another writer might leave under the id of a server."""
+    def entry(address="127.0.0.1:80", born=b"1", slots=b"3", extra=b""):
+        body = wire.heartbeat("desk", address, "BORN", 1, "ready", "SLOTS")
+        return body.replace(b'"BORN"', born).replace(b'"SLOTS"', slots)[:-1] + extra + b"}"
+
     deep = b"[" * 20000 + b"]" * 20000
-    entry = b'{"address":"%s","born":%s,"info":{"service":"desk","zone":"z","maxInflight":%s},' \
-            b'"status":{"state":"ready","sequence":1}%s}'
-    return [entry % (b"127.0.0.1:65537", b"1", b"3", b""), entry % (b"127.0.0.1:0", b"1", b"3", b""),
-            entry % (b"127.0.0.1:80", b"1e300", b"3", b""), entry % (b"127.0.0.1:80", b"1", b"4294967299", b""),
-            entry % (b"127.0.0.1:80", b"1", b"3", b',"odd":' + deep), deep, b"[" * 3000000, b"\xff{"]
+    return [entry(address="127.0.0.1:65537"), entry(address="127.0.0.1:0"), entry(born=b"1e300"),
+            entry(slots=b"4294967299"), entry(extra=b', "odd": ' + deep), deep, b"[" * 3000000, b"\xff{"]
 
 
 async def odd_entries_are_refused(cluster):
