libgateway: log the request limits that servers name

Nothing in the logs told which servers named a limit, when hosts learned of it, or which attempts went to such a server, so three hypotheses could not be told apart.

Change: the header is read from answers and health checks (event server_limit, the limit of each attempt, gauge lovagehold_limited_servers). No decision uses it yet.

--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -29,6 +29,9 @@
   std::string not_executed;
   /// Has the value 1 in each response of a server that is leaving.
   std::string leaving;
+  /// Requests per second that the server takes from all hosts together, in each of its responses
+  /// for as long as it has a limit.
+  std::string limit;
   /// Current load of the server, decoded by parse_load.
   std::string load;
   std::function<std::optional<LoadReport>(std::string_view)> parse_load;
--- a/src/include/lovagehold/server_selector.h
+++ b/src/include/lovagehold/server_selector.h
@@ -146,6 +146,17 @@
   /// \param pause values up to 0 have no effect; longer ones than max_pause are limited to it
   void pause(const ServerId& id, std::uint64_t incarnation, Duration pause, TimePoint now);
 
+  /// A response of the server named the limit of its requests per second, or none.
+  /// \return whether this is a change; false if the incarnation is not listed
+  bool set_limit(const ServerId& id, std::uint64_t incarnation, std::optional<double> limit);
+
+  /// \return the server's limit in requests per second from all hosts together; nothing if it has
+  /// none
+  std::optional<double> limit(const ServerId& id) const;
+
+  /// \return number of servers with a limit
+  std::size_t limited_count() const;
+
   /// \return whether requests may be sent to at least one server, however loaded it is
   bool has_callable_server(TimePoint now) const;
 
@@ -199,6 +210,8 @@
     std::chrono::milliseconds ejection_time{ 0 };
     /// The server asked not to be called until then.
     TimePoint paused_until;
+    /// Requests per second that the server takes from all hosts together.
+    std::optional<double> limit;
     /// The incarnation is leaving; a copy of its entry in m_leaving.
     bool leaving = false;
     /// Moving average of the time of its requests, relative to the service's average, as of
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <xxhash.h>
 
 namespace lovagehold {
@@ -118,6 +119,32 @@
   paused_until = std::max(paused_until, now + std::min<Duration>(pause, m_options.max_pause));
 }
 
+bool
+ServerSelector::set_limit(const ServerId& id,
+                          std::uint64_t incarnation,
+                          std::optional<double> limit)
+{
+  const auto found = m_servers.find(id);
+  if (found == m_servers.end() || found->second.info.incarnation != incarnation) {
+    return false;
+  }
+  return std::exchange(found->second.limit, limit) != limit;
+}
+
+std::optional<double>
+ServerSelector::limit(const ServerId& id) const
+{
+  const auto found = m_servers.find(id);
+  return found == m_servers.end() ? std::nullopt : found->second.limit;
+}
+
+std::size_t
+ServerSelector::limited_count() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    m_servers.begin(), m_servers.end(), [](const auto& entry) { return entry.second.limit; }));
+}
+
 bool
 ServerSelector::is_callable(const State& state, TimePoint now)
 {
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -184,6 +184,7 @@
   attempt->cost = selector->cost(server->id, now);
   attempt->report_age = selector->report_age(server->id, now);
   attempt->load = selector->last_report(server->id);
+  attempt->limit = selector->limit(server->id);
   m_attempts.push_back(attempt);
   selector->begin(server->id, now);
   const OutgoingRequest request = make_outgoing_request(*server, now);
@@ -322,7 +323,7 @@
   if (attempt.exchange->load()) {
     selector.report(attempt.server.id, *attempt.exchange->load(), now);
   }
-  apply_notice(attempt.exchange->notice(), attempt.server, selector, now);
+  apply_notice(m_context, attempt.exchange->notice(), attempt.server, now);
   m_context.queues[m_request.service].wake_first();
   switch (status) {
     case ExchangeStatus::Responded:
@@ -488,6 +489,7 @@
                         to_milliseconds(attempt->elapsed).count(),
                         static_cast<int>(100 * attempt->cost),
                         describe_load(attempt->report_age, attempt->load));
+    text += attempt->limit ? fmt::format(":limit{:.3f}", *attempt->limit) : "";
   }
   return text.empty() ? "-" : text;
 }
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -66,7 +66,7 @@
 
   /// \return a log field with one item per attempt: server, exchange status, duration, expected
   /// cost in percent, age of the load report in milliseconds, and that report as
-  /// running/waiting/slots/slowdown
+  /// running/waiting/slots/slowdown, and the server's request limit if it had one
   std::string describe_attempts() const;
 
   /// \return number of attempts left in the retry budget; for the log
@@ -85,6 +85,8 @@
     std::optional<Duration> report_age;
     /// Last load report of the server when it was selected.
     LoadReport load;
+    /// Request limit of the server when it was selected.
+    std::optional<double> limit;
     /// The exchange has ended.
     bool done = false;
     /// The result has been applied to the request and to the server selector.
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -170,6 +170,14 @@
       "gauge",
       "Requests being served.",
       static_cast<double>(context.in_progress));
+  std::size_t limited = 0;
+  for (const auto& [service, selector] : context.selectors) {
+    limited += selector.limited_count();
+  }
+  add("lovagehold_limited_servers",
+      "gauge",
+      "Servers that name a request limit.",
+      static_cast<double>(limited));
   std::size_t waiting = 0;
   for (const auto& [service, queue] : context.queues) {
     waiting += queue.size();
--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -54,6 +54,7 @@
                         .server_id = "Lovagehold-Instance-Id",
                         .not_executed = "Lovagehold-Not-Executed",
                         .leaving = "Server-Leaving",
+                        .limit = "Server-Limit",
                         .load = "Lovagehold-Server-Load",
                         .parse_load = [](std::string_view text) {
                           return LoadReport{ .running = static_cast<unsigned>(text[0] - '0'),
@@ -589,6 +590,39 @@
   }
 }
 
+// Guards against misreading the request limit of a server.
+TEST(ServerNotice, RequestLimitIsParsed)
+{
+  EXPECT_EQ(parse_limit("2.5"), 2.5);
+  EXPECT_EQ(parse_limit(" 3 "), 3);
+  EXPECT_EQ(parse_limit("0"), 0);
+  EXPECT_EQ(parse_limit("1e300"), parse_limit("1e999"));
+  for (const char* unreadable : { "", "-1", "-1e999", "nan", "inf", "2 /s", "none", "1,5" }) {
+    EXPECT_EQ(parse_limit(unreadable), std::nullopt) << unreadable;
+  }
+}
+
+// Guards against a limit that outlives the answers that name it, and against an unreadable value
+// or a misdirected request that ends a limit.
+TEST(ServerNotice, RequestLimitEndsWithTheFirstAnswerWithoutIt)
+{
+  const GatewayHeaders names{ .leaving = "Server-Leaving", .limit = "Server-Limit" };
+  const auto read = [&](unsigned status, const char* limit) {
+    http::response_header<> header;
+    header.result(status);
+    if (limit != nullptr) {
+      header.set("Server-Limit", limit);
+    }
+    return read_notice(header, names);
+  };
+  EXPECT_EQ(read(200, "1.5").limit, 1.5);
+  EXPECT_TRUE(read(503, "1.5").states_limit);
+  EXPECT_TRUE(read(200, nullptr).states_limit);
+  EXPECT_EQ(read(200, nullptr).limit, std::nullopt);
+  EXPECT_FALSE(read(200, "odd").states_limit);
+  EXPECT_FALSE(read(421, nullptr).states_limit);
+}
+
 // A server that sends bytes without end.
 class EndlessResponseTest : public GatewayTest
 {
--- a/src/libgateway/load_probe.cpp
+++ b/src/libgateway/load_probe.cpp
@@ -87,7 +87,7 @@
     id.empty() || id == beast::string_view(server.id.data(), server.id.size());
   if (id_matches) {
     const ServerNotice notice = read_notice(parser.get(), names);
-    apply_notice(notice, server, context.selector(service), Clock::now());
+    apply_notice(context, notice, server, Clock::now());
   }
   if (id_matches && !load.empty()) {
     if (const auto report = names.parse_load(std::string_view(load.data(), load.size()))) {
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -253,7 +253,10 @@
     }
     if (m_parser->get().result_int() / 100 != 1) {
       const ServerNotice notice = read_notice(m_parser->get(), m_context.options.headers);
-      m_notice = { .leaving = m_notice.leaving || notice.leaving, .pause = notice.pause };
+      m_notice = { .leaving = m_notice.leaving || notice.leaving,
+                   .pause = notice.pause,
+                   .limit = notice.limit,
+                   .states_limit = notice.states_limit };
       co_return true;
     }
   }
@@ -298,6 +301,8 @@
     if (matches(request)) {
       co_return true;
     }
+    // A late copy of an earlier response does not tell what the server wants now.
+    m_notice.states_limit = false;
     const bool discarded = co_await discard_body();
     if (!discarded) {
       co_return false;
--- a/src/libgateway/server_notice.h
+++ b/src/libgateway/server_notice.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "libproxy/http_types.h"
-#include "lovagehold/gateway.h"
-#include "lovagehold/types.h"
+#include "gateway_context.h"
 
 #include <optional>
 
@@ -15,6 +13,11 @@
   bool leaving = false;
   /// The server turned the request away and wants no requests from this host for this time.
   std::optional<Duration> pause;
+  /// Requests per second that the server takes from all hosts together. If \p states_limit is set,
+  /// nothing means that there is no limit, or none any more.
+  std::optional<double> limit;
+  /// False if there was no response of the server, or its limit could not be read.
+  bool states_limit = false;
 };
 
 /// Parses the value of Retry-After in seconds, which may have a fraction.
@@ -22,13 +25,17 @@
 /// then treated as one without the header
 std::optional<Duration> parse_retry_after(std::string_view value);
 
+/// Parses a request limit, a decimal number of requests per second.
+/// \return the limit, 0 included; nothing if the value is negative, not finite or not a number
+std::optional<double> parse_limit(std::string_view value);
+
 /// \return the notice in the header of a server's response
 ServerNotice read_notice(const http::response_header<>& header, const GatewayHeaders& names);
 
-/// Applies the notice of \p server to the selector of its service.
-void apply_notice(const ServerNotice& notice,
+/// Applies the notice of \p server to the selector of its service and logs changes of its limit.
+void apply_notice(GatewayContext& context,
+                  const ServerNotice& notice,
                   const ServerInfo& server,
-                  ServerSelector& selector,
                   TimePoint now);
 
 } // namespace lovagehold
