--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -162,10 +162,17 @@
             self.tasks.discard(task)
             writer.transport.abort()
 
+    def extra_headers(self):
+        """Returns further headers of all answers."""
+        return {}
+
+    async def run_request(self, request):
+        await asyncio.sleep(self.soak.random.uniform(0.002, 0.03))
+
     async def answer(self, request, writer):
         method, path, _ = request.start.split()
         load = f"{self.running},0,{SLOTS},100"
-        headers = {wire.INSTANCE_HEADER: self.id, wire.LOAD_HEADER: load}
+        headers = {wire.INSTANCE_HEADER: self.id, wire.LOAD_HEADER: load, **self.extra_headers()}
         if path == "/healthz":
             writer.write(format_message("HTTP/1.1 200 OK", headers))
             return True
@@ -182,7 +189,7 @@
         self.running += 1
         try:
             self.soak.record.record_run(request_id, method == "GET")
-            await asyncio.sleep(self.soak.random.uniform(0.002, 0.03))
+            await self.run_request(request)
         finally:
             self.running -= 1
         if self.fault == "lose_answers" and self.soak.random.random() < 0.3:
