libdecision, libsite, libgateway: share request limits of servers over all entry hosts

Cause: a limit over all hosts was nowhere decided over all hosts. Each host sends such a server one request in some 5 s, so no host can notice by itself, and no host read the header. Class: a system-wide limit decided from what one host sees.

Change: a host that wants to send a request to a limited server asks for a permit. Of the control hosts two are limiters of a service (rendezvous hashing): the first grants the limit, spaced evenly and from no credit (generic cell rate algorithm), the second a quarter of it while the first does not answer. Hosts with different views thus stay within 1.25 times the limit. Servers without a limit are preferred; without a permit a limited server gets nothing, also when control can't be reached; retries ask too and hedges leave limited servers alone. Limits end with the first answer that does not name them, and with the incarnation. Health checks name the limit, so hosts know it before they choose.

Why it works: every request to a limited server passes one of two counters.

--- a/src/include/lovagehold/admission.h
+++ b/src/include/lovagehold/admission.h
@@ -27,7 +27,8 @@
 /// What is known about a service when a request for it is refused.
 struct RefusalState
 {
-  /// Earliest time at which a server accepts calls again, if all asked for a pause.
+  /// Earliest time at which a server accepts calls again, if all asked for a pause or have used up
+  /// their limits.
   std::optional<TimePoint> pause_end;
   /// Mean time of a request; nothing if not known yet.
   std::optional<Duration> mean_request_time;
--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -4,6 +4,7 @@
 #include "lovagehold/consensus_message.h"
 #include "lovagehold/entry_directory.h"
 #include "lovagehold/hybrid_clock.h"
+#include "lovagehold/request_limiter.h"
 #include "lovagehold/subscription_source.h"
 
 #include <map>
@@ -165,6 +166,21 @@
   std::map<std::string, std::vector<std::string>> by_domain;
 };
 
+/// An entry host asks a control host for permission to send a request to a limited server.
+struct PermitRequest
+{
+  /// Chosen by the entry host, echoed in the reply.
+  std::uint64_t id = 0;
+  PermitQuery query;
+};
+
+/// Answers a PermitRequest.
+struct PermitReply
+{
+  std::uint64_t id = 0;
+  PermitAnswer answer;
+};
+
 /// \return hash of the addresses, which identifies this content
 std::uint64_t version_of(const EntryAddresses& addresses);
 
@@ -180,7 +196,9 @@
                                     HeartbeatReply,
                                     EntryHosts,
                                     EntryAddresses,
-                                    ServerRenewals>;
+                                    ServerRenewals,
+                                    PermitRequest,
+                                    PermitReply>;
 
 /// \return the message encoded as CBOR
 Bytes encode(const ClusterMessage& message);
--- a/src/include/lovagehold/control_client.h
+++ b/src/include/lovagehold/control_client.h
@@ -34,6 +34,8 @@
   std::function<void(const std::string& address, const char* reason)> on_source;
   /// Called with the number of entry hosts that callers are directed to. May be empty.
   std::function<void(std::uint64_t)> on_entry_hosts;
+  /// Called with all control hosts whenever the followed one names them. May be empty.
+  std::function<void(const std::vector<ControlAddress>&)> on_control_hosts;
   /// Returns what this host reports to control; empty if it is not an entry host.
   std::function<std::optional<EntryPresence>()> presence;
   /// Returns the version of the EntryAddresses that this host has; empty if it is not an entry
--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -2,6 +2,7 @@
 
 #include "lovagehold/error.h"
 #include "lovagehold/event_log.h"
+#include "lovagehold/request_limiter.h"
 #include "lovagehold/retry_budget.h"
 #include "lovagehold/routing_config.h"
 #include "lovagehold/server_selector.h"
@@ -37,6 +38,11 @@
   std::function<std::optional<LoadReport>(std::string_view)> parse_load;
 };
 
+/// Asks for permission to send a request to a server that names a request limit. The handler is
+/// called once, within some 100 ms.
+using RequestPermit =
+  std::function<void(const PermitQuery& query, std::function<void(const PermitAnswer&)> handler)>;
+
 struct GatewayOptions
 {
   HostId host;
@@ -63,6 +69,8 @@
   /// Bandwidth of this host's network link in Mbit/s. On a slow link request bodies are paced; 0 if
   /// unknown, without pacing.
   double link_mbps = 0;
+  /// Without it, limited servers get no requests.
+  RequestPermit request_permit;
   std::uint64_t seed = 1;
 };
 
@@ -86,6 +94,9 @@
   std::uint64_t probes = 0;
   /// Connections opened to servers.
   std::uint64_t server_connections = 0;
+  /// Permits for limited servers that were asked for, and those that were granted.
+  std::uint64_t permits_requested = 0;
+  std::uint64_t permits_granted = 0;
 };
 
 /// A service's servers and load as seen by one gateway.
--- a/src/include/lovagehold/server_selector.h
+++ b/src/include/lovagehold/server_selector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovagehold/request_limiter.h"
 #include "lovagehold/types.h"
 
 #include <map>
@@ -103,8 +104,8 @@
 
   /// \param tried servers to exclude
   /// \param body_bytes size of the request body; raises the cost of other failure domains
-  /// \return the server with the lowest expected cost that is neither leaving nor paused; nothing
-  /// if no server is left
+  /// \return the server with the lowest expected cost that is neither leaving, paused nor limited;
+  /// nothing if no server is left
   std::optional<ServerInfo> pick(TimePoint now,
                                  const std::set<ServerId>& tried,
                                  std::size_t body_bytes,
@@ -146,9 +147,30 @@
   /// \param pause values up to 0 have no effect; longer ones than max_pause are limited to it
   void pause(const ServerId& id, std::uint64_t incarnation, Duration pause, TimePoint now);
 
-  /// A response of the server named the limit of its requests per second, or none.
+  /// A response of the server named the limit of its requests per second, or none. A limited server
+  /// is excluded from pick(); requests to it need a permit.
   /// \return whether this is a change; false if the incarnation is not listed
-  bool set_limit(const ServerId& id, std::uint64_t incarnation, std::optional<double> limit);
+  bool set_limit(const ServerId& id,
+                 std::uint64_t incarnation,
+                 std::optional<double> limit,
+                 TimePoint now);
+
+  /// Selects the limited servers for which a permit is worth asking.
+  /// \param tried servers to exclude
+  /// \param max_wait time that the request can wait; servers denied for longer are excluded
+  /// \param max_cost upper limit of the expected cost of a request
+  /// \return servers with free capacity in ascending order of expected cost, a few at most
+  std::vector<LimitedServer> permit_candidates(const std::set<ServerId>& tried,
+                                               Duration max_wait,
+                                               double max_cost,
+                                               TimePoint now) const;
+
+  /// A permit for the servers was denied. They are not asked for until \p until.
+  void deny(const std::vector<LimitedServer>& servers, TimePoint until);
+
+  /// \return the server if a request may be sent to it apart from its limit; nothing if it is
+  /// unknown, leaving or paused
+  std::optional<ServerInfo> find_callable(const ServerId& id, TimePoint now) const;
 
   /// \return the server's limit in requests per second from all hosts together; nothing if it has
   /// none
@@ -157,12 +179,13 @@
   /// \return number of servers with a limit
   std::size_t limited_count() const;
 
-  /// \return whether requests may be sent to at least one server, however loaded it is
-  bool has_callable_server(TimePoint now) const;
+  /// \return whether a request may be sent to at least one server until \p latest, however loaded
+  /// it is; a server for which a permit was denied for longer does not count
+  bool is_callable_until(TimePoint latest, TimePoint now) const;
 
-  /// \return the earliest time at which a pause of a server ends; nothing if no server that is not
-  /// leaving is paused
-  std::optional<TimePoint> earliest_pause_end(TimePoint now) const;
+  /// \return the earliest time at which a server can be called that can't be now because of a pause
+  /// or of a denied permit; nothing if there is none
+  std::optional<TimePoint> earliest_return(TimePoint now) const;
 
   /// An attempt starts.
   void begin(const ServerId& id, TimePoint now);
@@ -210,8 +233,11 @@
     std::chrono::milliseconds ejection_time{ 0 };
     /// The server asked not to be called until then.
     TimePoint paused_until;
-    /// Requests per second that the server takes from all hosts together.
+    /// Requests per second that the server takes from all hosts together, and when it last said so.
     std::optional<double> limit;
+    TimePoint limit_named_at;
+    /// No permit is asked for until then.
+    TimePoint denied_until;
     /// The incarnation is leaving; a copy of its entry in m_leaving.
     bool leaving = false;
     /// Moving average of the time of its requests, relative to the service's average, as of
@@ -230,6 +256,7 @@
   std::size_t take_probes(std::size_t wanted, TimePoint now);
   bool is_ejected(const State& state, TimePoint now) const;
   static bool is_callable(const State& state, TimePoint now);
+  static bool is_denied(const State& state, TimePoint time);
   bool is_marked_leaving(const ServerInfo& server) const;
   void expire_leaving_marks(TimePoint now);
   void eject(State& state, TimePoint now);
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -172,6 +172,27 @@
              { message.sequence, message.lease.count(), message.stable_view, message.leader } } };
 }
 
+json
+to_fields(const PermitRequest& message)
+{
+  json candidates = json::array();
+  for (const LimitedServer& server : message.query.candidates) {
+    candidates.push_back({ server.id, server.incarnation, server.limit, server.age.count() });
+  }
+  return {
+    { "t", "permit" },
+    { "v",
+      { message.id, message.query.service, message.query.max_wait.count(), std::move(candidates) } }
+  };
+}
+
+json
+to_fields(const PermitReply& message)
+{
+  return { { "t", "permit_reply" },
+           { "v", { message.id, message.answer.server, message.answer.wait.count() } } };
+}
+
 Bytes
 get_bytes(const json& value)
 {
@@ -245,6 +266,35 @@
            .leader = values.at(3).get<std::string>() };
 }
 
+std::chrono::milliseconds
+parse_milliseconds(const json& value)
+{
+  return std::chrono::milliseconds(value.get<std::int64_t>());
+}
+
+PermitRequest
+parse_permit_request(const json& values)
+{
+  PermitRequest request{ .id = values.at(0).get<std::uint64_t>() };
+  request.query = { .service = values.at(1).get<std::string>(),
+                    .max_wait = parse_milliseconds(values.at(2)) };
+  for (const json& server : values.at(3)) {
+    request.query.candidates.push_back({ .id = server.at(0).get<std::string>(),
+                                         .incarnation = server.at(1).get<std::uint64_t>(),
+                                         .limit = server.at(2).get<double>(),
+                                         .age = parse_milliseconds(server.at(3)) });
+  }
+  return request;
+}
+
+PermitReply
+parse_permit_reply(const json& values)
+{
+  return { .id = values.at(0).get<std::uint64_t>(),
+           .answer = { .server = values.at(1).get<std::string>(),
+                       .wait = parse_milliseconds(values.at(2)) } };
+}
+
 ClusterMessage
 parse_message(const json& fields)
 {
@@ -313,6 +363,12 @@
     }
     return message;
   }
+  if (type == "permit") {
+    return parse_permit_request(fields.at("v"));
+  }
+  if (type == "permit_reply") {
+    return parse_permit_reply(fields.at("v"));
+  }
   if (type == "hb") {
     return parse_heartbeat(fields.at("v"));
   }
--- a/src/libcontrol/cluster_message_test.cpp
+++ b/src/libcontrol/cluster_message_test.cpp
@@ -36,5 +36,32 @@
   EXPECT_EQ(back.leader, reply.leader);
 }
 
+// Guards against a permit whose fields are lost or exchanged on the way.
+TEST(ClusterMessage, PermitsKeepAllFields)
+{
+  const LimitedServer server{
+    .id = "i-1", .incarnation = 1796373600000, .limit = 2.25, .age = std::chrono::milliseconds(40)
+  };
+  const PermitRequest request{ .id = 7,
+                               .query = { .service = "desk",
+                                          .candidates = { server, server },
+                                          .max_wait = std::chrono::milliseconds(75) } };
+  const auto got = std::get<PermitRequest>(decode_message(encode(ClusterMessage(request))).value());
+  EXPECT_EQ(got.id, request.id);
+  EXPECT_EQ(got.query.service, "desk");
+  EXPECT_EQ(got.query.max_wait, request.query.max_wait);
+  ASSERT_EQ(got.query.candidates.size(), 2U);
+  EXPECT_EQ(got.query.candidates[1].id, server.id);
+  EXPECT_EQ(got.query.candidates[1].incarnation, server.incarnation);
+  EXPECT_EQ(got.query.candidates[1].limit, server.limit);
+  EXPECT_EQ(got.query.candidates[1].age, server.age);
+  const PermitReply reply{ .id = 7,
+                           .answer = { .server = "i-1", .wait = std::chrono::milliseconds(12) } };
+  const auto back = std::get<PermitReply>(decode_message(encode(ClusterMessage(reply))).value());
+  EXPECT_EQ(back.id, reply.id);
+  EXPECT_EQ(back.answer.server, reply.answer.server);
+  EXPECT_EQ(back.answer.wait, reply.answer.wait);
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -224,6 +224,9 @@
     if (entries.entry_hosts > 0 && options.on_entry_hosts) {
       options.on_entry_hosts(entries.entry_hosts);
     }
+    if (!entries.control.empty() && options.on_control_hosts) {
+      options.on_control_hosts(entries.control);
+    }
     update_control_hosts(entries.control, now);
   }
 
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -22,6 +22,8 @@
 constexpr unsigned kMaxProbesWithoutReport = 6;
 // The probe budget holds at least this many probes, because a single choice may need them.
 constexpr double kMinProbeBurst = 6;
+// Limited servers among which the limiter may choose.
+constexpr std::size_t kMaxPermitCandidates = 4;
 // In requests. Allows for reported requests that have probably ended but whose weight has not
 // decayed to 0 yet.
 constexpr double kCapacityTolerance = 0.3;
@@ -122,15 +124,66 @@
 bool
 ServerSelector::set_limit(const ServerId& id,
                           std::uint64_t incarnation,
-                          std::optional<double> limit)
+                          std::optional<double> limit,
+                          TimePoint now)
 {
   const auto found = m_servers.find(id);
   if (found == m_servers.end() || found->second.info.incarnation != incarnation) {
     return false;
   }
+  found->second.limit_named_at = now;
   return std::exchange(found->second.limit, limit) != limit;
 }
 
+std::vector<LimitedServer>
+ServerSelector::permit_candidates(const std::set<ServerId>& tried,
+                                  Duration max_wait,
+                                  double max_cost,
+                                  TimePoint now) const
+{
+  std::vector<std::pair<double, const State*>> ranked;
+  for (const auto& [id, state] : m_servers) {
+    const bool excluded = !state.limit || tried.count(id) > 0 || !is_callable(state, now) ||
+                          is_ejected(state, now) || is_denied(state, now + max_wait) ||
+                          !has_free_capacity(id, now);
+    if (!excluded && cost_of(state, 0, now) <= max_cost) {
+      ranked.emplace_back(cost_of(state, 0, now), &state);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<LimitedServer> candidates;
+  for (const auto& [cost, state] : ranked) {
+    if (candidates.size() == kMaxPermitCandidates) {
+      break;
+    }
+    candidates.push_back({ .id = state->info.id,
+                           .incarnation = state->info.incarnation,
+                           .limit = *state->limit,
+                           .age = std::chrono::duration_cast<std::chrono::milliseconds>(
+                             now - state->limit_named_at) });
+  }
+  return candidates;
+}
+
+void
+ServerSelector::deny(const std::vector<LimitedServer>& servers, TimePoint until)
+{
+  for (const LimitedServer& server : servers) {
+    const auto found = m_servers.find(server.id);
+    if (found != m_servers.end()) {
+      found->second.denied_until = until;
+    }
+  }
+}
+
+std::optional<ServerInfo>
+ServerSelector::find_callable(const ServerId& id, TimePoint now) const
+{
+  const auto found = m_servers.find(id);
+  const bool callable = found != m_servers.end() && is_callable(found->second, now);
+  return callable ? std::optional(found->second.info) : std::nullopt;
+}
+
 std::optional<double>
 ServerSelector::limit(const ServerId& id) const
 {
@@ -152,20 +205,28 @@
 }
 
 bool
-ServerSelector::has_callable_server(TimePoint now) const
+ServerSelector::is_denied(const State& state, TimePoint time)
+{
+  return state.limit && time < state.denied_until;
+}
+
+bool
+ServerSelector::is_callable_until(TimePoint latest, TimePoint now) const
 {
   return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& entry) {
-    return is_callable(entry.second, now);
+    return is_callable(entry.second, now) && !is_denied(entry.second, latest);
   });
 }
 
 std::optional<TimePoint>
-ServerSelector::earliest_pause_end(TimePoint now) const
+ServerSelector::earliest_return(TimePoint now) const
 {
   std::optional<TimePoint> earliest;
   for (const auto& [id, state] : m_servers) {
-    if (!state.leaving && now < state.paused_until) {
-      earliest = std::min(earliest.value_or(TimePoint::max()), state.paused_until);
+    const TimePoint returns =
+      std::max(state.paused_until, is_denied(state, now) ? state.denied_until : now);
+    if (!state.leaving && now < returns) {
+      earliest = std::min(earliest.value_or(TimePoint::max()), returns);
     }
   }
   return earliest;
@@ -263,7 +324,7 @@
   // second pass ignores ejection.
   for (const bool skip_ejected : { true, false }) {
     for (const auto& [id, state] : m_servers) {
-      const bool excluded = tried.count(id) > 0 || !is_callable(state, now);
+      const bool excluded = tried.count(id) > 0 || state.limit || !is_callable(state, now);
       if (excluded || (skip_ejected && is_ejected(state, now))) {
         continue;
       }
--- a/src/libdecision/server_selector_test.cpp
+++ b/src/libdecision/server_selector_test.cpp
@@ -262,7 +262,7 @@
   const TimePoint before = kStart + milliseconds(1999);
   EXPECT_EQ(pick(before, { "i-2" }), "");
   EXPECT_EQ(m_selector.probe_targets(before, 3, false, {}, m_random).size(), 1U);
-  EXPECT_EQ(m_selector.earliest_pause_end(before), kStart + std::chrono::seconds(2));
+  EXPECT_EQ(m_selector.earliest_return(before), kStart + std::chrono::seconds(2));
   EXPECT_EQ(pick(kStart + std::chrono::seconds(2), { "i-2" }), "i-0");
   EXPECT_EQ(pick(kStart + std::chrono::minutes(11), { "i-0", "i-2" }), "i-1");
   // Another incarnation did not ask for a pause.
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
+#include <limits>
+#include <utility>
 
 namespace lovagehold {
 
@@ -22,6 +24,9 @@
 // Upper limit of the expected cost, relative to an idle server (1), at which a hedge is sent: it
 // goes only to a nearly idle server, because it would otherwise take capacity from first attempts.
 constexpr double kMaxHedgeCost = 1.3;
+// A permit for a limited server is asked for only if the other servers are full or cost more than
+// this multiple of the limited one.
+constexpr double kUnlimitedCostFactor = 1.5;
 // If the expected cost of the best known server is higher than this, servers outside the preferred
 // set are probed too.
 constexpr double kWiderProbeCost = 1.15;
@@ -146,7 +151,7 @@
   const bool has_capacity = co_await wait_for_capacity(hedge);
   const TimePoint now = Clock::now();
   ServerSelector* selector = &m_context.selector(m_request.service);
-  const auto server = selector->pick(now, m_tried_servers, body_bytes(), m_context.random);
+  const auto server = select_server(now);
   --m_pending_selections;
   const bool too_late = !m_context.admission.has_time_for_attempt(now, m_deadline);
   if (!server || too_late || m_abandoned || m_given_up || m_winner) {
@@ -207,18 +212,18 @@
     m_context.admission.latest_start(Clock::now(), m_request.route->target_latency, m_deadline);
   WaitingQueue& queue = m_context.queues[m_request.service];
   if (hedge || queue.is_empty()) {
-    const bool has_capacity = co_await check_capacity();
+    const bool has_capacity = co_await check_capacity(hedge ? TimePoint::min() : latest);
     if (hedge || has_capacity) {
       co_return has_capacity;
     }
   }
   WaitingQueue::Waiter waiter(queue, m_context.io, m_request.route->priority, m_request.arrived);
   while (!m_abandoned && !m_given_up && Clock::now() < latest &&
-         m_context.selector(m_request.service).has_callable_server(Clock::now())) {
+         m_context.selector(m_request.service).is_callable_until(latest, Clock::now())) {
     co_await waiter.wait_until(
       waiter.is_first() ? std::min(Clock::now() + kCapacityCheckInterval, latest) : latest);
     if (waiter.is_first()) {
-      const bool has_capacity = co_await check_capacity();
+      const bool has_capacity = co_await check_capacity(latest);
       if (has_capacity) {
         co_return true;
       }
@@ -227,10 +232,12 @@
   co_return false;
 }
 
-// Probes the best servers. \return whether the best one has free capacity, or no server is left to
-// wait for
+// Probes the best servers and asks for a permit if only limited ones have free capacity.
+// \param latest latest time at which a permitted request may be sent; no permit is asked for if it
+// has passed
+// \return whether the best server has free capacity, or no server is left to wait for
 awaitable<bool>
-ForwardedRequest::check_capacity()
+ForwardedRequest::check_capacity(TimePoint latest)
 {
   const RoutedService* service = m_request.routing->service(m_request.service);
   const auto pick_best = [this] {
@@ -248,8 +255,76 @@
     }
   }
   const auto server = pick_best();
-  co_return !server ||
-    m_context.selector(m_request.service).has_free_capacity(server->id, Clock::now());
+  const ServerSelector& selector = m_context.selector(m_request.service);
+  const bool has_capacity = server && selector.has_free_capacity(server->id, Clock::now());
+  const double max_cost = has_capacity
+                            ? selector.cost(server->id, Clock::now()) / kUnlimitedCostFactor
+                            : std::numeric_limits<double>::max();
+  const bool permitted = co_await obtain_permit(max_cost, latest);
+  if (permitted || has_capacity) {
+    co_return true;
+  }
+  co_return !server && selector.limited_count() == 0;
+}
+
+// Asks for a permit for a limited server and waits until it is valid.
+awaitable<bool>
+ForwardedRequest::obtain_permit(double max_cost, TimePoint latest)
+{
+  const TimePoint now = Clock::now();
+  m_permitted_server.clear();
+  if (now >= latest || !m_context.options.request_permit) {
+    co_return false;
+  }
+  PermitQuery query{ .service = m_request.service,
+                     .candidates =
+                       m_context.selector(m_request.service)
+                         .permit_candidates(m_tried_servers, latest - now, max_cost, now),
+                     .max_wait = to_milliseconds(latest - now) };
+  if (query.candidates.empty()) {
+    co_return false;
+  }
+  ++m_context.counters.permits_requested;
+  asio::steady_timer timer(m_context.io, TimePoint::max());
+  const auto answer = std::make_shared<std::optional<PermitAnswer>>();
+  const auto waiting = std::make_shared<asio::steady_timer*>(&timer);
+  m_context.options.request_permit(query, [answer, waiting](const PermitAnswer& received) {
+    *answer = received;
+    if (*waiting != nullptr) {
+      (*waiting)->cancel();
+    }
+  });
+  boost::system::error_code ignored;
+  if (!*answer) {
+    co_await timer.async_wait(capture(ignored));
+  }
+  *waiting = nullptr;
+  const PermitAnswer permit = answer->value_or(PermitAnswer{});
+  ServerSelector& selector = m_context.selector(m_request.service);
+  if (permit.server.empty()) {
+    selector.deny(query.candidates, Clock::now() + permit.wait);
+    co_return false;
+  }
+  ++m_context.counters.permits_granted;
+  if (permit.wait.count() > 0) {
+    timer.expires_after(permit.wait);
+    co_await timer.async_wait(capture(ignored));
+  }
+  m_permitted_server = permit.server;
+  co_return true;
+}
+
+std::optional<ServerInfo>
+ForwardedRequest::select_server(TimePoint now)
+{
+  const ServerSelector& selector = m_context.selector(m_request.service);
+  const ServerId permitted_server = std::exchange(m_permitted_server, {});
+  if (!permitted_server.empty()) {
+    if (auto server = selector.find_callable(permitted_server, now)) {
+      return server;
+    }
+  }
+  return selector.pick(now, m_tried_servers, body_bytes(), m_context.random);
 }
 
 std::string
@@ -421,9 +496,9 @@
 ForwardedRequest::refuse_not_executed(const char* reason, TimePoint now)
 {
   const ServerSelector& selector = m_context.selector(m_request.service);
-  const RefusalState state{ .pause_end = selector.has_callable_server(now)
+  const RefusalState state{ .pause_end = selector.is_callable_until(now, now)
                                            ? std::nullopt
-                                           : selector.earliest_pause_end(now),
+                                           : selector.earliest_return(now),
                             .mean_request_time = selector.mean_request_time(),
                             .waiting = m_context.queues[m_request.service].size(),
                             .servers = selector.size(),
@@ -446,7 +521,10 @@
   } else if (m_may_have_executed) {
     m_error_response = { .status = 502, .reason = "the server's response was lost or broken" };
   } else if (m_no_server) {
-    refuse_not_executed("no server of the service is available", now);
+    const bool limited = m_context.selector(m_request.service).limited_count() > 0;
+    refuse_not_executed(limited ? "the request limits of the servers are used up"
+                                : "no server of the service is available",
+                        now);
   } else if (now >= m_deadline) {
     refuse_not_executed("the time ran out before a server was reached", now);
   } else {
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -96,7 +96,9 @@
   void start_attempt(bool hedge);
   awaitable<void> run_attempt(bool hedge);
   awaitable<bool> wait_for_capacity(bool hedge);
-  awaitable<bool> check_capacity();
+  awaitable<bool> check_capacity(TimePoint latest);
+  awaitable<bool> obtain_permit(double max_cost, TimePoint latest);
+  std::optional<ServerInfo> select_server(TimePoint now);
   std::string describe_overload(const ServerInfo& best, TimePoint now) const;
   awaitable<void> probe(bool preferred_only, const std::string& path);
   std::size_t body_bytes() const;
@@ -120,6 +122,8 @@
   asio::steady_timer m_wakeup;
   std::vector<std::shared_ptr<Attempt>> m_attempts;
   std::set<ServerId> m_tried_servers;
+  /// Limited server to which the next attempt is permitted; empty if there is no permit.
+  ServerId m_permitted_server;
   /// The exchange whose response is forwarded.
   std::shared_ptr<ServerExchange> m_winner;
   /// A 5xx response of a server; forwarded if no attempt gets a better one.
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -166,6 +166,12 @@
   count("lovagehold_server_connections_total",
         "Connections opened to servers.",
         counters.server_connections);
+  count("lovagehold_permits_requested_total",
+        "Permits for limited servers that were asked for.",
+        counters.permits_requested);
+  count("lovagehold_permits_granted_total",
+        "Permits for limited servers that were granted.",
+        counters.permits_granted);
   add("lovagehold_requests_in_progress",
       "gauge",
       "Requests being served.",
--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -29,7 +29,7 @@
 
   explicit GatewayTest(double link_mbps = 0)
     : m_log({ .host = "gateway-test", .level = "error" })
-    , m_gateway(m_context, make_options(link_mbps), m_log)
+    , m_gateway(m_context, with_permits(make_options(link_mbps)), m_log)
   {
     EXPECT_TRUE(m_gateway.start().has_value());
     m_thread = std::thread([this] {
@@ -63,6 +63,20 @@
     return options;
   }
 
+  GatewayOptions with_permits(GatewayOptions options)
+  {
+    options.request_permit = [this](const PermitQuery& query, const auto& handler) {
+      ++m_permit_queries;
+      PermitAnswer answer{ .wait = milliseconds(400) };
+      if (m_permits > 0) {
+        --m_permits;
+        answer = { .server = query.candidates.front().id, .wait = milliseconds(5) };
+      }
+      handler(answer);
+    };
+    return options;
+  }
+
   // Runs the function on the gateway's thread and waits until it returns.
   void on_gateway(const std::function<void()>& function)
   {
@@ -145,6 +159,9 @@
   boost::asio::io_context m_caller_context;
   std::vector<TestSocket> m_callers;
   boost::asio::io_context m_context;
+  /// Permits that the limiter still grants, and queries that it has received.
+  std::atomic<int> m_permits{ 0 };
+  std::atomic<int> m_permit_queries{ 0 };
   EventLog m_log;
   Gateway m_gateway;
   std::thread m_thread;
@@ -577,6 +594,75 @@
   EXPECT_EQ(m_servers.front()->checks(), checks);
 }
 
+// Guards against requests that reach a limited server without a permit, and against a refusal that
+// does not say when to come back.
+TEST_F(GatewayTest, LimitedServerGetsOnlyPermittedRequests)
+{
+  add_server([](const ReceivedRequest& received) {
+    std::string response = ScriptedServer::response(received, "hello");
+    response.insert(response.find("Content-Length"), "Server-Limit: 2.5\r\n");
+    return ScriptedResponse{ .bytes = response };
+  }).name_limit("2.5");
+  configure();
+  m_permits = 2;
+  int served = 0;
+  for (int i = 0; i < 6; ++i) {
+    const std::string response = send(request("GET", "/safe/x"));
+    served += response.find("200 OK") != std::string::npos ? 1 : 0;
+    if (i == 2) {
+      EXPECT_NE(response.find("503"), std::string::npos);
+      const std::size_t retry_after = response.find("Retry-After: ");
+      ASSERT_NE(retry_after, std::string::npos);
+      EXPECT_GE(std::stod(response.substr(retry_after + 13)), 0.3);
+    }
+  }
+  EXPECT_EQ(served, 2);
+  EXPECT_EQ(arrivals(), 2U);
+  // After the denial, no permit is asked for until the time that the limiter named.
+  EXPECT_EQ(m_permit_queries, 3);
+}
+
+// Guards against callers that are refused because a server is limited while others have room.
+TEST_F(GatewayTest, UnlimitedServerTakesWhatALimitedOneMayNot)
+{
+  ScriptedServer& limited = add_server(kServe);
+  limited.name_limit("0");
+  ScriptedServer& unlimited = add_server(kServe);
+  configure();
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_NE(send(request("GET", "/safe/x")).find("200 OK"), std::string::npos);
+  }
+  EXPECT_EQ(limited.requests().size(), 0U);
+  EXPECT_EQ(unlimited.requests().size(), 5U);
+}
+
+// Guards against a hedge or a retry that reaches a limited server without a permit.
+TEST_F(GatewayTest, RetryAtALimitedServerNeedsAPermit)
+{
+  add_server([](const ReceivedRequest&) { return ScriptedResponse{ .close = true }; });
+  ScriptedServer& limited = add_server(kServe);
+  limited.name_limit("1");
+  configure();
+  EXPECT_NE(send(request("GET", "/safe/x")).find("502"), std::string::npos);
+  EXPECT_EQ(limited.requests().size(), 0U);
+}
+
+// Guards against a limit that stays in force after the server has stopped to name it.
+TEST_F(GatewayTest, LimitEndsWithTheAnswersThatNameIt)
+{
+  ScriptedServer& server = add_server(kServe);
+  server.name_limit("1");
+  configure();
+  EXPECT_NE(send(request("GET", "/safe/x")).find("503"), std::string::npos);
+  server.name_limit("");
+  std::string response;
+  const TimePoint end = Clock::now() + std::chrono::seconds(30);
+  while (response.find("200 OK") == std::string::npos && Clock::now() < end) {
+    response = send(request("GET", "/safe/x"));
+  }
+  EXPECT_NE(response.find("200 OK"), std::string::npos) << response;
+}
+
 // Guards against misreading Retry-After of a server.
 TEST(ServerNotice, RetryAfterIsParsed)
 {
--- a/src/libgateway/scripted_server.h
+++ b/src/libgateway/scripted_server.h
@@ -91,6 +91,13 @@
   /// From now on, health checks say that the server is leaving.
   void leave() { m_leaving = true; }
 
+  /// From now on, health checks name this request limit; empty: none.
+  void name_limit(const std::string& limit)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_limit = limit;
+  }
+
   /// \return number of health checks received so far
   unsigned checks() const { return m_checks; }
 
@@ -169,7 +176,8 @@
       m_full_checks -= full ? 1 : 0;
       scripted.bytes = "HTTP/1.1 200 OK\r\nLovagehold-Instance-Id: " + m_id +
                        "\r\nLovagehold-Server-Load: " + (full ? "3" : "0") + ",0,3,100\r\n" +
-                       (m_leaving ? "Server-Leaving: 1\r\n" : "") + "Content-Length: 0\r\n\r\n";
+                       (m_leaving ? "Server-Leaving: 1\r\n" : "") + limit_header() +
+                       "Content-Length: 0\r\n\r\n";
       ++m_checks;
     } else {
       {
@@ -198,12 +206,19 @@
     return true;
   }
 
+  std::string limit_header() const
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_limit.empty() ? "" : "Server-Limit: " + m_limit + "\r\n";
+  }
+
   std::string m_id;
   Script m_script;
   boost::asio::io_context m_context;
   boost::asio::ip::tcp::acceptor m_acceptor;
   mutable std::mutex m_mutex;
   std::vector<ReceivedRequest> m_requests;
+  std::string m_limit;
   std::vector<std::shared_ptr<TestSocket>> m_sockets;
   std::vector<std::thread> m_threads;
   std::atomic<unsigned> m_full_checks{ 0 };
--- a/src/libgateway/server_notice.cpp
+++ b/src/libgateway/server_notice.cpp
@@ -100,7 +100,7 @@
     selector.pause(server.id, server.incarnation, *notice.pause, now);
   }
   const std::optional<double> limit_before = selector.limit(server.id);
-  if (notice.states_limit && selector.set_limit(server.id, server.incarnation, notice.limit)) {
+  if (notice.states_limit && selector.set_limit(server.id, server.incarnation, notice.limit, now)) {
     context.log.info("server_limit",
                      { { "service", server.service },
                        { "server", server.id },
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -195,6 +195,19 @@
   gauge("lovagehold_entry_hosts",
         "Entry hosts that are ready.",
         static_cast<double>(m_directory.ready_hosts(Clock::now()).size()));
+  gauge("lovagehold_limited_servers",
+        "Servers whose requests this host limits.",
+        static_cast<double>(m_limiter.size()));
+  const auto counter = [&text](const char* name, const char* help, std::uint64_t value) {
+    text.begin(name, "counter", help);
+    text.sample({}, static_cast<double>(value));
+  };
+  counter("lovagehold_permits_granted_total",
+          "Requests to limited servers that this host permitted.",
+          m_permits_granted);
+  counter("lovagehold_permits_denied_total",
+          "Requests to limited servers that this host denied.",
+          m_permits_denied);
   return text.text();
 }
 
@@ -252,6 +265,8 @@
     for (const ServerRenewal& renewal : renewals->renewals) {
       m_registrar.renew(renewal.id, renewal.incarnation, now);
     }
+  } else if (const auto* permit = std::get_if<PermitRequest>(&message)) {
+    handle_permit_request(from, *permit, now);
   } else if (std::holds_alternative<ProposeReply>(message)) {
     m_client->receive(from, message, now);
   } else {
@@ -259,6 +274,21 @@
   }
 }
 
+void
+ControlHost::handle_permit_request(const std::string& from,
+                                   const PermitRequest& request,
+                                   TimePoint now)
+{
+  std::vector<std::string> members;
+  for (const Member& member : m_replica->status().membership) {
+    members.push_back(member.address);
+  }
+  const double share = limiter_share(request.query.service, m_settings.cluster_address, members);
+  const PermitAnswer answer = m_limiter.request(request.query, share, now);
+  ++(answer.server.empty() ? m_permits_denied : m_permits_granted);
+  m_link.send(from, PermitReply{ .id = request.id, .answer = answer });
+}
+
 // Updates the addresses that entry hosts serve to callers. Entry hosts serve them so that a control
 // host that hangs does not block the callers of its failure domain. The result is cached, because
 // every subscription compares its version.
@@ -288,6 +318,7 @@
     share_entry_hosts(now);
     m_directory.expire(now);
     m_subscribed_hosts.expire(now);
+    m_limiter.expire(now);
   }
   if (now - m_renewals_sent_at >= kRenewalInterval) {
     send_renewals(now);
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -61,6 +61,7 @@
   const std::vector<ServerInfo>& servers();
   void share_entry_hosts(TimePoint now);
   void refresh_addresses(TimePoint now);
+  void handle_permit_request(const std::string& from, const PermitRequest& request, TimePoint now);
   void remove_expired_servers(TimePoint now);
   void update_leadership(TimePoint now);
 
@@ -81,6 +82,8 @@
   EntryDirectory m_subscribed_hosts;
   /// The addresses in m_directory as sent to entry hosts.
   EntryAddresses m_addresses;
+  /// Grants the requests to limited servers of the services that fall to this host.
+  RequestLimiter m_limiter;
   /// Number of entry hosts whose addresses are advertised to callers.
   std::size_t m_advertised_host_count = 0;
   /// When m_addresses was last updated.
@@ -101,6 +104,9 @@
   TimePoint m_renewals_sent_at;
   /// When the leases of the servers were last checked for expiry.
   TimePoint m_leases_checked_at;
+  /// Permits granted and denied since the start, for the metrics.
+  std::uint64_t m_permits_granted = 0;
+  std::uint64_t m_permits_denied = 0;
   /// Whether this host led the group at the last tick.
   bool m_is_leader = false;
   /// The state has included all that was committed at some time since the start.
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -50,7 +50,9 @@
 }
 
 GatewayOptions
-gateway_options(const SiteSettings& settings, const SiteProtocol& protocol)
+gateway_options(const SiteSettings& settings,
+                const SiteProtocol& protocol,
+                RequestPermit request_permit)
 {
   return { .host = settings.host,
            .failure_domain = settings.failure_domain,
@@ -63,6 +65,7 @@
            .probes_per_second = settings.probes_per_second,
            .spread_time = kSpreadTime,
            .link_mbps = settings.link_mbps,
+           .request_permit = std::move(request_permit),
            .seed = std::random_device{}() };
 }
 
@@ -82,13 +85,24 @@
       log,
       [this](const std::string& from, const ClusterMessage& message) { receive(from, message); },
       [this](const std::string& address) { m_client->unreachable(address, Clock::now()); })
-  , m_gateway(context, gateway_options(m_settings, m_protocol), log)
+  , m_permits([this](const std::string& address, const ClusterMessage& message) {
+    m_link.send(address, message);
+  })
+  , m_gateway(
+      context,
+      gateway_options(m_settings,
+                      m_protocol,
+                      [this](const PermitQuery& query, PermitClient::AnswerHandler handler) {
+                        request_permit(query, std::move(handler));
+                      }),
+      log)
   , m_readiness_server(context,
                        [this](const AdminRequest&, const AdminServer::Reply& reply) {
                          reply({ .status = is_ready() ? 200U : 503U });
                        })
   , m_timer(context)
   , m_shutdown_timer(context)
+  , m_permit_timer(context)
 {
   ControlClientOptions options{
     .control_addresses = nearest_first(m_settings.seeds, m_settings.cluster_address),
@@ -101,6 +115,14 @@
         m_log.info("control_followed", { { "control", address }, { "reason", reason } });
       },
     .on_entry_hosts = [this](std::uint64_t hosts) { m_gateway.set_entry_hosts(hosts); },
+    .on_control_hosts =
+      [this](const std::vector<ControlAddress>& hosts) {
+        std::vector<std::string> members;
+        for (const ControlAddress& host : hosts) {
+          members.push_back(host.address);
+        }
+        m_permits.set_members(std::move(members));
+      },
     .presence = [this]() -> std::optional<EntryPresence> {
       return EntryPresence{ .address = m_settings.entry_address,
                             .failure_domain = m_settings.failure_domain,
@@ -138,6 +160,7 @@
 {
   m_timer.cancel();
   m_shutdown_timer.cancel();
+  m_permit_timer.cancel();
   m_link.stop();
 }
 
@@ -180,6 +203,10 @@
     m_directory = *addresses;
     return;
   }
+  if (const auto* permit = std::get_if<PermitReply>(&message)) {
+    m_permits.receive(*permit);
+    return;
+  }
   m_client->receive(from, message, Clock::now());
 }
 
@@ -248,6 +275,32 @@
   });
 }
 
+void
+EntryHost::request_permit(const PermitQuery& query, PermitClient::AnswerHandler handler)
+{
+  const bool idle = m_permits.next_expiry() == TimePoint::max();
+  m_permits.request(query, std::move(handler), Clock::now());
+  if (idle) {
+    await_permits();
+  }
+}
+
+void
+EntryHost::await_permits()
+{
+  const TimePoint next = m_permits.next_expiry();
+  if (next == TimePoint::max()) {
+    return;
+  }
+  m_permit_timer.expires_at(next);
+  m_permit_timer.async_wait([this](auto error) {
+    if (!error) {
+      m_permits.expire(Clock::now());
+      await_permits();
+    }
+  });
+}
+
 void
 EntryHost::begin_shutdown(std::function<void()> done)
 {
--- a/src/libsite/entry_host.h
+++ b/src/libsite/entry_host.h
@@ -3,6 +3,7 @@
 #include "cluster_link.h"
 #include "lovagehold/control_client.h"
 #include "lovagehold/event_log.h"
+#include "lovagehold/permit_client.h"
 #include "lovagehold/site.h"
 #include "status_page.h"
 
@@ -43,6 +44,8 @@
   void receive(const std::string& from, const ClusterMessage& message);
   void on_applied(const StateMachine& state);
   void tick();
+  void request_permit(const PermitQuery& query, PermitClient::AnswerHandler handler);
+  void await_permits();
   void check_shutdown();
   bool is_ready() const;
   void handle_directory_request(const AdminRequest& request, const AdminServer::Reply& reply);
@@ -52,11 +55,14 @@
   SiteProtocol m_protocol;
   EventLog& m_log;
   ClusterLink m_link;
+  PermitClient m_permits;
   Gateway m_gateway;
   std::unique_ptr<ControlClient> m_client;
   AdminServer m_readiness_server;
   boost::asio::steady_timer m_timer;
   boost::asio::steady_timer m_shutdown_timer;
+  /// Runs while permits are pending.
+  boost::asio::steady_timer m_permit_timer;
   std::unique_ptr<AdminServer> m_directory_server;
   /// Addresses of entry hosts by failure domain, as received from control.
   EntryAddresses m_directory;
