libdecision: probe limited servers last

Cause: an entry host probes 12 servers of its failure domain, chosen by hash.

Change: servers that name a limit come last in this choice; the choice is made anew when a server's limit begins or ends. Test: ServerSelector.LimitedServersAreProbedLast.

--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 #include <xxhash.h>
 
@@ -132,7 +133,11 @@
     return false;
   }
   found->second.limit_named_at = now;
-  return std::exchange(found->second.limit, limit) != limit;
+  const auto limit_before = std::exchange(found->second.limit, limit);
+  if (limit_before.has_value() != limit.has_value()) {
+    choose_subset();
+  }
+  return limit_before != limit;
 }
 
 std::vector<LimitedServer>
@@ -233,20 +238,21 @@
 }
 
 // Rendezvous hashing: a server that joins or leaves changes at most one member of the subset.
+// Limited servers come last, because few requests may be sent to them, whatever their load is.
 void
 ServerSelector::choose_subset()
 {
-  std::vector<std::pair<std::uint64_t, State*>> ranked;
+  std::vector<std::tuple<bool, std::uint64_t, State*>> ranked;
   for (auto& [id, state] : m_servers) {
     state.preferred = false;
     if (state.info.failure_domain == m_options.failure_domain) {
       const std::string key = m_options.host + "|" + id;
-      ranked.emplace_back(XXH64(key.data(), key.size(), 0), &state);
+      ranked.emplace_back(state.limit.has_value(), XXH64(key.data(), key.size(), 0), &state);
     }
   }
   std::sort(ranked.begin(), ranked.end());
   for (std::size_t i = 0; i < std::min(m_options.subset, ranked.size()); ++i) {
-    ranked[i].second->preferred = true;
+    std::get<State*>(ranked[i])->preferred = true;
   }
 }
 
--- a/src/libdecision/server_selector_test.cpp
+++ b/src/libdecision/server_selector_test.cpp
@@ -252,6 +252,50 @@
   EXPECT_TRUE(m_selector.has_free_capacity("i-0", kStart + std::chrono::seconds(3)));
 }
 
+// Guards against a limited server that is chosen without a permit, and against one that stays
+// excluded after its limit has ended or a new incarnation has started.
+TEST_F(ServerSelectorTest, LimitedServerNeedsAPermit)
+{
+  const milliseconds wait(50);
+  EXPECT_TRUE(m_selector.set_limit("i-0", 1, 2.5, kStart));
+  EXPECT_FALSE(m_selector.set_limit("i-0", 1, 2.5, kStart + milliseconds(10)));
+  EXPECT_FALSE(m_selector.set_limit("i-0", 2, std::nullopt, kStart)) << "another incarnation";
+  EXPECT_EQ(pick(kStart, { "i-1", "i-2" }), "");
+  auto candidates = m_selector.permit_candidates({}, wait, 10, kStart + milliseconds(30));
+  ASSERT_EQ(candidates.size(), 1U);
+  EXPECT_EQ(candidates[0].id, "i-0");
+  EXPECT_EQ(candidates[0].limit, 2.5);
+  EXPECT_EQ(candidates[0].age, milliseconds(20));
+  m_selector.deny(candidates, kStart + milliseconds(200));
+  EXPECT_TRUE(m_selector.permit_candidates({}, wait, 10, kStart).empty());
+  EXPECT_FALSE(m_selector.permit_candidates({}, milliseconds(200), 10, kStart).empty());
+  EXPECT_EQ(m_selector.earliest_return(kStart), kStart + milliseconds(200));
+  EXPECT_TRUE(m_selector.set_limit("i-0", 1, std::nullopt, kStart));
+  EXPECT_EQ(pick(kStart, { "i-1", "i-2" }), "i-0");
+  m_selector.set_limit("i-0", 1, 0, kStart);
+  auto servers = make_servers(3);
+  servers[0].incarnation = 2;
+  m_selector.set_servers(servers, kStart);
+  EXPECT_EQ(pick(kStart, { "i-1", "i-2" }), "i-0");
+}
+
+// Guards against a host that spends its probes on servers to which it may send few requests: with
+// most of the servers limited, it hardly knew the load of the others.
+TEST(ServerSelector, LimitedServersAreProbedLast)
+{
+  ServerSelector selector({ .failure_domain = "a", .host = "h", .subset = 4 });
+  selector.set_servers(make_servers(20), kStart);
+  for (int i = 0; i < 16; ++i) {
+    selector.set_limit("i-" + std::to_string(i), 1, 1.0, kStart);
+  }
+  std::mt19937_64 random(1);
+  std::set<ServerId> probed;
+  for (const ServerInfo& server : selector.probe_targets(kStart, 4, true, {}, random)) {
+    probed.insert(server.id);
+  }
+  EXPECT_EQ(probed, (std::set<ServerId>{ "i-16", "i-17", "i-18", "i-19" }));
+}
+
 // Guards against calling a server before the pause that it asked for has ended, against a later,
 // shorter pause that ends it early, and against a pause without end.
 TEST_F(ServerSelectorTest, PausedServerIsNotChosen)
