libgateway: log crashed servers and recognise a repeated request

The logs could not tell whether the servers crashed because of a request or by themselves: a crash, a reset and a lost answer all read 'broken', and the same request had another id at each host.

Change: after a broken exchange the host connects once more, which takes a round trip; a refused connection means that the process has ended (status 'crashed', event server_crashed, a counter). Requests are logged with a fingerprint of method, host, target, Authorization and body.

--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -94,6 +94,8 @@
   std::uint64_t probes = 0;
   /// Connections opened to servers.
   std::uint64_t server_connections = 0;
+  /// Attempts whose server's process ended while it held the request.
+  std::uint64_t server_crashes = 0;
   /// Permits for limited servers that were asked for, and those that were granted.
   std::uint64_t permits_requested = 0;
   std::uint64_t permits_granted = 0;
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -286,6 +286,7 @@
     http::request_header<> header = parser.get().base();
     const auto deadline_ms = parse_number_field(header, names.deadline.c_str());
     GatewayRequest request{ .id = std::string(header[names.request_id]),
+                            .target = std::string(header.target()),
                             .head_method = m_head_method,
                             .routing = routing,
                             .route = &route,
@@ -315,12 +316,28 @@
         header.set(http::field::transfer_encoding, "chunked");
       }
     }
+    request.fingerprint = fingerprint(header, *request.body, parser.content_length().value_or(0));
     request.head = format_request_head(header);
     // Drops the final empty line: the deadline and the expected server are added for each attempt.
     request.head.resize(request.head.size() - 2);
     return request;
   }
 
+  static RequestFingerprint fingerprint(const http::request_header<>& header,
+                                        const std::string& body,
+                                        std::uint64_t content_length)
+  {
+    const auto view = [](beast::string_view text) {
+      return std::string_view(text.data(), text.size());
+    };
+    return fingerprint_of({ .method = view(header.method_string()),
+                            .host = view(header[http::field::host]),
+                            .target = view(header.target()),
+                            .caller = view(header[http::field::authorization]),
+                            .body = body,
+                            .streamed_bytes = body.empty() ? content_length : 0 });
+  }
+
   // Abandons the request if the caller closes the connection while it is served. The end of the
   // stream only shows once all bytes before it have been read, so bytes of pipelined requests are
   // moved to the buffer, up to its limit.
@@ -414,6 +431,7 @@
       { "id", id },
       { "route", route.name },
       { "service", forwarded.service() },
+      { "request", fmt::format("{:016x}", forwarded.fingerprint()) },
       { "routing", version },
       { "status", forwarded.abandoned() ? "caller_left" : std::to_string(status) },
       { "ms", std::to_string(elapsed.count()) },
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -30,6 +30,8 @@
 // If the expected cost of the best known server is higher than this, servers outside the preferred
 // set are probed too.
 constexpr double kWiderProbeCost = 1.15;
+// Bytes of a request's target in a log line.
+constexpr std::size_t kMaxLoggedTarget = 200;
 // An attempt that did not reach its server is not counted towards Route::max_attempts while fewer
 // than this many attempts have been made.
 constexpr unsigned kUncountedAttemptLimit = 3;
@@ -63,6 +65,7 @@
     case ExchangeStatus::Replaced:
       return AttemptEnd::Replaced;
     case ExchangeStatus::Unreached:
+    case ExchangeStatus::Crashed:
       return AttemptEnd::Unreached;
     case ExchangeStatus::Broken:
       return AttemptEnd::Failed;
@@ -412,6 +415,9 @@
       m_counted_attempts -=
         m_counted_attempts > 0 && m_attempts.size() < kUncountedAttemptLimit ? 1 : 0;
       break;
+    case ExchangeStatus::Crashed:
+      record_crash(attempt);
+      [[fallthrough]];
     case ExchangeStatus::Broken:
     case ExchangeStatus::TimedOut:
     case ExchangeStatus::Cancelled:
@@ -422,6 +428,20 @@
   attempt.exchange->release();
 }
 
+void
+ForwardedRequest::record_crash(const Attempt& attempt)
+{
+  ++m_context.counters.server_crashes;
+  m_context.log.warn("server_crashed",
+                     { { "service", m_request.service },
+                       { "server", attempt.server.id },
+                       { "incarnation", std::to_string(attempt.server.incarnation) },
+                       { "id", m_request.id },
+                       { "request", fmt::format("{:016x}", m_request.fingerprint) },
+                       { "target", m_request.target.substr(0, kMaxLoggedTarget) },
+                       { "ms", std::to_string(to_milliseconds(attempt.elapsed).count()) } });
+}
+
 void
 ForwardedRequest::evaluate_response(Attempt& attempt)
 {
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovagehold/request_fingerprint.h"
 #include "server_exchange.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -10,6 +11,10 @@
 struct GatewayRequest
 {
   std::string id;
+  /// Path and query.
+  std::string target;
+  /// The same for each attempt of the caller.
+  RequestFingerprint fingerprint = 0;
   /// Request line and headers without the deadline and expected server headers, which are added for
   /// each attempt.
   std::string head;
@@ -73,6 +78,7 @@
   double budget_left() const;
 
   const ServiceName& service() const { return m_request.service; }
+  RequestFingerprint fingerprint() const { return m_request.fingerprint; }
 
 private:
   struct Attempt
@@ -104,6 +110,7 @@
   std::size_t body_bytes() const;
   void evaluate(Attempt& attempt);
   void evaluate_response(Attempt& attempt);
+  void record_crash(const Attempt& attempt);
   void cancel_active_attempts();
   bool has_active_attempts() const;
   bool may_retry(TimePoint now);
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -166,6 +166,8 @@
   count("lovagehold_server_connections_total",
         "Connections opened to servers.",
         counters.server_connections);
+  count(
+    "lovagehold_server_crashes_total", "Attempts whose server crashed.", counters.server_crashes);
   count("lovagehold_permits_requested_total",
         "Permits for limited servers that were asked for.",
         counters.permits_requested);
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 1 } << 20;
 // A connection is closed after this many interim (1xx) responses to one request.
 constexpr int kMaxInterimResponses = 8;
+// A host refuses a connection within a round trip; one that is down does not answer at all.
+constexpr std::chrono::milliseconds kCrashCheckTimeout{ 50 };
 // Fraction of the server's advertised idle timeout for which a connection is kept in the pool.
 constexpr double kIdleTimeoutShare = 0.7;
 
@@ -57,6 +59,8 @@
       return "unreached";
     case ExchangeStatus::Broken:
       return "broken";
+    case ExchangeStatus::Crashed:
+      return "crashed";
     case ExchangeStatus::TimedOut:
       return "timed_out";
     case ExchangeStatus::Cancelled:
@@ -128,10 +132,33 @@
   }
   if (!accepted || m_cancelled) {
     fail();
-    co_return;
+  } else {
+    classify();
+    co_await read_small_body();
+  }
+  if (m_status == ExchangeStatus::Broken) {
+    co_await detect_crash();
+  }
+}
+
+// Tells a server whose process has ended from one that closed the connection: nothing listens on
+// its address any more.
+awaitable<void>
+ServerExchange::detect_crash()
+{
+  const auto endpoint = parse_endpoint(m_server.address);
+  const auto connection = std::make_shared<ServerConnection>(co_await asio::this_coro::executor);
+  connection->set_deadline(Clock::now() + kCrashCheckTimeout);
+  boost::system::error_code error;
+  co_await connection->socket.async_connect(*endpoint, capture(error));
+  connection->clear_deadline();
+  if (error == asio::error::connection_refused) {
+    m_status = ExchangeStatus::Crashed;
+  } else if (!error) {
+    ++m_context.counters.server_connections;
+    connection->socket.set_option(tcp::no_delay(true), error);
+    m_context.pool.put(m_server.address, connection, Clock::now());
   }
-  classify();
-  co_await read_small_body();
 }
 
 void
--- a/src/libgateway/server_exchange.h
+++ b/src/libgateway/server_exchange.h
@@ -15,6 +15,7 @@
   Replaced,    ///< another server uses the address now; the request was not executed
   Unreached,   ///< no byte of the request left this host
   Broken,      ///< connection failed or response invalid; the request may have been executed
+  Crashed,     ///< like Broken, and the server's process has ended
   TimedOut,    ///< no response in time; the request may have been executed
   Cancelled,   ///< cancelled by this host
 };
@@ -91,6 +92,7 @@
   bool matches(const OutgoingRequest& request) const;
   void classify();
   void fail();
+  awaitable<void> detect_crash();
 
   GatewayContext& m_context;
   ServerInfo m_server;
