--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -51,6 +51,7 @@
         self.next_id = 0
         self.faults = []
         self.stopping = False
+        self.last_body = b""
         self.wiped_at = 0.0
 
     def shuffled(self, items):
@@ -155,6 +156,7 @@
         body = b"x" * self.random.choice((0, 100, 40000)) if method == "POST" else b""
         writer.write(format_message(f"{method} {path} HTTP/1.1", headers, body))
         response = await read_message(reader)
+        self.last_body = response.body
         self.record.count(str(response.status))
         if response.status in (429, 503, 408, 421) and method == "POST":
             self.record.record_not_run(request_id, response.status)
