libdecision, libsite, libgateway: quarantine requests that crash their servers

Cause: each host treats a lost answer as bad luck of the server and sends the request to the next one, and no host knows what it did at the others. Class: a system-wide limit (how often a request may be tried) decided from what one host sees, as with the request limits of servers.

Change: a host reports which request was running at a server that crashed to all control hosts, which pass on what is suspected to the entry hosts. A request is suspected after two successive crashes (hosts no longer repeat it by themselves) and quarantined after three, for 60 s, doubling with each further crash up to 10 min. Crashes are successive only if the request was sent to each server after the one before had crashed, so that an outage counts once; a server that runs the request to an end clears it; more than 16 suspects of a service show that its servers crash by themselves, and none is quarantined. The answer is 502, as the request has run. Evidence is bounded, can be merged in any order, and is forgotten after 60 s; control hosts exchange it every 0.5 s, so that a restarted one has it again.

Why it works: the deadly request needs three servers that it alone met in turn; requests beside it are cleared by their next success.

--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -2,6 +2,7 @@
 
 #include "lovagehold/command.h"
 #include "lovagehold/consensus_message.h"
+#include "lovagehold/crash_suspects.h"
 #include "lovagehold/entry_directory.h"
 #include "lovagehold/hybrid_clock.h"
 #include "lovagehold/request_limiter.h"
@@ -181,6 +182,13 @@
   PermitAnswer answer;
 };
 
+/// Requests that were running at servers that crashed. Entry hosts send what they see to all
+/// control hosts, which pass on to the entry hosts what is suspected or cleared.
+struct CrashReports
+{
+  std::vector<CrashEvidence> evidence;
+};
+
 /// \return hash of the addresses, which identifies this content
 std::uint64_t version_of(const EntryAddresses& addresses);
 
@@ -198,7 +206,8 @@
                                     EntryAddresses,
                                     ServerRenewals,
                                     PermitRequest,
-                                    PermitReply>;
+                                    PermitReply,
+                                    CrashReports>;
 
 /// \return the message encoded as CBOR
 Bytes encode(const ClusterMessage& message);
--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovagehold/crash_suspects.h"
 #include "lovagehold/error.h"
 #include "lovagehold/event_log.h"
 #include "lovagehold/request_limiter.h"
@@ -71,6 +72,9 @@
   double link_mbps = 0;
   /// Without it, limited servers get no requests.
   RequestPermit request_permit;
+  CrashSuspectsOptions crash_suspects;
+  /// Called with new evidence that the other hosts should know. May be empty.
+  std::function<void(const CrashEvidence&)> on_crash_evidence;
   std::uint64_t seed = 1;
 };
 
@@ -96,6 +100,8 @@
   std::uint64_t server_connections = 0;
   /// Attempts whose server's process ended while it held the request.
   std::uint64_t server_crashes = 0;
+  /// Requests that were not sent because they are quarantined.
+  std::uint64_t quarantined = 0;
   /// Permits for limited servers that were asked for, and those that were granted.
   std::uint64_t permits_requested = 0;
   std::uint64_t permits_granted = 0;
@@ -133,6 +139,9 @@
   /// rate limits are divided by it.
   void set_entry_hosts(std::size_t hosts);
 
+  /// Adds evidence of other hosts about requests that crash their servers.
+  void add_crash_evidence(const std::vector<CrashEvidence>& evidence, TimePoint now);
+
   /// Starts a graceful shutdown: closes each connection after its current request, and refuses
   /// requests that are unlikely to finish in time.
   /// \param deadline latest time at which the process exits
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -186,6 +186,23 @@
   };
 }
 
+json
+to_fields(const CrashReports& message)
+{
+  json reports = json::array();
+  for (const CrashEvidence& evidence : message.evidence) {
+    json crashes = json::array();
+    for (const CrashEvidence::Crash& crash : evidence.crashes) {
+      crashes.push_back({ crash.server, crash.sent.count(), crash.crashed.count() });
+    }
+    reports.push_back({ evidence.request,
+                        evidence.service,
+                        std::move(crashes),
+                        evidence.cleared ? json(evidence.cleared->count()) : json() });
+  }
+  return { { "t", "crashes" }, { "v", std::move(reports) } };
+}
+
 json
 to_fields(const PermitReply& message)
 {
@@ -287,6 +304,26 @@
   return request;
 }
 
+CrashReports
+parse_crash_reports(const json& values)
+{
+  CrashReports reports;
+  for (const json& value : values) {
+    CrashEvidence evidence{ .request = value.at(0).get<std::uint64_t>(),
+                            .service = value.at(1).get<std::string>() };
+    for (const json& crash : value.at(2)) {
+      evidence.crashes.push_back({ .server = crash.at(0).get<std::uint64_t>(),
+                                   .sent = parse_milliseconds(crash.at(1)),
+                                   .crashed = parse_milliseconds(crash.at(2)) });
+    }
+    if (!value.at(3).is_null()) {
+      evidence.cleared = parse_milliseconds(value.at(3));
+    }
+    reports.evidence.push_back(std::move(evidence));
+  }
+  return reports;
+}
+
 PermitReply
 parse_permit_reply(const json& values)
 {
@@ -369,6 +406,9 @@
   if (type == "permit_reply") {
     return parse_permit_reply(fields.at("v"));
   }
+  if (type == "crashes") {
+    return parse_crash_reports(fields.at("v"));
+  }
   if (type == "hb") {
     return parse_heartbeat(fields.at("v"));
   }
--- a/src/libcontrol/cluster_message_test.cpp
+++ b/src/libcontrol/cluster_message_test.cpp
@@ -36,6 +36,29 @@
   EXPECT_EQ(back.leader, reply.leader);
 }
 
+// Guards against evidence whose fields are lost or exchanged on the way.
+TEST(ClusterMessage, CrashReportsKeepAllFields)
+{
+  using std::chrono::milliseconds;
+  const CrashReports reports{
+    { { .request = 0xfedcba9876543210,
+        .service = "desk",
+        .crashes = { { .server = 1, .sent = milliseconds(300), .crashed = milliseconds(200) },
+                     { .server = 2, .sent = milliseconds(90), .crashed = milliseconds(1) } } },
+      { .request = 5, .service = "vault", .cleared = milliseconds(70) } }
+  };
+  const auto got = std::get<CrashReports>(decode_message(encode(ClusterMessage(reports))).value());
+  ASSERT_EQ(got.evidence.size(), 2U);
+  EXPECT_EQ(got.evidence[0].request, reports.evidence[0].request);
+  EXPECT_EQ(got.evidence[0].service, "desk");
+  EXPECT_EQ(got.evidence[0].cleared, std::nullopt);
+  ASSERT_EQ(got.evidence[0].crashes.size(), 2U);
+  EXPECT_EQ(got.evidence[0].crashes[1].server, 2U);
+  EXPECT_EQ(got.evidence[0].crashes[1].sent, milliseconds(90));
+  EXPECT_EQ(got.evidence[0].crashes[1].crashed, milliseconds(1));
+  EXPECT_EQ(got.evidence[1].cleared, milliseconds(70));
+}
+
 // Guards against a permit whose fields are lost or exchanged on the way.
 TEST(ClusterMessage, PermitsKeepAllFields)
 {
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -30,6 +30,9 @@
 // If the expected cost of the best known server is higher than this, servers outside the preferred
 // set are probed too.
 constexpr double kWiderProbeCost = 1.15;
+// Pause before a request is repeated after its server has crashed: evidence of other hosts arrives,
+// and the repetition counts as one after the crash, see CrashSuspects.
+constexpr std::chrono::milliseconds kCrashRetryDelay{ 10 };
 // Bytes of a request's target in a log line.
 constexpr std::size_t kMaxLoggedTarget = 200;
 // An attempt that did not reach its server is not counted towards Route::max_attempts while fewer
@@ -99,6 +102,10 @@
 ForwardedRequest::run()
 {
   m_context.budget(m_request.service).count_request(m_request.arrived);
+  if (is_quarantined(m_request.arrived)) {
+    give_up(m_request.arrived);
+    co_return;
+  }
   start_attempt(false);
   while (!m_given_up) {
     const TimePoint hedge = hedge_time();
@@ -151,6 +158,11 @@
 awaitable<void>
 ForwardedRequest::run_attempt(bool hedge)
 {
+  if (std::exchange(m_server_crashed, false)) {
+    asio::steady_timer timer(m_context.io, kCrashRetryDelay);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(capture(ignored));
+  }
   const bool has_capacity = co_await wait_for_capacity(hedge);
   const TimePoint now = Clock::now();
   ServerSelector* selector = &m_context.selector(m_request.service);
@@ -163,6 +175,11 @@
     m_wakeup.cancel();
     co_return;
   }
+  if (is_quarantined(now)) {
+    m_retryable = false;
+    m_wakeup.cancel();
+    co_return;
+  }
   if (!has_capacity && !hedge) {
     // A request queued at a server would finish late and slow down the requests running there.
     m_overload_detail = describe_overload(*server, now);
@@ -405,6 +422,7 @@
   m_context.queues[m_request.service].wake_first();
   switch (status) {
     case ExchangeStatus::Responded:
+      record_success(now);
       evaluate_response(attempt);
       return;
     case ExchangeStatus::NotExecuted:
@@ -416,7 +434,7 @@
         m_counted_attempts > 0 && m_attempts.size() < kUncountedAttemptLimit ? 1 : 0;
       break;
     case ExchangeStatus::Crashed:
-      record_crash(attempt);
+      record_crash(attempt, now);
       [[fallthrough]];
     case ExchangeStatus::Broken:
     case ExchangeStatus::TimedOut:
@@ -428,18 +446,45 @@
   attempt.exchange->release();
 }
 
+// \return whether the request crashes its servers and must not be sent to another one
+bool
+ForwardedRequest::is_quarantined(TimePoint now)
+{
+  m_quarantined = m_context.suspects.quarantined_until(m_request.fingerprint, now).has_value();
+  return m_quarantined;
+}
+
+void
+ForwardedRequest::record_success(TimePoint now)
+{
+  if (m_context.suspects.clear(m_request.fingerprint, now) && m_context.options.on_crash_evidence) {
+    m_context.options.on_crash_evidence(m_context.suspects.evidence(m_request.fingerprint, now));
+  }
+}
+
 void
-ForwardedRequest::record_crash(const Attempt& attempt)
+ForwardedRequest::record_crash(const Attempt& attempt, TimePoint now)
 {
+  m_server_crashed = true;
   ++m_context.counters.server_crashes;
-  m_context.log.warn("server_crashed",
-                     { { "service", m_request.service },
-                       { "server", attempt.server.id },
-                       { "incarnation", std::to_string(attempt.server.incarnation) },
-                       { "id", m_request.id },
-                       { "request", fmt::format("{:016x}", m_request.fingerprint) },
-                       { "target", m_request.target.substr(0, kMaxLoggedTarget) },
-                       { "ms", std::to_string(to_milliseconds(attempt.elapsed).count()) } });
+  m_context.suspects.add_crash(m_request.fingerprint,
+                               m_request.service,
+                               server_key(attempt.server.id, attempt.server.incarnation),
+                               attempt.started,
+                               now);
+  if (m_context.options.on_crash_evidence) {
+    m_context.options.on_crash_evidence(m_context.suspects.evidence(m_request.fingerprint, now));
+  }
+  m_context.log.warn(
+    "server_crashed",
+    { { "service", m_request.service },
+      { "server", attempt.server.id },
+      { "incarnation", std::to_string(attempt.server.incarnation) },
+      { "id", m_request.id },
+      { "request", fmt::format("{:016x}", m_request.fingerprint) },
+      { "target", m_request.target.substr(0, kMaxLoggedTarget) },
+      { "crashes", std::to_string(m_context.suspects.crashes(m_request.fingerprint, now)) },
+      { "ms", std::to_string(to_milliseconds(attempt.elapsed).count()) } });
 }
 
 void
@@ -487,7 +532,8 @@
 {
   const bool streamed = m_request.upload != nullptr && !m_attempts.empty();
   return m_retryable && !streamed && m_counted_attempts < m_request.route->max_attempts &&
-         m_context.admission.has_time_for_attempt(now, m_deadline);
+         m_context.admission.has_time_for_attempt(now, m_deadline) &&
+         !m_context.suspects.is_suspected(m_request.fingerprint, now);
 }
 
 TimePoint
@@ -509,6 +555,7 @@
 {
   return m_retryable && m_counted_attempts < m_request.route->max_attempts &&
          m_context.admission.has_time_for_attempt(now, m_deadline) &&
+         !m_context.suspects.is_suspected(m_request.fingerprint, now) &&
          m_context.budget(m_request.service).left(now) > kRetryReserve;
 }
 
@@ -536,6 +583,12 @@
   const bool in_progress = has_active_attempts() && !m_attempts.empty();
   if (m_server_error) {
     m_winner = m_server_error;
+  } else if (m_quarantined) {
+    // It has run, at an earlier attempt of the caller, so the response must not deny that.
+    ++m_context.counters.quarantined;
+    m_error_response = { .status = 502,
+                         .reason =
+                           "the request is quarantined: servers crashed while they ran it" };
   } else if (in_progress || (m_may_have_executed && now >= m_deadline)) {
     m_error_response = { .status = 504, .reason = "no server answered in time" };
   } else if (m_may_have_executed) {
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -110,7 +110,9 @@
   std::size_t body_bytes() const;
   void evaluate(Attempt& attempt);
   void evaluate_response(Attempt& attempt);
-  void record_crash(const Attempt& attempt);
+  void record_crash(const Attempt& attempt, TimePoint now);
+  void record_success(TimePoint now);
+  bool is_quarantined(TimePoint now);
   void cancel_active_attempts();
   bool has_active_attempts() const;
   bool may_retry(TimePoint now);
@@ -147,6 +149,10 @@
   /// Cleared when no further attempt may be made: the request might be executed twice, or there is
   /// no time, capacity or retry budget left for it.
   bool m_retryable = true;
+  /// The server of the latest attempt has crashed.
+  bool m_server_crashed = false;
+  /// The request crashes its servers and is not sent to further ones.
+  bool m_quarantined = false;
   /// No server was left to select for the latest attempt.
   bool m_no_server = false;
   /// A hedge was sent or decided against.
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <fmt/format.h>
 
 namespace lovagehold {
 
@@ -97,6 +98,25 @@
   }
 }
 
+void
+Gateway::add_crash_evidence(const std::vector<CrashEvidence>& evidence, TimePoint now)
+{
+  CrashSuspects& suspects = m_impl->context->suspects;
+  suspects.expire(now);
+  for (const CrashEvidence& item : evidence) {
+    const bool was_quarantined = suspects.quarantined_until(item.request, now).has_value();
+    suspects.merge(item, now);
+    const auto until = suspects.quarantined_until(item.request, now);
+    if (until.has_value() != was_quarantined) {
+      m_impl->context->log.warn(
+        until ? "request_quarantined" : "request_released",
+        { { "request", fmt::format("{:016x}", item.request) },
+          { "service", item.service },
+          { "crashes", std::to_string(suspects.crashes(item.request, now)) } });
+    }
+  }
+}
+
 void
 Gateway::begin_shutdown(TimePoint deadline)
 {
@@ -168,6 +188,9 @@
         counters.server_connections);
   count(
     "lovagehold_server_crashes_total", "Attempts whose server crashed.", counters.server_crashes);
+  count("lovagehold_quarantined_requests_total",
+        "Requests not sent because they crash their servers.",
+        counters.quarantined);
   count("lovagehold_permits_requested_total",
         "Permits for limited servers that were asked for.",
         counters.permits_requested);
@@ -182,6 +205,10 @@
   for (const auto& [service, selector] : context.selectors) {
     limited += selector.limited_count();
   }
+  add("lovagehold_quarantined_fingerprints",
+      "gauge",
+      "Different requests that are quarantined.",
+      static_cast<double>(context.suspects.quarantined_count(Clock::now())));
   add("lovagehold_limited_servers",
       "gauge",
       "Servers that name a request limit.",
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -2,6 +2,7 @@
 
 #include "libproxy/connection_pool.h"
 #include "lovagehold/admission.h"
+#include "lovagehold/crash_suspects.h"
 #include "lovagehold/gateway.h"
 #include "lovagehold/link_pacer.h"
 #include "lovagehold/metrics.h"
@@ -24,6 +25,7 @@
     , random(options.seed)
     , receive_pacer({ .link_mbps = options.link_mbps })
     , send_pacer({ .link_mbps = options.link_mbps })
+    , suspects(options.crash_suspects)
   {
   }
 
@@ -37,6 +39,8 @@
   /// Null until the first routing configuration has been received.
   std::shared_ptr<RoutingTable> routing;
   AdmissionPolicy admission;
+  /// Requests that may have crashed their servers, as all hosts see it.
+  CrashSuspects suspects;
   std::map<ServiceName, ServerSelector> selectors;
   std::map<ServiceName, RetryBudget> budgets;
   std::map<ServiceName, WaitingQueue> queues;
--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -29,7 +29,7 @@
 
   explicit GatewayTest(double link_mbps = 0)
     : m_log({ .host = "gateway-test", .level = "error" })
-    , m_gateway(m_context, with_permits(make_options(link_mbps)), m_log)
+    , m_gateway(m_context, with_hooks(make_options(link_mbps)), m_log)
   {
     EXPECT_TRUE(m_gateway.start().has_value());
     m_thread = std::thread([this] {
@@ -63,7 +63,7 @@
     return options;
   }
 
-  GatewayOptions with_permits(GatewayOptions options)
+  GatewayOptions with_hooks(GatewayOptions options)
   {
     options.request_permit = [this](const PermitQuery& query, const auto& handler) {
       ++m_permit_queries;
@@ -74,6 +74,11 @@
       }
       handler(answer);
     };
+    options.on_crash_evidence = [this](const CrashEvidence& evidence) {
+      if (m_on_crash_evidence) {
+        m_on_crash_evidence(evidence);
+      }
+    };
     return options;
   }
 
@@ -162,6 +167,8 @@
   /// Permits that the limiter still grants, and queries that it has received.
   std::atomic<int> m_permits{ 0 };
   std::atomic<int> m_permit_queries{ 0 };
+  /// Called on the gateway's thread.
+  std::function<void(const CrashEvidence&)> m_on_crash_evidence;
   EventLog m_log;
   Gateway m_gateway;
   std::thread m_thread;
@@ -663,6 +670,70 @@
   EXPECT_NE(response.find("200 OK"), std::string::npos) << response;
 }
 
+// Guards against a request that crashes server after server, and against a response that denies
+// that it has run.
+TEST_F(GatewayTest, RequestThatCrashesItsServersIsQuarantined)
+{
+  for (int i = 0; i < 5; ++i) {
+    add_server([](const ReceivedRequest& received) {
+      const bool deadly = received.head.find("/safe/deadly") != std::string::npos;
+      return deadly ? ScriptedResponse{ .crash = true } : kServe(received);
+    });
+  }
+  configure();
+  std::vector<CrashEvidence> reported;
+  on_gateway([&] { m_on_crash_evidence = [&](const auto& item) { reported.push_back(item); }; });
+  std::string response;
+  for (int i = 0; i < 4; ++i) {
+    response = send(request("GET", "/safe/deadly"));
+    EXPECT_NE(response.find("502"), std::string::npos);
+    // Crashes that overlap within 5 ms would count once.
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  EXPECT_NE(response.find("quarantined"), std::string::npos);
+  EXPECT_EQ(response.find("Retry-After"), std::string::npos);
+  EXPECT_EQ(arrivals(), 3U);
+  EXPECT_NE(send(request("GET", "/safe/other")).find("200 OK"), std::string::npos);
+  on_gateway([&] { m_on_crash_evidence = nullptr; });
+  ASSERT_EQ(reported.size(), 3U);
+  EXPECT_EQ(reported.back().crashes.size(), 3U);
+}
+
+// Guards against a request that crashes further servers at a host that has not seen it before.
+TEST_F(GatewayTest, EvidenceOfOtherHostsQuarantinesARequest)
+{
+  add_server(kServe);
+  configure();
+  CrashEvidence evidence{ .request = fingerprint_of(
+                            { .method = "GET", .host = "a.example", .target = "/safe/deadly" }),
+                          .service = "desk" };
+  for (unsigned i = 0; i < 3; ++i) {
+    evidence.crashes.push_back({ .server = i,
+                                 .sent = milliseconds(1000 - 100 * i),
+                                 .crashed = milliseconds(950 - 100 * i) });
+  }
+  on_gateway([&] { m_gateway.add_crash_evidence({ evidence }, Clock::now()); });
+  EXPECT_NE(send(request("GET", "/safe/deadly")).find("quarantined"), std::string::npos);
+  EXPECT_EQ(arrivals(), 0U);
+  evidence.cleared = milliseconds(0);
+  on_gateway([&] { m_gateway.add_crash_evidence({ evidence }, Clock::now()); });
+  EXPECT_NE(send(request("GET", "/safe/deadly")).find("200 OK"), std::string::npos);
+}
+
+// Guards against a closed connection that is taken for a crash: the request beside it would become
+// a suspect.
+TEST_F(GatewayTest, ClosedConnectionIsNoCrash)
+{
+  add_server([](const ReceivedRequest&) { return ScriptedResponse{ .reset = true }; });
+  add_server([](const ReceivedRequest&) { return ScriptedResponse{ .close = true }; });
+  configure();
+  for (int i = 0; i < 4; ++i) {
+    const std::string response = send(request("GET", "/safe/x"));
+    EXPECT_EQ(response.find("quarantined"), std::string::npos);
+  }
+  on_gateway([&] { EXPECT_EQ(m_gateway.counters().server_crashes, 0U); });
+}
+
 // Guards against misreading Retry-After of a server.
 TEST(ServerNotice, RetryAfterIsParsed)
 {
--- a/src/libgateway/scripted_server.h
+++ b/src/libgateway/scripted_server.h
@@ -34,6 +34,8 @@
   bool close = false;
   /// Closes the connection with a TCP reset.
   bool reset = false;
+  /// Closes the connection and refuses all further ones.
+  bool crash = false;
   /// Sends nothing and waits until the peer closes the connection.
   bool hang = false;
   /// Sent repeatedly after \p bytes until the peer closes the connection.
@@ -60,9 +62,7 @@
   ~ScriptedServer()
   {
     m_stopping = true;
-    boost::system::error_code ignored;
-    TestSocket wake(m_context);
-    wake.connect(m_acceptor.local_endpoint(), ignored);
+    stop_listening();
     m_thread.join();
     {
       const std::lock_guard<std::mutex> lock(m_mutex);
@@ -186,6 +186,10 @@
       }
       scripted = m_script(request);
     }
+    if (scripted.crash) {
+      stop_listening();
+      return close(socket);
+    }
     if (scripted.hang) {
       m_peer_closed = read_to_close(socket).has_value();
       return false;
@@ -200,12 +204,21 @@
       socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     }
     if (scripted.close || scripted.reset) {
-      socket.close(ignored);
-      return false;
+      return close(socket);
     }
     return true;
   }
 
+  static bool close(TestSocket& socket)
+  {
+    boost::system::error_code ignored;
+    socket.close(ignored);
+    return false;
+  }
+
+  // Ends a blocked accept(), which closing the acceptor would not.
+  void stop_listening() { ::shutdown(m_acceptor.native_handle(), SHUT_RDWR); }
+
   std::string limit_header() const
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -195,6 +195,9 @@
   gauge("lovagehold_entry_hosts",
         "Entry hosts that are ready.",
         static_cast<double>(m_directory.ready_hosts(Clock::now()).size()));
+  gauge("lovagehold_quarantined_fingerprints",
+        "Different requests that are quarantined.",
+        static_cast<double>(m_suspects.quarantined_count(Clock::now())));
   gauge("lovagehold_limited_servers",
         "Servers whose requests this host limits.",
         static_cast<double>(m_limiter.size()));
@@ -252,6 +255,7 @@
       if (!subscribe->confirm && m_addresses.version != subscribe->directory_version) {
         m_link.send(from, m_addresses);
       }
+      add_subscriber(from, *subscribe, now);
     }
     m_replica->receive(from, message);
   } else if (const auto* hosts = std::get_if<EntryHosts>(&message)) {
@@ -265,6 +269,8 @@
     for (const ServerRenewal& renewal : renewals->renewals) {
       m_registrar.renew(renewal.id, renewal.incarnation, now);
     }
+  } else if (const auto* crashes = std::get_if<CrashReports>(&message)) {
+    merge_crash_reports(*crashes, now);
   } else if (const auto* permit = std::get_if<PermitRequest>(&message)) {
     handle_permit_request(from, *permit, now);
   } else if (std::holds_alternative<ProposeReply>(message)) {
@@ -274,6 +280,59 @@
   }
 }
 
+// An entry host that has restarted knows nothing of the suspects.
+void
+ControlHost::add_subscriber(const std::string& from, const Subscribe& request, TimePoint now)
+{
+  if (request.confirm) {
+    m_subscribers.erase(from);
+  } else if (m_subscribers.insert_or_assign(from, now).second) {
+    CrashReports reports{ m_suspects.shared_evidence(now) };
+    if (!reports.evidence.empty()) {
+      m_link.send(from, reports);
+    }
+  }
+}
+
+void
+ControlHost::merge_crash_reports(const CrashReports& reports, TimePoint now)
+{
+  for (const CrashEvidence& evidence : reports.evidence) {
+    if (m_suspects.merge(evidence, now)) {
+      m_changed_suspects.insert(evidence.request);
+    }
+  }
+}
+
+// Changes are collected per tick, as a failure of many servers is reported by many entry hosts.
+void
+ControlHost::publish_suspects(TimePoint now)
+{
+  CrashReports reports;
+  for (CrashEvidence& evidence : m_suspects.shared_evidence(now)) {
+    if (m_changed_suspects.count(evidence.request) > 0) {
+      reports.evidence.push_back(std::move(evidence));
+    }
+  }
+  m_changed_suspects.clear();
+  if (reports.evidence.empty()) {
+    return;
+  }
+  for (const auto& [subscriber, subscribed_at] : m_subscribers) {
+    m_link.send(subscriber, reports);
+  }
+}
+
+void
+ControlHost::send_to_members(const ClusterMessage& message)
+{
+  for (const Member& member : m_replica->status().membership) {
+    if (member.address != m_settings.cluster_address) {
+      m_link.send(member.address, message);
+    }
+  }
+}
+
 void
 ControlHost::handle_permit_request(const std::string& from,
                                    const PermitRequest& request,
@@ -319,6 +378,13 @@
     m_directory.expire(now);
     m_subscribed_hosts.expire(now);
     m_limiter.expire(now);
+    m_suspects.expire(now);
+    std::erase_if(m_subscribers, [&](const auto& subscriber) {
+      return now - subscriber.second >= kSubscriptionTimeout;
+    });
+  }
+  if (!m_changed_suspects.empty()) {
+    publish_suspects(now);
   }
   if (now - m_renewals_sent_at >= kRenewalInterval) {
     send_renewals(now);
@@ -353,18 +419,18 @@
 {
   m_shared_at = now;
   m_share_pending = false;
+  // A control host that was restarted or cut off learns of the suspects by this.
+  CrashReports reports{ m_suspects.shared_evidence(now) };
+  if (!reports.evidence.empty()) {
+    send_to_members(reports);
+  }
   EntryHosts message;
   for (const auto& [presence, age] : m_subscribed_hosts.unexpired_hosts(now)) {
     message.hosts.push_back(
       { .presence = presence, .age = std::chrono::duration_cast<std::chrono::milliseconds>(age) });
   }
-  if (message.hosts.empty()) {
-    return;
-  }
-  for (const Member& member : m_replica->status().membership) {
-    if (member.address != m_settings.cluster_address) {
-      m_link.send(member.address, message);
-    }
+  if (!message.hosts.empty()) {
+    send_to_members(message);
   }
 }
 
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -10,6 +10,7 @@
 #include "status_page.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <set>
 
 namespace lovagehold {
 
@@ -61,6 +62,10 @@
   const std::vector<ServerInfo>& servers();
   void share_entry_hosts(TimePoint now);
   void refresh_addresses(TimePoint now);
+  void add_subscriber(const std::string& from, const Subscribe& request, TimePoint now);
+  void merge_crash_reports(const CrashReports& reports, TimePoint now);
+  void publish_suspects(TimePoint now);
+  void send_to_members(const ClusterMessage& message);
   void handle_permit_request(const std::string& from, const PermitRequest& request, TimePoint now);
   void remove_expired_servers(TimePoint now);
   void update_leadership(TimePoint now);
@@ -104,6 +109,12 @@
   TimePoint m_renewals_sent_at;
   /// When the leases of the servers were last checked for expiry.
   TimePoint m_leases_checked_at;
+  /// Requests that may have crashed their servers, as entry hosts report.
+  CrashSuspects m_suspects;
+  /// Those whose evidence has changed since the last tick.
+  std::set<RequestFingerprint> m_changed_suspects;
+  /// Cluster addresses of the entry hosts that subscribe to this host, with the last subscription.
+  std::map<std::string, TimePoint> m_subscribers;
   /// Permits granted and denied since the start, for the metrics.
   std::uint64_t m_permits_granted = 0;
   std::uint64_t m_permits_denied = 0;
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -52,7 +52,8 @@
 GatewayOptions
 gateway_options(const SiteSettings& settings,
                 const SiteProtocol& protocol,
-                RequestPermit request_permit)
+                RequestPermit request_permit,
+                std::function<void(const CrashEvidence&)> on_crash_evidence)
 {
   return { .host = settings.host,
            .failure_domain = settings.failure_domain,
@@ -66,6 +67,7 @@
            .spread_time = kSpreadTime,
            .link_mbps = settings.link_mbps,
            .request_permit = std::move(request_permit),
+           .on_crash_evidence = std::move(on_crash_evidence),
            .seed = std::random_device{}() };
 }
 
@@ -88,14 +90,15 @@
   , m_permits([this](const std::string& address, const ClusterMessage& message) {
     m_link.send(address, message);
   })
-  , m_gateway(
-      context,
-      gateway_options(m_settings,
-                      m_protocol,
-                      [this](const PermitQuery& query, PermitClient::AnswerHandler handler) {
-                        request_permit(query, std::move(handler));
-                      }),
-      log)
+  , m_gateway(context,
+              gateway_options(
+                m_settings,
+                m_protocol,
+                [this](const PermitQuery& query, PermitClient::AnswerHandler handler) {
+                  request_permit(query, std::move(handler));
+                },
+                [this](const CrashEvidence& evidence) { send_crash_evidence(evidence); }),
+              log)
   , m_readiness_server(context,
                        [this](const AdminRequest&, const AdminServer::Reply& reply) {
                          reply({ .status = is_ready() ? 200U : 503U });
@@ -121,6 +124,7 @@
         for (const ControlAddress& host : hosts) {
           members.push_back(host.address);
         }
+        m_control_hosts = members;
         m_permits.set_members(std::move(members));
       },
     .presence = [this]() -> std::optional<EntryPresence> {
@@ -207,6 +211,10 @@
     m_permits.receive(*permit);
     return;
   }
+  if (const auto* crashes = std::get_if<CrashReports>(&message)) {
+    m_gateway.add_crash_evidence(crashes->evidence, Clock::now());
+    return;
+  }
   m_client->receive(from, message, Clock::now());
 }
 
@@ -275,6 +283,15 @@
   });
 }
 
+// All control hosts are told, so that none of them has to pass it on to the others.
+void
+EntryHost::send_crash_evidence(const CrashEvidence& evidence)
+{
+  for (const std::string& control : m_control_hosts) {
+    m_link.send(control, CrashReports{ { evidence } });
+  }
+}
+
 void
 EntryHost::request_permit(const PermitQuery& query, PermitClient::AnswerHandler handler)
 {
--- a/src/libsite/entry_host.h
+++ b/src/libsite/entry_host.h
@@ -44,6 +44,7 @@
   void receive(const std::string& from, const ClusterMessage& message);
   void on_applied(const StateMachine& state);
   void tick();
+  void send_crash_evidence(const CrashEvidence& evidence);
   void request_permit(const PermitQuery& query, PermitClient::AnswerHandler handler);
   void await_permits();
   void check_shutdown();
@@ -55,6 +56,8 @@
   SiteProtocol m_protocol;
   EventLog& m_log;
   ClusterLink m_link;
+  /// Cluster addresses of all control hosts.
+  std::vector<std::string> m_control_hosts;
   PermitClient m_permits;
   Gateway m_gateway;
   std::unique_ptr<ControlClient> m_client;
