libgateway: believe refusals without an id on new connections only

Cause: a refusal may have no request id, and was then taken for the answer to whatever request was on the connection. Kept connections are shared with health checks, whose refusals have no id, so an earlier refusal that a faulty server writes once more was believed.

Change: a response without an id counts only on a connection that has served nothing before; otherwise it is skipped and the answer to the request is awaited. Requests without an id get a connection of their own.

Evidence: RepeatedRefusalOnAKeptConnectionIsNotTrusted fails without the change (503 and two arrivals) and passes three times in a row with it. The scripted servers of the tests refused without an id, which servers do not: they repeat it now, as the protocol says; what the tests check is unchanged, and refusals without an id have a test of their own.

--- a/src/libgateway/scripted_server.h
+++ b/src/libgateway/scripted_server.h
@@ -14,6 +14,8 @@
 {
   std::string head;
   std::string body;
+  /// Requests and health checks received before on the same connection.
+  unsigned earlier = 0;
 
   /// \return the value of the header; empty if it is missing
   std::string header(const std::string& name) const
@@ -105,11 +107,17 @@
   /// sent bytes without end
   bool peer_closed() const { return m_peer_closed; }
 
+  /// \return the header with the id of the request, which servers add to all their responses
+  static std::string id_header(const ReceivedRequest& request)
+  {
+    return "Lovagehold-Request-Id: " + request.header("Lovagehold-Request-Id") + "\r\n";
+  }
+
   /// \return a successful response that carries the id of the request, as servers send it
   static std::string response(const ReceivedRequest& request, const std::string& body)
   {
-    return "HTTP/1.1 200 OK\r\nLovagehold-Request-Id: " + request.header("Lovagehold-Request-Id") +
-           "\r\nLovagehold-Response-Seal: seal\r\nContent-Length: " + std::to_string(body.size()) +
+    return "HTTP/1.1 200 OK\r\n" + id_header(request) +
+           "Lovagehold-Response-Seal: seal\r\nContent-Length: " + std::to_string(body.size()) +
            "\r\n\r\n" + body;
   }
 
@@ -133,14 +141,14 @@
   void serve(TestSocket& socket)
   {
     std::string buffer;
-    while (true) {
+    for (unsigned earlier = 0;; ++earlier) {
       boost::system::error_code error;
       const std::size_t size =
         boost::asio::read_until(socket, boost::asio::dynamic_buffer(buffer), "\r\n\r\n", error);
       if (error) {
         return;
       }
-      ReceivedRequest request{ .head = buffer.substr(0, size) };
+      ReceivedRequest request{ .head = buffer.substr(0, size), .earlier = earlier };
       buffer.erase(0, size);
       const std::string length = request.header("Content-Length");
       const std::size_t body_size = length.empty() || m_early ? 0 : std::stoul(length);
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -70,10 +70,12 @@
 }
 
 awaitable<bool>
-ServerExchange::connect(TimePoint deadline)
+ServerExchange::connect(TimePoint deadline, bool may_reuse)
 {
   const TimePoint now = Clock::now();
-  m_connection = m_context.pool.take(m_server.address, now);
+  if (may_reuse) {
+    m_connection = m_context.pool.take(m_server.address, now);
+  }
   if (m_connection) {
     co_return true;
   }
@@ -109,7 +111,8 @@
 awaitable<void>
 ServerExchange::run(const OutgoingRequest& request, TimePoint deadline)
 {
-  const bool connected = co_await connect(deadline);
+  // Without an id, only a new connection tells which request a response belongs to.
+  const bool connected = co_await connect(deadline, !request.id.empty());
   if (!connected) {
     m_status = m_cancelled ? ExchangeStatus::Cancelled : ExchangeStatus::Unreached;
     co_return;
@@ -300,9 +303,9 @@
   if (!id.empty()) {
     return id == beast::string_view(request.id.data(), request.id.size());
   }
-  // Duplicate responses carry the id of their request. Only refusals may have no id; a successful
-  // response always has one.
-  return m_clean && header.result_int() >= 300;
+  // Only refusals may have no id; a successful response always has one. On a connection that has
+  // served another request or a health check, it could be a late copy of the response to that.
+  return m_clean && !m_connection->reused && header.result_int() >= 300;
 }
 
 awaitable<bool>
--- a/src/libgateway/server_exchange.h
+++ b/src/libgateway/server_exchange.h
@@ -76,7 +76,7 @@
   const std::optional<LoadReport>& load() const { return m_load; }
 
 private:
-  awaitable<bool> connect(TimePoint deadline);
+  awaitable<bool> connect(TimePoint deadline, bool may_reuse);
   void start_sending(const OutgoingRequest& request);
   awaitable<void> send(const OutgoingRequest& request);
   awaitable<void> send_body(const OutgoingRequest& request);
