testsuite of gateway and proxy: answers whose head is cut off

Operators' report: a server stopped in the middle of its answer's head, and clients got a whole 200 with an empty or short body. Checked with answers cut after each byte, on the platform and on the own interface: each is answered 502; nothing to mend.

--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -382,6 +382,27 @@
   EXPECT_EQ(status_of(send(request("POST", "/once/x", "body"))), 503);
 }
 
+// Guards against a response whose head is cut off and that reaches the caller as a success with an
+// empty or short body.
+TEST_F(GatewayTest, ResponseWithACutHeadIsNotForwarded)
+{
+  std::atomic<std::size_t> cut{ 0 };
+  add_server([&cut](const ReceivedRequest& received) {
+    return ScriptedResponse{ .bytes = ScriptedServer::response(received, "hello").substr(0, cut),
+                             .close = true };
+  });
+  configure();
+  const std::string whole =
+    ScriptedServer::response({ .head = "\r\nLovagehold-Request-Id: id-1\r\n" }, "hello");
+  for (cut = 0; cut < whole.size(); ++cut) {
+    // A new incarnation has no failures that would keep requests from it.
+    ++m_server_infos.front().incarnation;
+    on_gateway([&] { m_gateway.set_servers(m_server_infos, Clock::now()); });
+    EXPECT_EQ(status_of(send(request("POST", "/once/x", "body"))), 502) << cut;
+  }
+  EXPECT_EQ(status_of(send(request("POST", "/once/x", "body"))), 200);
+}
+
 // Guards against a truncated response that looks complete to the caller.
 TEST_F(GatewayTest, TruncatedResponseIsNotForwarded)
 {
--- a/src/libproxy/framing_test.cpp
+++ b/src/libproxy/framing_test.cpp
@@ -181,6 +181,21 @@
   EXPECT_EQ(received->find("Lovagehold-Outcome"), std::string::npos);
 }
 
+// Guards against a response whose head is cut off and that reaches the caller as a success with an
+// empty or short body.
+TEST(Framing, ResponseWithACutHeadIsNotPassedOn)
+{
+  EntryFixture entry(kResponsePort);
+  const std::string whole =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok";
+  for (std::size_t cut = 1; cut < whole.size(); ++cut) {
+    entry.server().respond_with(whole.substr(0, cut));
+    const auto received = entry.send(valid_request());
+    ASSERT_TRUE(received.has_value()) << cut;
+    EXPECT_EQ(status_of(*received), 502) << cut;
+  }
+}
+
 // Guards against passing on an additional response to an earlier request, which a server sent late
 // on a connection that is in use again.
 TEST(Framing, ResponseToAnotherRequestIsNotPassedOn)
