libdecision, libgateway: refuse requests that may outlive a planned stop

Callers could see: a request that came late in the grace of a planned stop, among them non-idempotent ones, was cut off without an answer when the process ended (operators' report).

Cause: a stopping host accepted a request if twice its latency objective was left. That is an expectation, not a limit: a stem confirmation may take its route's 1.5 s and was accepted with less.

Change: a request is accepted during a stop if the earlier of its caller's deadline and its route's timeout comes before the end of the process. Otherwise it is refused unrun and its caller sent to another host, but in the first quarter of the stop an idempotent request may still be accepted on the old terms: callers come for as long as they cache an address, and patient look-ups (5 s) would all be refused. The decision moved to AdmissionPolicy with the time as an argument.

Evidence: ShutdownRefusesRequestsThatMayOutliveIt fails without the change (200 and an arrival where the process ends 0.5 s before the request's limit) and passes with it.

--- a/src/include/lovagehold/admission.h
+++ b/src/include/lovagehold/admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovagehold/routing_config.h"
 #include "lovagehold/types.h"
 
 #include <optional>
@@ -9,6 +10,10 @@
 
 struct AdmissionOptions
 {
+  /// During a shutdown an idempotent request is accepted if this multiple of its latency objective
+  /// is left, but only in the first share of the shutdown: it may take longer, and is cut off then.
+  int shutdown_latency_factor = 2;
+  double shutdown_early_share = 0.25;
   /// A request waits for free capacity for at most this share of its latency objective. A longer
   /// wait would leave the caller no time to come back, and would take capacity that a newer request
   /// could still use in time.
@@ -24,6 +29,22 @@
   double max_return_share = 1.0 / 3;
 };
 
+/// The time between the signal to stop and the latest time at which the process ends.
+struct ShutdownPeriod
+{
+  TimePoint begin;
+  TimePoint end;
+};
+
+/// A request that arrives during a shutdown.
+struct ShutdownArrival
+{
+  RouteKind kind = RouteKind::Idempotent;
+  std::chrono::milliseconds target_latency{ 0 };
+  /// When its caller or its route gives up.
+  TimePoint deadline;
+};
+
 /// What is known about a service when a request for it is refused.
 struct RefusalState
 {
@@ -63,6 +84,10 @@
     return now + m_options.min_attempt_time < deadline;
   }
 
+  /// \return whether a request that arrives now is accepted although the host shuts down: it must
+  /// be able to use its whole time, because nobody would learn how it ended if it were cut off
+  bool accepts(const ShutdownArrival& arrival, const ShutdownPeriod& shutdown, TimePoint now) const;
+
   /// \return the value of Retry-After for a request that was not executed: about the time in which
   /// the service takes on the requests that wait, spread so that callers refused together do not
   /// return together; not before a pause of all servers ends
--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -145,7 +145,7 @@
   /// Starts a graceful shutdown: closes each connection after its current request, and refuses
   /// requests that are unlikely to finish in time.
   /// \param deadline latest time at which the process exits
-  void begin_shutdown(TimePoint deadline);
+  void begin_shutdown(TimePoint deadline, TimePoint now);
 
   /// \return number of requests being served
   std::size_t in_progress() const;
--- a/src/libdecision/admission.cpp
+++ b/src/libdecision/admission.cpp
@@ -33,6 +33,20 @@
                              deadline - m_options.min_attempt_time);
 }
 
+bool
+AdmissionPolicy::accepts(const ShutdownArrival& arrival,
+                         const ShutdownPeriod& shutdown,
+                         TimePoint now) const
+{
+  if (arrival.deadline <= shutdown.end) {
+    return true;
+  }
+  const auto early = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(shutdown.end - shutdown.begin) * m_options.shutdown_early_share);
+  return arrival.kind == RouteKind::Idempotent && now <= shutdown.begin + early &&
+         now + m_options.shutdown_latency_factor * arrival.target_latency <= shutdown.end;
+}
+
 milliseconds
 AdmissionPolicy::retry_after(const RefusalState& state,
                              TimePoint now,
--- a/src/libdecision/admission_test.cpp
+++ b/src/libdecision/admission_test.cpp
@@ -22,6 +22,25 @@
   std::mt19937_64 m_random{ 1 };
 };
 
+// Guards against a request that is accepted late in a planned stop and cut off at its end, and
+// against one that is refused although it ends in time whatever happens.
+TEST_F(AdmissionTest, RequestThatMayOutliveTheShutdownIsRefused)
+{
+  const ShutdownPeriod shutdown{ .begin = kStart, .end = kStart + milliseconds(5600) };
+  const auto accepts = [&](RouteKind kind, milliseconds at, milliseconds time) {
+    const TimePoint now = kStart + at;
+    return m_policy.accepts(
+      { .kind = kind, .target_latency = milliseconds(600), .deadline = now + time }, shutdown, now);
+  };
+  for (const RouteKind kind : { RouteKind::Idempotent, RouteKind::NonIdempotent }) {
+    EXPECT_TRUE(accepts(kind, milliseconds(4400), milliseconds(1200)));
+    EXPECT_FALSE(accepts(kind, milliseconds(4401), milliseconds(1200)));
+    EXPECT_FALSE(accepts(kind, milliseconds(3000), milliseconds(5000)));
+  }
+  EXPECT_TRUE(accepts(RouteKind::Idempotent, milliseconds(1400), milliseconds(5000)));
+  EXPECT_FALSE(accepts(RouteKind::NonIdempotent, milliseconds(1400), milliseconds(5000)));
+}
+
 // Guards against waits that leave no time to come back, and against attempts that can't end in
 // time.
 TEST_F(AdmissionTest, WaitIsAShareOfTheObjectiveAndEndsBeforeTheDeadline)
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -21,8 +21,6 @@
 // the caller one of its few retries.
 constexpr std::chrono::milliseconds kFirstRoutingWait{ 700 };
 constexpr std::chrono::milliseconds kShutdownRetryAfter{ 10 };
-// During shutdown a request is accepted only if this multiple of its target latency is left.
-constexpr int kShutdownLatencyFactor = 2;
 constexpr std::chrono::milliseconds kDefaultCallerTimeout{ 30000 };
 // During shutdown idle connections are closed after this time, so that a request that is already on
 // its way is still served.
@@ -260,8 +258,12 @@
       co_await send_error_response(error_response);
       co_return;
     }
+    const ShutdownArrival arrival{ .kind = route->kind,
+                                   .target_latency = route->target_latency,
+                                   .deadline = std::min(caller_deadline(header, arrived),
+                                                        arrived + route->timeout) };
     if (m_context->shutting_down &&
-        arrived + kShutdownLatencyFactor * route->target_latency > m_context->shutdown_deadline) {
+        !m_context->admission.accepts(arrival, m_context->shutdown, arrived)) {
       m_open = false;
       const GatewayErrorResponse error_response{ .status = 503,
                                                  .reason =
@@ -274,6 +276,14 @@
     co_await forward(parser, upload, buffered, arriving, arrived, routing, *route);
   }
 
+  // \return when the caller of the request stops waiting
+  TimePoint caller_deadline(const http::request_header<>& header, TimePoint arrived) const
+  {
+    const auto left = parse_number_field(header, m_context->options.headers.deadline.c_str());
+    return arrived + std::chrono::milliseconds(left ? static_cast<std::int64_t>(*left)
+                                                    : kDefaultCallerTimeout.count());
+  }
+
   GatewayRequest make_request(RequestParser& parser,
                               UploadSource& upload,
                               bool buffered,
@@ -284,7 +294,6 @@
   {
     const GatewayHeaders& names = m_context->options.headers;
     http::request_header<> header = parser.get().base();
-    const auto deadline_ms = parse_number_field(header, names.deadline.c_str());
     GatewayRequest request{ .id = std::string(header[names.request_id]),
                             .target = std::string(header.target()),
                             .head_method = m_head_method,
@@ -292,9 +301,7 @@
                             .route = &route,
                             .service = routing->next_target(route),
                             .arrived = arrived };
-    request.caller_deadline =
-      arrived + std::chrono::milliseconds(deadline_ms ? static_cast<std::int64_t>(*deadline_ms)
-                                                      : kDefaultCallerTimeout.count());
+    request.caller_deadline = caller_deadline(header, arrived);
     remove_hop_by_hop_fields(header);
     header.erase(names.deadline);
     header.erase(names.expected_server);
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -118,9 +118,9 @@
 }
 
 void
-Gateway::begin_shutdown(TimePoint deadline)
+Gateway::begin_shutdown(TimePoint deadline, TimePoint now)
 {
-  m_impl->context->shutdown_deadline = deadline;
+  m_impl->context->shutdown = { .begin = now, .end = deadline };
   m_impl->context->shutting_down = true;
   for (beast::tcp_stream* caller : m_impl->context->idle_callers) {
     caller->cancel();
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -57,8 +57,8 @@
   bool shutting_down = false;
   /// Until then callers' connections are closed after each response.
   TimePoint spread_until;
-  /// Latest time at which the process exits; valid if shutting_down is set.
-  TimePoint shutdown_deadline;
+  /// Valid if shutting_down is set.
+  ShutdownPeriod shutdown;
   /// Timers of requests that wait for the first routing configuration; cancelled when it arrives.
   std::set<asio::steady_timer*> routing_waiters;
   /// Connections of callers that wait for their next request; cancelled when the shutdown begins.
--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -535,15 +535,33 @@
 {
   add_server(kServe);
   configure();
-  on_gateway([&] { m_gateway.begin_shutdown(Clock::now() + std::chrono::seconds(60)); });
+  on_gateway(
+    [&] { m_gateway.begin_shutdown(Clock::now() + std::chrono::seconds(60), Clock::now()); });
   const std::string served = send(request("GET", "/safe/x"));
   EXPECT_EQ(status_of(served), 200);
   EXPECT_NE(served.find("Connection: close"), std::string::npos);
-  on_gateway([&] { m_gateway.begin_shutdown(Clock::now() + milliseconds(100)); });
+  on_gateway([&] { m_gateway.begin_shutdown(Clock::now() + milliseconds(100), Clock::now()); });
   EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 503);
   EXPECT_EQ(arrivals(), 1U);
 }
 
+// Guards against a request that is accepted late in a planned stop and is cut off without an answer
+// when the process ends: one that may not be repeated must be able to use its whole time.
+TEST_F(GatewayTest, ShutdownRefusesRequestsThatMayOutliveIt)
+{
+  add_server(kServe);
+  configure(milliseconds(2000), milliseconds(300));
+  on_gateway([&] { m_gateway.begin_shutdown(Clock::now() + milliseconds(1500), Clock::now()); });
+  const std::string refused = send(request("POST", "/once/x", "body"));
+  EXPECT_EQ(status_of(refused), 503);
+  EXPECT_NE(refused.find("Retry-After"), std::string::npos);
+  EXPECT_EQ(arrivals(), 0U);
+  // Early in the shutdown an idempotent request may hope to end in time.
+  EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+  on_gateway([&] { m_gateway.begin_shutdown(Clock::now() + milliseconds(2400), Clock::now()); });
+  EXPECT_EQ(status_of(send(request("POST", "/once/x", "body"))), 200);
+}
+
 // Guards against a disconnect that goes unnoticed because bytes of the next request precede it: the
 // server would go on working for nobody.
 TEST_F(GatewayTest, DisconnectIsNoticedBehindAPipelinedRequest)
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -324,7 +324,8 @@
   m_shutting_down = true;
   m_on_shutdown_done = std::move(done);
   m_shutdown_started = Clock::now();
-  m_gateway.begin_shutdown(m_shutdown_started + m_settings.shutdown_grace - kShutdownMargin);
+  m_gateway.begin_shutdown(m_shutdown_started + m_settings.shutdown_grace - kShutdownMargin,
+                           m_shutdown_started);
   m_client->announce(m_shutdown_started);
   m_log.info("shutdown_begins",
              { { "requests", std::to_string(m_gateway.in_progress()) },
