--- a/src/libdecision/request_limiter_test.cpp
+++ b/src/libdecision/request_limiter_test.cpp
@@ -79,6 +79,7 @@
   void request(Host& host, TimePoint now)
   {
     PermitQuery query{ .service = "s", .max_wait = milliseconds(80) };
+    query.candidates.reserve(host.known.size());
     for (const auto& [id, known] : host.known) {
       query.candidates.push_back(
         server(id, known.first, std::chrono::duration_cast<milliseconds>(now - known.second)));
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -156,11 +156,10 @@
     }
   }
   std::sort(ranked.begin(), ranked.end());
+  ranked.resize(std::min(ranked.size(), kMaxPermitCandidates));
   std::vector<LimitedServer> candidates;
+  candidates.reserve(ranked.size());
   for (const auto& [cost, state] : ranked) {
-    if (candidates.size() == kMaxPermitCandidates) {
-      break;
-    }
     candidates.push_back({ .id = state->info.id,
                            .incarnation = state->info.incarnation,
                            .limit = *state->limit,
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -305,20 +305,17 @@
     co_return false;
   }
   ++m_context.counters.permits_requested;
-  asio::steady_timer timer(m_context.io, TimePoint::max());
+  // The handler may be called after this coroutine has been destroyed.
+  const auto timer = std::make_shared<asio::steady_timer>(m_context.io, TimePoint::max());
   const auto answer = std::make_shared<std::optional<PermitAnswer>>();
-  const auto waiting = std::make_shared<asio::steady_timer*>(&timer);
-  m_context.options.request_permit(query, [answer, waiting](const PermitAnswer& received) {
+  m_context.options.request_permit(query, [answer, timer](const PermitAnswer& received) {
     *answer = received;
-    if (*waiting != nullptr) {
-      (*waiting)->cancel();
-    }
+    timer->cancel();
   });
   boost::system::error_code ignored;
   if (!*answer) {
-    co_await timer.async_wait(capture(ignored));
+    co_await timer->async_wait(capture(ignored));
   }
-  *waiting = nullptr;
   const PermitAnswer permit = answer->value_or(PermitAnswer{});
   ServerSelector& selector = m_context.selector(m_request.service);
   if (permit.server.empty()) {
@@ -327,8 +324,8 @@
   }
   ++m_context.counters.permits_granted;
   if (permit.wait.count() > 0) {
-    timer.expires_after(permit.wait);
-    co_await timer.async_wait(capture(ignored));
+    timer->expires_after(permit.wait);
+    co_await timer->async_wait(capture(ignored));
   }
   m_permitted_server = permit.server;
   co_return true;
--- a/testsuite/limit/limit.py
+++ b/testsuite/limit/limit.py
@@ -40,10 +40,8 @@
         self.arrivals = []
 
     def extra_headers(self):
-        if self.limit is None:
-            return {}
         self.named_at = self.named_at or time.monotonic()
-        return {wire.LIMIT_HEADER: f"{self.limit:.3f}"}
+        return super().extra_headers()
 
     async def run_request(self, request):
         self.arrivals.append(time.monotonic())
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -238,6 +238,13 @@
         await asyncio.sleep(self.random.uniform(1, 4))
         server.fault = None
 
+    async def fault_limit(self):
+        server = self.random.choice(self.servers)
+        server.limit = self.random.choice((0, 0.5, 5, 50))
+        self.log_fault(f"limit {server.limit}/s {server.id}")
+        await asyncio.sleep(self.random.uniform(1, 4))
+        server.limit = None
+
     async def fault_replace(self):
         server = self.random.choice(self.servers)
         self.servers.remove(server)
@@ -255,7 +262,7 @@
 
     async def inject(self):
         faults = [self.fault_kill, self.fault_pause, self.fault_terminate, self.fault_wipe, self.fault_link,
-                  self.fault_responses, self.fault_replace, self.fault_config, self.fault_config]
+                  self.fault_responses, self.fault_replace, self.fault_limit, self.fault_config, self.fault_config]
         running = set()
         end = time.monotonic() + self.options.seconds
         while time.monotonic() < end:
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -105,6 +105,7 @@
         self.draining = False
         self.left_at = None
         self.fault = None
+        self.limit = None
         self.tasks = set()
 
     async def start(self):
@@ -164,7 +165,7 @@
 
     def extra_headers(self):
         """Returns further headers of all answers."""
-        return {}
+        return {} if self.limit is None else {wire.LIMIT_HEADER: f"{self.limit:.3f}"}
 
     async def run_request(self, request):
         await asyncio.sleep(self.soak.random.uniform(0.002, 0.03))
