--- a/src/include/lovagehold/site.h
+++ b/src/include/lovagehold/site.h
@@ -39,6 +39,8 @@
   double probes_per_second = 60;
   /// Time between the signal to stop and the moment at which the deployment kills the process.
   std::chrono::milliseconds shutdown_grace{ 6000 };
+  /// How long a request that has crashed three servers is not sent to another one.
+  std::chrono::seconds quarantine{ 60 };
   /// Upper limit on the time for which callers may cache a reply of the directory.
   std::chrono::milliseconds max_directory_ttl{ 5000 };
 
--- a/src/libdecision/crash_suspects.cpp
+++ b/src/libdecision/crash_suspects.cpp
@@ -68,6 +68,7 @@
 CrashSuspects::count_successive(Record& record) const
 {
   std::vector<Run> runs;
+  runs.reserve(record.runs.size());
   for (const auto& [server, run] : record.runs) {
     runs.push_back(run);
   }
@@ -186,6 +187,7 @@
 CrashSuspects::to_evidence(RequestFingerprint request, const Record& record, TimePoint now)
 {
   CrashEvidence evidence{ .request = request, .service = record.service };
+  evidence.crashes.reserve(record.runs.size());
   for (const auto& [server, run] : record.runs) {
     evidence.crashes.push_back(
       { .server = server, .sent = age_of(run.sent, now), .crashed = age_of(run.crashed, now) });
--- a/src/libdecision/crash_suspects_test.cpp
+++ b/src/libdecision/crash_suspects_test.cpp
@@ -230,6 +230,7 @@
   for (int step = 0; step < 100; ++step) {
     now += milliseconds(150);
     std::vector<RequestFingerprint> requests;
+    requests.reserve(3);
     for (int i = 0; i < 2; ++i) {
       // A popular request and many rare ones, each of which is sent again until it succeeds.
       requests.push_back(simulation.random() % 3 == 0 ? 1 : 100 + simulation.random() % 500);
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -115,6 +115,7 @@
   , m_directory(EntryDirectoryOptions{})
   , m_subscribed_hosts(EntryDirectoryOptions{})
   , m_timer(context)
+  , m_suspects({ .quarantine = m_settings.quarantine })
 {
   const auto send_hook = [this](const std::string& address, const ClusterMessage& message) {
     m_link.send(address, message);
@@ -338,8 +339,10 @@
                                    const PermitRequest& request,
                                    TimePoint now)
 {
+  const Membership membership = m_replica->status().membership;
   std::vector<std::string> members;
-  for (const Member& member : m_replica->status().membership) {
+  members.reserve(membership.size());
+  for (const Member& member : membership) {
     members.push_back(member.address);
   }
   const double share = limiter_share(request.query.service, m_settings.cluster_address, members);
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -67,6 +67,7 @@
            .spread_time = kSpreadTime,
            .link_mbps = settings.link_mbps,
            .request_permit = std::move(request_permit),
+           .crash_suspects = { .quarantine = settings.quarantine },
            .on_crash_evidence = std::move(on_crash_evidence),
            .seed = std::random_device{}() };
 }
@@ -121,6 +122,7 @@
     .on_control_hosts =
       [this](const std::vector<ControlAddress>& hosts) {
         std::vector<std::string> members;
+        members.reserve(hosts.size());
         for (const ControlAddress& host : hosts) {
           members.push_back(host.address);
         }
--- a/src/libsite/site_settings.cpp
+++ b/src/libsite/site_settings.cpp
@@ -5,6 +5,10 @@
 
 namespace {
 
+// A longer quarantine would outlast the repair of the servers.
+constexpr std::chrono::seconds kMinQuarantine{ 1 };
+constexpr std::chrono::seconds kMaxQuarantine = CrashSuspectsOptions{}.max_quarantine;
+
 class SettingsCheck
 {
 public:
@@ -25,6 +29,10 @@
     if (m_settings.seeds.empty()) {
       add("no control host is named", "name at least one; the others are learned from it");
     }
+    if (m_settings.quarantine < kMinQuarantine || m_settings.quarantine > kMaxQuarantine) {
+      add("the quarantine is " + std::to_string(m_settings.quarantine.count()) + " s",
+          "choose 1 to " + std::to_string(kMaxQuarantine.count()) + " s");
+    }
     check_address("callers", m_settings.entry_address);
     check_address("the readiness check", m_settings.readiness_address);
     check_address("control", m_settings.control_address);
--- a/src/libsite/site_settings_test.cpp
+++ b/src/libsite/site_settings_test.cpp
@@ -22,6 +22,19 @@
   EXPECT_TRUE(check_settings(valid_settings()).empty());
 }
 
+// Guards against a quarantine that never begins or never ends.
+TEST(SiteSettingsCheck, QuarantineHasARange)
+{
+  SiteSettings settings = valid_settings();
+  for (const int seconds : { 0, 601 }) {
+    settings.quarantine = std::chrono::seconds(seconds);
+    ASSERT_EQ(check_settings(settings).size(), 1U) << seconds;
+    EXPECT_NE(check_settings(settings)[0].message.find("quarantine"), std::string::npos);
+  }
+  settings.quarantine = std::chrono::seconds(600);
+  EXPECT_TRUE(check_settings(settings).empty());
+}
+
 // Guards against mistakes that only show once requests arrive, and against reporting just the first
 // mistake.
 TEST(SiteSettingsCheck, FindsEveryMistake)
--- a/src/lovagehold/main.cpp
+++ b/src/lovagehold/main.cpp
@@ -15,7 +15,7 @@
 
 Usage:
   lovagehold --settings FILE
-  lovagehold --site [--metrics-port PORT]
+  lovagehold --site [--metrics-port PORT] [--quarantine SECONDS]
   lovagehold --check [--settings FILE] [--declarations FOLDER]
   lovagehold --check --site [--settings FILE] [--routing FILE]
 
@@ -24,6 +24,9 @@
       --site                 run as a host of the users' platform, with the settings file
                              that the platform's environment variable names
       --metrics-port PORT    with --site: serve /metrics on this port of the host's address
+      --quarantine SECONDS   with --site: how long a request that has crashed three servers is
+                             not sent to another one, 1 to 600 (default 60); doubles with each
+                             further crash up to 600. Use the same value on all hosts.
 
 Check (starts nothing):
   -c, --check                print every mistake in the files named and exit
@@ -75,20 +78,29 @@
   return ExitDone;
 }
 
+// Settings of a host on the platform that are given on the command line.
+struct SiteArguments
+{
+  unsigned metrics_port = 0;
+  std::chrono::seconds quarantine{ 60 };
+};
+
 Result<SiteSettings>
-read_site_settings(const char* path, unsigned metrics_port)
+read_site_settings(const char* path, const SiteArguments& arguments)
 {
   BOOST_OUTCOME_TRY(content, read_text_file(path));
   BOOST_OUTCOME_TRY(settings, platform::parse_node_settings(content));
-  if (metrics_port != 0) {
+  settings.quarantine = arguments.quarantine;
+  if (arguments.metrics_port != 0) {
     const std::string& own = settings.cluster_address;
-    settings.metrics_address = own.substr(0, own.rfind(':') + 1) + std::to_string(metrics_port);
+    settings.metrics_address =
+      own.substr(0, own.rfind(':') + 1) + std::to_string(arguments.metrics_port);
   }
   return settings;
 }
 
 int
-run_on_platform(unsigned metrics_port)
+run_on_platform(const SiteArguments& arguments)
 {
   const char* path = std::getenv(platform::kSettingsVariable);
   if (path == nullptr) {
@@ -96,7 +108,7 @@
               << " is not set; set it to the path of the settings file\n";
     return ExitWrongUse;
   }
-  const ReadSettings read = [=] { return read_site_settings(path, metrics_port); };
+  const ReadSettings read = [=] { return read_site_settings(path, arguments); };
   const Result<SiteSettings> settings = read();
   const Result<void> ended = settings.has_error()
                                ? Result<void>(settings.error())
@@ -132,6 +144,8 @@
       "d", "declarations", "folder of declarations", false, "", "FOLDER", command);
     TCLAP::ValueArg<unsigned> metrics_port(
       "", "metrics-port", "port of the metrics page", false, 0, "PORT", command);
+    TCLAP::ValueArg<unsigned> quarantine(
+      "", "quarantine", "quarantine of deadly requests", false, 60, "SECONDS", command);
     TCLAP::SwitchArg site("", "site", "run on the users' platform", command);
     TCLAP::ValueArg<std::string> routing(
       "r", "routing", "routing configuration", false, "", "FILE", command);
@@ -146,7 +160,8 @@
       return check_site_files(settings.getValue(), routing.getValue());
     }
     if (site.isSet()) {
-      return run_on_platform(metrics_port.getValue());
+      return run_on_platform({ .metrics_port = metrics_port.getValue(),
+                               .quarantine = std::chrono::seconds(quarantine.getValue()) });
     }
     if (check.isSet()) {
       if (!settings.isSet() && !declarations.isSet()) {
