libsite, testsuite: the board of suspects and the frame of the cases stand by themselves

Cause: the evidence on crashes was kept in ControlHost, which had grown past 700 lines and can only be tested over the network; case_limit and case_deadly repeated the start and end of a run. No change of behaviour.

--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -115,7 +115,7 @@
   , m_directory(EntryDirectoryOptions{})
   , m_subscribed_hosts(EntryDirectoryOptions{})
   , m_timer(context)
-  , m_suspects({ .quarantine = m_settings.quarantine })
+  , m_suspects({ .quarantine = m_settings.quarantine }, kSubscriptionTimeout)
 {
   const auto send_hook = [this](const std::string& address, const ClusterMessage& message) {
     m_link.send(address, message);
@@ -256,7 +256,7 @@
       if (!subscribe->confirm && m_addresses.version != subscribe->directory_version) {
         m_link.send(from, m_addresses);
       }
-      add_subscriber(from, *subscribe, now);
+      send_evidence(from, m_suspects.add_subscriber(from, subscribe->confirm, now));
     }
     m_replica->receive(from, message);
   } else if (const auto* hosts = std::get_if<EntryHosts>(&message)) {
@@ -271,7 +271,7 @@
       m_registrar.renew(renewal.id, renewal.incarnation, now);
     }
   } else if (const auto* crashes = std::get_if<CrashReports>(&message)) {
-    merge_crash_reports(*crashes, now);
+    m_suspects.merge(*crashes, now);
   } else if (const auto* permit = std::get_if<PermitRequest>(&message)) {
     handle_permit_request(from, *permit, now);
   } else if (std::holds_alternative<ProposeReply>(message)) {
@@ -281,46 +281,20 @@
   }
 }
 
-// An entry host that has restarted knows nothing of the suspects.
 void
-ControlHost::add_subscriber(const std::string& from, const Subscribe& request, TimePoint now)
-{
-  if (request.confirm) {
-    m_subscribers.erase(from);
-  } else if (m_subscribers.insert_or_assign(from, now).second) {
-    CrashReports reports{ m_suspects.shared_evidence(now) };
-    if (!reports.evidence.empty()) {
-      m_link.send(from, reports);
-    }
-  }
-}
-
-void
-ControlHost::merge_crash_reports(const CrashReports& reports, TimePoint now)
+ControlHost::send_evidence(const std::string& address, const CrashReports& reports)
 {
-  for (const CrashEvidence& evidence : reports.evidence) {
-    if (m_suspects.merge(evidence, now)) {
-      m_changed_suspects.insert(evidence.request);
-    }
+  if (!reports.evidence.empty()) {
+    m_link.send(address, reports);
   }
 }
 
-// Changes are collected per tick, as a failure of many servers is reported by many entry hosts.
 void
 ControlHost::publish_suspects(TimePoint now)
 {
-  CrashReports reports;
-  for (CrashEvidence& evidence : m_suspects.shared_evidence(now)) {
-    if (m_changed_suspects.count(evidence.request) > 0) {
-      reports.evidence.push_back(std::move(evidence));
-    }
-  }
-  m_changed_suspects.clear();
-  if (reports.evidence.empty()) {
-    return;
-  }
-  for (const auto& [subscriber, subscribed_at] : m_subscribers) {
-    m_link.send(subscriber, reports);
+  const CrashReports changes = m_suspects.take_changes(now);
+  for (const auto& [subscriber, subscribed_at] : m_suspects.subscribers()) {
+    send_evidence(subscriber, changes);
   }
 }
 
@@ -382,13 +356,9 @@
     m_subscribed_hosts.expire(now);
     m_limiter.expire(now);
     m_suspects.expire(now);
-    std::erase_if(m_subscribers, [&](const auto& subscriber) {
-      return now - subscriber.second >= kSubscriptionTimeout;
-    });
-  }
-  if (!m_changed_suspects.empty()) {
-    publish_suspects(now);
   }
+  // Changes are collected per tick, as a failure of many servers is reported by many entry hosts.
+  publish_suspects(now);
   if (now - m_renewals_sent_at >= kRenewalInterval) {
     send_renewals(now);
   }
@@ -423,7 +393,7 @@
   m_shared_at = now;
   m_share_pending = false;
   // A control host that was restarted or cut off learns of the suspects by this.
-  CrashReports reports{ m_suspects.shared_evidence(now) };
+  const CrashReports reports = m_suspects.all(now);
   if (!reports.evidence.empty()) {
     send_to_members(reports);
   }
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -8,9 +8,9 @@
 #include "lovagehold/server_registrar.h"
 #include "lovagehold/site.h"
 #include "status_page.h"
+#include "suspect_board.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <set>
 
 namespace lovagehold {
 
@@ -62,9 +62,8 @@
   const std::vector<ServerInfo>& servers();
   void share_entry_hosts(TimePoint now);
   void refresh_addresses(TimePoint now);
-  void add_subscriber(const std::string& from, const Subscribe& request, TimePoint now);
-  void merge_crash_reports(const CrashReports& reports, TimePoint now);
   void publish_suspects(TimePoint now);
+  void send_evidence(const std::string& address, const CrashReports& reports);
   void send_to_members(const ClusterMessage& message);
   void handle_permit_request(const std::string& from, const PermitRequest& request, TimePoint now);
   void remove_expired_servers(TimePoint now);
@@ -110,11 +109,7 @@
   /// When the leases of the servers were last checked for expiry.
   TimePoint m_leases_checked_at;
   /// Requests that may have crashed their servers, as entry hosts report.
-  CrashSuspects m_suspects;
-  /// Those whose evidence has changed since the last tick.
-  std::set<RequestFingerprint> m_changed_suspects;
-  /// Cluster addresses of the entry hosts that subscribe to this host, with the last subscription.
-  std::map<std::string, TimePoint> m_subscribers;
+  SuspectBoard m_suspects;
   /// Permits granted and denied since the start, for the metrics.
   std::uint64_t m_permits_granted = 0;
   std::uint64_t m_permits_denied = 0;
--- a/testsuite/deadly/deadly.py
+++ b/testsuite/deadly/deadly.py
@@ -4,21 +4,19 @@
 One caller repeats a deadly request at all entry hosts beside ordinary callers, and the whole service fails once.
 """
 
-import argparse
 import asyncio
 import os
-import shutil
 import sys
-import tempfile
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "soak"))
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "platform", "testing"))
 
 import wire
+from case import Case, run_case
 from cluster import ENTRY_PORT
 from http_io import format_message, read_message
-from soak import CALL_ERRORS, Soak
+from soak import CALL_ERRORS
 from standins import Server
 
 # The platform allows three more retries, from 3 s after the request has crashed its third server.
@@ -26,7 +24,6 @@
 SETTLING_S = 3.0
 MAX_RETRIES = 3
 SERVERS = 6
-CALLERS = 12
 RESTART_S = 2.0
 DEADLY_PATH = "/safe/deadly"
 
@@ -43,7 +40,7 @@
             await asyncio.sleep(1)
 
 
-class DeadlyRun(Soak):
+class DeadlyRun(Case):
     """A run with a deadly request."""
 
     def __init__(self, options, seed, work):
@@ -51,10 +48,9 @@
         self.deadly_runs = []
         self.quarantined = 0
 
-    def make_document(self, version):
-        routes = [wire.route("safe", "safe", "/safe/", "desk"), wire.route("once", "unsafe", "/once/", "desk"),
-                  wire.route("moved", "safe", "/moved/", "desk")]
-        return wire.configuration(version, "a.example", routes, ["desk"])
+    async def add_servers(self):
+        for _ in range(SERVERS):
+            await self.add_server("desk")
 
     async def add_server(self, service):
         self.next_server += 1
@@ -107,49 +103,15 @@
         if len(late) > MAX_RETRIES:
             self.record.violations.append(f"the deadly request ran {len(late)} times after its third crash")
 
-    async def run(self):
-        self.cluster.start()
-        try:
-            for _ in range(SERVERS):
-                await self.add_server("desk")
-            await self.change_config()
-            if not await self.await_ready():
-                self.record.violations.append("the entry hosts never became ready")
-                return
-            tasks = [asyncio.create_task(self.caller()) for _ in range(CALLERS)]
-            tasks.append(asyncio.create_task(self.deadly_caller()))
-            outage = asyncio.create_task(self.fail_service())
-            await asyncio.sleep(self.options.seconds)
-            await outage
-            self.check_runs()
-            self.stopping = True
-            await asyncio.gather(*tasks)
-        finally:
-            self.cluster.stop()
-            for server in self.servers:
-                server.crash()
-
-
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("program")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=15)
-    parser.add_argument("--controls", type=int, default=3)
-    parser.add_argument("--entries", type=int, default=6)
-    parser.add_argument("--strict", action="store_true")
-    options = parser.parse_args()
-    work = tempfile.mkdtemp(prefix="lovagehold-deadly-")
-    run = DeadlyRun(options, options.seed, work)
-    asyncio.run(run.run())
-    print(f"seed {options.seed}: responses {dict(sorted(run.record.outcomes.items()))}")
-    if run.record.violations:
-        print("\n".join(run.record.violations[:20]))
-        print(f"logs in {work}")
-        return 1
-    shutil.rmtree(work)
-    return 0
+    async def scenario(self):
+        deadly = asyncio.create_task(self.deadly_caller())
+        outage = asyncio.create_task(self.fail_service())
+        await asyncio.sleep(self.options.seconds)
+        await outage
+        self.check_runs()
+        self.stopping = True
+        await deadly
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(DeadlyRun, "deadly", __doc__))
--- a/testsuite/limit/limit.py
+++ b/testsuite/limit/limit.py
@@ -4,19 +4,16 @@
 Most servers of a service name a limit; callers press at all entry hosts while one of them and a control host restart.
 """
 
-import argparse
 import asyncio
 import os
-import shutil
 import sys
-import tempfile
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "soak"))
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "platform", "testing"))
 
 import wire
-from soak import Soak
+from case import Case, run_case
 from standins import Server
 
 # The platform allows one and a half times the limit and five requests in 4 s, from 3 s after the limit was first named.
@@ -27,7 +24,6 @@
 # Part of a limit that has to be used while callers want more.
 MIN_USED_SHARE = 0.7
 LIMITED, UNLIMITED = 4, 2
-CALLERS = 24
 
 
 class LimitedServer(Server):
@@ -53,13 +49,10 @@
         return max((sum(1 for t in times if start <= t < start + WINDOW_S) for start in times), default=0)
 
 
-class LimitRun(Soak):
+class LimitRun(Case):
     """A run with servers of one service, most of them limited."""
 
-    def make_document(self, version):
-        routes = [wire.route("safe", "safe", "/safe/", "desk"), wire.route("once", "unsafe", "/once/", "desk"),
-                  wire.route("moved", "safe", "/moved/", "desk")]
-        return wire.configuration(version, "a.example", routes, ["desk"])
+    callers = 24
 
     async def add_servers(self):
         for number in range(LIMITED + UNLIMITED):
@@ -90,49 +83,14 @@
             if rate < MIN_USED_SHARE * server.limit:
                 self.record.violations.append(f"{server.id} got only {rate:.2f} requests a second")
 
-    async def run(self):
-        self.cluster.start()
-        try:
-            await self.add_servers()
-            await self.change_config()
-            if not await self.await_ready():
-                self.record.violations.append("the entry hosts never became ready")
-                return
-            tasks = [asyncio.create_task(self.caller()) for _ in range(CALLERS)]
-            await asyncio.sleep(SETTLING_S)
-            started = time.monotonic()
-            restarts = asyncio.create_task(self.restart_hosts())
-            await asyncio.sleep(self.options.seconds)
-            self.check_limits(started)
-            await restarts
-            self.stopping = True
-            await asyncio.gather(*tasks)
-        finally:
-            self.cluster.stop()
-            for server in self.servers:
-                server.crash()
-
-
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("program")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=15)
-    parser.add_argument("--controls", type=int, default=3)
-    parser.add_argument("--entries", type=int, default=6)
-    parser.add_argument("--strict", action="store_true")
-    options = parser.parse_args()
-    work = tempfile.mkdtemp(prefix="lovagehold-limit-")
-    run = LimitRun(options, options.seed, work)
-    asyncio.run(run.run())
-    print(f"seed {options.seed}: responses {dict(sorted(run.record.outcomes.items()))}")
-    if run.record.violations:
-        print("\n".join(run.record.violations))
-        print(f"logs in {work}")
-        return 1
-    shutil.rmtree(work)
-    return 0
+    async def scenario(self):
+        await asyncio.sleep(SETTLING_S)
+        started = time.monotonic()
+        restarts = asyncio.create_task(self.restart_hosts())
+        await asyncio.sleep(self.options.seconds)
+        self.check_limits(started)
+        await restarts
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(LimitRun, "limit", __doc__))
--- /dev/null
+++ b/testsuite/soak/case.py
@@ -0,0 +1,65 @@
+"""Frame of the end-to-end cases that run one scenario on real processes with the stand-ins of the soak test."""
+
+import argparse
+import asyncio
+import shutil
+import tempfile
+
+import wire
+from soak import Soak
+
+
+class Case(Soak):
+    """Runs a scenario beside ordinary callers; all routes lead to one service."""
+
+    callers = 12
+
+    def make_document(self, version):
+        routes = [wire.route("safe", "safe", "/safe/", "desk"), wire.route("once", "unsafe", "/once/", "desk"),
+                  wire.route("moved", "safe", "/moved/", "desk")]
+        return wire.configuration(version, "a.example", routes, ["desk"])
+
+    async def add_servers(self):
+        """Starts the servers of the service."""
+
+    async def scenario(self):
+        """Does what the case is about and records violations."""
+
+    async def run(self):
+        self.cluster.start()
+        try:
+            await self.add_servers()
+            await self.change_config()
+            if not await self.await_ready():
+                self.record.violations.append("the entry hosts never became ready")
+                return
+            tasks = [asyncio.create_task(self.caller()) for _ in range(self.callers)]
+            await self.scenario()
+            self.stopping = True
+            await asyncio.gather(*tasks)
+        finally:
+            self.cluster.stop()
+            for server in self.servers:
+                server.crash()
+
+
+def run_case(case_class, name, description):
+    """Runs the case with the options of the command line. Returns the exit code."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("program")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--controls", type=int, default=3)
+    parser.add_argument("--entries", type=int, default=6)
+    parser.add_argument("--strict", action="store_true")
+    options = parser.parse_args()
+    work = tempfile.mkdtemp(prefix=f"lovagehold-{name}-")
+    case = case_class(options, options.seed, work)
+    asyncio.run(case.run())
+    print(f"seed {options.seed}: responses {dict(sorted(case.record.outcomes.items()))}")
+    if case.record.violations:
+        print("\n".join(case.record.violations[:20]))
+        print(f"logs in {work}")
+        return 1
+    shutil.rmtree(work)
+    return 0
