--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -127,7 +127,6 @@
 
     def __init__(self, record, controls=3, entries=2):
         self.record = record
-        self.work = tempfile.mkdtemp(prefix="lovagehold-review-")
         self.environment = {}
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             roles = tomllib.load(file)["roles"]
@@ -139,6 +138,7 @@
             if not os.path.exists(command[0]):
                 raise CannotRun(f"{command[0]} is missing; build the deploy file first")
         self.net = free_net(controls + entries)
+        self.work = tempfile.mkdtemp(prefix="lovagehold-review-")
         zones = list(ZONES)
         ips = [f"{self.net}.{i + 1}" for i in range(controls + entries)]
         self.seeds = [f"{ip}:{CONTROL}" for ip in ips[:controls]][:3]
