--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -181,13 +181,14 @@
 
 async def read_body(reader, headers):
     if headers.get("transfer-encoding", "").lower() == "chunked":
-        body = b""
+        pieces = []
         while True:
-            size = int((await reader.readline()).split(b";")[0].strip(), 16)
+            line = await reader.readuntil(b"\r\n")
+            size = int(line.split(b";")[0].strip(), 16)
             piece = await reader.readexactly(size + 2)
             if size == 0:
-                return body
-            body += piece[:-2]
+                return b"".join(pieces)
+            pieces.append(piece[:-2])
     return await reader.readexactly(int(headers.get("content-length", "0")))
 
 
