--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -443,6 +444,8 @@
 def main(folder, case):
     """Runs case(system, record), an async function that returns the violations, and exits with the verdict."""
     record = Record(folder)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: sys.exit(NOT_RUN))
     system = None
     verdict = NOT_RUN
     try:
@@ -454,6 +457,9 @@
         verdict = BROKEN if violations else HELD
     except (CannotRun, asyncio.TimeoutError) as error:
         record.write("not run", str(error) or "out of time")
+    except Exception as error:
+        # A mistake of the script must not look like a broken rule.
+        record.write("not run", repr(error))
     finally:
         if system:
             system.stop()
