libstate: no incarnation joins after its leave was acknowledged

Requests reached a server later than drainPeriod after its DELETE had been acknowledged, 36 or 37 of them, and those that ran when it exited were broken off: its first heartbeat arrived 3 s late, after the DELETE.

Cause: departures were remembered by service and id; a DELETE names no service, so for an unknown id nothing was remembered. For a known id the incarnation that had joined was remembered instead of the later one that leaves, a join erased what was remembered, and the leave of an older incarnation than the known one left no trace. Evidence: the log says service=unknown, and the commit index does not move.

A leave may name only an id; the latest incarnation that has left is remembered for it, whether or not it had joined. Heartbeats and leaves of it cost no command any more. Departures of servers that had not joined have a memory and a rate limit of their own. A start under the same id for another service replaces the earlier server.

--- a/src/include/lovagehold/command.h
+++ b/src/include/lovagehold/command.h
@@ -78,9 +78,11 @@
   ServerInfo server;
 };
 
-/// Removes a server, unless a later incarnation has joined. The removed incarnation can't rejoin.
+/// Removes a server, unless a later incarnation has joined. The incarnation named, the removed one
+/// and earlier ones can't join any more.
 struct LeaveServer
 {
+  /// Empty: whichever service has a server with this id.
   ServiceName service;
   ServerId id;
   /// The largest value stands for whichever incarnation has joined.
--- a/src/include/lovagehold/server_registrar.h
+++ b/src/include/lovagehold/server_registrar.h
@@ -60,8 +60,8 @@
   /// discard_leases() gets a full lease, which starts at the next call.
   std::vector<ServerInfo> expired(const std::vector<ServerInfo>& known, TimePoint now);
 
-  /// \return servers in the directory whose address the heartbeat's server has taken over: those
-  /// with the same address and an older incarnation
+  /// \return servers in the directory whose address or id the heartbeat's server has taken over:
+  /// those with an older incarnation and the same address, or with the same id in another service
   static std::vector<ServerInfo> replaced_by(const ServerHeartbeat& heartbeat,
                                              const std::vector<ServerInfo>& known);
 
--- a/src/include/lovagehold/state_machine.h
+++ b/src/include/lovagehold/state_machine.h
@@ -69,6 +69,10 @@
   std::size_t folded_count = 20'000;
   /// Maximum number of departed hosts, and of departed servers, whose incarnation is remembered.
   std::size_t departed_limit = 20'000;
+  /// The same for servers that leave without having joined. Control hosts limit the rate of these
+  /// leaves, so that each is remembered for at least a minute; delayed announcements are late by
+  /// seconds.
+  std::size_t unknown_departed_limit = 4096;
 };
 
 /// The replicated state: configuration changes, routing configuration, claims, servers and hosts.
@@ -116,6 +120,11 @@
 
   std::vector<ServerInfo> all_servers() const;
 
+  /// \param service empty to consider only leaves that name no service
+  /// \return whether this incarnation of the server has left, or a later one, and can't join. False
+  /// if that is not remembered any more, and for incarnation 0.
+  bool has_left(const ServiceName& service, const ServerId& id, std::uint64_t incarnation) const;
+
   /// \return the hosts that have joined and not left.
   std::vector<HostInfo> hosts() const;
 
--- a/src/libdecision/server_registrar.cpp
+++ b/src/libdecision/server_registrar.cpp
@@ -98,8 +98,11 @@
 {
   std::vector<ServerInfo> replaced;
   for (const ServerInfo& other : known) {
-    if (other.address == heartbeat.server.address && other.id != heartbeat.server.id &&
-        other.incarnation < heartbeat.server.incarnation) {
+    const bool same_address =
+      other.address == heartbeat.server.address && other.id != heartbeat.server.id;
+    const bool same_id =
+      other.id == heartbeat.server.id && other.service != heartbeat.server.service;
+    if ((same_address || same_id) && other.incarnation < heartbeat.server.incarnation) {
       replaced.push_back(other);
     }
   }
--- a/src/libdecision/server_registrar_test.cpp
+++ b/src/libdecision/server_registrar_test.cpp
@@ -41,6 +41,18 @@
   EXPECT_TRUE(ServerRegistrar::replaced_by(old_server, { successor.server }).empty());
 }
 
+// Guards against two servers with one id, of which the older one never expires: a server that
+// starts again under its id for another service replaces the earlier one.
+TEST(ServerRegistrar, StartForAnotherServiceReplacesTheServerWithItsId)
+{
+  const ServerHeartbeat earlier = make_heartbeat("i-1", 100, 9);
+  ServerHeartbeat later = make_heartbeat("i-1", 200, 1);
+  later.server.service = "another";
+  later.server.address = "127.0.0.1:99";
+  EXPECT_EQ(ServerRegistrar::replaced_by(later, { earlier.server }).size(), 1U);
+  EXPECT_TRUE(ServerRegistrar::replaced_by(earlier, { later.server }).empty());
+}
+
 // Guards against effects of a late heartbeat of a previous incarnation and of one that arrives out
 // of order.
 TEST(ServerRegistrar, LateHeartbeatsChangeNothing)
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -39,6 +39,10 @@
 // Time for which callers may cache the addresses of entry hosts; the settings may lower it.
 constexpr std::chrono::milliseconds kDirectoryTtl{ 5000 };
 constexpr std::chrono::milliseconds kSubscriptionTimeout{ 3000 };
+// Leaves of servers that have not joined, which anyone can make up: rate and burst at each control
+// host. With 19 control hosts, StateMachineOptions::unknown_departed_limit covers 80 s of them.
+constexpr double kUnknownLeavesPerSecond = 2;
+constexpr double kUnknownLeaveBurst = 50;
 // Log growth after which a snapshot is taken. A starting entry host receives the snapshot and the
 // entries after it; a snapshot with 422 servers has 45 KB.
 constexpr std::size_t kSnapshotLogBytes = std::size_t{ 64 } << 10;
@@ -103,19 +107,26 @@
       m_settings.cluster_address,
       log,
       [this](const std::string& from, const ClusterMessage& message) { receive(from, message); })
-  , m_control_server(context,
-                     [this](const AdminRequest& request, const AdminServer::Reply& reply) {
-                       handle_request(request, reply);
-                     })
-  , m_directory_server(context,
-                       [this](const AdminRequest& request, const AdminServer::Reply& reply) {
-                         handle_request(request, reply);
-                       })
+  , m_control_server(
+      context,
+      [this](const AdminRequest& request, const AdminServer::Reply& reply) {
+        handle_request(request, reply);
+      },
+      log,
+      admin_options(m_settings))
+  , m_directory_server(
+      context,
+      [this](const AdminRequest& request, const AdminServer::Reply& reply) {
+        handle_request(request, reply);
+      },
+      log,
+      admin_options(m_settings))
   , m_registrar({ .lease = kServerLease })
   , m_directory(EntryDirectoryOptions{})
   , m_subscribed_hosts(EntryDirectoryOptions{})
   , m_timer(context)
   , m_suspects({ .quarantine = m_settings.quarantine }, kSubscriptionTimeout)
+  , m_unknown_leaves(kUnknownLeavesPerSecond, kUnknownLeaveBurst, kUnknownLeaveBurst, Clock::now())
 {
   const auto send_hook = [this](const std::string& address, const ClusterMessage& message) {
     m_link.send(address, message);
@@ -588,6 +599,10 @@
     await_current_state(call, reply);
     return;
   }
+  if (m_replica->machine().has_left(server.service, server.id, server.incarnation)) {
+    send_reply(reply, heartbeat_reply(server));
+    return;
+  }
   const HeartbeatEffect effect = m_registrar.heartbeat(call.heartbeat, servers(), now);
   if (effect == HeartbeatEffect::None) {
     m_renewals[server.id] = { .service = server.service,
@@ -603,10 +618,7 @@
                { "incarnation", std::to_string(server.incarnation) },
                { "sequence", std::to_string(call.heartbeat.sequence) } });
   if (effect == HeartbeatEffect::Leave) {
-    propose(
-      LeaveServer{ .service = server.service, .id = server.id, .incarnation = server.incarnation },
-      heartbeat_reply(server),
-      reply);
+    leave({ .id = server.id, .incarnation = server.incarnation }, heartbeat_reply(server), reply);
     return;
   }
   for (const ServerInfo& replaced : ServerRegistrar::replaced_by(call.heartbeat, servers())) {
@@ -622,41 +634,79 @@
 void
 ControlHost::handle_call(const LeaveCall& call, const AdminServer::Reply& reply)
 {
-  if (propose_leave(call, reply)) {
+  leave(call, AcceptedReply{}, reply);
+}
+
+// Acknowledges the leave of a server once no announcement of the same incarnation can join it any
+// more, however late it arrives and at whichever control host.
+void
+ControlHost::leave(const LeaveCall& call,
+                   const ControlReply& content,
+                   const AdminServer::Reply& reply)
+{
+  if (m_replica->machine().has_left("", call.id, call.incarnation)) {
+    send_reply(reply, content);
+    return;
+  }
+  if (propose_leave(call, content, reply)) {
     return;
   }
   // The server may have joined through another host: the state of this host may be behind.
-  confirm([this, call, reply](bool confirmed) {
+  confirm([this, call, content, reply](bool confirmed) {
     if (!confirmed) {
       send_reply(
         reply,
         FailedReply{ unavailable("this host can't confirm that its list of servers is current") });
-    } else if (!propose_leave(call, reply)) {
-      m_log.info("server_leaves", { { "server", call.id }, { "service", "unknown" } });
-      send_reply(reply, AcceptedReply{});
+    } else if (!propose_leave(call, content, reply)) {
+      propose_unknown_leave(call, content, reply);
     }
   });
 }
 
+// \return whether the call ends a known server
 bool
-ControlHost::propose_leave(const LeaveCall& call, const AdminServer::Reply& reply)
+ControlHost::propose_leave(const LeaveCall& call,
+                           const ControlReply& content,
+                           const AdminServer::Reply& reply)
 {
   for (const ServerInfo& server : servers()) {
     const bool matches =
       server.id == call.id && (call.incarnation == 0 || call.incarnation >= server.incarnation);
     if (matches) {
-      m_log.info("server_leaves", { { "server", server.id }, { "service", server.service } });
-      propose(LeaveServer{ .service = server.service,
-                           .id = server.id,
-                           .incarnation = server.incarnation },
-              AcceptedReply{},
-              reply);
+      const std::uint64_t incarnation = std::max(call.incarnation, server.incarnation);
+      m_log.info("server_leaves",
+                 { { "server", server.id },
+                   { "service", server.service },
+                   { "incarnation", std::to_string(incarnation) } });
+      propose(LeaveServer{ .id = server.id, .incarnation = incarnation }, content, reply);
       return true;
     }
   }
   return false;
 }
 
+void
+ControlHost::propose_unknown_leave(const LeaveCall& call,
+                                   const ControlReply& content,
+                                   const AdminServer::Reply& reply)
+{
+  // Without an incarnation, nothing tells a delayed announcement from that of a later start.
+  const bool remembered = call.incarnation != 0;
+  const bool accepted = !remembered || m_unknown_leaves.try_take(1, Clock::now());
+  m_log.info("server_leaves",
+             { { "server", call.id },
+               { "service", "unknown" },
+               { "incarnation", std::to_string(call.incarnation) },
+               { "accepted", accepted ? "yes" : "no" } });
+  if (!accepted) {
+    send_reply(reply, FailedReply{ unavailable("too many servers leave that have not joined") });
+  } else if (remembered) {
+    propose(LeaveServer{ .id = call.id, .incarnation = call.incarnation }, content, reply);
+  } else {
+    send_reply(reply, content);
+  }
+}
+
 void
 ControlHost::handle_call(const ResolveCall& call, const AdminServer::Reply& reply)
 {
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cluster_link.h"
+#include "libdecision/token_bucket.h"
 #include "lovagehold/control_client.h"
 #include "lovagehold/entry_directory.h"
 #include "lovagehold/event_log.h"
@@ -55,7 +56,13 @@
                const ControlReply& content,
                const AdminServer::Reply& reply);
   void confirm(const std::function<void(bool confirmed)>& done);
-  bool propose_leave(const LeaveCall& call, const AdminServer::Reply& reply);
+  void leave(const LeaveCall& call, const ControlReply& content, const AdminServer::Reply& reply);
+  bool propose_leave(const LeaveCall& call,
+                     const ControlReply& content,
+                     const AdminServer::Reply& reply);
+  void propose_unknown_leave(const LeaveCall& call,
+                             const ControlReply& content,
+                             const AdminServer::Reply& reply);
   ControlReply heartbeat_reply(const ServerInfo& server) const;
   void send_renewals(TimePoint now);
   void await_current_state(const HeartbeatCall& call, const AdminServer::Reply& reply);
@@ -113,6 +120,8 @@
   /// Permits granted and denied since the start, for the metrics.
   std::uint64_t m_permits_granted = 0;
   std::uint64_t m_permits_denied = 0;
+  /// Limits the leaves of servers that have not joined.
+  TokenBucket m_unknown_leaves;
   /// Whether this host led the group at the last tick.
   bool m_is_leader = false;
   /// The state has included all that was committed at some time since the start.
--- a/src/libsite/control_host_test.cpp
+++ b/src/libsite/control_host_test.cpp
@@ -29,13 +29,22 @@
     if (request.path == "/read") {
       return ReadRoutingCall{};
     }
+    const auto number = [&](const char* name, std::uint64_t missing) {
+      const std::string value = query_value(request.query, name);
+      return value.empty() ? missing : std::stoull(value);
+    };
+    const std::string given_id = query_value(request.query, "id");
+    const std::string id = given_id.empty() ? "i-1" : given_id;
     if (request.path == "/leave") {
-      return LeaveCall{ .id = "i-1" };
+      return LeaveCall{ .id = id, .incarnation = number("incarnation", 0) };
     }
-    if (request.path == "/heartbeat") {
-      return HeartbeatCall{
-        { .server = { .service = "s", .id = "i-1", .address = "127.0.0.1:9", .incarnation = 1 } }
-      };
+    if (request.path == "/heartbeat" || request.path == "/drain") {
+      return HeartbeatCall{ { .server = { .service = "s",
+                                          .id = id,
+                                          .address = "127.0.0.1:9",
+                                          .incarnation = number("incarnation", 1) },
+                              .sequence = number("sequence", 1),
+                              .draining = request.path == "/drain" } };
     }
     return UnknownCall{};
   };
@@ -110,6 +119,16 @@
     return false;
   }
 
+  // \return the value of a metric of the control host
+  double metric(const std::string& name)
+  {
+    std::promise<std::string> rendered;
+    boost::asio::post(m_context, [&] { rendered.set_value(m_host->render_metrics()); });
+    const std::string metrics = rendered.get_future().get();
+    const std::size_t sample = metrics.find("\n" + name + " ");
+    return sample == std::string::npos ? -1 : std::stod(metrics.substr(sample + name.size() + 2));
+  }
+
   boost::asio::io_context m_context;
   EventLog m_log{ { .host = "control-host-test", .level = "error" } };
   std::unique_ptr<ControlHost> m_host;
@@ -138,6 +157,59 @@
   EXPECT_EQ(call("/else"), 404);
 }
 
+// Guards against requests to a server that has left: its first heartbeat arrived after its leave,
+// which named a server that was not known.
+TEST_F(ControlHostTest, LateHeartbeatDoesNotJoinAfterTheLeave)
+{
+  start(true);
+  ASSERT_TRUE(wait_for_status("/leave", 200));
+  EXPECT_EQ(call("/leave?incarnation=5"), 200);
+  EXPECT_EQ(call("/heartbeat?incarnation=5"), 200);
+  EXPECT_EQ(call("/heartbeat?incarnation=4"), 200);
+  EXPECT_EQ(metric("lovagehold_servers"), 0);
+  // A leave of an earlier start must not keep the server out.
+  EXPECT_EQ(call("/heartbeat?incarnation=6"), 200);
+  EXPECT_EQ(metric("lovagehold_servers"), 1);
+  EXPECT_EQ(call("/leave?incarnation=5"), 200);
+  EXPECT_EQ(metric("lovagehold_servers"), 1);
+}
+
+// Guards against requests to a server that drains while the control host knows only its previous
+// start: only that one was remembered as gone.
+TEST_F(ControlHostTest, LateHeartbeatDoesNotJoinAfterTheDrainOfANewStart)
+{
+  start(true);
+  ASSERT_TRUE(wait_for_status("/leave", 200));
+  EXPECT_EQ(call("/heartbeat?incarnation=5"), 200);
+  EXPECT_EQ(metric("lovagehold_servers"), 1);
+  EXPECT_EQ(call("/drain?incarnation=6&sequence=2"), 200);
+  EXPECT_EQ(metric("lovagehold_servers"), 0);
+  EXPECT_EQ(call("/heartbeat?incarnation=6&sequence=1"), 200);
+  EXPECT_EQ(call("/heartbeat?incarnation=5&sequence=9"), 200);
+  EXPECT_EQ(metric("lovagehold_servers"), 0);
+}
+
+// Guards against made-up leaves that fill the replicated log.
+TEST_F(ControlHostTest, LeavesOfUnknownServersAreLimited)
+{
+  start(true);
+  ASSERT_TRUE(wait_for_status("/leave", 200));
+  const TimePoint begin = Clock::now();
+  const double index = metric("lovagehold_commit_index");
+  unsigned refused = 0;
+  for (int i = 0; i < 200; ++i) {
+    refused += call("/leave?incarnation=1&id=x-" + std::to_string(i)) == 503 ? 1 : 0;
+  }
+  const double seconds = std::chrono::duration<double>(Clock::now() - begin).count();
+  EXPECT_GT(refused, 0U);
+  EXPECT_LE(metric("lovagehold_commit_index") - index, 51 + 2 * seconds);
+  // A repeated leave costs nothing, and a server that is known leaves all the same.
+  EXPECT_EQ(call("/leave?incarnation=1&id=x-0"), 200);
+  EXPECT_EQ(call("/heartbeat?id=known"), 200);
+  EXPECT_EQ(call("/leave?id=known&incarnation=1"), 200);
+  EXPECT_EQ(metric("lovagehold_servers"), 0);
+}
+
 std::set<std::string>
 metric_names(const std::string& text)
 {
--- a/src/libstate/directory.cpp
+++ b/src/libstate/directory.cpp
@@ -65,70 +65,81 @@
 
 Directory::Directory(const StateMachineOptions& options)
   : m_departed_limit(options.departed_limit)
+  , m_unknown_limit(options.unknown_departed_limit)
 {
 }
 
-ApplyResult
-Directory::join(const ServerInfo& server, std::uint64_t)
+bool
+Directory::has_left(const ServiceName& service, const ServerId& id, std::uint64_t incarnation) const
 {
-  const ServerKey key{ server.service, server.id };
-  const Departed* departed = m_left_servers.find(key);
   // Servers that announce no incarnation (0) may rejoin, because a delayed announcement can't be
   // told from a new one. A server that does not renew its registration then gets no requests.
-  if (departed != nullptr && server.incarnation != 0 &&
-      server.incarnation <= departed->incarnation) {
-    return reject_outdated("server " + server.id);
+  if (incarnation == 0) {
+    return false;
   }
-  auto& service_servers = m_servers[server.service];
-  const auto known = service_servers.find(server.id);
-  if (known != service_servers.end() && known->second.incarnation > server.incarnation) {
+  const auto remembers = [&](const Departures<ServerKey>& departures, const ServerKey& key) {
+    const Departed* departed = departures.find(key);
+    return departed != nullptr && incarnation <= departed->incarnation;
+  };
+  const ServerKey in_service{ service, id };
+  const ServerKey in_any_service{ "", id };
+  return remembers(m_left_servers, in_service) || remembers(m_left_servers, in_any_service) ||
+         remembers(m_left_unknown, in_service) || remembers(m_left_unknown, in_any_service);
+}
+
+ApplyResult
+Directory::join(const ServerInfo& server, std::uint64_t)
+{
+  const auto members = m_servers.find(server.service);
+  const bool newer_known = members != m_servers.end() && members->second.count(server.id) > 0 &&
+                           members->second.at(server.id).incarnation > server.incarnation;
+  if (newer_known || has_left(server.service, server.id, server.incarnation)) {
     return reject_outdated("server " + server.id);
   }
-  service_servers[server.id] = server;
-  m_left_servers.remove(key);
+  // Departures of earlier incarnations stay remembered: their delayed announcements may arrive
+  // after the lease of this one has expired.
+  m_servers[server.service][server.id] = server;
   return accept();
 }
 
 ApplyResult
 Directory::leave(const LeaveServer& leave, std::uint64_t index)
 {
-  const auto service_servers = m_servers.find(leave.service);
-  const bool known =
-    service_servers != m_servers.end() && service_servers->second.count(leave.id) > 0;
-  if (!known) {
-    leave_unknown(leave, index);
-    return accept();
-  }
-  const auto found = service_servers->second.find(leave.id);
-  if (found->second.incarnation > leave.incarnation) {
-    return accept();
-  }
-  // A leave command without an incarnation carries the largest value, which must not be remembered:
-  // only the joined incarnation has left.
-  if (!leave.expired) {
-    m_left_servers.add({ leave.service, leave.id },
-                       { .incarnation = found->second.incarnation, .index = index },
-                       m_departed_limit);
+  // The largest value stands for whichever incarnation has joined, so it must not be remembered.
+  std::uint64_t departed =
+    leave.incarnation == std::numeric_limits<std::uint64_t>::max() ? 0 : leave.incarnation;
+  bool known = false;
+  for (auto members = m_servers.begin(); members != m_servers.end();) {
+    const bool in_scope = leave.service.empty() || members->first == leave.service;
+    const auto found = in_scope ? members->second.find(leave.id) : members->second.end();
+    if (found != members->second.end()) {
+      known = true;
+      if (found->second.incarnation <= leave.incarnation) {
+        departed = std::max(departed, found->second.incarnation);
+        members->second.erase(found);
+      }
+    }
+    members = members->second.empty() ? m_servers.erase(members) : std::next(members);
   }
-  service_servers->second.erase(found);
-  if (service_servers->second.empty()) {
-    m_servers.erase(service_servers);
+  if (!leave.expired && departed != 0) {
+    remember({ leave.service, leave.id }, departed, known, index);
   }
   return accept();
 }
 
-// The leave of a server may be applied before its join, which must then be rejected.
+// The leave of a server may be applied before its join, which must then be rejected. Departures of
+// servers that have not joined are kept apart, because anyone can send any number of them.
 void
-Directory::leave_unknown(const LeaveServer& leave, std::uint64_t index)
+Directory::remember(const ServerKey& key,
+                    std::uint64_t incarnation,
+                    bool known,
+                    std::uint64_t index)
 {
-  const ServerKey key{ leave.service, leave.id };
-  const Departed* departed = std::as_const(m_left_servers).find(key);
-  const bool newer = departed == nullptr || departed->incarnation < leave.incarnation;
-  const bool has_incarnation =
-    leave.incarnation != 0 && leave.incarnation != std::numeric_limits<std::uint64_t>::max();
-  if (has_incarnation && !leave.expired && newer) {
-    m_left_servers.add(key, { .incarnation = leave.incarnation, .index = index }, m_departed_limit);
-  }
+  Departures<ServerKey>& departures = known ? m_left_servers : m_left_unknown;
+  const Departed* earlier = std::as_const(departures).find(key);
+  const std::uint64_t latest = std::max(incarnation, earlier ? earlier->incarnation : 0);
+  departures.add(
+    key, { .incarnation = latest, .index = index }, known ? m_departed_limit : m_unknown_limit);
 }
 
 ApplyResult
@@ -263,16 +274,20 @@
     left_hosts.push_back(
       { id, departed.incarnation, departed.released, departed.index, departed.known_members });
   }
-  json left_servers = json::array();
-  for (const auto& [key, departed] : m_left_servers.by_key) {
-    left_servers.push_back({ key.first, key.second, departed.incarnation, departed.index });
-  }
+  const auto list = [](const Departures<ServerKey>& departures) {
+    json listed = json::array();
+    for (const auto& [key, departed] : departures.by_key) {
+      listed.push_back({ key.first, key.second, departed.incarnation, departed.index });
+    }
+    return listed;
+  };
   return { { "view", m_view },
            { "servers", all_servers() },
            { "hosts", hosts() },
            { "joined", m_joined_views },
            { "left_hosts", std::move(left_hosts) },
-           { "left_servers", std::move(left_servers) } };
+           { "left_servers", list(m_left_servers) },
+           { "left_unknown", list(m_left_unknown) } };
 }
 
 void
@@ -293,11 +308,16 @@
                              .known_members = host_fields.at(4) };
     m_left_hosts.add(host_fields.at(0).get<std::string>(), departed, m_departed_limit);
   }
-  for (const json& server_fields : fields.at("left_servers")) {
-    const Departed departed{ .incarnation = server_fields.at(2), .index = server_fields.at(3) };
-    const ServerKey key{ server_fields.at(0).get<std::string>(),
-                         server_fields.at(1).get<std::string>() };
-    m_left_servers.add(key, departed, m_departed_limit);
+  const auto read = [](const json& listed, Departures<ServerKey>& departures, std::size_t limit) {
+    for (const json& item : listed) {
+      const ServerKey key{ item.at(0).get<std::string>(), item.at(1).get<std::string>() };
+      departures.add(key, { .incarnation = item.at(2), .index = item.at(3) }, limit);
+    }
+  };
+  read(fields.at("left_servers"), m_left_servers, m_departed_limit);
+  // Missing in snapshots of versions that did not keep these departures apart.
+  if (fields.contains("left_unknown")) {
+    read(fields.at("left_unknown"), m_left_unknown, m_unknown_limit);
   }
 }
 
--- a/src/libstate/directory.h
+++ b/src/libstate/directory.h
@@ -21,6 +21,10 @@
   /// \param left set if the host was joined and has left now
   ApplyResult leave(const LeaveHost& leave, std::uint64_t index, bool& has_left);
 
+  /// \param service empty to consider only leaves that name no service
+  /// \return whether a leave of this incarnation of the server, or of a later one, is remembered;
+  /// always false for incarnation 0. Such a server can't join.
+  bool has_left(const ServiceName& service, const ServerId& id, std::uint64_t incarnation) const;
   std::vector<ServerInfo> servers(const ServiceName& service) const;
   std::vector<ServerInfo> all_servers() const;
   std::vector<HostInfo> hosts() const;
@@ -36,11 +40,10 @@
   void restore(const nlohmann::json& fields);
 
 private:
-  /// Records the departure of a server that has not joined.
-  void leave_unknown(const LeaveServer& leave, std::uint64_t index);
   /// \return DepartedHost::known_members for the leaving host.
   std::vector<HostId> known_members_of(const LeaveHost& leave, std::uint64_t joined_view) const;
 
+  /// The service is empty in leaves that name none.
   using ServerKey = std::pair<ServiceName, ServerId>;
   struct Departed
   {
@@ -64,7 +67,12 @@
     Departed* find(const Key& key);
   };
 
+  /// Records a departure, unless a later incarnation of the server is recorded already.
+  /// \param known whether an incarnation of the server had joined
+  void remember(const ServerKey& key, std::uint64_t incarnation, bool known, std::uint64_t index);
+
   std::size_t m_departed_limit;
+  std::size_t m_unknown_limit;
   std::uint64_t m_view = 0;
   std::map<ServiceName, std::map<ServerId, ServerInfo>> m_servers;
   std::map<HostId, HostInfo> m_hosts;
@@ -72,6 +80,8 @@
   std::map<HostId, std::uint64_t> m_joined_views;
   Departures<HostId> m_left_hosts;
   Departures<ServerKey> m_left_servers;
+  /// Departures of servers that had not joined.
+  Departures<ServerKey> m_left_unknown;
 };
 
 } // namespace lovagehold
--- a/src/libstate/state_machine.cpp
+++ b/src/libstate/state_machine.cpp
@@ -199,6 +199,14 @@
   return m_impl->directory.all_servers();
 }
 
+bool
+StateMachine::has_left(const ServiceName& service,
+                       const ServerId& id,
+                       std::uint64_t incarnation) const
+{
+  return m_impl->directory.has_left(service, id, incarnation);
+}
+
 std::vector<HostInfo>
 StateMachine::hosts() const
 {
--- a/src/libstate/state_oracle.cpp
+++ b/src/libstate/state_oracle.cpp
@@ -173,7 +173,6 @@
   if (outdated || (servers.count(id) != 0 && servers[id] > join.server.incarnation)) {
     return refused(ErrorKind::Conflict);
   }
-  m_left_servers.erase(id);
   servers[id] = join.server.incarnation;
   return accepted();
 }
@@ -182,12 +181,12 @@
 Oracle::apply_one(const LeaveServer& leave)
 {
   const auto found = servers.find(leave.id);
+  auto& left_incarnation = m_left_servers[leave.id];
   if (found != servers.end() && found->second <= leave.incarnation) {
-    m_left_servers[leave.id] = found->second;
+    left_incarnation = std::max(left_incarnation, found->second);
     servers.erase(found);
-  } else if (found == servers.end() && leave.incarnation != 0 &&
-             leave.incarnation != std::numeric_limits<std::uint64_t>::max()) {
-    auto& left_incarnation = m_left_servers[leave.id];
+  }
+  if (leave.incarnation != std::numeric_limits<std::uint64_t>::max()) {
     left_incarnation = std::max(left_incarnation, leave.incarnation);
   }
   return accepted();
--- a/src/libstate/state_property_test.cpp
+++ b/src/libstate/state_property_test.cpp
@@ -1,7 +1,9 @@
 #include "config_json.h"
 #include "state_oracle.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
+#include <limits>
 #include <rapidcheck.h>
 
 namespace lovagehold {
@@ -84,7 +86,9 @@
       if (step.b % 2 == 0) {
         return JoinServer{ { .service = "s", .id = host, .incarnation = step.c % 3 } };
       }
-      return LeaveServer{ .service = "s", .id = host, .incarnation = step.c % 3 };
+      return LeaveServer{ .service = step.b % 4 == 1 ? "s" : "",
+                          .id = host,
+                          .incarnation = step.c % 3 };
     default:
       return ExpireOutcomes{ .now = now };
   }
@@ -110,8 +114,11 @@
   SnapshotLosesClaims,
   SnapshotLosesHistory,
   SnapshotLosesDepartures,
+  SnapshotLosesUnknownDepartures,
+  LeaveOfAnUnknownServerIsForgotten,
+  LeaveCountsForTheKnownIncarnationOnly,
 };
-constexpr Fault kLastFault = Fault::SnapshotLosesDepartures;
+constexpr Fault kLastFault = Fault::LeaveCountsForTheKnownIncarnationOnly;
 
 /// The state machine under test, with an injected fault.
 class Subject
@@ -149,6 +156,8 @@
       fields["config"]["changes"] = json::array();
     } else if (m_fault == Fault::SnapshotLosesDepartures) {
       fields["directory"]["left_hosts"] = json::array();
+    } else if (m_fault == Fault::SnapshotLosesUnknownDepartures) {
+      fields["directory"]["left_unknown"] = json::array();
     }
     StateMachine next(kSmallLimits);
     if (next.restore(json::to_cbor(fields)).has_error()) {
@@ -169,14 +178,30 @@
         leave != nullptr && m_fault == Fault::LeaveOfEarlierIncarnationCounts) {
       leave->incarnation = 3;
     }
+    auto* server_leave = std::get_if<LeaveServer>(&command);
+    if (server_leave != nullptr && m_fault == Fault::LeaveCountsForTheKnownIncarnationOnly &&
+        knows_server(server_leave->id)) {
+      server_leave->incarnation = std::numeric_limits<std::uint64_t>::max();
+    }
     auto* claim = std::get_if<ClaimKey>(&command);
     if (claim != nullptr && m_fault == Fault::HolderNeverGone) {
       claim->holder = "nobody";
     }
   }
 
+  bool knows_server(const ServerId& id) const
+  {
+    const auto servers = m_state.servers("s");
+    return std::any_of(
+      servers.begin(), servers.end(), [&](const ServerInfo& server) { return server.id == id; });
+  }
+
   bool drops(const Command& command) const
   {
+    const auto* leave = std::get_if<LeaveServer>(&command);
+    if (leave != nullptr && m_fault == Fault::LeaveOfAnUnknownServerIsForgotten) {
+      return !knows_server(leave->id);
+    }
     const auto* record = std::get_if<RecordOutcome>(&command);
     return record != nullptr && m_fault == Fault::KeyKeptAfterNotRun &&
            record->outcome == OutcomeKind::NotRun &&
