libgateway: the sending of an upload may outlive its request

An entry host ended with SIGABRT or SIGSEGV after a few uploads of over 1 MiB that were answered early, timed out or lost their caller; requests of other callers on it got no answer.

Cause: ServerExchange::send_body() is a coroutine of its own and held a bare pointer to the UploadSource, which lived in the frame of serve_request(). When it was writing to the server as the request ended, it read from the caller again later, through the pointer. serve_while_arriving() held a reference, but waited.

The request, its parser, its body and the connection are one shared object now, owned by whoever uses it, and UploadSource::close() ends its reads for good. libproxy waits for the end of the sending and was not affected.

--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -33,6 +33,35 @@
 // Longest time without progress while a body is transferred.
 constexpr std::chrono::milliseconds kBodyIdleTimeout{ 10000 };
 
+class CallerConnection;
+
+// A request of a caller while it is served. Shared by the connection and by what sends the body to
+// a server; keeps the connection alive, from which the body is read.
+struct IncomingRequest
+{
+  IncomingRequest(std::shared_ptr<CallerConnection> owner, const RequestLimits& request_limits)
+    : connection(std::move(owner))
+    , limits(request_limits)
+  {
+  }
+
+  std::shared_ptr<CallerConnection> connection;
+  // Limits in force when the first byte of the request arrived.
+  RequestLimits limits;
+  RequestParser parser;
+  std::optional<UploadSource> upload;
+  // The body if it is sent to the server while it arrives.
+  std::shared_ptr<ArrivingBody> arriving;
+  TimePoint arrived;
+  // The whole body is in memory.
+  bool buffered = false;
+
+  // Whether the connection can serve another request: the next byte is not one of this body.
+  bool read_whole() const { return arriving || (upload && upload->done()); }
+};
+
+using IncomingRequestPtr = std::shared_ptr<IncomingRequest>;
+
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -99,7 +128,8 @@
       m_open = false;
       co_return;
     }
-    RequestParser parser;
+    const auto request = std::make_shared<IncomingRequest>(shared_from_this(), limits);
+    RequestParser& parser = request->parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
     boost::system::error_code error;
@@ -119,13 +149,17 @@
     }
     ++m_context->in_progress;
     ++m_context->counters.requests;
-    co_await serve_request(parser, limits);
+    co_await serve_request(request);
+    if (request->upload) {
+      request->upload->close();
+    }
     --m_context->in_progress;
   }
 
-  awaitable<void> serve_request(RequestParser& parser, const RequestLimits& limits)
+  awaitable<void> serve_request(IncomingRequestPtr request)
   {
-    const TimePoint arrived = Clock::now();
+    request->arrived = Clock::now();
+    RequestParser& parser = request->parser;
     const auto& header = parser.get();
     m_head_method = header.method() == http::verb::head;
     if (const auto fault = check_request_header(header)) {
@@ -136,22 +170,22 @@
     if (!parser.keep_alive()) {
       m_open = false;
     }
-    const CallerLimits caller_limits{ .idle = limits.idle_timeout,
-                                      .header_timeout = limits.header_timeout,
+    const CallerLimits caller_limits{ .idle = request->limits.idle_timeout,
+                                      .header_timeout = request->limits.header_timeout,
                                       .body_idle = kBodyIdleTimeout,
                                       .body_bytes_per_second = 1 };
-    UploadSource upload(m_stream,
-                        m_read_timer,
-                        m_buffer,
-                        parser,
-                        caller_limits,
-                        header.count(http::field::expect) > 0,
-                        &m_context->receive_pacer);
+    UploadSource& upload = request->upload.emplace(m_stream,
+                                                   m_read_timer,
+                                                   m_buffer,
+                                                   parser,
+                                                   caller_limits,
+                                                   header.count(http::field::expect) > 0,
+                                                   &m_context->receive_pacer);
     if (may_forward_while_arriving(parser)) {
-      co_await serve_while_arriving(parser, upload, arrived);
+      co_await serve_while_arriving(request);
       co_return;
     }
-    const bool buffered = co_await upload.read_all();
+    request->buffered = co_await upload.read_all();
     if (upload.failed()) {
       m_open = false;
       if (!upload.caller_left()) {
@@ -160,7 +194,7 @@
       }
       co_return;
     }
-    co_await route(parser, upload, buffered, nullptr, arrived);
+    co_await route(request);
   }
 
   // On a slow link, a long body is sent to the server while it arrives, which saves the time for
@@ -172,12 +206,9 @@
            length > kMinArrivingBodyBytes && length <= kBufferedBodyBytes;
   }
 
-  awaitable<void> serve_while_arriving(RequestParser& parser,
-                                       UploadSource& upload,
-                                       TimePoint arrived)
+  awaitable<void> serve_while_arriving(IncomingRequestPtr request)
   {
-    const auto body = std::make_shared<ArrivingBody>(
-      m_context->io, static_cast<std::size_t>(*parser.content_length()));
+    UploadSource& upload = *request->upload;
     upload.keep_nothing();
     // The first read may have to answer an expectation, so it precedes any response.
     const std::string_view first = co_await upload.read();
@@ -185,14 +216,17 @@
       m_open = false;
       co_return;
     }
+    const auto body = std::make_shared<ArrivingBody>(
+      m_context->io, static_cast<std::size_t>(*request->parser.content_length()));
+    request->arriving = body;
     body->append(first);
     asio::co_spawn(
       m_context->io,
-      [self = shared_from_this(), body, &upload]() -> awaitable<void> {
-        co_await self->receive_body(body, upload);
+      [self = shared_from_this(), request]() -> awaitable<void> {
+        co_await self->receive_body(request);
       },
       asio::detached);
-    co_await route(parser, upload, false, body, arrived);
+    co_await route(request);
     // A response that is sent before the end of the body would be lost if the connection were
     // closed with unread bytes.
     while (!body->ended()) {
@@ -202,18 +236,20 @@
     m_open = m_open && !body->failed();
   }
 
-  awaitable<void> receive_body(std::shared_ptr<ArrivingBody> body, UploadSource& upload)
+  awaitable<void> receive_body(IncomingRequestPtr request)
   {
+    UploadSource& upload = *request->upload;
+    ArrivingBody& body = *request->arriving;
     while (!upload.done() && !upload.failed()) {
       const std::string_view piece = co_await upload.read();
-      body->append(piece);
+      body.append(piece);
     }
-    body->end();
-    const auto request = m_arriving_request.lock();
-    if (request && body->failed()) {
-      request->abandon();
-    } else if (request) {
-      start_disconnect_watch(request);
+    body.end();
+    const auto forwarded = m_arriving_request.lock();
+    if (forwarded && body.failed()) {
+      forwarded->abandon();
+    } else if (forwarded) {
+      start_disconnect_watch(forwarded);
     }
   }
 
@@ -226,13 +262,10 @@
     m_context->routing_waiters.erase(&timer);
   }
 
-  awaitable<void> route(RequestParser& parser,
-                        UploadSource& upload,
-                        bool buffered,
-                        const std::shared_ptr<ArrivingBody>& arriving,
-                        TimePoint arrived)
+  awaitable<void> route(IncomingRequestPtr request)
   {
-    const auto& header = parser.get();
+    const auto& header = request->parser.get();
+    const TimePoint arrived = request->arrived;
     if (!m_context->routing) {
       co_await wait_for_routing(arrived + kFirstRoutingWait);
     }
@@ -251,7 +284,7 @@
     const Route* route = routing->find(std::string_view(host.data(), host.size()),
                                        std::string_view(target).substr(0, target.find('?')));
     if (route == nullptr) {
-      m_open = m_open && (arriving || upload.done());
+      m_open = m_open && request->read_whole();
       const GatewayErrorResponse error_response{ .status = 404,
                                                  .reason = "no route matches the request" };
       log_refused_request(header, error_response);
@@ -273,7 +306,7 @@
       co_await send_error_response(error_response);
       co_return;
     }
-    co_await forward(parser, upload, buffered, arriving, arrived, routing, *route);
+    co_await forward(request, routing, *route);
   }
 
   // \return when the caller of the request stops waiting
@@ -284,15 +317,12 @@
                                                     : kDefaultCallerTimeout.count());
   }
 
-  GatewayRequest make_request(RequestParser& parser,
-                              UploadSource& upload,
-                              bool buffered,
-                              const std::shared_ptr<ArrivingBody>& arriving,
-                              TimePoint arrived,
+  GatewayRequest make_request(const IncomingRequestPtr& incoming,
                               const std::shared_ptr<RoutingTable>& routing,
                               const Route& route) const
   {
     const GatewayHeaders& names = m_context->options.headers;
+    const RequestParser& parser = incoming->parser;
     http::request_header<> header = parser.get().base();
     GatewayRequest request{ .id = std::string(header[names.request_id]),
                             .target = std::string(header.target()),
@@ -300,25 +330,25 @@
                             .routing = routing,
                             .route = &route,
                             .service = routing->next_target(route),
-                            .arrived = arrived };
-    request.caller_deadline = caller_deadline(header, arrived);
+                            .arrived = incoming->arrived };
+    request.caller_deadline = caller_deadline(header, incoming->arrived);
     remove_hop_by_hop_fields(header);
     header.erase(names.deadline);
     header.erase(names.expected_server);
     const bool has_body = parser.chunked() || parser.content_length().value_or(0) > 0 ||
                           header.count(http::field::content_length) > 0;
-    request.chunked = !buffered && parser.chunked();
-    if (arriving) {
+    request.chunked = !incoming->buffered && parser.chunked();
+    if (incoming->arriving) {
       request.body = std::make_shared<const std::string>();
-      request.arriving = arriving;
-    } else if (buffered) {
-      request.body = std::make_shared<const std::string>(upload.take_kept());
+      request.arriving = incoming->arriving;
+    } else if (incoming->buffered) {
+      request.body = std::make_shared<const std::string>(incoming->upload->take_kept());
       if (has_body) {
         header.set(http::field::content_length, std::to_string(request.body->size()));
       }
     } else {
       request.body = std::make_shared<const std::string>();
-      request.upload = &upload;
+      request.upload = std::shared_ptr<UploadSource>(incoming, &*incoming->upload);
       if (request.chunked) {
         header.set(http::field::transfer_encoding, "chunked");
       }
@@ -370,27 +400,23 @@
     }
   }
 
-  awaitable<void> forward(RequestParser& parser,
-                          UploadSource& upload,
-                          bool buffered,
-                          const std::shared_ptr<ArrivingBody>& arriving,
-                          TimePoint arrived,
-                          const std::shared_ptr<RoutingTable>& routing,
+  awaitable<void> forward(IncomingRequestPtr incoming,
+                          std::shared_ptr<RoutingTable> routing,
                           const Route& route)
   {
-    GatewayRequest request =
-      make_request(parser, upload, buffered, arriving, arrived, routing, route);
+    const auto& arriving = incoming->arriving;
+    GatewayRequest request = make_request(incoming, routing, route);
     const std::string id = request.id;
     const TimePoint caller_deadline = request.caller_deadline;
     const auto forwarded = std::make_shared<ForwardedRequest>(*m_context, std::move(request));
-    if (buffered || (arriving && arriving->ended())) {
+    if (incoming->buffered || (arriving && arriving->ended())) {
       start_disconnect_watch(forwarded);
     } else if (arriving) {
       m_arriving_request = forwarded;
     }
     co_await forwarded->run();
-    if (!arriving && !upload.done()) {
-      upload.interrupt();
+    if (!incoming->read_whole()) {
+      incoming->upload->close();
       m_open = false;
     }
     unsigned status = 0;
@@ -411,7 +437,7 @@
       co_await send_error_response(forwarded->error_response());
       forwarded->finish(false);
     }
-    log_request(id, route, status, arrived, *forwarded);
+    log_request(id, route, status, incoming->arrived, *forwarded);
   }
 
   void start_disconnect_watch(const std::shared_ptr<ForwardedRequest>& forwarded)
--- a/src/libgateway/server_exchange.h
+++ b/src/libgateway/server_exchange.h
@@ -32,8 +32,9 @@
   std::shared_ptr<const std::string> body;
   /// The body if it is still arriving; \p body is empty then.
   std::shared_ptr<ArrivingBody> arriving;
-  /// Source of a streamed body; null if \p body or \p arriving has the body.
-  UploadSource* upload = nullptr;
+  /// Source of a streamed body; null if \p body or \p arriving has the body. Shared, because the
+  /// sending of the body may outlive the caller's request.
+  std::shared_ptr<UploadSource> upload;
   bool chunked = false;
   /// Responses to HEAD have no body.
   bool head_method = false;
--- /dev/null
+++ b/src/libgateway/upload_test.cpp
@@ -0,0 +1,165 @@
+#include "gateway_fixture.h"
+
+#include <boost/asio/read_until.hpp>
+
+namespace lovagehold {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kPieceBytes = std::size_t{ 64 } << 10;
+// More than a host buffers, so that the body is streamed to the server.
+constexpr std::size_t kLongBytes = std::size_t{ 3 } << 20;
+
+// A caller's connection that stays open for several requests.
+class Caller
+{
+public:
+  explicit Caller(unsigned short port)
+    : m_socket(m_context)
+  {
+    m_socket.connect(test_endpoint(".8.1", port));
+    set_read_timeout(m_socket);
+  }
+
+  // \return whether all bytes could be sent
+  bool send(const std::string& bytes)
+  {
+    boost::system::error_code error;
+    boost::asio::write(m_socket, boost::asio::buffer(bytes), error);
+    return !error;
+  }
+
+  void send_head(const std::string& path, const std::string& framing)
+  {
+    send("POST " + path + " HTTP/1.1\r\nHost: a.example\r\nLovagehold-Request-Id: id-1\r\n" +
+         "Lovagehold-Deadline-Ms: 2500\r\n" + framing + "\r\n");
+  }
+
+  // Sends a body until it has been sent or the connection is closed.
+  void send_body(const std::string& body, bool chunked)
+  {
+    bool open = true;
+    for (std::size_t sent = 0; open && sent < body.size(); sent += kPieceBytes) {
+      const std::string piece = body.substr(sent, kPieceBytes);
+      open = send(chunked ? as_chunk(piece) : piece);
+    }
+    if (open && chunked) {
+      send("0\r\n\r\n");
+    }
+  }
+
+  static std::string framing(std::size_t size, bool chunked)
+  {
+    return chunked ? "Transfer-Encoding: chunked\r\n"
+                   : "Content-Length: " + std::to_string(size) + "\r\n";
+  }
+
+  // \return the header of the next response, with a small body; empty if the connection is closed
+  std::string read_response()
+  {
+    boost::system::error_code error;
+    const std::size_t size =
+      boost::asio::read_until(m_socket, boost::asio::dynamic_buffer(m_received), "\r\n\r\n", error);
+    if (error) {
+      return "";
+    }
+    std::string head = m_received.substr(0, size);
+    m_received.erase(0, size);
+    const std::size_t length = head.find("Content-Length: ");
+    const std::size_t body =
+      length == std::string::npos ? 0 : std::stoul(head.substr(length + sizeof("Content-Length:")));
+    if (m_received.size() < body) {
+      boost::asio::read(m_socket,
+                        boost::asio::dynamic_buffer(m_received),
+                        boost::asio::transfer_exactly(body - m_received.size()),
+                        error);
+    }
+    m_received.erase(0, body);
+    return head;
+  }
+
+private:
+  static std::string as_chunk(const std::string& piece)
+  {
+    char size[24];
+    std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+    return size + piece + "\r\n";
+  }
+
+  boost::asio::io_context m_context;
+  TestSocket m_socket;
+  std::string m_received;
+};
+
+// Sends uploads with a length and in chunks; they are streamed to the server.
+class UploadTest
+  : public GatewayTest
+  , public ::testing::WithParamInterface<bool>
+{
+protected:
+  static bool chunked() { return GetParam(); }
+};
+
+// Guards against a use after free: a server's early response ends the request while its body is
+// still being sent to the server.
+TEST_P(UploadTest, EarlyResponseEndsOnlyItsRequest)
+{
+  ScriptedServer& server = add_server(kServe);
+  server.respond_early();
+  configure();
+  const std::string body(kLongBytes, 'x');
+  for (int round = 0; round < 30; ++round) {
+    Caller caller(kPort);
+    caller.send_head("/once/x", Caller::framing(body.size(), chunked()));
+    std::thread sender([&] { caller.send_body(body, chunked()); });
+    const std::string response = caller.read_response();
+    EXPECT_TRUE(response.empty() || status_of(response) == 200 || status_of(response) == 502)
+      << response;
+    sender.join();
+  }
+  EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+}
+
+// Guards against a use after free: the time budget ends while the body is still being sent.
+TEST_P(UploadTest, TimeoutEndsOnlyItsRequest)
+{
+  add_server([](const ReceivedRequest& received) {
+    return received.head.find("/safe/") == std::string::npos ? ScriptedResponse{ .hang = true }
+                                                             : kServe(received);
+  }).respond_early();
+  configure(milliseconds(200), milliseconds(100));
+  const std::string body(kLongBytes, 'x');
+  for (int round = 0; round < 8; ++round) {
+    Caller caller(kPort);
+    caller.send_head("/once/x", Caller::framing(body.size(), chunked()));
+    std::thread sender([&] { caller.send_body(body, chunked()); });
+    EXPECT_EQ(status_of(caller.read_response()), 504);
+    sender.join();
+  }
+  EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+}
+
+// Guards against a use after free: the caller leaves while its body is being sent to the server.
+TEST_P(UploadTest, CallerThatLeavesEndsOnlyItsRequest)
+{
+  add_server(kServe);
+  configure();
+  const std::string body(kLongBytes, 'x');
+  for (int round = 0; round < 20; ++round) {
+    Caller caller(kPort);
+    caller.send_head("/once/x", Caller::framing(body.size() + 1, chunked()));
+    caller.send_body(body.substr(0, (std::size_t{ 1 } << 20) + round * kPieceBytes), chunked());
+  }
+  EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(,
+                         UploadTest,
+                         ::testing::Bool(),
+                         [](const ::testing::TestParamInfo<bool>& info) {
+                           return std::string(info.param ? "Chunked" : "WithLength");
+                         });
+
+} // namespace
+} // namespace lovagehold
--- a/src/libproxy/upload_source.cpp
+++ b/src/libproxy/upload_source.cpp
@@ -32,7 +32,7 @@
 
 UploadSource::~UploadSource()
 {
-  m_buffer.max_size(m_buffer_limit);
+  close();
 }
 
 awaitable<void>
@@ -68,6 +68,10 @@
 awaitable<std::string_view>
 UploadSource::read()
 {
+  if (m_closed) {
+    m_error = asio::error::operation_aborted;
+    co_return std::string_view();
+  }
   if (m_error == asio::error::operation_aborted) {
     m_error = {};
   }
@@ -82,17 +86,22 @@
   if (m_pacer != nullptr) {
     co_await await_link(*m_pacer, 0);
   }
-  while (!m_error && size == 0 && !m_parser.is_done()) {
+  while (!m_error && !m_closed && size == 0 && !m_parser.is_done()) {
     m_parser.get().body().data = m_read_buffer.data();
     m_parser.get().body().size = m_read_buffer.size();
     m_read_timer.arm(read_deadline());
+    m_reading = true;
     co_await http::async_read_some(m_caller, m_buffer, m_parser, capture(m_error));
+    m_reading = false;
     m_read_timer.disarm(m_error);
     if (m_error == http::error::need_buffer) {
       m_error = {};
     }
     size = m_read_buffer.size() - m_parser.get().body().size;
   }
+  if (m_closed) {
+    m_error = asio::error::operation_aborted;
+  }
   if (m_pacer != nullptr) {
     m_pacer->reserve(size, Clock::now());
   }
@@ -137,4 +146,17 @@
   m_caller.cancel();
 }
 
+void
+UploadSource::close()
+{
+  if (m_closed) {
+    return;
+  }
+  m_closed = true;
+  m_buffer.max_size(std::max(m_buffer.size(), m_buffer_limit));
+  if (m_reading) {
+    m_caller.cancel();
+  }
+}
+
 } // namespace lovagehold
--- a/src/libproxy/upload_source.h
+++ b/src/libproxy/upload_source.h
@@ -27,6 +27,7 @@
                bool expects_continue,
                LinkPacer* pacer = nullptr);
 
+  /// Calls close().
   ~UploadSource();
   UploadSource(const UploadSource&) = delete;
   UploadSource& operator=(const UploadSource&) = delete;
@@ -42,6 +43,11 @@
   /// Cancels a read in progress; reading can be continued without loss.
   void interrupt();
 
+  /// Ends the reading for good: a read in progress is cancelled, and later ones fail with
+  /// operation_aborted and do not touch the caller's connection any more. Called when the caller's
+  /// request ends, because what sends the body to a server may go on for some time.
+  void close();
+
   /// \return whether the whole body has been read.
   bool done() const { return m_parser.is_done(); }
 
@@ -55,11 +61,11 @@
   const std::string& kept() const { return m_kept; }
   std::string take_kept() { return std::move(m_kept); }
 
-  /// Set if the caller closed the connection, sent invalid framing or was too slow, or after
-  /// interrupt().
+  /// Set if the caller closed the connection, sent invalid framing or was too slow, and after
+  /// interrupt() or close().
   const boost::system::error_code& error() const { return m_error; }
   /// \return whether the body can't be read to its end.
-  bool failed() const { return m_error && m_error != asio::error::operation_aborted; }
+  bool failed() const { return m_error && (m_closed || m_error != asio::error::operation_aborted); }
   /// \return whether the body can't be read because the caller closed the connection.
   bool caller_left() const;
 
@@ -72,7 +78,7 @@
   ReadTimer& m_read_timer;
   beast::flat_buffer& m_buffer;
   RequestParser& m_parser;
-  const CallerLimits& m_limits;
+  CallerLimits m_limits;
   bool m_expects_continue;
   /// Limit of the buffer before this object lowered it; restored on destruction.
   std::size_t m_buffer_limit;
@@ -84,6 +90,9 @@
   std::uint64_t m_received = 0;
   std::optional<TimePoint> m_started;
   boost::system::error_code m_error;
+  /// A read from the caller's connection is in progress.
+  bool m_reading = false;
+  bool m_closed = false;
 };
 
 } // namespace lovagehold
