lovagehold: a log without a reader does not end the process

Every control and entry host ended when the process that read its standard output did. This fits the processes that the users saw ending by themselves; they kept no logs, so it is suspected only.

Cause: nothing handled SIGPIPE, whose default ends the process at the next log line. It is ignored now; the failed write is dropped.

Failed before: case_endings, check log-reader (31 s until it gave up); passes with this.

--- a/src/lovagehold/main.cpp
+++ b/src/lovagehold/main.cpp
@@ -3,6 +3,7 @@
 #include "node.h"
 #include "platform/platform.h"
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <tclap/CmdLine.h>
@@ -132,6 +133,8 @@
 int
 main(int argc, char** argv)
 {
+  // A log whose reader has ended must not end the process; failed writes to it are ignored.
+  std::signal(SIGPIPE, SIG_IGN);
   try {
     TCLAP::CmdLine command("lovagehold", ' ', LOVAGEHOLD_VERSION);
     HelpOutput output;
--- a/testsuite/endings/endings.py
+++ b/testsuite/endings/endings.py
@@ -271,7 +271,25 @@
             server.stop()
 
 
-CHECKS = {"callers": check_callers, "servers": check_servers}
+async def check_log_reader(checks, program):
+    """The process that reads the log ends."""
+    with Run(program) as cluster:
+        for process in cluster.all():
+            read_end, write_end = os.pipe()
+            process.output = os.fdopen(write_end, "wb")
+            process.start(first=True)
+            os.close(read_end)
+            process.output = None
+        checks.expect("the cluster starts without a reader of its log", await configure(cluster))
+        # Each refused request is logged.
+        for entry in cluster.entries:
+            for _ in range(20):
+                await request(entry, "/else/x")
+        await asyncio.sleep(1)
+        checks.expect("all processes go on", all(process.running() for process in cluster.all()))
+
+
+CHECKS = {"callers": check_callers, "servers": check_servers, "log-reader": check_log_reader}
 
 
 def main():
--- a/testsuite/soak/cluster.py
+++ b/testsuite/soak/cluster.py
@@ -23,6 +23,8 @@
         self.child = None
         self.paused = False
         self.data = os.path.join(cluster.work, name + "-data")
+        # Where the process writes its log instead of its file, if set.
+        self.output = None
 
     def start(self, first=False):
         # Overlapping faults may both restart the same process; the first child would then never be stopped.
@@ -36,7 +38,7 @@
         path = os.path.join(self.cluster.work, self.name + ".json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
-        log = open(os.path.join(self.cluster.work, self.name + ".log"), "ab")
+        log = self.output or open(os.path.join(self.cluster.work, self.name + ".log"), "ab")
         environment = dict(os.environ, **{wire.SETTINGS_VARIABLE: path})
         self.child = subprocess.Popen([self.cluster.program, "--site", "--metrics-port", str(METRICS_PORT)], env=environment, stdout=log,
                                       stderr=log)
