lovagehold: wait at the start for addresses that are still held

A process that found one of its addresses held by another for 0.7 s refused to start and stayed ended; the port of the metrics page counted like the address for callers.

Cause: one attempt to listen on each address.

--- a/src/include/lovagehold/address.h
+++ b/src/include/lovagehold/address.h
@@ -3,6 +3,9 @@
 #include "lovagehold/error.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -18,4 +21,14 @@
                        const std::string& address,
                        const std::string& setting);
 
+/// Waits until each address can be listened on. A process that is being replaced, or a short
+/// connection of another one, may still hold it. Blocks the calling thread.
+/// \param addresses "IP:port" by the name of its setting
+/// \param patience longest time to wait for all of them
+/// \param on_held called once for each address that is held at first
+/// \return an error if an address is still held after \p patience, or is not an address
+Result<void> await_free_addresses(const std::map<std::string, std::string>& addresses,
+                                  std::chrono::milliseconds patience,
+                                  const std::function<void(const Error&)>& on_held);
+
 } // namespace lovagehold
--- a/src/libadapters/address.cpp
+++ b/src/libadapters/address.cpp
@@ -1,9 +1,19 @@
 #include "lovagehold/address.h"
 
+#include "lovagehold/types.h"
+
+#include <boost/asio/io_context.hpp>
 #include <charconv>
+#include <thread>
 
 namespace lovagehold {
 
+namespace {
+
+constexpr std::chrono::milliseconds kListenRetryInterval{ 100 };
+
+} // namespace
+
 std::optional<boost::asio::ip::tcp::endpoint>
 parse_endpoint(const std::string& address)
 {
@@ -45,6 +55,8 @@
     acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
   }
   if (error) {
+    boost::system::error_code ignored;
+    acceptor.close(ignored);
     return Error{ .kind = ErrorKind::Unavailable,
                   .message = "can't listen on " + address + ": " + error.message(),
                   .remedy = "stop the process that holds the address or change " + setting };
@@ -52,4 +64,29 @@
   return boost::outcome_v2::success();
 }
 
+Result<void>
+await_free_addresses(const std::map<std::string, std::string>& addresses,
+                     std::chrono::milliseconds patience,
+                     const std::function<void(const Error&)>& on_held)
+{
+  const TimePoint end = Clock::now() + patience;
+  boost::asio::io_context context;
+  for (const auto& [setting, address] : addresses) {
+    boost::asio::ip::tcp::acceptor acceptor(context);
+    Result<void> listening = listen_on(acceptor, address, setting);
+    if (listening.has_error() && listening.error().kind == ErrorKind::Unavailable) {
+      on_held(listening.error());
+    }
+    while (listening.has_error() && listening.error().kind == ErrorKind::Unavailable &&
+           Clock::now() < end) {
+      std::this_thread::sleep_for(kListenRetryInterval);
+      listening = listen_on(acceptor, address, setting);
+    }
+    if (listening.has_error()) {
+      return listening;
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
 } // namespace lovagehold
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include "admin_pages.h"
+#include "lovagehold/address.h"
 #include "lovagehold/event_page.h"
 #include "lovagehold/file_disk.h"
 #include "metrics_page.h"
@@ -18,6 +19,8 @@
 // cluster size. A host without state from control for longer may lack a change.
 constexpr std::chrono::seconds kStaleAfter{ 3 };
 constexpr std::chrono::milliseconds kDelayedTickThreshold{ 250 };
+// The process that this one replaces may still hold an address.
+constexpr std::chrono::seconds kListenPatience{ 20 };
 
 WallTime
 wall_now()
@@ -69,7 +72,8 @@
   m_client = std::make_unique<ControlClient>(
     std::move(client_options), send_hook, [this](const StateMachine& state) { on_applied(state); });
   m_admin = std::make_unique<AdminServer>(
-    m_context, [this](const AdminRequest& request, const AdminServer::Reply& reply) {
+    m_context,
+    [this](const AdminRequest& request, const AdminServer::Reply& reply) {
       handle_admin(request, reply);
     });
   if (!m_settings.entry_role) {
@@ -118,6 +122,14 @@
   if (m_replica) {
     BOOST_OUTCOME_TRYV(m_replica->open());
   }
+  std::map<std::string, std::string> addresses{ { "listen.cluster", m_settings.cluster_address },
+                                                { "listen.admin", m_settings.admin_address } };
+  if (m_settings.entry_role) {
+    addresses.emplace("listen.callers", m_settings.caller_address);
+  }
+  BOOST_OUTCOME_TRYV(await_free_addresses(addresses, kListenPatience, [this](const Error& held) {
+    m_log.warn("address_held", { { "error", held.message }, { "remedy", held.remedy } });
+  }));
   std::string error;
   if (!m_transport->start(error)) {
     return Error{ .kind = ErrorKind::Unavailable,
--- a/testsuite/endings/endings.py
+++ b/testsuite/endings/endings.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 import shutil
+import socket
 import sys
 import tempfile
 import time
@@ -289,7 +290,39 @@
         checks.expect("all processes go on", all(process.running() for process in cluster.all()))
 
 
-CHECKS = {"callers": check_callers, "servers": check_servers, "log-reader": check_log_reader}
+def hold(address):
+    host, port = address.rsplit(":", 1)
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind((host, int(port)))
+    held.listen()
+    return held
+
+
+async def check_held_addresses(checks, program):
+    """Another process holds each address at the start: those of the metrics for long, the others for a short time."""
+    with Run(program) as cluster:
+        addresses = [address for _, address in listeners(cluster)]
+        metrics = [hold(address) for address in addresses if address.endswith(f":{METRICS_PORT}")]
+        others = [hold(address) for address in addresses if not address.endswith(f":{METRICS_PORT}")]
+        cluster.start()
+        await asyncio.sleep(0.7)
+        for held in others:
+            held.close()
+        checks.expect("the cluster starts once its addresses are free", await configure(cluster))
+        checks.expect("all processes go on", all(process.running() for process in cluster.all()))
+        for held in metrics:
+            held.close()
+
+        async def scraped():
+            pages = [await call(f"{process.ip}:{METRICS_PORT}", "GET", "/metrics") for process in cluster.all()]
+            return all(page.status == 200 for page in pages)
+
+        checks.expect("the metrics are served once their address is free", await wait_until(scraped))
+
+
+CHECKS = {"callers": check_callers, "servers": check_servers, "log-reader": check_log_reader,
+          "held-addresses": check_held_addresses}
 
 
 def main():
