libadapters: limits for all connections of an address together

With 64 descriptors and 100 idle callers at each address, all processes used a whole core and served nobody else. 60 callers with bodies of 4 MiB at the control address took 179 MB.

Cause: a failed accept was repeated at once, idle connections kept their descriptors, and bodies were bounded for each connection only. One acceptor for gateway and admin server pauses after a failure and closes the connections that have been idle for the longest time; each address has a limit that follows the descriptors; bodies of all connections of an admin server have 32 MiB, and what exceeds that gets 503 with Retry-After. An exception in the handling of a call gives 500 and a log line. Requests that can't be read get an answer at admin addresses too.

--- a/src/include/lovagehold/admin_server.h
+++ b/src/include/lovagehold/admin_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovagehold/error.h"
+#include "lovagehold/event_log.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -28,7 +29,16 @@
   std::string body;
 };
 
-/// HTTP/1.1 server for lovagectl and metrics scrapers. Runs on the given io_context.
+struct AdminServerOptions
+{
+  /// Open connections at most. If there are more, the one that has been waiting for a request for
+  /// the longest time is closed.
+  std::size_t max_connections = 256;
+};
+
+/// HTTP/1.1 server for lovagectl, metrics scrapers and the calls of a deployment. Runs on the given
+/// io_context. The memory for all its connections is bounded: if the bodies of all requests exceed
+/// 32 MiB together, further ones are refused with 503 and Retry-After.
 class AdminServer
 {
 public:
@@ -36,7 +46,12 @@
   /// Called on the context's thread. The reply may be sent later, but from the same thread.
   using Handler = std::function<void(const AdminRequest&, Reply)>;
 
-  AdminServer(boost::asio::io_context& context, Handler handler);
+  /// \param log gets the requests that can't be read, and exceptions of the handler, which end only
+  /// the call
+  AdminServer(boost::asio::io_context& context,
+              Handler handler,
+              EventLog& log,
+              AdminServerOptions options = {});
   ~AdminServer();
 
   /// Listens on "IP:port".
--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -98,6 +98,7 @@
   std::uint64_t probes = 0;
   /// Connections opened to servers.
   std::uint64_t server_connections = 0;
+  std::uint64_t connections_refused = 0;
   /// Attempts whose server's process ended while it held the request.
   std::uint64_t server_crashes = 0;
   /// Requests that were not sent because they are quarantined.
--- a/src/include/lovagehold/site.h
+++ b/src/include/lovagehold/site.h
@@ -47,6 +47,10 @@
   bool operator==(const SiteSettings&) const = default;
 };
 
+/// \return the limits of the servers for all addresses but that for callers: a quarter of the
+/// descriptors each
+AdminServerOptions admin_options(const SiteSettings& settings);
+
 /// Checks whether the process can work with the settings. \return all mistakes found
 std::vector<Error> check_settings(const SiteSettings& settings);
 
--- a/src/libadapters/admin_server.cpp
+++ b/src/libadapters/admin_server.cpp
@@ -1,9 +1,11 @@
 #include "lovagehold/admin_server.h"
 
-#include "libhttp/bounded_reader.h"
-#include "lovagehold/address.h"
+#include "libhttp/request_fault.h"
+#include "lovagehold/connection_acceptor.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <map>
+#include <optional>
 
 namespace lovagehold {
 
@@ -16,6 +18,9 @@
 
 constexpr std::chrono::seconds kIdleTimeout{ 30 };
 constexpr std::size_t kMaxBodyBytes = std::size_t{ 4 } << 20;
+// Bodies of all connections together: eight of the largest size, as many as operators send at once.
+constexpr std::size_t kMaxTotalBodyBytes = 8 * kMaxBodyBytes;
+constexpr char kRetryAfterSeconds[] = "1";
 
 int
 hex_value(char digit)
@@ -44,29 +49,112 @@
   return decoded;
 }
 
+class AdminSession;
+
+// State of a server that its sessions share.
+struct AdminState
+{
+  AdminServer::Handler handler;
+  EventLog& log;
+  AdminServerOptions options;
+  std::size_t connections = 0;
+  // Bytes reserved for bodies that are being read or handled.
+  std::size_t body_bytes = 0;
+  // Sessions that wait for a request or read one, longest waiting first.
+  std::map<std::uint64_t, AdminSession*> reading;
+  std::uint64_t next_number = 0;
+};
+
 // One client connection. The handlers of its asynchronous operations own it and keep it alive.
 class AdminSession : public std::enable_shared_from_this<AdminSession>
 {
 public:
-  AdminSession(tcp::socket socket, AdminServer::Handler handler)
+  AdminSession(tcp::socket socket, std::shared_ptr<AdminState> state)
     : m_stream(std::move(socket))
-    , m_handler(std::move(handler))
+    , m_state(std::move(state))
+  {
+    ++m_state->connections;
+  }
+
+  ~AdminSession()
   {
+    stop_reading();
+    release_body();
+    --m_state->connections;
   }
 
+  AdminSession(const AdminSession&) = delete;
+  AdminSession& operator=(const AdminSession&) = delete;
+
   void read()
   {
+    m_number = m_state->next_number++;
+    m_state->reading.emplace(m_number, this);
     m_parser.emplace();
     m_parser->body_limit(kMaxBodyBytes);
     m_stream.expires_after(kIdleTimeout);
-    async_read_message(m_stream, m_buffer, *m_parser, [self = shared_from_this()](auto error, auto) {
-      if (!error) {
-        self->handle();
-      }
-    });
+    http::async_read_header(
+      m_stream, m_buffer, *m_parser, [self = shared_from_this()](auto error, auto) {
+        if (error) {
+          self->reject(error);
+        } else {
+          self->read_body();
+        }
+      });
   }
 
+  void close() { m_stream.close(); }
+
 private:
+  void read_body()
+  {
+    const auto length = m_parser->content_length();
+    const std::size_t bytes = m_parser->chunked() ? kMaxBodyBytes : length.value_or(0);
+    if (m_state->body_bytes + bytes > kMaxTotalBodyBytes) {
+      refuse({ .status = http::status::service_unavailable,
+               .error = "too many large bodies at once",
+               .remedy = "retry after the time given, or at another host" });
+      return;
+    }
+    m_body_bytes = bytes;
+    m_state->body_bytes += bytes;
+    async_read_message(
+      m_stream, m_buffer, *m_parser, [self = shared_from_this()](auto error, auto) {
+        if (error) {
+          self->reject(error);
+        } else {
+          self->stop_reading();
+          self->handle();
+        }
+      });
+  }
+
+  void stop_reading() { m_state->reading.erase(m_number); }
+
+  void release_body() { m_state->body_bytes -= std::exchange(m_body_bytes, 0); }
+
+  // Answers a request that can't be read, unless the client is gone.
+  void reject(const boost::system::error_code& error)
+  {
+    const bool is_malformed =
+      error.category() == make_error_code(http::error::bad_field).category();
+    if (is_malformed && error != http::error::end_of_stream &&
+        error != http::error::partial_message) {
+      refuse(describe_parse_error(error));
+    }
+  }
+
+  void refuse(const RequestFault& fault)
+  {
+    stop_reading();
+    m_keep_alive = false;
+    m_state->log.warn("call_rejected", { { "error", fault.error }, { "remedy", fault.remedy } });
+    m_retry_later = fault.status == http::status::service_unavailable;
+    write({ .status = static_cast<unsigned>(fault.status),
+            .content_type = "text/plain",
+            .body = fault.error + "; " + fault.remedy + "\n" });
+  }
+
   void handle()
   {
     const auto& request = m_parser->get();
@@ -76,10 +164,22 @@
                                 .path = target.substr(0, query),
                                 .query = query == std::string::npos ? "" : target.substr(query + 1),
                                 .body = request.body() };
+    m_keep_alive = request.keep_alive();
     m_stream.expires_never();
-    m_handler(admin_request, [self = shared_from_this()](AdminResponse response) {
+    const auto reply = [self = shared_from_this()](AdminResponse response) {
       self->write(std::move(response));
-    });
+    };
+    try {
+      m_state->handler(admin_request, reply);
+    } catch (const std::exception& exception) {
+      // Only this call ends, not the process with all others.
+      m_state->log.warn("call_failed",
+                        { { "method", admin_request.method },
+                          { "path", admin_request.path },
+                          { "error", exception.what() } });
+      m_keep_alive = false;
+      write({ .status = 500, .content_type = "text/plain", .body = "internal error\n" });
+    }
   }
 
   void write(AdminResponse response)
@@ -88,11 +188,15 @@
     m_response.version(11);
     m_response.result(response.status);
     m_response.set(http::field::content_type, response.content_type);
-    m_response.keep_alive(m_parser->get().keep_alive());
+    if (m_retry_later) {
+      m_response.set(http::field::retry_after, kRetryAfterSeconds);
+    }
+    m_response.keep_alive(m_keep_alive);
     m_response.body() = std::move(response.body);
     m_response.prepare_payload();
     m_stream.expires_after(kIdleTimeout);
     http::async_write(m_stream, m_response, [self = shared_from_this()](auto error, auto) {
+      self->release_body();
       if (!error && self->m_response.keep_alive()) {
         self->read();
       }
@@ -103,9 +207,28 @@
   beast::flat_buffer m_buffer;
   std::optional<BoundedRequestParser<http::string_body>> m_parser;
   http::response<http::string_body> m_response;
-  AdminServer::Handler m_handler;
+  std::shared_ptr<AdminState> m_state;
+  // Key in AdminState::reading.
+  std::uint64_t m_number = 0;
+  std::size_t m_body_bytes = 0;
+  bool m_keep_alive = false;
+  bool m_retry_later = false;
 };
 
+// Closes the connection that has been waiting for a request for the longest time.
+// \return whether there is one
+bool
+close_longest_reading(AdminState& state)
+{
+  if (state.reading.empty()) {
+    return false;
+  }
+  const auto longest = state.reading.begin();
+  longest->second->close();
+  state.reading.erase(longest);
+  return true;
+}
+
 } // namespace
 
 std::string
@@ -123,48 +246,42 @@
   return "";
 }
 
-struct AdminServer::Impl : std::enable_shared_from_this<AdminServer::Impl>
+struct AdminServer::Impl
 {
-  Impl(asio::io_context& io, Handler admin_handler)
-    : acceptor(io)
-    , handler(std::move(admin_handler))
+  Impl(asio::io_context& io, Handler handler, EventLog& log, const AdminServerOptions& options)
+    : state(std::make_shared<AdminState>(
+        AdminState{ .handler = std::move(handler), .log = log, .options = options }))
+    , acceptor(io,
+               { .on_connection = [this](tcp::socket socket) { serve(std::move(socket)); },
+                 .close_idle = [this] { return close_longest_reading(*state); } })
   {
   }
 
-  void accept()
+  void serve(tcp::socket socket) const
   {
-    acceptor.async_accept([self = shared_from_this()](auto error, tcp::socket socket) {
-      if (!self->acceptor.is_open()) {
-        return;
-      }
-      if (!error) {
-        std::make_shared<AdminSession>(std::move(socket), self->handler)->read();
-      }
-      self->accept();
-    });
+    if (state->connections < state->options.max_connections || close_longest_reading(*state)) {
+      std::make_shared<AdminSession>(std::move(socket), state)->read();
+    }
   }
 
-  tcp::acceptor acceptor;
-  Handler handler;
+  std::shared_ptr<AdminState> state;
+  ConnectionAcceptor acceptor;
 };
 
-AdminServer::AdminServer(asio::io_context& context, Handler handler)
-  : m_impl(std::make_shared<Impl>(context, std::move(handler)))
+AdminServer::AdminServer(asio::io_context& context,
+                         Handler handler,
+                         EventLog& log,
+                         AdminServerOptions options)
+  : m_impl(std::make_shared<Impl>(context, std::move(handler), log, options))
 {
 }
 
-AdminServer::~AdminServer()
-{
-  boost::system::error_code ignored;
-  m_impl->acceptor.close(ignored);
-}
+AdminServer::~AdminServer() = default;
 
 Result<void>
 AdminServer::start(const std::string& address)
 {
-  BOOST_OUTCOME_TRYV(listen_on(m_impl->acceptor, address, "listen.admin"));
-  m_impl->accept();
-  return boost::outcome_v2::success();
+  return m_impl->acceptor.start(address, "listen.admin");
 }
 
 } // namespace lovagehold
--- a/src/libadapters/admin_server_test.cpp
+++ b/src/libadapters/admin_server_test.cpp
@@ -18,6 +18,7 @@
 using boost::asio::ip::tcp;
 
 constexpr unsigned short kPort = 7460;
+constexpr std::size_t kMaxConnections = 20;
 
 tcp::endpoint
 endpoint()
@@ -34,8 +35,13 @@
   AdminServerTest()
     : m_server(m_context,
                [](const AdminRequest& request, const AdminServer::Reply& reply) {
-          reply({ .body = request.path });
-        })
+                 if (request.path == "/throws") {
+                   throw std::runtime_error("odd call");
+                 }
+                 reply({ .body = request.path });
+               },
+               m_log,
+               { .max_connections = kMaxConnections })
   {
     const std::string address =
       endpoint().address().to_string() + ":" + std::to_string(endpoint().port());
@@ -87,6 +93,7 @@
     return read(socket, "(close)");
   }
 
+  EventLog m_log{ { .host = "admin-server-test", .level = "error" } };
   boost::asio::io_context m_context;
   AdminServer m_server;
   std::thread m_thread;
@@ -110,5 +117,57 @@
   }
 }
 
+// Guards against an exception of one call that ends the process.
+TEST_F(AdminServerTest, ExceptionEndsOnlyItsCall)
+{
+  EXPECT_NE(get("/throws").find("500"), std::string::npos);
+  EXPECT_NE(get("/other").find("/other"), std::string::npos);
+}
+
+// Guards against idle connections that keep all others out.
+TEST_F(AdminServerTest, IdleConnectionsGiveWay)
+{
+  boost::asio::io_context context;
+  std::vector<tcp::socket> idle;
+  for (std::size_t i = 0; i < 3 * kMaxConnections; ++i) {
+    idle.push_back(connect(context));
+  }
+  EXPECT_NE(get("/other").find("/other"), std::string::npos);
+  // The last connections are still open, the first one is closed.
+  boost::asio::write(idle.back(),
+                     boost::asio::buffer(std::string("GET /last HTTP/1.1\r\nHost: a\r\n\r\n")));
+  EXPECT_NE(read(idle.back(), "/last").find("/last"), std::string::npos);
+  EXPECT_EQ(read(idle.front(), "(close)"), "");
+}
+
+// Guards against bodies of many requests at once that fill the memory of the host.
+TEST_F(AdminServerTest, BodiesOfAllConnectionsAreBounded)
+{
+  const std::string head = "PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4194304\r\n\r\n";
+  boost::asio::io_context context;
+  std::vector<tcp::socket> clients;
+  for (int i = 0; i < 8; ++i) {
+    clients.push_back(connect(context));
+    boost::asio::write(clients.back(), boost::asio::buffer(head));
+  }
+  const std::string body(4194304, 'x');
+  std::string refused;
+  while (refused.empty()) {
+    // The server may not have read all eight headers yet.
+    tcp::socket client = connect(context);
+    boost::system::error_code ignored;
+    boost::asio::write(client, boost::asio::buffer(head + "x"), ignored);
+    const timeval limit{ .tv_sec = 0, .tv_usec = 100000 };
+    ::setsockopt(client.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    refused = read(client, "(close)");
+  }
+  EXPECT_NE(refused.find("503"), std::string::npos);
+  EXPECT_NE(refused.find("Retry-After: 1"), std::string::npos);
+  // Small requests are served, and the bodies that were accepted can still arrive.
+  EXPECT_NE(get("/other").find("/other"), std::string::npos);
+  boost::asio::write(clients.front(), boost::asio::buffer(body));
+  EXPECT_NE(read(clients.front(), "/x").find("/x"), std::string::npos);
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -104,11 +104,12 @@
       }
       const TimePoint wait_end = m_context->shutting_down ? *shutdown_idle_end : idle_end;
       boost::system::error_code error;
-      m_context->idle_callers.insert(&m_stream);
+      const std::uint64_t number = m_context->next_idle_caller++;
+      m_context->idle_callers.emplace(number, &m_stream);
       m_read_timer.arm(std::min(wait_end, idle_end));
       co_await m_stream.socket().async_wait(tcp::socket::wait_read, capture(error));
       m_read_timer.disarm(error);
-      m_context->idle_callers.erase(&m_stream);
+      m_context->idle_callers.erase(number);
       if (!error) {
         co_return true;
       }
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -1,7 +1,7 @@
 #include "lovagehold/gateway.h"
 
 #include "caller_connection.h"
-#include "lovagehold/address.h"
+#include "lovagehold/connection_acceptor.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,32 +9,28 @@
 
 namespace lovagehold {
 
-struct Gateway::Impl : std::enable_shared_from_this<Gateway::Impl>
+struct Gateway::Impl
 {
   Impl(asio::io_context& io, GatewayOptions options, EventLog& log)
     : context(std::make_shared<GatewayContext>(io, std::move(options), log))
-    , acceptor(io)
+    , acceptor(io,
+               { .on_connection = [this](tcp::socket socket) { serve(std::move(socket)); },
+                 .close_idle = [this] { return context->close_idle_caller(); } })
   {
   }
 
-  std::shared_ptr<GatewayContext> context;
-  tcp::acceptor acceptor;
-
-  void accept()
+  void serve(tcp::socket socket)
   {
-    acceptor.async_accept([self = shared_from_this()](auto error, tcp::socket socket) {
-      if (!self->acceptor.is_open()) {
-        return;
-      }
-      if (!error && self->context->connections < self->context->options.max_connections) {
-        boost::system::error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
-        asio::co_spawn(
-          self->context->io, serve_caller(self->context, std::move(socket)), asio::detached);
-      }
-      self->accept();
-    });
+    const bool full = context->connections >= context->options.max_connections;
+    if (full && !context->close_idle_caller()) {
+      ++context->counters.connections_refused;
+      return;
+    }
+    asio::co_spawn(context->io, serve_caller(context, std::move(socket)), asio::detached);
   }
+
+  std::shared_ptr<GatewayContext> context;
+  ConnectionAcceptor acceptor;
 };
 
 Gateway::Gateway(asio::io_context& context, GatewayOptions options, EventLog& log)
@@ -42,19 +38,12 @@
 {
 }
 
-Gateway::~Gateway()
-{
-  boost::system::error_code ignored;
-  m_impl->acceptor.close(ignored);
-}
+Gateway::~Gateway() = default;
 
 Result<void>
 Gateway::start()
 {
-  const std::string& address = m_impl->context->options.listen_address;
-  BOOST_OUTCOME_TRYV(listen_on(m_impl->acceptor, address, "the address for callers"));
-  m_impl->accept();
-  return boost::outcome_v2::success();
+  return m_impl->acceptor.start(m_impl->context->options.listen_address, "the address for callers");
 }
 
 void
@@ -122,7 +111,7 @@
 {
   m_impl->context->shutdown = { .begin = now, .end = deadline };
   m_impl->context->shutting_down = true;
-  for (beast::tcp_stream* caller : m_impl->context->idle_callers) {
+  for (const auto& [number, caller] : m_impl->context->idle_callers) {
     caller->cancel();
   }
 }
@@ -183,6 +172,9 @@
   count("lovagehold_retries_total", "Attempts after a failed one.", counters.retries);
   count("lovagehold_hedges_total", "Attempts beside a slow one.", counters.hedges);
   count("lovagehold_probes_total", "Health checks sent.", counters.probes);
+  count("lovagehold_connections_refused_total",
+        "Connections of callers closed at once because there are too many.",
+        counters.connections_refused);
   count("lovagehold_server_connections_total",
         "Connections opened to servers.",
         counters.server_connections);
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -61,8 +61,21 @@
   ShutdownPeriod shutdown;
   /// Timers of requests that wait for the first routing configuration; cancelled when it arrives.
   std::set<asio::steady_timer*> routing_waiters;
-  /// Connections of callers that wait for their next request; cancelled when the shutdown begins.
-  std::set<beast::tcp_stream*> idle_callers;
+  /// Connections of callers that wait for their next request, longest waiting first; cancelled when
+  /// the shutdown begins.
+  std::map<std::uint64_t, beast::tcp_stream*> idle_callers;
+  std::uint64_t next_idle_caller = 0;
+
+  /// Closes the connection that has been idle for the longest time. \return whether there is one
+  bool close_idle_caller()
+  {
+    if (idle_callers.empty()) {
+      return false;
+    }
+    idle_callers.begin()->second->cancel();
+    idle_callers.erase(idle_callers.begin());
+    return true;
+  }
 
   ServerSelector& selector(const ServiceName& service)
   {
--- a/src/libproxy/framing.h
+++ b/src/libproxy/framing.h
@@ -1,26 +1,16 @@
 #pragma once
 
 #include "http_types.h"
+#include "libhttp/request_fault.h"
 
 #include <optional>
 
 namespace lovagehold {
 
-/// Error response to a request that is rejected before it is routed.
-struct RequestFault
-{
-  http::status status = http::status::bad_request;
-  std::string error;
-  std::string remedy;
-};
-
 /// Checks the request's header. Rejects framing, routing fields and limits that can be interpreted
 /// in more than one way, which prevents request smuggling. \return nothing if the header is valid.
 std::optional<RequestFault> check_request_header(const http::request_header<>& header);
 
-/// \return the error response to a request that could not be read or parsed.
-RequestFault describe_parse_error(const boost::system::error_code& error);
-
 /// \return whether the response is HTTP/1.1 with an unambiguous length that does not depend on the
 /// closing of the connection. A response that ends with the connection can't be distinguished from
 /// a truncated one. \param bodiless the response has no body because of its status or the request's
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -100,10 +100,13 @@
                 },
                 [this](const CrashEvidence& evidence) { send_crash_evidence(evidence); }),
               log)
-  , m_readiness_server(context,
-                       [this](const AdminRequest&, const AdminServer::Reply& reply) {
-                         reply({ .status = is_ready() ? 200U : 503U });
-                       })
+  , m_readiness_server(
+      context,
+      [this](const AdminRequest&, const AdminServer::Reply& reply) {
+        reply({ .status = is_ready() ? 200U : 503U });
+      },
+      log,
+      admin_options(m_settings))
   , m_timer(context)
   , m_shutdown_timer(context)
   , m_permit_timer(context)
@@ -152,9 +155,12 @@
   BOOST_OUTCOME_TRYV(m_readiness_server.start(m_settings.readiness_address));
   if (!m_settings.directory_address.empty()) {
     m_directory_server = std::make_unique<AdminServer>(
-      m_context, [this](const AdminRequest& request, const AdminServer::Reply& reply) {
+      m_context,
+      [this](const AdminRequest& request, const AdminServer::Reply& reply) {
         handle_directory_request(request, reply);
-      });
+      },
+      m_log,
+      admin_options(m_settings));
     BOOST_OUTCOME_TRYV(m_directory_server->start(m_settings.directory_address));
   }
   tick();
--- a/src/libsite/site.cpp
+++ b/src/libsite/site.cpp
@@ -50,7 +50,7 @@
                   AdminServer::Handler handler,
                   EventLog& log,
                   const SiteSettings& settings)
-    : m_server(context, std::move(handler))
+    : m_server(context, std::move(handler), log, admin_options(settings))
     , m_timer(context)
     , m_log(log)
     , m_address(settings.metrics_address)
--- a/src/libsite/site_settings.cpp
+++ b/src/libsite/site_settings.cpp
@@ -1,6 +1,8 @@
 #include "lovagehold/address.h"
 #include "lovagehold/site.h"
 
+#include <algorithm>
+
 namespace lovagehold {
 
 namespace {
@@ -67,6 +69,12 @@
 
 } // namespace
 
+AdminServerOptions
+admin_options(const SiteSettings& settings)
+{
+  return { .max_connections = std::max(settings.max_descriptors / 4, std::size_t{ 16 }) };
+}
+
 std::vector<Error>
 check_settings(const SiteSettings& settings)
 {
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -75,7 +75,8 @@
     m_context,
     [this](const AdminRequest& request, const AdminServer::Reply& reply) {
       handle_admin(request, reply);
-    });
+    },
+    m_log);
   if (!m_settings.entry_role) {
     return;
   }
--- a/testsuite/endings/endings.py
+++ b/testsuite/endings/endings.py
@@ -6,6 +6,7 @@
 import argparse
 import asyncio
 import os
+import resource
 import shutil
 import socket
 import sys
@@ -28,6 +29,9 @@
 MAX_GROWTH_KB = 64 << 10
 # Reader and sockets together hold less than this of a message without end.
 MAX_TAKEN_BYTES = 16 << 20
+# Processor time that a process may use in IDLE_S while it can't accept connections.
+MAX_IDLE_CPU_S = 0.5
+IDLE_S = 2.0
 
 
 class OddServer:
@@ -132,6 +136,12 @@
         return next(int(line.split()[1]) for line in status if line.startswith("VmHWM:"))
 
 
+def cpu_s(process):
+    with open(f"/proc/{process.child.pid}/stat", encoding="ascii") as stat:
+        fields = stat.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 def listeners(cluster):
     """Returns (process, address) for each address that a process listens on."""
     found = []
@@ -321,8 +331,77 @@
         checks.expect("the metrics are served once their address is free", await wait_until(scraped))
 
 
+async def check_descriptors(checks, program):
+    """Idle connections at each address take all descriptors of the processes."""
+    with Run(program) as cluster:
+        cluster.start()
+        checks.expect("the cluster starts", await configure(cluster))
+        for process in cluster.all():
+            resource.prlimit(process.child.pid, resource.RLIMIT_NOFILE, (64, 64))
+        idle = []
+        for _, address in listeners(cluster):
+            host, port = address.rsplit(":", 1)
+            if int(port) != CLUSTER_PORT:
+                for _ in range(100):
+                    connection = socket.socket()
+                    connection.setblocking(False)
+                    connection.connect_ex((host, int(port)))
+                    idle.append(connection)
+        await asyncio.sleep(0.5)
+        before = {process.name: cpu_s(process) for process in cluster.all()}
+        await asyncio.sleep(IDLE_S)
+        used = max(cpu_s(process) - before[process.name] for process in cluster.all())
+        checks.expect(f"a process uses {used:.2f} s of processor time in {IDLE_S} s, at most {MAX_IDLE_CPU_S}",
+                      used <= MAX_IDLE_CPU_S)
+
+        async def answers():
+            for entry in cluster.entries:
+                if (await call(f"{entry.ip}:{READY_PORT}", "GET", "/ready", timeout=5.0)).status != 200:
+                    return False
+                if await request(entry, "/else/x") != 404:
+                    return False
+            return (await call(f"{cluster.controls[0].ip}:{CONTROL_PORT}", "GET", "/config", timeout=5.0)).status == 200
+
+        checks.expect("new connections are served beside them", await wait_until(answers))
+        checks.expect("all processes go on", all(process.running() for process in cluster.all()))
+        for connection in idle:
+            connection.close()
+
+
+async def check_bodies(checks, program):
+    """Many callers at once send the largest bodies to the control address, and never end them."""
+    with Run(program, entries=1) as cluster:
+        cluster.start()
+        checks.expect("the cluster starts", await configure(cluster))
+        control = cluster.controls[0]
+        before = peak_kb(control)
+        size = 4 << 20
+        head = f"PUT /config HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n\r\n".encode()
+
+        async def upload():
+            try:
+                _, writer = await asyncio.open_connection(control.ip, CONTROL_PORT)
+                writer.write(head + b"x" * (size - 1))
+                await asyncio.wait_for(writer.drain(), 2.0)
+                return writer
+            except (OSError, asyncio.TimeoutError):
+                return None
+
+        writers = await asyncio.gather(*(upload() for _ in range(60)))
+        await asyncio.sleep(0.5)
+        growth = peak_kb(control) - before
+        checks.expect(f"memory grows by {growth} kB, at most {MAX_GROWTH_KB}", growth <= MAX_GROWTH_KB)
+
+        async def answers():
+            return (await call(f"{control.ip}:{CONTROL_PORT}", "GET", "/config", timeout=5.0)).status == 200
+
+        checks.expect("small calls are served beside them", await wait_until(answers))
+        for writer in filter(None, writers):
+            writer.transport.abort()
+
+
 CHECKS = {"callers": check_callers, "servers": check_servers, "log-reader": check_log_reader,
-          "held-addresses": check_held_addresses}
+          "held-addresses": check_held_addresses, "descriptors": check_descriptors, "bodies": check_bodies}
 
 
 def main():
