libhttp: every read buffer has a maximum

The report of other operators (bytes without end from a server fill the memory of the host that called it) could happen here: fields behind the last chunk, one such field, chunk extensions and chunk sizes without end were kept as long as they came, from any server and at any address.

Cause: Beast parses these once they are whole, and beast::flat_buffer without a maximum grows until then.

Failed before, with Beast's buffer in place: 16 tests of OddMessageTest, and case_endings, checks callers and servers.

--- a/src/build-scripts/check-http-readers.sh
+++ b/src/build-scripts/check-http-readers.sh
@@ -3,7 +3,7 @@
 # Stand-ins, tests and their fixtures may.
 set -eu
 cd "$(dirname "$0")/../.."
-pattern='http::(request_|response_)?parser<|http::(async_)?read\(|dynamic_(string_)?buffer|\bread_until\(|async_read_until'
+pattern='http::(request_|response_)?parser<|http::(async_)?read\(|beast::(flat|multi|flat_static)_buffer|dynamic_(string_)?buffer|\bread_until\(|async_read_until'
 found=$(grep -rnE "$pattern" src platform --include='*.cpp' --include='*.h' |
   grep -vE '^src/(libhttp|teststand)/|_test\.cpp:|/(entry_fixture|gateway_fixture|scripted_server)\.h:' || true)
 if [ -n "$found" ]; then
--- a/src/libadapters/admin_server.cpp
+++ b/src/libadapters/admin_server.cpp
@@ -204,7 +204,7 @@
   }
 
   beast::tcp_stream m_stream;
-  beast::flat_buffer m_buffer;
+  ReadBuffer m_buffer;
   std::optional<BoundedRequestParser<http::string_body>> m_parser;
   http::response<http::string_body> m_response;
   std::shared_ptr<AdminState> m_state;
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -133,6 +133,7 @@
     RequestParser& parser = request->parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
+    m_buffer.allow_header(limits.header_bytes);
     boost::system::error_code error;
     m_read_timer.arm(Clock::now() + limits.header_timeout);
     co_await http::async_read_header(m_stream, m_buffer, parser, capture(error));
@@ -642,7 +643,7 @@
   std::shared_ptr<GatewayContext> m_context;
   beast::tcp_stream m_stream;
   ReadTimer m_read_timer;
-  beast::flat_buffer m_buffer;
+  ReadBuffer m_buffer;
   /// The current request while its body is still arriving.
   std::weak_ptr<ForwardedRequest> m_arriving_request;
   /// Cleared when the connection is to be closed after the current request.
--- a/src/libhttp/bounded_reader.h
+++ b/src/libhttp/bounded_reader.h
@@ -3,6 +3,7 @@
 // Boost 1.74 uses std::exchange in awaitable.hpp without including its header.
 #include <utility>
 
+#include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdint>
@@ -10,6 +11,29 @@
 
 namespace lovagehold {
 
+/// Largest part of an HTTP message that a reader holds before it is parsed, in bytes: a header, a
+/// chunk's size line with its extensions, or all fields behind the last chunk. A larger one ends
+/// the reading with http::error::buffer_overflow.
+inline constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 64 } << 10;
+
+/// Read buffer of one connection. All HTTP is read through this type, because beast::flat_buffer
+/// without a maximum keeps whatever the peer sends until the end of a header or trailer.
+class ReadBuffer : public boost::beast::flat_buffer
+{
+public:
+  ReadBuffer()
+    : boost::beast::flat_buffer(kMaxUnparsedBytes)
+  {
+  }
+
+  /// Makes room for headers of up to \p bytes, if that is more than kMaxUnparsedBytes.
+  void allow_header(std::size_t bytes)
+  {
+    // The maximum never falls below what the buffer holds, such as pipelined requests.
+    max_size(std::max({ kMaxUnparsedBytes, bytes, size() }));
+  }
+};
+
 /// Parser for messages from a peer that may send anything. Differs from the base class in two ways:
 /// - A field that is longer than Beast can store is reported as http::error::header_limit. Beast
 ///   throws std::length_error instead, from within its asynchronous operation, where nothing but
@@ -44,12 +68,12 @@
 template<class Body>
 using BoundedResponseParser = BoundedParser<false, Body>;
 
-/// Reads a whole message. Replaces http::async_read, which also accepts other parsers.
+/// Reads a whole message. Replaces http::async_read, which also accepts readers without bounds.
 /// \param token completion token of Asio with the signature (error_code, std::size_t)
 template<class Stream, bool isRequest, class Body, class Token>
 auto
 async_read_message(Stream& stream,
-                   boost::beast::flat_buffer& buffer,
+                   ReadBuffer& buffer,
                    BoundedParser<isRequest, Body>& parser,
                    Token&& token)
 {
--- a/src/libhttp/bounded_reader_test.cpp
+++ b/src/libhttp/bounded_reader_test.cpp
@@ -16,7 +16,8 @@
 beast::error_code
 read(Parser& parser, const std::string& text, std::size_t header_bytes = 8192)
 {
-  beast::flat_buffer buffer(std::max(header_bytes, std::size_t{ 64 } << 10));
+  ReadBuffer buffer;
+  buffer.allow_header(header_bytes);
   parser.eager(true);
   parser.header_limit(static_cast<std::uint32_t>(header_bytes));
   std::size_t sent = 0;
@@ -84,5 +85,19 @@
   EXPECT_EQ(parser.get().count("Lovagehold-Deadline-Ms"), 0U);
 }
 
+// Guards against a maximum below what the buffer holds, of which Beast computes a huge read size.
+TEST(ReadBuffer, MaximumNeverFallsBelowTheContent)
+{
+  ReadBuffer buffer;
+  buffer.allow_header(200000);
+  buffer.prepare(150000);
+  buffer.commit(150000);
+  buffer.allow_header(100);
+  EXPECT_EQ(beast::read_size(buffer, 65536), 0U);
+  buffer.consume(150000);
+  buffer.allow_header(100);
+  EXPECT_EQ(buffer.max_size(), kMaxUnparsedBytes);
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libhttp/testing/odd_messages.h
+++ b/src/libhttp/testing/odd_messages.h
@@ -56,6 +56,19 @@
     { .name = "length beyond 64 bits",
       .bytes = head + "Content-Length: 99999999999999999999\r\n\r\nok" },
     { .name = "zero bytes", .bytes = std::string(100, '\0') },
+    { .name = "fields without end in the header", .bytes = head, .endless = line },
+    { .name = "one field without end in the header", .bytes = head + "X: ", .endless = huge },
+    { .name = "start line without end", .bytes = start_line, .endless = huge },
+    { .name = "fields without end behind the last chunk", .bytes = last_chunk, .endless = line },
+    { .name = "one field without end behind the last chunk",
+      .bytes = last_chunk + "X: ",
+      .endless = huge },
+    { .name = "chunk extension without end", .bytes = chunked + "2;x=", .endless = huge },
+    { .name = "extension of the last chunk without end",
+      .bytes = chunked + "0;x=",
+      .endless = huge },
+    { .name = "chunk size without end", .bytes = chunked, .endless = std::string(1000, '0') },
+    { .name = "noise without end", .bytes = "", .endless = std::string(1000, '\x07') },
   };
 }
 
--- a/src/libproxy/caller_session.cpp
+++ b/src/libproxy/caller_session.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-// Space in the read buffer for the start of the body, beyond a header of the largest size.
-constexpr std::size_t kBodyBufferBytes = std::size_t{ 64 } << 10;
 constexpr std::size_t kFirstReadBytes = std::size_t{ 4 } << 10;
 constexpr std::chrono::seconds kRejectTimeout{ 1 };
 
@@ -20,7 +18,7 @@
   EntryContext& context;
   EntryWorker& worker;
   beast::tcp_stream& caller;
-  beast::flat_buffer& buffer;
+  ReadBuffer& buffer;
   ReadTimer& read_timer;
 };
 
@@ -133,7 +131,8 @@
   boost::system::error_code error;
   socket.set_option(tcp::no_delay(true), error);
   beast::tcp_stream caller(std::move(socket));
-  beast::flat_buffer buffer(context->options.limits.header_bytes + kBodyBufferBytes);
+  ReadBuffer buffer;
+  buffer.allow_header(context->options.limits.header_bytes);
   ReadTimer read_timer(caller);
   Session session{ .context = *context,
                    .worker = worker,
--- a/src/libproxy/connection_pool.h
+++ b/src/libproxy/connection_pool.h
@@ -34,7 +34,7 @@
   bool timed_out() const { return m_timed_out; }
 
   tcp::socket socket;
-  beast::flat_buffer buffer;
+  ReadBuffer buffer;
   /// The connection was taken from a pool.
   bool reused = false;
   /// Idle time after which the server closes the connection; nothing if it is not known.
--- a/src/libproxy/entry_service_test.cpp
+++ b/src/libproxy/entry_service_test.cpp
@@ -120,7 +120,8 @@
   boost::asio::io_context context;
   beast::tcp_stream caller(context);
   ReadTimer read_timer(caller);
-  beast::flat_buffer buffer(20000);
+  ReadBuffer buffer;
+  buffer.allow_header(200000);
   RequestParser parser;
   const CallerLimits limits;
   LinkPacer pacer({ .link_mbps = 2 });
@@ -128,7 +129,7 @@
     const UploadSource upload(caller, read_timer, buffer, parser, limits, false, &pacer);
     EXPECT_EQ(buffer.max_size(), LinkPacer::kPieceBytes);
   }
-  EXPECT_EQ(buffer.max_size(), 20000U);
+  EXPECT_EQ(buffer.max_size(), 200000U);
 }
 
 } // namespace
--- a/src/libproxy/server_probe.cpp
+++ b/src/libproxy/server_probe.cpp
@@ -21,7 +21,7 @@
   request.set(http::field::connection, "close");
   BoundedResponseParser<http::string_body> response;
   response.body_limit(kMaxProbeBodyBytes);
-  beast::flat_buffer buffer;
+  ReadBuffer buffer;
   const auto endpoint = parse_endpoint(probe.address);
   boost::system::error_code error = asio::error::invalid_argument;
   if (endpoint) {
--- a/src/libproxy/upload_source.cpp
+++ b/src/libproxy/upload_source.cpp
@@ -9,7 +9,7 @@
 
 UploadSource::UploadSource(beast::tcp_stream& caller,
                            ReadTimer& read_timer,
-                           beast::flat_buffer& buffer,
+                           ReadBuffer& buffer,
                            RequestParser& parser,
                            const CallerLimits& limits,
                            bool expects_continue,
--- a/src/libproxy/upload_source.h
+++ b/src/libproxy/upload_source.h
@@ -21,7 +21,7 @@
 public:
   UploadSource(beast::tcp_stream& caller,
                ReadTimer& read_timer,
-               beast::flat_buffer& buffer,
+               ReadBuffer& buffer,
                RequestParser& parser,
                const CallerLimits& limits,
                bool expects_continue,
@@ -76,7 +76,7 @@
 
   beast::tcp_stream& m_caller;
   ReadTimer& m_read_timer;
-  beast::flat_buffer& m_buffer;
+  ReadBuffer& m_buffer;
   RequestParser& m_parser;
   CallerLimits m_limits;
   bool m_expects_continue;
--- a/src/lovagectl/admin_client.cpp
+++ b/src/lovagectl/admin_client.cpp
@@ -27,7 +27,7 @@
   }
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  ReadBuffer buffer;
   http::request<http::string_body> request;
   BoundedResponseParser<http::string_body> response;
   boost::system::error_code error;
--- a/testsuite/soak/odd_messages.py
+++ b/testsuite/soak/odd_messages.py
@@ -25,4 +25,11 @@
         ("negative chunk size", chunked + b"-1\r\nok\r\n0\r\n\r\n", b""),
         ("two lengths", head + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nok", b""),
         ("zero bytes", bytes(100), b""),
+        ("fields without end in the header", head, NOISE_LINE),
+        ("start line without end", start_line, HUGE),
+        ("fields without end behind the last chunk", last_chunk, NOISE_LINE),
+        ("one field without end behind the last chunk", last_chunk + b"X: ", HUGE),
+        ("chunk extension without end", chunked + b"2;x=", HUGE),
+        ("chunk size without end", chunked, b"0" * 1000),
+        ("noise without end", b"", b"\x07" * 1000),
     ]
