libgateway: the rest of a body is never read as requests

An upload that arrived before the first configuration was answered 503 on a kept connection; the rest of its body was read as the next requests, and a server ran one that no client had sent.

Cause: each branch that answers decided by itself whether the connection is kept, and this one did not ask whether the body had been read. The decision is in add_connection_close() now, through which all responses pass; the checks in the branches are gone.

--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -151,7 +151,12 @@
     }
     ++m_context->in_progress;
     ++m_context->counters.requests;
+    m_request = request.get();
     co_await serve_request(request);
+    m_request = nullptr;
+    if (!request->read_whole()) {
+      m_open = false;
+    }
     if (request->upload) {
       request->upload->close();
     }
@@ -286,7 +291,6 @@
     const Route* route = routing->find(std::string_view(host.data(), host.size()),
                                        std::string_view(target).substr(0, target.find('?')));
     if (route == nullptr) {
-      m_open = m_open && request->read_whole();
       const GatewayErrorResponse error_response{ .status = 404,
                                                  .reason = "no route matches the request" };
       log_refused_request(header, error_response);
@@ -419,7 +423,6 @@
     co_await forwarded->run();
     if (!incoming->read_whole()) {
       incoming->upload->close();
-      m_open = false;
     }
     unsigned status = 0;
     if (forwarded->abandoned()) {
@@ -505,10 +508,13 @@
     m_context->metrics.record(service, request_class, outcome, latency);
   }
 
-  // Sets "Connection: close" if this response is the last one on the connection.
+  // Decides for all responses whether the connection is kept, and sets "Connection: close" if not.
+  // A request that has not been read to its end is the last one: the rest of its body must not be
+  // taken for requests.
   void add_connection_close(http::fields& fields)
   {
-    if (m_context->shutting_down || Clock::now() < m_context->spread_until) {
+    const bool read_whole = m_request != nullptr && m_request->read_whole();
+    if (!read_whole || m_context->shutting_down || Clock::now() < m_context->spread_until) {
       m_open = false;
     }
     if (!m_open) {
@@ -644,6 +650,8 @@
   beast::tcp_stream m_stream;
   ReadTimer m_read_timer;
   ReadBuffer m_buffer;
+  /// The request that is being served; null between requests and before a whole header.
+  const IncomingRequest* m_request = nullptr;
   /// The current request while its body is still arriving.
   std::weak_ptr<ForwardedRequest> m_arriving_request;
   /// Cleared when the connection is to be closed after the current request.
--- a/src/libgateway/upload_test.cpp
+++ b/src/libgateway/upload_test.cpp
@@ -99,6 +99,41 @@
 {
 protected:
   static bool chunked() { return GetParam(); }
+
+  // A body whose text looks like requests.
+  static std::string smuggling_body(std::size_t size)
+  {
+    const std::string request = "GET /safe/smuggled HTTP/1.1\r\nHost: a.example\r\n"
+                                "Lovagehold-Request-Id: inner\r\n\r\n";
+    std::string body;
+    while (body.size() < size) {
+      body += request;
+    }
+    return body;
+  }
+
+  // Sends a long upload and expects that no part of its body is served as a request.
+  void expect_nothing_smuggled(const std::string& path, unsigned status)
+  {
+    Caller caller(kPort);
+    const std::string body = smuggling_body(kLongBytes);
+    caller.send_head(path, Caller::framing(body.size(), chunked()));
+    std::thread sender([&] { caller.send_body(body, chunked()); });
+    const std::string response = caller.read_response();
+    EXPECT_EQ(status_of(response), static_cast<int>(status)) << response;
+    EXPECT_NE(response.find("Connection: close"), std::string::npos) << response;
+    // A body that is taken for requests would be answered with further responses.
+    EXPECT_EQ(caller.read_response(), "");
+    sender.join();
+    for (const auto& server : m_servers) {
+      for (const ReceivedRequest& received : server->requests()) {
+        // The gateway adds this header to what it sends; the stand-in itself reads on into a body
+        // that it has answered early.
+        const bool sent = !received.header("Lovagehold-Expect-Instance").empty();
+        EXPECT_FALSE(sent && received.head.rfind("GET /safe/smuggled", 0) == 0);
+      }
+    }
+  }
 };
 
 // Guards against a use after free: a server's early response ends the request while its body is
@@ -154,6 +189,70 @@
   EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
 }
 
+// Guards against bytes of a body that are served as requests: before the first configuration.
+TEST_P(UploadTest, BodyIsNotServedAsRequestsWithoutConfiguration)
+{
+  add_server(kServe);
+  std::thread late([this] {
+    std::this_thread::sleep_for(milliseconds(900));
+    configure();
+  });
+  expect_nothing_smuggled("/once/x", 503);
+  late.join();
+}
+
+// Guards against bytes of a body that are served as requests: no route matches.
+TEST_P(UploadTest, BodyIsNotServedAsRequestsWithoutRoute)
+{
+  add_server(kServe);
+  configure();
+  expect_nothing_smuggled("/else/x", 404);
+}
+
+// Guards against bytes of a body that are served as requests: the servers are full.
+TEST_P(UploadTest, BodyIsNotServedAsRequestsAfterARefusal)
+{
+  add_server(kRefuse).respond_early();
+  configure();
+  expect_nothing_smuggled("/once/x", 503);
+}
+
+// Guards against bytes of a body that are served as requests: the host shuts down.
+TEST_P(UploadTest, BodyIsNotServedAsRequestsDuringShutdown)
+{
+  add_server(kServe);
+  configure();
+  on_gateway([this] {
+    const TimePoint now = Clock::now();
+    m_gateway.begin_shutdown(now + milliseconds(100), now);
+  });
+  expect_nothing_smuggled("/once/x", 503);
+}
+
+// Guards against bytes of a body that are served as requests: a server answers early.
+TEST_P(UploadTest, BodyIsNotServedAsRequestsAfterAnEarlyResponse)
+{
+  add_server(kServe).respond_early();
+  configure();
+  expect_nothing_smuggled("/once/x", 200);
+}
+
+// Guards against a connection that is closed although its request has been read whole.
+TEST_P(UploadTest, ConnectionIsKeptAfterAWholeRequest)
+{
+  add_server(kServe);
+  configure();
+  Caller caller(kPort);
+  const std::string body(100, 'x');
+  for (const char* path : { "/else/x", "/safe/x", "/else/x" }) {
+    caller.send_head(path, Caller::framing(body.size(), chunked()));
+    caller.send_body(body, chunked());
+    const std::string response = caller.read_response();
+    EXPECT_EQ(status_of(response), std::string(path) == "/safe/x" ? 200 : 404) << response;
+    EXPECT_EQ(response.find("Connection: close"), std::string::npos) << response;
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(,
                          UploadTest,
                          ::testing::Bool(),
