libgateway: the limits in force when a request begins hold for it

After a change had raised maxBodyBytes, uploads on connections that had been open before were broken off, or refused with 413, at the old limit.

Cause: serve_one() copied the limits before it waited for the next request. They are taken when its first byte has arrived; a raised idle timeout holds for connections that are already waiting.

--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -91,17 +91,18 @@
   // Waits for the first byte of the next request. The wait is interrupted when the shutdown begins,
   // and continues with the shorter timeout.
   // \return whether there is data to read
-  awaitable<bool> wait_for_request(const RequestLimits& limits)
+  awaitable<bool> wait_for_request()
   {
     if (m_buffer.size() > 0) {
       co_return true;
     }
-    const TimePoint idle_end = Clock::now() + limits.idle_timeout;
+    const TimePoint idle_since = Clock::now();
     std::optional<TimePoint> shutdown_idle_end;
     while (true) {
       if (m_context->shutting_down && !shutdown_idle_end) {
         shutdown_idle_end = Clock::now() + kShutdownIdleTimeout;
       }
+      const TimePoint idle_end = idle_since + limits().idle_timeout;
       const TimePoint wait_end = m_context->shutting_down ? *shutdown_idle_end : idle_end;
       boost::system::error_code error;
       const std::uint64_t number = m_context->next_idle_caller++;
@@ -115,7 +116,11 @@
       }
       const bool shutdown_began =
         error == asio::error::operation_aborted && m_context->shutting_down;
-      if (!shutdown_began || Clock::now() >= std::min(wait_end, idle_end)) {
+      // The configuration may have raised the idle timeout in the meantime.
+      const bool timeout_raised =
+        error == beast::error::timeout && Clock::now() < idle_since + limits().idle_timeout;
+      if ((!shutdown_began && !timeout_raised) ||
+          (m_context->shutting_down && Clock::now() >= std::min(wait_end, idle_end))) {
         co_return false;
       }
     }
@@ -123,12 +128,14 @@
 
   awaitable<void> serve_one()
   {
-    const RequestLimits limits = this->limits();
-    const bool has_data = co_await wait_for_request(limits);
+    const bool has_data = co_await wait_for_request();
     if (!has_data) {
       m_open = false;
       co_return;
     }
+    // Taken when the first byte has arrived: a kept connection may have been idle for so long that
+    // the limits of an earlier configuration no longer hold.
+    const RequestLimits limits = this->limits();
     const auto request = std::make_shared<IncomingRequest>(shared_from_this(), limits);
     RequestParser& parser = request->parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
--- a/src/libgateway/upload_test.cpp
+++ b/src/libgateway/upload_test.cpp
@@ -253,6 +253,47 @@
   }
 }
 
+// Guards against a limit of a replaced configuration: a connection was idle while the limit of
+// bodies was raised.
+TEST_P(UploadTest, LimitsOfANewConfigurationHoldOnKeptConnections)
+{
+  add_server(kServe);
+  m_limits.body_bytes = 1000;
+  configure();
+  Caller caller(kPort);
+  const auto upload = [&](std::size_t size) {
+    caller.send_head("/safe/x", Caller::framing(size, chunked()));
+    caller.send_body(std::string(size, 'x'), chunked());
+    return status_of(caller.read_response());
+  };
+  EXPECT_EQ(upload(100), 200);
+  m_limits.body_bytes = 100000;
+  configure();
+  EXPECT_EQ(upload(50000), 200);
+  m_limits.body_bytes = 1000;
+  configure();
+  EXPECT_EQ(upload(50000), 413);
+}
+
+// Guards against a kept connection that is closed at an idle timeout that has been raised.
+TEST_P(UploadTest, RaisedIdleTimeoutHoldsOnKeptConnections)
+{
+  add_server(kServe);
+  m_limits.idle_timeout = milliseconds(300);
+  configure();
+  Caller caller(kPort);
+  const auto serve = [&] {
+    caller.send_head("/safe/x", Caller::framing(1, false));
+    caller.send("x");
+    return status_of(caller.read_response());
+  };
+  EXPECT_EQ(serve(), 200);
+  m_limits.idle_timeout = milliseconds(5000);
+  configure();
+  std::this_thread::sleep_for(milliseconds(500));
+  EXPECT_EQ(serve(), 200);
+}
+
 INSTANTIATE_TEST_SUITE_P(,
                          UploadTest,
                          ::testing::Bool(),
