libgateway: an exception in a coroutine is logged and counted

A coroutine that threw ended without a trace, because asio::detached drops the exception, and the counts of connections and requests in progress stayed too high, so that a shutdown waited for its whole time.

Each coroutine of the gateway now has a completion handler that logs the event internal_error with its task and counts it; the counts are kept by scope.

GatewayTest.ExceptionEndsOnlyItsProbeAndIsCounted needs the new counter, so it could not be run before the change.

--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -99,6 +99,8 @@
   /// Connections opened to servers.
   std::uint64_t server_connections = 0;
   std::uint64_t connections_refused = 0;
+  /// Exceptions that ended the serving of a connection, an attempt or a probe.
+  std::uint64_t exceptions = 0;
   /// Attempts whose server's process ended while it held the request.
   std::uint64_t server_crashes = 0;
   /// Requests that were not sent because they are quarantined.
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -5,7 +5,6 @@
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 #include <sys/socket.h>
@@ -156,7 +155,7 @@
       }
       co_return;
     }
-    ++m_context->in_progress;
+    const CountedScope in_progress(m_context->in_progress);
     ++m_context->counters.requests;
     m_request = request.get();
     co_await serve_request(request);
@@ -167,7 +166,6 @@
     if (request->upload) {
       request->upload->close();
     }
-    --m_context->in_progress;
   }
 
   awaitable<void> serve_request(IncomingRequestPtr request)
@@ -239,7 +237,7 @@
       [self = shared_from_this(), request]() -> awaitable<void> {
         co_await self->receive_body(request);
       },
-      asio::detached);
+      m_context->report_exceptions("receive_body"));
     co_await route(request);
     // A response that is sent before the end of the body would be lost if the connection were
     // closed with unread bytes.
@@ -458,7 +456,7 @@
       m_context->io,
       [self = shared_from_this(), weak = std::weak_ptr<ForwardedRequest>(forwarded)]()
         -> awaitable<void> { co_await self->watch_for_disconnect(weak); },
-      asio::detached);
+      m_context->report_exceptions("disconnect_watch"));
   }
 
   void log_request(const std::string& id,
@@ -671,12 +669,9 @@
 awaitable<void>
 serve_caller(std::shared_ptr<GatewayContext> context, tcp::socket socket)
 {
-  ++context->connections;
-  {
-    const auto connection = std::make_shared<CallerConnection>(context, std::move(socket));
-    co_await connection->run();
-  }
-  --context->connections;
+  const CountedScope counted(context->connections);
+  const auto connection = std::make_shared<CallerConnection>(context, std::move(socket));
+  co_await connection->run();
 }
 
 } // namespace lovagehold
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 #include <limits>
 #include <utility>
@@ -152,7 +151,7 @@
   asio::co_spawn(
     m_context.io,
     [self = shared_from_this(), hedge]() -> awaitable<void> { co_await self->run_attempt(hedge); },
-    asio::detached);
+    m_context.report_exceptions("attempt"));
 }
 
 awaitable<void>
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -4,7 +4,6 @@
 #include "lovagehold/connection_acceptor.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 namespace lovagehold {
@@ -26,7 +25,9 @@
       ++context->counters.connections_refused;
       return;
     }
-    asio::co_spawn(context->io, serve_caller(context, std::move(socket)), asio::detached);
+    asio::co_spawn(context->io,
+                   serve_caller(context, std::move(socket)),
+                   context->report_exceptions("caller_connection"));
   }
 
   std::shared_ptr<GatewayContext> context;
@@ -175,6 +176,9 @@
   count("lovagehold_connections_refused_total",
         "Connections of callers closed at once because there are too many.",
         counters.connections_refused);
+  count("lovagehold_exceptions_total",
+        "Exceptions that ended the serving of a connection, an attempt or a probe.",
+        counters.exceptions);
   count("lovagehold_server_connections_total",
         "Connections opened to servers.",
         counters.server_connections);
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -9,12 +9,30 @@
 #include "lovagehold/routing_table.h"
 #include "waiting_queue.h"
 
+#include <exception>
 #include <random>
 #include <set>
 #include <unordered_map>
 
 namespace lovagehold {
 
+/// Counts something from its construction to its destruction, whatever ends its scope.
+class CountedScope
+{
+public:
+  explicit CountedScope(std::size_t& count)
+    : m_count(count)
+  {
+    ++m_count;
+  }
+  ~CountedScope() { --m_count; }
+  CountedScope(const CountedScope&) = delete;
+  CountedScope& operator=(const CountedScope&) = delete;
+
+private:
+  std::size_t& m_count;
+};
+
 /// State shared by all requests of a gateway. Accessed only on the gateway's thread.
 struct GatewayContext
 {
@@ -77,6 +95,24 @@
     return true;
   }
 
+  /// \param task name of what a coroutine does, for the log
+  /// \return a completion handler for asio::co_spawn that logs and counts an exception, which would
+  /// otherwise be lost. The exception has ended only that coroutine.
+  auto report_exceptions(const char* task)
+  {
+    return [this, task](const std::exception_ptr& exception) {
+      if (!exception) {
+        return;
+      }
+      ++counters.exceptions;
+      try {
+        std::rethrow_exception(exception);
+      } catch (const std::exception& error) {
+        log.warn("internal_error", { { "task", task }, { "error", error.what() } });
+      }
+    };
+  }
+
   ServerSelector& selector(const ServiceName& service)
   {
     const auto [entry, is_new] = selectors.try_emplace(
--- a/src/libgateway/gateway_fixture.h
+++ b/src/libgateway/gateway_fixture.h
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 #include <future>
 #include <gtest/gtest.h>
+#include <stdexcept>
 
 namespace lovagehold {
 
@@ -54,6 +55,9 @@
                         .limit = "Server-Limit",
                         .load = "Lovagehold-Server-Load",
                         .parse_load = [](std::string_view text) {
+                          if (text == "throw") {
+                            throw std::runtime_error("odd load report");
+                          }
                           return LoadReport{ .running = static_cast<unsigned>(text[0] - '0'),
                                              .slots = 3 };
                         } };
--- a/src/libgateway/load_probe.cpp
+++ b/src/libgateway/load_probe.cpp
@@ -5,7 +5,6 @@
 #include "lovagehold/address.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
 namespace lovagehold {
@@ -124,7 +123,7 @@
         batch->done.cancel();
       }
     },
-    asio::detached);
+    context.report_exceptions("load_probe"));
 }
 
 } // namespace
--- a/src/libgateway/odd_message_test.cpp
+++ b/src/libgateway/odd_message_test.cpp
@@ -90,6 +90,21 @@
   expect_service();
 }
 
+// Guards against an exception that is lost, with the probe or connection that it ended.
+TEST_F(GatewayTest, ExceptionEndsOnlyItsProbeAndIsCounted)
+{
+  ScriptedServer& server = add_server(kServe);
+  configure(milliseconds(1000));
+  server.answer_checks_with("HTTP/1.1 200 OK\r\nLovagehold-Server-Load: throw\r\n"
+                            "Content-Length: 0\r\n\r\n",
+                            "");
+  EXPECT_NE(send(request("GET", "/safe/x")), "(not closed)");
+  EXPECT_GE(server.checks(), 1U);
+  std::uint64_t exceptions = 0;
+  on_gateway([&] { exceptions = m_gateway.counters().exceptions; });
+  EXPECT_GE(exceptions, 1U);
+}
+
 std::string
 test_name(const ::testing::TestParamInfo<OddMessage>& info)
 {
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -6,7 +6,6 @@
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <limits>
@@ -170,7 +169,7 @@
   asio::co_spawn(
     m_context.io,
     [self = shared_from_this(), request]() -> awaitable<void> { co_await self->send(request); },
-    asio::detached);
+    m_context.report_exceptions("send_request"));
 }
 
 awaitable<void>
