soak: odd messages, log readers that end, held addresses, late reports

It draws now: odd messages from one table, at each address of each process and from servers; answers before the end of the body; bodies of up to 1.5 MB with a length and in chunks, and callers that leave within them; restarts without a reader of the log and beside a process that holds an address; reports that come seconds late and twice, also after the leave; servers that leave with DELETE. A process that ends by itself is a violation.

--- a/testsuite/endings/endings.py
+++ b/testsuite/endings/endings.py
@@ -18,17 +18,15 @@
 sys.path.insert(0, os.path.join(HERE, "..", "..", "platform", "testing"))
 
 import wire
-from cluster import CLUSTER_PORT, CONTROL_PORT, DIRECTORY_PORT, ENTRY_PORT, METRICS_PORT, READY_PORT, Cluster
+from cluster import CLUSTER_PORT, CONTROL_PORT, ENTRY_PORT, METRICS_PORT, READY_PORT, Cluster
 from http_io import call, format_message, read_message
-from odd_messages import odd_messages
+from odd_messages import MAX_TAKEN_BYTES, odd_messages, send_odd
 from soak import CALL_ERRORS
 
 TIMEOUT_S = 30.0
 NET = os.environ.get("LOVAGEHOLD_TEST_NET", "127.10")
 # What a process may take beyond its memory before the check; the platform allows an entry host 182 MB.
 MAX_GROWTH_KB = 64 << 10
-# Reader and sockets together hold less than this of a message without end.
-MAX_TAKEN_BYTES = 16 << 20
 # Processor time that a process may use in IDLE_S while it can't accept connections.
 MAX_IDLE_CPU_S = 0.5
 IDLE_S = 2.0
@@ -89,22 +87,7 @@
         lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items()).encode()
         _, data, endless = odd_messages(b"HTTP/1.1 200 OK", lines)[self.played[1]]
         self.plays += 1
-        self.taken = max(self.taken, await send(writer, data, endless))
-
-
-async def send(writer, data, endless):
-    """Returns the bytes sent until the peer closed, or up to MAX_TAKEN_BYTES and some more."""
-    sent = 0
-    try:
-        writer.write(data)
-        await writer.drain()
-        while endless and sent <= MAX_TAKEN_BYTES and not writer.transport.is_closing():
-            writer.write(endless)
-            await writer.drain()
-            sent += len(endless)
-    except OSError:
-        pass
-    return sent
+        self.taken = max(self.taken, await send_odd(writer, data, endless))
 
 
 async def accepts(address):
@@ -120,7 +103,7 @@
     taken = 0
     try:
         reader, writer = await asyncio.open_connection(host, int(port))
-        taken = await asyncio.wait_for(send(writer, data, endless), TIMEOUT_S)
+        taken = await asyncio.wait_for(send_odd(writer, data, endless), TIMEOUT_S)
         # A process that ends closes the connection a little before it is gone.
         while await asyncio.wait_for(reader.read(65536), 0.1):
             pass
@@ -144,11 +127,7 @@
 
 def listeners(cluster):
     """Returns (process, address) for each address that a process listens on."""
-    found = []
-    for process in cluster.all():
-        ports = (CONTROL_PORT,) if process.control else (ENTRY_PORT, READY_PORT, DIRECTORY_PORT)
-        found += [(process, f"{process.ip}:{port}") for port in (*ports, METRICS_PORT, CLUSTER_PORT)]
-    return found
+    return [(process, address) for process in cluster.all() for address in process.addresses()]
 
 
 async def wait_until(condition):
@@ -286,11 +265,7 @@
     """The process that reads the log ends."""
     with Run(program) as cluster:
         for process in cluster.all():
-            read_end, write_end = os.pipe()
-            process.output = os.fdopen(write_end, "wb")
-            process.start(first=True)
-            os.close(read_end)
-            process.output = None
+            process.start_without_log_reader(first=True)
         checks.expect("the cluster starts without a reader of its log", await configure(cluster))
         # Each refused request is logged.
         for entry in cluster.entries:
--- a/testsuite/soak/cluster.py
+++ b/testsuite/soak/cluster.py
@@ -22,6 +22,8 @@
         self.control = control
         self.child = None
         self.paused = False
+        # Whether this test has ended the process, or told it to end.
+        self.stopped = True
         self.data = os.path.join(cluster.work, name + "-data")
         # Where the process writes its log instead of its file, if set.
         self.output = None
@@ -43,13 +45,31 @@
         self.child = subprocess.Popen([self.cluster.program, "--site", "--metrics-port", str(METRICS_PORT)], env=environment, stdout=log,
                                       stderr=log)
         log.close()
+        self.output = None
         self.paused = False
+        self.stopped = False
+
+    def start_without_log_reader(self, first=False):
+        """Starts the process with a log whose reader has ended."""
+        read_end, write_end = os.pipe()
+        self.output = os.fdopen(write_end, "wb")
+        self.start(first)
+        os.close(read_end)
 
     def running(self):
         return self.child is not None and self.child.poll() is None
 
+    def ended_by_itself(self):
+        return not self.stopped and not self.running()
+
+    def addresses(self):
+        """Returns the addresses on which the process reads HTTP, and the one for other hosts."""
+        ports = (CONTROL_PORT,) if self.control else (ENTRY_PORT, READY_PORT, DIRECTORY_PORT)
+        return [f"{self.ip}:{port}" for port in (*ports, METRICS_PORT, CLUSTER_PORT)]
+
     def signal(self, number):
         if self.running():
+            self.stopped = self.stopped or number in (signal.SIGTERM, signal.SIGKILL)
             self.child.send_signal(number)
             self.paused = number == signal.SIGSTOP or (self.paused and number != signal.SIGCONT)
 
--- a/testsuite/soak/odd_messages.py
+++ b/testsuite/soak/odd_messages.py
@@ -3,6 +3,8 @@
 The same table as src/libhttp/testing/odd_messages.h, for real processes.
 """
 
+# Reader and sockets together hold less than this of a message without end.
+MAX_TAKEN_BYTES = 16 << 20
 # Beast stores at most 65533 bytes in a field.
 HUGE = b"x" * 70000
 NOISE_LINE = b"X-Noise: " + b"x" * 1000 + b"\r\n"
@@ -33,3 +35,18 @@
         ("chunk size without end", chunked, b"0" * 1000),
         ("noise without end", b"", b"\x07" * 1000),
     ]
+
+
+async def send_odd(writer, data, endless):
+    """Returns the bytes sent of a message until the peer closed, or up to MAX_TAKEN_BYTES and some more."""
+    sent = 0
+    try:
+        writer.write(data)
+        await writer.drain()
+        while endless and sent <= MAX_TAKEN_BYTES and not writer.transport.is_closing():
+            writer.write(endless)
+            await writer.drain()
+            sent += len(endless)
+    except OSError:
+        pass
+    return sent
--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -7,6 +7,8 @@
 # The list also holds the seeds of former failures, each with its cause.
 seeds=(
   20261204 # fixed seed of CI
+  101      # a host started beside a process that still held one of its addresses, and stayed ended
+  102      # a control host ended with the reader of its log
 )
 for seed in "${seeds[@]}"; do
   python3 "$here/soak.py" "$BUILD/src/lovagehold/lovagehold" --seed "$seed" --seconds "${SOAK_SECONDS:-12}"
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -20,6 +20,7 @@
 import wire
 from cluster import CONTROL_PORT, DIRECTORY_PORT, ENTRY_PORT, READY_PORT, Cluster
 from http_io import call, format_message, read_message
+from odd_messages import odd_messages, send_odd
 from standins import Record, Server, expected_body
 
 SERVICES = ("desk", "ledger")
@@ -53,6 +54,13 @@
         self.stopping = False
         self.last_body = b""
         self.wiped_at = 0.0
+        self.background = set()
+
+    def spawn(self, coroutine):
+        """Runs the coroutine in the background; it is cancelled when the run ends."""
+        task = asyncio.create_task(coroutine)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
 
     def shuffled(self, items):
         return self.random.sample(items, len(items))
@@ -153,8 +161,8 @@
         request_id = f"{self.seed:x}-{self.next_id:x}"
         method, path = self.random.choice((("GET", "/safe/x"), ("POST", "/once/x"), ("GET", "/moved/x")))
         headers = {"Host": "a.example", wire.ID_HEADER: request_id, wire.DEADLINE_HEADER: "2000"}
-        body = b"x" * self.random.choice((0, 100, 40000)) if method == "POST" else b""
-        writer.write(format_message(f"{method} {path} HTTP/1.1", headers, body))
+        body = b"x" * self.random.choice((0, 100, 40000, 40000, 1500000)) if method == "POST" else b""
+        await self.send_request(writer, f"{method} {path} HTTP/1.1", headers, body)
         response = await read_message(reader)
         self.last_body = response.body
         self.record.count(str(response.status))
@@ -166,6 +174,30 @@
                 self.record.violations.append(f"request {request_id} received the wrong body or seal")
         return response.headers.get("connection", "").lower() != "close"
 
+    async def send_request(self, writer, start, headers, body):
+        """Sends the request with a length or in chunks. Some callers leave in the middle of a long body."""
+        if len(body) < 40000 or self.random.random() < 0.5:
+            data = format_message(start, headers, body)
+        else:
+            head = format_message(start, headers).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+            data = head + f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
+        if len(body) >= 40000 and self.random.random() < 0.05:
+            writer.write(data[:self.random.randrange(len(data))])
+            await writer.drain()
+            raise OSError("the caller leaves")
+        writer.write(data)
+        await writer.drain()
+
+    async def watch_processes(self):
+        """Records processes that end although nobody has told them to."""
+        reported = set()
+        while not self.stopping:
+            for process in self.cluster.all():
+                if process.ended_by_itself() and process.child.pid not in reported:
+                    reported.add(process.child.pid)
+                    self.record.violations.append(f"{process.name} ended by itself: {process.child.returncode}")
+            await asyncio.sleep(0.05)
+
     # Faults
 
     async def add_server(self, service):
@@ -176,9 +208,40 @@
 
     async def restart_later(self, process, delay):
         await asyncio.sleep(delay)
-        if not process.running():
+        if process.running():
+            return
+        kind = self.random.choice(("usual", "usual", "no log reader", "held address"))
+        if kind == "no log reader":
+            self.log_fault(f"{process.name} starts without a reader of its log")
+            process.start_without_log_reader()
+        elif kind == "held address":
+            await self.start_beside_holder(process)
+        else:
             process.start()
 
+    async def start_beside_holder(self, process):
+        """Starts the process while another one still holds one of its addresses for a short time."""
+        address = self.random.choice(process.addresses())
+        host, port = address.rsplit(":", 1)
+        self.log_fault(f"{process.name} starts while {address} is held")
+        holder = await asyncio.start_server(lambda _, writer: writer.transport.abort(), host, int(port))
+        process.start()
+        await asyncio.sleep(self.random.uniform(0.1, 0.8))
+        holder.close()
+
+    async def fault_odd_message(self):
+        process = self.random.choice(self.cluster.all())
+        address = self.random.choice(process.addresses())
+        name, data, endless = self.random.choice(odd_messages(b"PUT /config HTTP/1.1", b"Host: a.example\r\n"))
+        self.log_fault(f"{name} at {address} of {process.name}")
+        host, port = address.rsplit(":", 1)
+        try:
+            _, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
+            await asyncio.wait_for(send_odd(writer, data, endless), 3)
+            writer.transport.abort()
+        except CALL_ERRORS:
+            pass
+
     async def fault_kill(self):
         process = self.random.choice(self.cluster.all())
         self.log_fault(f"kill {process.name}")
@@ -232,7 +295,7 @@
 
     async def fault_responses(self):
         server = self.random.choice(self.servers)
-        fault = self.random.choice(("lose_answers", "truncate", "extra"))
+        fault = self.random.choice(("lose_answers", "truncate", "extra", "odd", "early"))
         self.log_fault(f"{fault} {server.id}")
         server.fault = fault
         await asyncio.sleep(self.random.uniform(1, 4))
@@ -262,7 +325,8 @@
 
     async def inject(self):
         faults = [self.fault_kill, self.fault_pause, self.fault_terminate, self.fault_wipe, self.fault_link,
-                  self.fault_responses, self.fault_replace, self.fault_limit, self.fault_config, self.fault_config]
+                  self.fault_responses, self.fault_responses, self.fault_replace, self.fault_limit,
+                  self.fault_odd_message, self.fault_odd_message, self.fault_config, self.fault_config]
         running = set()
         end = time.monotonic() + self.options.seconds
         while time.monotonic() < end:
@@ -315,6 +379,7 @@
                 return
             tasks = [asyncio.create_task(self.caller()) for _ in range(CALLERS)]
             tasks.append(asyncio.create_task(self.config_reader()))
+            tasks.append(asyncio.create_task(self.watch_processes()))
             await self.inject()
             await self.check_recovery()
             self.stopping = True
@@ -322,6 +387,8 @@
             if self.record.outcomes.get("200", 0) == 0:
                 self.record.violations.append("no request was served")
         finally:
+            for task in list(self.background):
+                task.cancel()
             self.cluster.stop()
             for server in self.servers:
                 server.crash()
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -1,10 +1,12 @@
 """Stand-ins for the soak test: servers that announce themselves, a fault-injecting proxy and a record of runs."""
 
 import asyncio
+import json
 import time
 
 import wire
 from http_io import call, format_message, read_message
+from odd_messages import odd_messages, send_odd
 
 SLOTS = 3
 
@@ -124,12 +126,27 @@
 
     async def announce(self):
         while True:
-            await self.report("ready")
+            if self.soak.random.random() < 0.1:
+                self.soak.spawn(self.report_late())
+            else:
+                await self.report("ready")
             await asyncio.sleep(0.5)
 
-    async def report(self, state):
+    def heartbeat(self, state):
         self.sequence += 1
-        body = wire.heartbeat(self.service, self.address, self.born, self.sequence, state, SLOTS)
+        return wire.heartbeat(self.service, self.address, self.born, self.sequence, state, SLOTS)
+
+    async def report_late(self):
+        """Reports that the server is ready; the call arrives seconds late, and twice."""
+        body = self.heartbeat("ready")
+        await asyncio.sleep(self.soak.random.uniform(0.5, 4))
+        await self.send_report(body)
+        await self.send_report(body)
+
+    async def report(self, state):
+        return await self.send_report(self.heartbeat(state))
+
+    async def send_report(self, body):
         for address in self.soak.shuffled(self.soak.control_addresses()):
             try:
                 response = await call(address, "PUT", f"/instances/{self.id}", body)
@@ -139,11 +156,23 @@
                 continue
         return False
 
+    async def deregister(self):
+        body = json.dumps({"born": self.born}).encode()
+        for address in self.soak.shuffled(self.soak.control_addresses()):
+            try:
+                if (await call(address, "DELETE", f"/instances/{self.id}", body)).status == 200:
+                    return True
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                continue
+        return False
+
     async def drain(self):
-        """Leaves gracefully: reports that it is draining, keeps serving for 5 s and stops."""
+        """Leaves gracefully: reports that it is draining or gone, keeps serving for 5 s and stops."""
         self.draining = True
         self.announce_task.cancel()
-        while not await self.report("draining"):
+        self.soak.spawn(self.report_late())
+        deregisters = self.soak.random.random() < 0.5
+        while not await (self.deregister() if deregisters else self.report("draining")):
             await asyncio.sleep(0.2)
         self.left_at = time.monotonic()
         await asyncio.sleep(5)
@@ -154,15 +183,19 @@
         self.tasks.add(task)
         try:
             while True:
-                request = await read_message(reader)
+                request = await read_message(reader, has_body=not self.answers_early())
                 if not await self.answer(request, writer):
                     return
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, asyncio.LimitOverrunError, ValueError):
             pass
         finally:
             self.tasks.discard(task)
             writer.transport.abort()
 
+    def answers_early(self):
+        """Whether the server answers the next request before it has read its body."""
+        return self.fault == "early" and self.soak.random.random() < 0.3
+
     def extra_headers(self):
         """Returns further headers of all answers."""
         return {} if self.limit is None else {wire.LIMIT_HEADER: f"{self.limit:.3f}"}
@@ -195,6 +228,11 @@
             self.running -= 1
         if self.fault == "lose_answers" and self.soak.random.random() < 0.3:
             return False
+        if self.fault == "odd" and self.soak.random.random() < 0.3:
+            lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items()).encode()
+            _, data, endless = self.soak.random.choice(odd_messages(b"HTTP/1.1 200 OK", lines))
+            await send_odd(writer, data, endless)
+            return False
         headers[wire.SEAL_HEADER] = "seal-" + request_id
         response = format_message("HTTP/1.1 200 OK", headers, expected_body(request_id))
         if self.fault == "truncate" and self.soak.random.random() < 0.3:
