--- a/src/libhttp/testing/odd_messages.h
+++ b/src/libhttp/testing/odd_messages.h
@@ -16,10 +16,10 @@
 };
 
 /// Names the message in the output of tests.
-inline void
-PrintTo(const OddMessage& message, std::ostream* out)
+inline std::ostream&
+operator<<(std::ostream& out, const OddMessage& message)
 {
-  *out << message.name;
+  return out << message.name;
 }
 
 /// \param start_line request or status line without its line end
