libsite, libadapters: tell the causes of a late configuration apart

An entry host whose configuration is late may be busy with changes, may follow a control host that is behind, or may have missed messages; logs and metrics did not tell which.

routing_in_force names the log index and the time spent on the change; entry hosts serve their applied index and the number and time of changes; messages that the transport drops are counted, by full buffer and by broken connection, and logged once a second. ClusterTransport.DroppedMessagesAreCounted needs the new counter.

--- a/src/include/lovagehold/cluster_transport.h
+++ b/src/include/lovagehold/cluster_transport.h
@@ -20,6 +20,9 @@
   std::chrono::milliseconds unacknowledged_timeout{ 1000 };
   /// Called on the transport's thread when a connection could not be opened. May be empty.
   std::function<void(const std::string& peer_address)> on_unreachable;
+  /// Called on the transport's thread for each message that was dropped because too much is queued
+  /// for its peer, or because the connection to it broke. May be empty.
+  std::function<void(const std::string& peer_address)> on_dropped;
 };
 
 /// Exchanges binary messages between the processes of the cluster over WebSocket connections.
@@ -48,6 +51,9 @@
   std::uint64_t bytes_sent() const;
   std::uint64_t bytes_received() const;
 
+  /// Messages dropped since the start, for the metrics; see ClusterTransportOptions::on_dropped.
+  std::uint64_t dropped_messages() const;
+
   /// Failed attempts to open a connection, for the metrics. An attempt times out after 0.3 s
   /// without a TCP connection, and after another second without a WebSocket handshake.
   std::uint64_t failed_connections() const;
--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -108,6 +108,9 @@
   /// Permits for limited servers that were asked for, and those that were granted.
   std::uint64_t permits_requested = 0;
   std::uint64_t permits_granted = 0;
+  /// Changes of the routing configuration, and the time that this thread spent on them.
+  std::uint64_t routing_changes = 0;
+  Duration routing_change_time{};
 };
 
 /// A service's servers and load as seen by one gateway.
@@ -135,6 +138,10 @@
   /// Makes \p config the active routing configuration for all later requests.
   void set_routing(RoutingConfig config);
 
+  /// Counts a change of the routing configuration.
+  /// \param elapsed time spent on decoding it and putting it in force
+  void count_routing_change(Duration elapsed);
+
   /// Replaces the set of servers that requests may be forwarded to.
   void set_servers(const std::vector<ServerInfo>& servers, TimePoint now);
 
--- a/src/libadapters/cluster_transport.cpp
+++ b/src/libadapters/cluster_transport.cpp
@@ -77,6 +77,7 @@
   std::atomic<std::uint64_t> sent{ 0 };
   std::atomic<std::uint64_t> received{ 0 };
   std::atomic<std::uint64_t> failed{ 0 };
+  std::atomic<std::uint64_t> dropped{ 0 };
   std::atomic<bool> stopping{ false };
 
   template<class Endpoint>
@@ -98,10 +99,11 @@
     server.set_open_handler([this](const connection_hdl& handle) {
       const auto connection = server.get_con_from_hdl(handle);
       configure_socket(connection->get_raw_socket(), options.unacknowledged_timeout);
-      Peer& peer = peers[connection->get_request_header(kAddressHeader)];
+      const std::string address = connection->get_request_header(kAddressHeader);
+      Peer& peer = peers[address];
       if (!peer.outbound) {
         peer.inbound = connection;
-        flush(peer);
+        flush(address, peer);
       }
     });
     server.set_message_handler(
@@ -129,7 +131,7 @@
     websocketpp::lib::error_code error;
     const auto connection = client.get_connection("ws://" + address + "/cluster", error);
     if (error) {
-      drop_backlog(peer);
+      drop_backlog(address, peer);
       return;
     }
     connection->append_header(kAddressHeader, options.listen_address);
@@ -140,7 +142,7 @@
       opened.connecting = false;
       opened.outbound = connection;
       opened.inbound.reset();
-      flush(opened);
+      flush(address, opened);
     });
     const auto on_end = [this, address](const connection_hdl&) {
       Peer& ended = peers[address];
@@ -151,7 +153,7 @@
         }
       }
       ended.outbound.reset();
-      drop_backlog(ended);
+      drop_backlog(address, ended);
     };
     connection->set_fail_handler(on_end);
     connection->set_close_handler(on_end);
@@ -163,33 +165,46 @@
     client.connect(connection);
   }
 
-  static void drop_backlog(Peer& peer)
+  void count_dropped(const std::string& address)
   {
-    peer.backlog.clear();
-    peer.backlog_bytes = 0;
+    ++dropped;
+    if (options.on_dropped) {
+      options.on_dropped(address);
+    }
   }
 
-  void flush(Peer& peer)
+  void drop_backlog(const std::string& address, Peer& peer)
   {
-    for (const Bytes& message : peer.backlog) {
-      write(peer, message);
+    peer.backlog_bytes = 0;
+    for (std::size_t count = std::exchange(peer.backlog, {}).size(); count > 0; --count) {
+      count_dropped(address);
     }
-    drop_backlog(peer);
   }
 
-  void write(Peer& peer, const Bytes& message)
+  void flush(const std::string& address, Peer& peer)
   {
-    const auto opcode = websocketpp::frame::opcode::binary;
-    websocketpp::lib::error_code error;
-    if (peer.outbound) {
-      if (peer.outbound->get_buffered_amount() < options.backlog_bytes) {
-        error = peer.outbound->send(message.data(), message.size(), opcode);
-      }
-    } else if (peer.inbound && peer.inbound->get_buffered_amount() < options.backlog_bytes) {
-      error = peer.inbound->send(message.data(), message.size(), opcode);
+    peer.backlog_bytes = 0;
+    for (const Bytes& message : std::exchange(peer.backlog, {})) {
+      write(address, peer, message);
     }
-    if (!error) {
+  }
+
+  template<class Connection>
+  bool write_to(Connection& connection, const Bytes& message) const
+  {
+    return connection.get_buffered_amount() < options.backlog_bytes &&
+           !connection.send(message.data(), message.size(), websocketpp::frame::opcode::binary);
+  }
+
+  void write(const std::string& address, Peer& peer, const Bytes& message)
+  {
+    const bool written = peer.outbound  ? write_to(*peer.outbound, message)
+                         : peer.inbound ? write_to(*peer.inbound, message)
+                                        : false;
+    if (written) {
       sent += message.size();
+    } else {
+      count_dropped(address);
     }
   }
 
@@ -197,12 +212,14 @@
   {
     Peer& peer = peers[address];
     if (peer.outbound || peer.inbound) {
-      write(peer, message);
+      write(address, peer, message);
       return;
     }
     if (peer.backlog_bytes + message.size() <= options.backlog_bytes) {
       peer.backlog_bytes += message.size();
       peer.backlog.push_back(std::move(message));
+    } else {
+      count_dropped(address);
     }
     if (!peer.connecting) {
       connect(address, peer);
@@ -286,6 +303,12 @@
   return m_impl->received;
 }
 
+std::uint64_t
+ClusterTransport::dropped_messages() const
+{
+  return m_impl->dropped;
+}
+
 std::uint64_t
 ClusterTransport::failed_connections() const
 {
--- a/src/libadapters/cluster_transport_test.cpp
+++ b/src/libadapters/cluster_transport_test.cpp
@@ -1,5 +1,6 @@
 #include "lovagehold/cluster_transport.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <condition_variable>
@@ -111,6 +112,29 @@
   EXPECT_EQ(transport.failed_connections(), kAttempts);
 }
 
+// Guards against messages that are lost without a trace, so that a host that is behind can't be
+// told from one whose messages were dropped.
+TEST(ClusterTransport, DroppedMessagesAreCounted)
+{
+  std::atomic<unsigned> reported{ 0 };
+  ClusterTransport transport({ .listen_address = test_network() + ".0.1:39505",
+                               .backlog_bytes = 100,
+                               .on_dropped = [&](const std::string&) { ++reported; } },
+                             [](const std::string&, const Bytes&) {});
+  std::string error;
+  ASSERT_TRUE(transport.start(error)) << error;
+  // Nobody listens there, so the first message is dropped with the connection and the second one
+  // because it is too large.
+  transport.send(test_network() + ".0.1:39506", Bytes(60));
+  transport.send(test_network() + ".0.1:39506", Bytes(60));
+  const TimePoint limit = Clock::now() + kTestTimeout;
+  while (transport.dropped_messages() < 2 && Clock::now() < limit) {
+    std::this_thread::yield();
+  }
+  EXPECT_EQ(transport.dropped_messages(), 2U);
+  EXPECT_EQ(reported, 2U);
+}
+
 // Guards against a process that runs although it can't listen.
 TEST(ClusterTransport, SaysWhyItCannotListen)
 {
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -60,6 +60,13 @@
   }
 }
 
+void
+Gateway::count_routing_change(Duration elapsed)
+{
+  ++m_impl->context->counters.routing_changes;
+  m_impl->context->counters.routing_change_time += elapsed;
+}
+
 void
 Gateway::set_servers(const std::vector<ServerInfo>& servers, TimePoint now)
 {
@@ -193,6 +200,13 @@
   count("lovagehold_permits_granted_total",
         "Permits for limited servers that were granted.",
         counters.permits_granted);
+  count("lovagehold_routing_changes_total",
+        "Changes of the routing configuration put in force.",
+        counters.routing_changes);
+  add("lovagehold_routing_change_seconds_total",
+      "counter",
+      "Time spent on changes of the routing configuration.",
+      std::chrono::duration<double>(counters.routing_change_time).count());
   add("lovagehold_requests_in_progress",
       "gauge",
       "Requests being served.",
--- a/src/libsite/cluster_link.cpp
+++ b/src/libsite/cluster_link.cpp
@@ -4,6 +4,13 @@
 
 namespace lovagehold {
 
+namespace {
+
+// Dropped messages are logged at most once in this time, with their number.
+constexpr std::chrono::seconds kDroppedLogInterval{ 1 };
+
+} // namespace
+
 ClusterLink::ClusterLink(boost::asio::io_context& context,
                          std::string address,
                          EventLog& log,
@@ -13,18 +20,22 @@
   , m_address(std::move(address))
   , m_log(log)
   , m_handler(std::move(handler))
-  , m_transport({ .listen_address = m_address,
-                  .on_unreachable =
-                    [this, on_unreachable = std::move(on_unreachable)](const std::string& peer) {
-                      if (on_unreachable) {
-                        boost::asio::post(m_context,
-                                          [on_unreachable, peer] { on_unreachable(peer); });
-                      }
-                    } },
-                [this](const std::string& from, Bytes bytes) {
-                  boost::asio::post(
-                    m_context, [this, from, bytes = std::move(bytes)] { receive(from, bytes); });
-                })
+  , m_transport(
+      { .listen_address = m_address,
+        .on_unreachable =
+          [this, on_unreachable = std::move(on_unreachable)](const std::string& peer) {
+            if (on_unreachable) {
+              boost::asio::post(m_context, [on_unreachable, peer] { on_unreachable(peer); });
+            }
+          },
+        .on_dropped =
+          [this](const std::string& peer) {
+            boost::asio::post(m_context, [this, peer] { log_dropped(peer, Clock::now()); });
+          } },
+      [this](const std::string& from, Bytes bytes) {
+        boost::asio::post(m_context,
+                          [this, from, bytes = std::move(bytes)] { receive(from, bytes); });
+      })
 {
 }
 
@@ -61,6 +72,16 @@
   }
 }
 
+void
+ClusterLink::log_dropped(const std::string& peer, TimePoint now)
+{
+  if (now - m_dropped_logged_at >= kDroppedLogInterval) {
+    m_dropped_logged_at = now;
+    m_log.warn("messages_dropped",
+               { { "peer", peer }, { "total", std::to_string(m_transport.dropped_messages()) } });
+  }
+}
+
 void
 ClusterLink::stop()
 {
--- a/src/libsite/cluster_link.h
+++ b/src/libsite/cluster_link.h
@@ -29,16 +29,22 @@
   /// Sends a message. One to the own address is delivered locally.
   void send(const std::string& address, const ClusterMessage& message);
 
+  /// \return messages dropped since the start, because too much was queued for their receiver or
+  /// the connection to it broke
+  std::uint64_t dropped_messages() const { return m_transport.dropped_messages(); }
+
   /// Closes all connections and logs the number of bytes sent and received.
   void stop();
 
 private:
   void receive(const std::string& from, const Bytes& bytes);
+  void log_dropped(const std::string& peer, TimePoint now);
 
   boost::asio::io_context& m_context;
   std::string m_address;
   EventLog& m_log;
   Handler m_handler;
+  TimePoint m_dropped_logged_at;
   ClusterTransport m_transport;
 };
 
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -223,6 +223,9 @@
   counter("lovagehold_permits_denied_total",
           "Requests to limited servers that this host denied.",
           m_permits_denied);
+  counter("lovagehold_dropped_messages_total",
+          "Messages to other hosts that were dropped.",
+          m_link.dropped_messages());
   return text.text();
 }
 
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -1,6 +1,7 @@
 #include "entry_host.h"
 
 #include "lovagehold/home_selector.h"
+#include "lovagehold/metrics.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -185,6 +186,18 @@
   m_client->set_seeds(nearest_first(m_settings.seeds, m_settings.cluster_address));
 }
 
+std::string
+EntryHost::render_metrics() const
+{
+  MetricsText text;
+  text.begin("lovagehold_applied_index", "gauge", "Last applied entry of the control group's log.");
+  text.sample({}, static_cast<double>(m_client->state().applied_index()));
+  text.begin(
+    "lovagehold_dropped_messages_total", "counter", "Messages to other hosts that were dropped.");
+  text.sample({}, static_cast<double>(m_link.dropped_messages()));
+  return m_gateway.render_metrics() + text.text();
+}
+
 SiteStatus
 EntryHost::status() const
 {
@@ -267,7 +280,14 @@
         { { "version", std::to_string(routing->version) }, { "error", config.error().message } });
     } else {
       m_gateway.set_routing(config.value());
-      m_log.info("routing_in_force", { { "version", std::to_string(routing->version) } });
+      const Duration elapsed = Clock::now() - now;
+      m_gateway.count_routing_change(elapsed);
+      m_log.info("routing_in_force",
+                 { { "version", std::to_string(routing->version) },
+                   { "index", std::to_string(state.applied_index()) },
+                   { "us",
+                     std::to_string(
+                       std::chrono::duration_cast<std::chrono::microseconds>(elapsed).count()) } });
     }
   }
   m_gateway.set_servers(state.all_servers(), now);
--- a/src/libsite/entry_host.h
+++ b/src/libsite/entry_host.h
@@ -35,7 +35,7 @@
   void reload(const SiteSettings& settings);
 
   /// \return the metrics in the Prometheus text format
-  std::string render_metrics() const { return m_gateway.render_metrics(); }
+  std::string render_metrics() const;
 
   /// \return the content of the status page; its other hosts are the control hosts of the settings
   SiteStatus status() const;
