--- /dev/null
+++ b/src/libsite/entry_host_test.cpp
@@ -0,0 +1,220 @@
+#include "entry_host.h"
+
+#include "control_host.h"
+#include "libproxy/entry_fixture.h"
+
+#include <boost/asio/post.hpp>
+#include <filesystem>
+#include <future>
+#include <gtest/gtest.h>
+#include <sstream>
+
+namespace lovagehold {
+namespace {
+
+constexpr unsigned kRoutes = 1400;
+
+std::string
+text(const boost::asio::ip::tcp::endpoint& endpoint)
+{
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+// The test's document format: the version, then one line with prefix and service for each route.
+RoutingConfig
+read_document(const std::string& document)
+{
+  std::istringstream input(document);
+  RoutingConfig config{ .services = { { .name = "s" }, { .name = "t" } } };
+  input >> config.version;
+  VirtualHost host{ .name = "a" };
+  for (std::string prefix, service; input >> prefix >> service;) {
+    host.routes.push_back(
+      { .name = prefix, .path_prefix = prefix, .targets = { { .service = service } } });
+  }
+  config.hosts.push_back(std::move(host));
+  return config;
+}
+
+// A control host and an entry host in one process.
+class EntryHostTest : public ::testing::Test
+{
+protected:
+  static constexpr unsigned short kPort = 17460;
+
+  EntryHostTest()
+    : m_folder(std::filesystem::temp_directory_path() /
+               ("lovagehold-entry-host-test-" + std::to_string(::getpid())))
+  {
+    std::filesystem::remove_all(m_folder);
+    const std::string control_link = text(test_endpoint(".7.3", kPort + 1));
+    SiteSettings control{ .host = "control-1",
+                          .failure_domain = "a",
+                          .control_address = text(test_endpoint(".7.3", kPort)),
+                          .cluster_address = control_link,
+                          .seeds = { control_link },
+                          .first_start = true,
+                          .data_folder = m_folder };
+    m_control = std::make_unique<ControlHost>(m_context, control, make_protocol(), m_log);
+    SiteSettings entry{ .host = "entry-1",
+                        .failure_domain = "a",
+                        .entry_address = text(test_endpoint(".7.3", kPort + 2)),
+                        .readiness_address = text(test_endpoint(".7.3", kPort + 3)),
+                        .cluster_address = text(test_endpoint(".7.3", kPort + 4)),
+                        .seeds = { control_link },
+                        .metrics_address = text(test_endpoint(".7.3", kPort + 5)) };
+    SiteProtocol entry_protocol = make_protocol();
+    entry_protocol.decode_routing = [this](const std::string& document) -> Result<RoutingConfig> {
+      RoutingConfig config = read_document(document);
+      m_decoded_routes += config.hosts.front().routes.size();
+      return config;
+    };
+    m_entry = std::make_unique<EntryHost>(m_context, entry, std::move(entry_protocol), m_log);
+  }
+
+  void SetUp() override
+  {
+    ASSERT_TRUE(m_control->start().has_value());
+    ASSERT_TRUE(m_entry->start().has_value());
+    m_thread = std::thread([this] { m_context.run(); });
+  }
+
+  ~EntryHostTest() override
+  {
+    boost::asio::post(m_context, [this] {
+      m_entry->stop();
+      m_control->stop();
+      m_context.stop();
+    });
+    m_thread.join();
+    m_entry.reset();
+    m_control.reset();
+    std::filesystem::remove_all(m_folder);
+  }
+
+  static SiteProtocol make_protocol()
+  {
+    SiteProtocol protocol;
+    protocol.decode_call = [](const AdminRequest& request) -> ControlCall {
+      if (request.path == "/put") {
+        return ReplaceRoutingCall{ .config = read_document(request.body),
+                                   .document = request.body };
+      }
+      if (request.path == "/read") {
+        return ReadRoutingCall{};
+      }
+      if (request.path == "/heartbeat") {
+        return HeartbeatCall{ { .server = { .service = "s",
+                                            .id = query_value(request.query, "id"),
+                                            .address = "127.0.0.1:9",
+                                            .incarnation = 1 },
+                                .sequence = 1 } };
+      }
+      return UnknownCall{};
+    };
+    protocol.encode_reply = [](const ControlReply& reply) -> AdminResponse {
+      if (const auto* routing = std::get_if<RoutingReply>(&reply)) {
+        return { .status = 200, .body = routing->document };
+      }
+      return { .status = std::holds_alternative<FailedReply>(reply) ? 503U : 200U };
+    };
+    protocol.decode_routing = [](const std::string& document) -> Result<RoutingConfig> {
+      return read_document(document);
+    };
+    return protocol;
+  }
+
+  // \return the response with its header
+  static std::string call(unsigned short port, const std::string& path, const std::string& body)
+  {
+    boost::asio::io_context context;
+    TestSocket socket(context);
+    socket.connect(test_endpoint(".7.3", port));
+    set_read_timeout(socket);
+    boost::asio::write(
+      socket,
+      boost::asio::buffer("GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" +
+                          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body));
+    return read_to_close(socket).value_or("");
+  }
+
+  // \param services service of each route; empty for a route that is left out
+  static std::string document(std::uint64_t version, const std::vector<std::string>& services)
+  {
+    std::string document = std::to_string(version) + "\n";
+    for (std::size_t i = 0; i < services.size(); ++i) {
+      if (!services[i].empty()) {
+        document += "/p" + std::to_string(i) + "/ " + services[i] + "\n";
+      }
+    }
+    return document;
+  }
+
+  static void put(const std::string& document)
+  {
+    const TimePoint limit = Clock::now() + std::chrono::seconds(20);
+    while (status_of(call(kPort, "/put", document)) != 200 && Clock::now() < limit) {
+    }
+  }
+
+  // \return the result of a function that is run on the hosts' thread
+  template<class Function>
+  auto on_thread(Function function)
+  {
+    std::promise<decltype(function())> result;
+    boost::asio::post(m_context, [&] { result.set_value(function()); });
+    return result.get_future().get();
+  }
+
+  bool await_version(std::uint64_t version)
+  {
+    const TimePoint limit = Clock::now() + std::chrono::seconds(20);
+    while (Clock::now() < limit) {
+      if (on_thread([this] { return m_entry->status().version; }) == version) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  static int route_status(unsigned route)
+  {
+    return status_of(call(kPort + 2, "/p" + std::to_string(route) + "/", ""));
+  }
+
+  std::filesystem::path m_folder;
+  boost::asio::io_context m_context;
+  EventLog m_log{ { .host = "entry-host-test", .level = "error" } };
+  std::size_t m_decoded_routes = 0;
+  std::unique_ptr<ControlHost> m_control;
+  std::unique_ptr<EntryHost> m_entry;
+  std::thread m_thread;
+};
+
+// Guards against entry hosts that fall behind acknowledged configurations: the time for a change of
+// one route grew with the number of all routes, and in a series of changes requests and later
+// versions waited behind it.
+TEST_F(EntryHostTest, ChangeOfOneRouteDoesNotDecodeTheOthers)
+{
+  std::vector<std::string> services(kRoutes, "s");
+  put(document(1, services));
+  ASSERT_TRUE(await_version(1));
+  constexpr std::uint64_t kChanges = 20;
+  for (std::uint64_t version = 2; version <= kChanges + 1; ++version) {
+    services[version * 7] = version % 2 == 0 ? "t" : "";
+    put(document(version, services));
+    ASSERT_TRUE(await_version(version));
+  }
+  EXPECT_LE(on_thread([this] { return m_decoded_routes; }), kRoutes + 2 * kChanges);
+  // The host has no servers, so a route that is there is refused.
+  EXPECT_EQ(route_status(14), 503);
+  EXPECT_EQ(route_status(21), 404);
+  EXPECT_EQ(route_status(kRoutes - 1), 503);
+  const std::string read = call(kPort, "/read", "");
+  const std::size_t body = read.find("\r\n\r\n");
+  ASSERT_NE(body, std::string::npos);
+  EXPECT_EQ(read.substr(body + 4), document(kChanges + 1, services));
+}
+
+} // namespace
+} // namespace lovagehold
