libproxy: a caller that sends without a pause can't outlast the lingering close

What callers saw: nothing; one that keeps sending after its response held its connection and a core for as long as it sent, instead of one second.

Cause: the stream's timeout ends only a read that waits. Reads of a caller that sends at memory speed complete at once, and completing cancels the timer before it is looked at.

No other loop relies on one timeout for several reads.

--- a/src/libproxy/response_writer.cpp
+++ b/src/libproxy/response_writer.cpp
@@ -116,8 +116,10 @@
   boost::system::error_code error;
   caller.socket().shutdown(tcp::socket::shutdown_send, error);
   std::vector<char> discarded(kStreamBufferBytes);
-  caller.expires_after(kLingerTimeout);
-  while (!error) {
+  // The stream's timeout ends only a read that has to wait, which those of a fast sender don't.
+  const TimePoint end = Clock::now() + kLingerTimeout;
+  caller.expires_at(end);
+  while (!error && Clock::now() < end) {
     co_await caller.async_read_some(asio::buffer(discarded), capture(error));
   }
   caller.close();
