libstate, libsite: a change of the routing configuration costs what changed

What callers saw: while operators change one route after the other among 1,400, requests wait; hosts fall behind the acknowledged versions, and requests are sent to servers after their callers have left.

Cause: each version travelled as a whole document and was unpacked, parsed and built whole at each entry host, on the thread that serves requests: 113 times 249 KB at each of 190 hosts of 0.07 of a core. What waits for that thread, later versions included, is late.

The control host that accepts a document compares it with the version before. The log carries the routes, services and limits that differ and a patch of the document, or the whole document where more than a quarter differs. A change names its base; if another version has been accepted meanwhile, it is rejected and the whole document is sent. Routing tables are changed in place, requests share their route and service, and a route is found by longest prefix in a sorted map instead of by trying all. Messages that have arrived are applied before anything is decoded, so that overtaken documents are not.

Evidence: EntryHostTest.ChangeOfOneRouteDoesNotDecodeTheOthers failed before (29,300 routes decoded, 1,440 allowed) and passes. RoutingUpdates.EachHostHasExactlyTheRoutesOfTheWhole- Document: any sequence of versions, lagging control hosts, images and restarts gives the table and the document of the whole, and versions never go back.

--- a/src/include/lovagehold/command.h
+++ b/src/include/lovagehold/command.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "lovagehold/document_patch.h"
 #include "lovagehold/error.h"
+#include "lovagehold/routing_change.h"
 #include "lovagehold/types.h"
 
 #include <array>
@@ -99,6 +101,15 @@
   std::string document;
 };
 
+/// Replaces the routing configuration by one that differs little from the current one. Rejected
+/// with Conflict if the current version is lower than the new one and not the change's base.
+struct ChangeRouting
+{
+  RoutingChange change;
+  /// Makes the operator's document from that of the base version.
+  DocumentPatch document;
+};
+
 struct JoinHost
 {
   HostInfo host;
@@ -129,7 +140,8 @@
                              JoinHost,
                              LeaveHost,
                              ExpireOutcomes,
-                             ReplaceRouting>;
+                             ReplaceRouting,
+                             ChangeRouting>;
 
 /// Status of an idempotency key after a ClaimKey command.
 enum class ClaimStatus
--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -5,7 +5,7 @@
 #include "lovagehold/event_log.h"
 #include "lovagehold/request_limiter.h"
 #include "lovagehold/retry_budget.h"
-#include "lovagehold/routing_config.h"
+#include "lovagehold/routing_change.h"
 #include "lovagehold/server_selector.h"
 
 #include <boost/asio/io_context.hpp>
@@ -136,7 +136,11 @@
   Result<void> start();
 
   /// Makes \p config the active routing configuration for all later requests.
-  void set_routing(RoutingConfig config);
+  void set_routing(const RoutingConfig& config);
+
+  /// Changes the active routing configuration for all later requests.
+  /// \return false, without any effect, if the change is not based on the active version
+  bool change_routing(const RoutingChange& change);
 
   /// Counts a change of the routing configuration.
   /// \param elapsed time spent on decoding it and putting it in force
--- a/src/include/lovagehold/routing_config.h
+++ b/src/include/lovagehold/routing_config.h
@@ -20,6 +20,8 @@
 {
   ServiceName service;
   double weight = 1;
+
+  bool operator==(const RouteTarget&) const = default;
 };
 
 /// Rules for the requests below a path of a virtual host.
@@ -38,6 +40,8 @@
   unsigned max_attempts = 1;
   /// 0 is the most urgent.
   unsigned priority = 0;
+
+  bool operator==(const Route&) const = default;
 };
 
 /// A virtual host and its routes.
@@ -54,6 +58,8 @@
   std::uint64_t body_bytes = std::uint64_t{ 64 } << 20;
   std::chrono::milliseconds header_timeout{ 3000 };
   std::chrono::milliseconds idle_timeout{ 15000 };
+
+  bool operator==(const RequestLimits&) const = default;
 };
 
 struct RoutedService
@@ -63,9 +69,11 @@
   std::string health_path;
   /// Maximum number of connections that each of its servers accepts.
   unsigned max_connections = 500;
+
+  bool operator==(const RoutedService&) const = default;
 };
 
-/// The routing configuration, always replaced as a whole. The highest version is in force.
+/// The routing configuration. Operators replace it as a whole; the highest version is in force.
 struct RoutingConfig
 {
   std::uint64_t version = 0;
--- a/src/include/lovagehold/routing_table.h
+++ b/src/include/lovagehold/routing_table.h
@@ -1,14 +1,17 @@
 #pragma once
 
-#include "lovagehold/routing_config.h"
+#include "lovagehold/routing_change.h"
 
 #include <map>
+#include <memory>
+#include <random>
 #include <string_view>
 
 namespace lovagehold {
 
 /// Finds the route of a request and distributes the requests of a route over its targets by weight.
-/// A new table is built when the configuration changes. Not thread-safe.
+/// Routes and services are shared with the requests that use them, so that a change leaves those of
+/// a running request as they were. Not thread-safe.
 class RoutingTable
 {
 public:
@@ -16,31 +19,47 @@
 
   /// \param seed determines the start of the weighted sequences. It differs between hosts, so that
   /// the weights are met even if each of many hosts gets only a few requests.
-  RoutingTable(RoutingConfig config, std::uint64_t seed);
+  RoutingTable(const RoutingConfig& config, std::uint64_t seed);
 
-  std::uint64_t version() const { return m_config.version; }
-  const RequestLimits& limits() const { return m_config.limits; }
-  const RoutingConfig& config() const { return m_config; }
+  std::uint64_t version() const { return m_version; }
+  const RequestLimits& limits() const { return m_limits; }
+
+  /// \return the number of routes of all virtual hosts
+  std::size_t size() const;
 
   /// \param host value of the Host header, with or without a port
   /// \param path without the query
-  /// \return the route with the longest prefix that matches the path; null if there is none. Valid
-  /// for the lifetime of the table.
-  const Route* find(std::string_view host, std::string_view path) const;
+  /// \return the route with the longest prefix that matches the path; null if there is none
+  std::shared_ptr<const Route> find(std::string_view host, std::string_view path) const;
 
   /// \return the service that gets the route's next request; empty if the route has no target
   ServiceName next_target(const Route& route);
 
   /// \return the service's configuration; null if there is none
-  const RoutedService* service(const ServiceName& name) const;
+  std::shared_ptr<const RoutedService> service(const ServiceName& name) const;
+
+  /// \return the change that makes this table equal to one of the configuration
+  RoutingChange difference_to(const RoutingConfig& config) const;
+
+  /// Applies a change. The time for it depends on the size of the change, and only logarithmically
+  /// on that of the table.
+  /// \return false, without any effect, if the change is not based on this table's version
+  bool apply(const RoutingChange& change);
 
 private:
-  RoutingConfig m_config;
-  /// Routes of each virtual host, longest prefix first.
-  std::map<std::string, std::vector<const Route*>, std::less<>> m_routes;
-  std::map<ServiceName, const RoutedService*> m_services;
+  /// Routes by prefix.
+  using HostRoutes = std::map<std::string, std::shared_ptr<const Route>, std::less<>>;
+
+  void set_route(const std::string& host, const Route& route);
+  void remove_route(const RouteKey& key);
+
+  std::uint64_t m_version = 0;
+  RequestLimits m_limits;
+  std::map<std::string, HostRoutes, std::less<>> m_hosts;
+  std::map<ServiceName, std::shared_ptr<const RoutedService>> m_services;
   /// Position of each weighted route in its sequence, in [0, 1).
   std::map<const Route*, double> m_positions;
+  std::mt19937_64 m_random;
 };
 
 } // namespace lovagehold
--- a/src/include/lovagehold/state_machine.h
+++ b/src/include/lovagehold/state_machine.h
@@ -4,6 +4,7 @@
 #include "lovagehold/declaration_merger.h"
 #include "lovagehold/membership.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -75,6 +76,10 @@
   std::size_t unknown_departed_limit = 4096;
 };
 
+/// Changes of the routing configuration in the order of their versions, each based on the version
+/// of the one before.
+using RoutingChanges = std::vector<std::shared_ptr<const RoutingChange>>;
+
 /// The replicated state: configuration changes, routing configuration, claims, servers and hosts.
 /// Deterministic: equal commands in equal order give equal states. Not thread-safe.
 class StateMachine
@@ -96,9 +101,17 @@
   /// \return the merged configuration, never null. Each accepted change creates a new object.
   std::shared_ptr<const Configuration> configuration() const;
 
-  /// \return the routing configuration in force, never null; version 0 before the first one. Each
-  /// replacement creates a new object.
-  std::shared_ptr<const ReplaceRouting> routing() const;
+  /// \return the version of the routing configuration in force; 0 before the first one
+  std::uint64_t routing_version() const;
+
+  /// \return the operator's document of the routing configuration in force. The time for it depends
+  /// on the size of the document.
+  std::string routing_document() const;
+
+  /// \return the changes from the version to the one in force; nullopt if they are not known: the
+  /// version is not one of this log, the configuration was replaced as a whole or the state
+  /// restored since, or there were too many changes
+  std::optional<RoutingChanges> routing_changes_since(std::uint64_t version) const;
 
   /// \return the changes that still have their content, ordered by number.
   std::vector<ChangeRecord> changes() const;
--- a/src/libdecision/routing_table_test.cpp
+++ b/src/libdecision/routing_table_test.cpp
@@ -45,7 +45,7 @@
                                { { .service = "x", .weight = static_cast<double>(first) },
                                  { .service = "y", .weight = static_cast<double>(second) } }) }),
       static_cast<std::uint64_t>(host) + 1);
-    const Route* route = table.find("desk.example", "/a/");
+    const std::shared_ptr<const Route> route = table.find("desk.example", "/a/");
     for (int i = 0; i < kRequests / hosts; ++i) {
       ++counts[table.next_target(*route)];
     }
@@ -60,7 +60,7 @@
 {
   RoutingTable table(
     make_config({ make_route("/a/", { { .service = "x", .weight = 0 }, { .service = "y" } }) }), 3);
-  const Route* route = table.find("desk.example", "/a/");
+  const std::shared_ptr<const Route> route = table.find("desk.example", "/a/");
   for (int i = 0; i < 100; ++i) {
     EXPECT_EQ(table.next_target(*route), "y");
   }
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -281,8 +281,7 @@
     if (!m_context->routing) {
       co_await wait_for_routing(arrived + kFirstRoutingWait);
     }
-    const auto routing = m_context->routing;
-    if (!routing) {
+    if (!m_context->routing) {
       const GatewayErrorResponse error_response{ .status = 503,
                                                  .reason =
                                                    "this host has no routing configuration yet",
@@ -293,8 +292,9 @@
     }
     const std::string target(header.target());
     const beast::string_view host = header[http::field::host];
-    const Route* route = routing->find(std::string_view(host.data(), host.size()),
-                                       std::string_view(target).substr(0, target.find('?')));
+    const std::shared_ptr<const Route> route =
+      m_context->routing->find(std::string_view(host.data(), host.size()),
+                               std::string_view(target).substr(0, target.find('?')));
     if (route == nullptr) {
       const GatewayErrorResponse error_response{ .status = 404,
                                                  .reason = "no route matches the request" };
@@ -317,7 +317,7 @@
       co_await send_error_response(error_response);
       co_return;
     }
-    co_await forward(request, routing, *route);
+    co_await forward(request, route);
   }
 
   // \return when the caller of the request stops waiting
@@ -329,8 +329,7 @@
   }
 
   GatewayRequest make_request(const IncomingRequestPtr& incoming,
-                              const std::shared_ptr<RoutingTable>& routing,
-                              const Route& route) const
+                              const std::shared_ptr<const Route>& route) const
   {
     const GatewayHeaders& names = m_context->options.headers;
     const RequestParser& parser = incoming->parser;
@@ -338,10 +337,10 @@
     GatewayRequest request{ .id = std::string(header[names.request_id]),
                             .target = std::string(header.target()),
                             .head_method = m_head_method,
-                            .routing = routing,
-                            .route = &route,
-                            .service = routing->next_target(route),
+                            .route = route,
+                            .service = m_context->routing->next_target(*route),
                             .arrived = incoming->arrived };
+    request.service_config = m_context->routing->service(request.service);
     request.caller_deadline = caller_deadline(header, incoming->arrived);
     remove_hop_by_hop_fields(header);
     header.erase(names.deadline);
@@ -411,12 +410,10 @@
     }
   }
 
-  awaitable<void> forward(IncomingRequestPtr incoming,
-                          std::shared_ptr<RoutingTable> routing,
-                          const Route& route)
+  awaitable<void> forward(IncomingRequestPtr incoming, std::shared_ptr<const Route> route)
   {
     const auto& arriving = incoming->arriving;
-    GatewayRequest request = make_request(incoming, routing, route);
+    GatewayRequest request = make_request(incoming, route);
     const std::string id = request.id;
     const TimePoint caller_deadline = request.caller_deadline;
     const auto forwarded = std::make_shared<ForwardedRequest>(*m_context, std::move(request));
@@ -447,7 +444,7 @@
       co_await send_error_response(forwarded->error_response());
       forwarded->finish(false);
     }
-    log_request(id, route, status, incoming->arrived, *forwarded);
+    log_request(id, *route, status, incoming->arrived, *forwarded);
   }
 
   void start_disconnect_watch(const std::shared_ptr<ForwardedRequest>& forwarded)
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -258,7 +258,7 @@
 awaitable<bool>
 ForwardedRequest::check_capacity(TimePoint latest)
 {
-  const RoutedService* service = m_request.routing->service(m_request.service);
+  const std::shared_ptr<const RoutedService>& service = m_request.service_config;
   const auto pick_best = [this] {
     const ServerSelector& selector = m_context.selector(m_request.service);
     return selector.pick(Clock::now(), m_tried_servers, body_bytes(), m_context.random);
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -26,10 +26,10 @@
   std::shared_ptr<UploadSource> upload;
   bool chunked = false;
   bool head_method = false;
-  /// Owns \p route.
-  std::shared_ptr<RoutingTable> routing;
-  const Route* route = nullptr;
+  std::shared_ptr<const Route> route;
   ServiceName service;
+  /// Null if the service is not configured.
+  std::shared_ptr<const RoutedService> service_config;
   TimePoint arrived;
   /// Time at which the caller stops waiting.
   TimePoint caller_deadline;
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -48,18 +48,25 @@
 }
 
 void
-Gateway::set_routing(RoutingConfig config)
+Gateway::set_routing(const RoutingConfig& config)
 {
   GatewayContext& context = *m_impl->context;
   if (!context.routing) {
     context.spread_until = Clock::now() + context.options.spread_time;
   }
-  context.routing = std::make_shared<RoutingTable>(std::move(config), context.random());
+  context.routing.emplace(config, context.random());
   for (asio::steady_timer* waiter : context.routing_waiters) {
     waiter->cancel();
   }
 }
 
+bool
+Gateway::change_routing(const RoutingChange& change)
+{
+  GatewayContext& context = *m_impl->context;
+  return context.routing && context.routing->apply(change);
+}
+
 void
 Gateway::count_routing_change(Duration elapsed)
 {
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -54,8 +54,8 @@
   /// Limit the rate at which request bodies are read from callers and sent to servers.
   LinkPacer receive_pacer;
   LinkPacer send_pacer;
-  /// Null until the first routing configuration has been received.
-  std::shared_ptr<RoutingTable> routing;
+  /// Empty until the first routing configuration has been received.
+  std::optional<RoutingTable> routing;
   AdmissionPolicy admission;
   /// Requests that may have crashed their servers, as all hosts see it.
   CrashSuspects suspects;
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -200,7 +200,7 @@
         static_cast<double>(status.membership.size()));
   gauge("lovagehold_routing_version",
         "Version of the routing configuration held.",
-        static_cast<double>(m_replica->machine().routing()->version));
+        static_cast<double>(m_replica->machine().routing_version()));
   gauge("lovagehold_servers",
         "Servers that requests may go to.",
         static_cast<double>(m_replica->machine().all_servers().size()));
@@ -234,7 +234,7 @@
 {
   const ReplicaStatus replica = m_replica->status();
   SiteStatus status{ .host = m_settings.host,
-                     .version = m_replica->machine().routing()->version,
+                     .version = m_replica->machine().routing_version(),
                      .ready = replica.in_contact };
   const auto add = [&](const HostId& id, const std::string& domain, const std::string& address) {
     status.hosts.push_back({ .id = id,
@@ -507,15 +507,15 @@
 ControlHost::handle_call(const ReadRoutingCall&, const AdminServer::Reply& reply)
 {
   confirm([this, reply](bool confirmed) {
-    const auto routing = m_replica->machine().routing();
+    const StateMachine& machine = m_replica->machine();
     if (!confirmed) {
       send_reply(
         reply,
         FailedReply{ unavailable("this host can't confirm that its configuration is current") });
-    } else if (routing->version == 0) {
+    } else if (machine.routing_version() == 0) {
       send_reply(reply, FailedReply{ unavailable("there is no routing configuration yet") });
     } else {
-      send_reply(reply, RoutingReply{ .document = routing->document });
+      send_reply(reply, RoutingReply{ .document = machine.routing_document() });
     }
   });
 }
@@ -523,18 +523,37 @@
 void
 ControlHost::handle_call(const ReplaceRoutingCall& call, const AdminServer::Reply& reply)
 {
-  const auto current = m_replica->machine().routing();
+  const StateMachine& machine = m_replica->machine();
   m_log.info("routing_received",
              { { "version", std::to_string(call.config.version) },
-               { "held", std::to_string(current->version) },
+               { "held", std::to_string(machine.routing_version()) },
                { "bytes", std::to_string(call.document.size()) } });
-  if (call.config.version <= current->version) {
+  if (call.config.version <= machine.routing_version()) {
     send_reply(reply, AcceptedReply{});
     return;
   }
-  propose(ReplaceRouting{ .version = call.config.version, .document = call.document },
-          AcceptedReply{},
-          reply);
+  const Result<void> updated =
+    update_routing_table(m_routing, machine, m_protocol.decode_routing, 1);
+  if (updated.has_error()) {
+    m_log.warn("routing_unreadable",
+               { { "version", std::to_string(machine.routing_version()) },
+                 { "error", updated.error().message } });
+  }
+  m_client->propose(
+    make_routing_command(m_routing, machine, call.config, call.document),
+    [this, call, reply](const Result<ApplyResult>& result) {
+      if (result.has_error()) {
+        send_reply(reply, FailedReply{ unavailable(result.error().message) });
+      } else if (result.value().accepted) {
+        send_reply(reply, AcceptedReply{});
+      } else {
+        // Another version was accepted in the meantime, so the difference doesn't apply.
+        propose(ReplaceRouting{ .version = call.config.version, .document = call.document },
+                AcceptedReply{},
+                reply);
+      }
+    },
+    Clock::now());
 }
 
 // Servers are spread over the control hosts, because a group has one leader but any number of
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -6,6 +6,7 @@
 #include "lovagehold/entry_directory.h"
 #include "lovagehold/event_log.h"
 #include "lovagehold/replica.h"
+#include "lovagehold/routing_updates.h"
 #include "lovagehold/server_registrar.h"
 #include "lovagehold/site.h"
 #include "status_page.h"
@@ -104,6 +105,8 @@
   /// Entry hosts changed, and m_addresses has not been updated yet.
   bool m_refresh_pending = false;
   boost::asio::steady_timer m_timer;
+  /// Routing configuration that the next one is compared with; may be behind the state.
+  RoutingTable m_routing;
   /// Servers of the replicated state as of m_servers_index.
   std::vector<ServerInfo> m_servers;
   std::uint64_t m_servers_index = 0;
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -2,6 +2,7 @@
 
 #include "lovagehold/home_selector.h"
 #include "lovagehold/metrics.h"
+#include "lovagehold/routing_updates.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -145,7 +146,7 @@
     [this](const std::string& address, const ClusterMessage& message) {
       m_link.send(address, message);
     },
-    [this](const StateMachine& state) { on_applied(state); });
+    [this](const StateMachine&) { schedule_update(); });
 }
 
 Result<void>
@@ -263,34 +264,25 @@
                     .ttl = directory_ttl(Clock::now() - m_directory_changed_at, max_ttl) }));
 }
 
+// Messages that have already arrived are applied to the state first, so that versions which one of
+// them supersedes are not decoded.
 void
-EntryHost::on_applied(const StateMachine& state)
+EntryHost::schedule_update()
 {
-  const TimePoint now = Clock::now();
-  if (state.routes_index() == m_routes_index) {
-    return;
-  }
-  m_routes_index = state.routes_index();
-  const auto routing = state.routing();
-  if (routing->version > m_gateway.version()) {
-    const auto config = m_protocol.decode_routing(routing->document);
-    if (config.has_error()) {
-      m_log.warn(
-        "routing_unreadable",
-        { { "version", std::to_string(routing->version) }, { "error", config.error().message } });
-    } else {
-      m_gateway.set_routing(config.value());
-      const Duration elapsed = Clock::now() - now;
-      m_gateway.count_routing_change(elapsed);
-      m_log.info("routing_in_force",
-                 { { "version", std::to_string(routing->version) },
-                   { "index", std::to_string(state.applied_index()) },
-                   { "us",
-                     std::to_string(
-                       std::chrono::duration_cast<std::chrono::microseconds>(elapsed).count()) } });
-    }
+  if (!std::exchange(m_update_scheduled, true)) {
+    boost::asio::post(m_context, [this] {
+      m_update_scheduled = false;
+      apply_state();
+    });
   }
-  m_gateway.set_servers(state.all_servers(), now);
+}
+
+void
+EntryHost::apply_state()
+{
+  const TimePoint now = Clock::now();
+  apply_routing();
+  apply_servers(now);
   if (is_ready() != m_was_ready) {
     m_was_ready = is_ready();
     m_log.info("readiness", { { "ready", m_was_ready ? "yes" : "no" } });
@@ -298,6 +290,49 @@
   }
 }
 
+void
+EntryHost::apply_routing()
+{
+  const StateMachine& state = m_client->state();
+  const std::uint64_t old_version = m_gateway.version();
+  if (state.routing_version() <= old_version) {
+    return;
+  }
+  const std::string version = std::to_string(state.routing_version());
+  const TimePoint begin = Clock::now();
+  const auto update = find_routing_update(state, old_version, m_protocol.decode_routing);
+  if (update.has_error()) {
+    m_log.warn("routing_unreadable",
+               { { "version", version }, { "error", update.error().message } });
+    return;
+  }
+  if (update.value().config) {
+    m_gateway.set_routing(*update.value().config);
+  }
+  for (const auto& change : update.value().changes) {
+    m_gateway.change_routing(*change);
+  }
+  const Duration elapsed = Clock::now() - begin;
+  m_gateway.count_routing_change(elapsed);
+  const auto us = std::chrono::duration_cast<std::chrono::microseconds>(elapsed).count();
+  m_log.info("routing_in_force",
+             { { "version", version },
+               { "from", std::to_string(old_version) },
+               { "whole", update.value().config ? "yes" : "no" },
+               { "index", std::to_string(state.applied_index()) },
+               { "us", std::to_string(us) } });
+}
+
+void
+EntryHost::apply_servers(TimePoint now)
+{
+  const StateMachine& state = m_client->state();
+  if (state.routes_index() != m_servers_index) {
+    m_servers_index = state.routes_index();
+    m_gateway.set_servers(state.all_servers(), now);
+  }
+}
+
 void
 EntryHost::tick()
 {
--- a/src/libsite/entry_host.h
+++ b/src/libsite/entry_host.h
@@ -42,7 +42,10 @@
 
 private:
   void receive(const std::string& from, const ClusterMessage& message);
-  void on_applied(const StateMachine& state);
+  void schedule_update();
+  void apply_state();
+  void apply_routing();
+  void apply_servers(TimePoint now);
   void tick();
   void send_crash_evidence(const CrashEvidence& evidence);
   void request_permit(const PermitQuery& query, PermitClient::AnswerHandler handler);
@@ -71,8 +74,9 @@
   EntryAddresses m_directory;
   /// When the addresses last changed.
   TimePoint m_directory_changed_at;
-  /// StateMachine::routes_index() of the state passed to the gateway.
-  std::uint64_t m_routes_index = 0;
+  /// StateMachine::routes_index() of the servers passed to the gateway.
+  std::uint64_t m_servers_index = 0;
+  bool m_update_scheduled = false;
   bool m_was_ready = false;
   bool m_shutting_down = false;
   TimePoint m_shutdown_started;
--- a/src/libstate/command_codec.cpp
+++ b/src/libstate/command_codec.cpp
@@ -1,5 +1,6 @@
 #include "document_codec.h"
 #include "json_fields.h"
+#include "routing_json.h"
 
 namespace lovagehold {
 
@@ -79,6 +80,14 @@
            { "document", json::binary(pack_document(replace.document)) } };
 }
 
+json
+to_fields(const ChangeRouting& change)
+{
+  return { { "t", "routing_change" },
+           { "change", change.change },
+           { "document", change.document } };
+}
+
 json
 to_fields(const JoinHost& join)
 {
@@ -165,6 +174,10 @@
     return ReplaceRouting{ .version = fields.at("version").get<std::uint64_t>(),
                            .document = unpack_document(fields.at("document").get_binary()) };
   }
+  if (type == "routing_change") {
+    return ChangeRouting{ .change = fields.at("change").get<RoutingChange>(),
+                          .document = fields.at("document").get<DocumentPatch>() };
+  }
   if (type == "host_join") {
     return JoinHost{ fields.at("host").get<HostInfo>() };
   }
--- a/src/libstate/state_machine.cpp
+++ b/src/libstate/state_machine.cpp
@@ -16,6 +16,67 @@
 
 constexpr int kSnapshotVersion = 2;
 
+// Limits on the routing changes kept for hosts that are behind; those need the whole document then.
+constexpr std::size_t kKeptRoutingChanges = 256;
+constexpr std::size_t kKeptChangedRoutes = 4096;
+
+// The routing configuration: the operator's document and the latest changes of its content.
+class RoutingState
+{
+public:
+  RoutingState() = default;
+  RoutingState(std::uint64_t version, std::string document)
+    : m_version(version)
+    , m_document(std::move(document))
+  {
+  }
+
+  std::uint64_t version() const { return m_version; }
+  std::string document() const { return m_document.text(); }
+
+  std::optional<RoutingChanges> changes_since(std::uint64_t version) const
+  {
+    const auto first = std::find_if(m_changes.begin(), m_changes.end(), [&](const auto& change) {
+      return change->base_version == version;
+    });
+    if (first == m_changes.end() && version != m_version) {
+      return std::nullopt;
+    }
+    return RoutingChanges(first, m_changes.end());
+  }
+
+  ApplyResult apply(const ChangeRouting& command)
+  {
+    const RoutingChange& change = command.change;
+    if (change.version <= m_version) {
+      return accept();
+    }
+    if (change.base_version != m_version || !m_document.fits(command.document)) {
+      return reject({ .kind = ErrorKind::Conflict,
+                      .message = "routing configuration " + std::to_string(change.version) +
+                                 " is based on " + std::to_string(change.base_version) +
+                                 ", but version " + std::to_string(m_version) + " is in force",
+                      .remedy = "send the whole configuration" });
+    }
+    m_document.apply(command.document);
+    m_version = change.version;
+    m_changes.push_back(std::make_shared<const RoutingChange>(change));
+    m_changed_routes += change.size();
+    while (m_changes.size() > kKeptRoutingChanges || m_changed_routes > kKeptChangedRoutes) {
+      m_changed_routes -= m_changes.front()->size();
+      m_changes.pop_front();
+    }
+    return accept();
+  }
+
+private:
+  std::uint64_t m_version = 0;
+  PatchedDocument m_document;
+  std::deque<std::shared_ptr<const RoutingChange>> m_changes;
+  /// Sum of the sizes of m_changes.
+  std::size_t m_changed_routes = 0;
+};
+
 } // namespace
 
 struct StateMachine::Impl
@@ -34,7 +95,7 @@
   ConfigStore config;
   ClaimStore claims;
   Directory directory;
-  std::shared_ptr<const ReplaceRouting> routing = std::make_shared<ReplaceRouting>();
+  RoutingState routing;
 
   // Claims and outcomes don't affect where requests are sent.
   static bool changes_routes(const Command& command)
@@ -71,12 +132,14 @@
   // lost the result of a change and sends it again gets the same result.
   ApplyResult apply_one(const ReplaceRouting& replace)
   {
-    if (replace.version > routing->version) {
-      routing = std::make_shared<const ReplaceRouting>(replace);
+    if (replace.version > routing.version()) {
+      routing = RoutingState(replace.version, replace.document);
     }
     return accept();
   }
 
+  ApplyResult apply_one(const ChangeRouting& change) { return routing.apply(change); }
+
   ApplyResult apply_one(const JoinHost& join)
   {
     bool new_incarnation = false;
@@ -146,10 +209,22 @@
   return m_impl->config.configuration();
 }
 
-std::shared_ptr<const ReplaceRouting>
-StateMachine::routing() const
+std::uint64_t
+StateMachine::routing_version() const
+{
+  return m_impl->routing.version();
+}
+
+std::string
+StateMachine::routing_document() const
+{
+  return m_impl->routing.document();
+}
+
+std::optional<RoutingChanges>
+StateMachine::routing_changes_since(std::uint64_t version) const
 {
-  return m_impl->routing;
+  return m_impl->routing.changes_since(version);
 }
 
 std::vector<FoldedChange>
@@ -252,8 +327,8 @@
                         { "claims", m_impl->claims.snapshot() },
                         { "directory", m_impl->directory.snapshot() },
                         { "routing",
-                          { m_impl->routing->version,
-                            json::binary(pack_document(m_impl->routing->document)) } } };
+                          { m_impl->routing.version(),
+                            json::binary(pack_document(m_impl->routing.document())) } } };
   return json::to_cbor(fields);
 }
 
@@ -272,9 +347,8 @@
     next->claims.restore(fields.at("claims"));
     next->directory.restore(fields.at("directory"));
     if (fields.contains("routing")) {
-      next->routing = std::make_shared<const ReplaceRouting>(
-        ReplaceRouting{ .version = fields.at("routing").at(0).get<std::uint64_t>(),
-                        .document = unpack_document(fields.at("routing").at(1).get_binary()) });
+      next->routing = RoutingState(fields.at("routing").at(0).get<std::uint64_t>(),
+                                   unpack_document(fields.at("routing").at(1).get_binary()));
     }
   } catch (const std::exception& exception) {
     return Error{ .kind = ErrorKind::Protocol,
--- a/src/libstate/state_machine_test.cpp
+++ b/src/libstate/state_machine_test.cpp
@@ -40,15 +40,15 @@
 TEST(StateMachine, HighestRoutingVersionWins)
 {
   StateMachine state;
-  EXPECT_EQ(state.routing()->version, 0U);
+  EXPECT_EQ(state.routing_version(), 0U);
   EXPECT_TRUE(state.apply(1, ReplaceRouting{ .version = 5, .document = "five" }).accepted);
   EXPECT_TRUE(state.apply(2, ReplaceRouting{ .version = 3, .document = "three" }).accepted);
   EXPECT_TRUE(state.apply(3, ReplaceRouting{ .version = 5, .document = "other" }).accepted);
-  EXPECT_EQ(state.routing()->document, "five");
+  EXPECT_EQ(state.routing_document(), "five");
   StateMachine other;
   ASSERT_TRUE(other.restore(state.snapshot()).has_value());
-  EXPECT_EQ(other.routing()->version, 5U);
-  EXPECT_EQ(other.routing()->document, "five");
+  EXPECT_EQ(other.routing_version(), 5U);
+  EXPECT_EQ(other.routing_document(), "five");
 }
 
 // Guards against a server that can't rejoin after its lease expired because it was unreachable, and
--- a/src/libstate/state_oracle.cpp
+++ b/src/libstate/state_oracle.cpp
@@ -40,6 +40,21 @@
   return accepted();
 }
 
+ApplyResult
+Oracle::apply_one(const ChangeRouting& change)
+{
+  if (change.change.version <= m_routing.version) {
+    return accepted();
+  }
+  if (change.change.base_version != m_routing.version) {
+    return {};
+  }
+  PatchedDocument document(m_routing.document);
+  document.apply(change.document);
+  m_routing = { .version = change.change.version, .document = document.text() };
+  return accepted();
+}
+
 Configuration
 Oracle::configuration() const
 {
--- a/src/libstate/state_oracle.h
+++ b/src/libstate/state_oracle.h
@@ -50,6 +50,7 @@
   ApplyResult apply_one(const LeaveHost& leave);
   ApplyResult apply_one(const ExpireOutcomes& expire);
   ApplyResult apply_one(const ReplaceRouting& replace);
+  ApplyResult apply_one(const ChangeRouting& change);
   void end_claims_of(const HostId& host);
 
   std::uint64_t m_index = 0;
