libstate, libsite: a server that joins or leaves touches its own service alone

The registry of servers knows at which log index each service changed last, so a host passes on only the services that changed since its own index. Names of services come from servers, so at most 20,000 are remembered; beyond that, and after an image, all servers are passed on. StateMachine.ChangedServicesAreKnownSinceAnIndex needs the new function.

--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -149,6 +149,11 @@
   /// Replaces the set of servers that requests may be forwarded to.
   void set_servers(const std::vector<ServerInfo>& servers, TimePoint now);
 
+  /// Replaces the servers of one service.
+  void set_servers(const ServiceName& service,
+                   const std::vector<ServerInfo>& servers,
+                   TimePoint now);
+
   /// Sets the number of entry hosts that receive caller traffic. The retry budgets and the probe
   /// rate limits are divided by it.
   void set_entry_hosts(std::size_t hosts);
--- a/src/include/lovagehold/state_machine.h
+++ b/src/include/lovagehold/state_machine.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -133,6 +134,14 @@
 
   std::vector<ServerInfo> all_servers() const;
 
+  /// \param index a log index
+  /// \return the services whose servers changed after the index; nullopt if that is not known,
+  /// because the state was restored since or very many services have changed
+  std::optional<std::set<ServiceName>> services_changed_since(std::uint64_t index) const;
+
+  /// \return log index of the last change of the servers; identifies all_servers()
+  std::uint64_t servers_index() const;
+
   /// \param service empty to consider only leaves that name no service
   /// \return whether this incarnation of the server has left, or a later one, and can't join. False
   /// if that is not remembered any more, and for incarnation 0.
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -85,10 +85,18 @@
     by_service.try_emplace(service);
   }
   for (const auto& [service, members] : by_service) {
-    m_impl->context->selector(service).set_servers(members, now);
+    set_servers(service, members, now);
   }
 }
 
+void
+Gateway::set_servers(const ServiceName& service,
+                     const std::vector<ServerInfo>& servers,
+                     TimePoint now)
+{
+  m_impl->context->selector(service).set_servers(servers, now);
+}
+
 void
 Gateway::set_entry_hosts(std::size_t hosts)
 {
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -425,9 +425,9 @@
 ControlHost::servers()
 {
   const StateMachine& machine = m_replica->machine();
-  if (machine.routes_index() != m_servers_index || machine.routes_index() == 0) {
+  if (machine.servers_index() != m_servers_index || machine.servers_index() == 0) {
     m_servers = machine.all_servers();
-    m_servers_index = machine.routes_index();
+    m_servers_index = machine.servers_index();
   }
   return m_servers;
 }
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -327,10 +327,14 @@
 EntryHost::apply_servers(TimePoint now)
 {
   const StateMachine& state = m_client->state();
-  if (state.routes_index() != m_servers_index) {
-    m_servers_index = state.routes_index();
+  if (const auto services = state.services_changed_since(m_servers_index)) {
+    for (const ServiceName& service : *services) {
+      m_gateway.set_servers(service, state.servers(service), now);
+    }
+  } else {
     m_gateway.set_servers(state.all_servers(), now);
   }
+  m_servers_index = state.servers_index();
 }
 
 void
--- a/src/libsite/entry_host.h
+++ b/src/libsite/entry_host.h
@@ -74,7 +74,7 @@
   EntryAddresses m_directory;
   /// When the addresses last changed.
   TimePoint m_directory_changed_at;
-  /// StateMachine::routes_index() of the servers passed to the gateway.
+  /// StateMachine::servers_index() of the servers passed to the gateway.
   std::uint64_t m_servers_index = 0;
   bool m_update_scheduled = false;
   bool m_was_ready = false;
--- a/src/libstate/directory.cpp
+++ b/src/libstate/directory.cpp
@@ -13,6 +13,9 @@
 
 using nlohmann::json;
 
+// Services whose last change is known; names of services come from servers, so there may be many.
+constexpr std::size_t kKeptServiceChanges = 20'000;
+
 ApplyResult
 reject_outdated(const std::string& what)
 {
@@ -88,7 +91,7 @@
 }
 
 ApplyResult
-Directory::join(const ServerInfo& server, std::uint64_t)
+Directory::join(const ServerInfo& server, std::uint64_t index)
 {
   const auto members = m_servers.find(server.service);
   const bool newer_known = members != m_servers.end() && members->second.count(server.id) > 0 &&
@@ -99,6 +102,7 @@
   // Departures of earlier incarnations stay remembered: their delayed announcements may arrive
   // after the lease of this one has expired.
   m_servers[server.service][server.id] = server;
+  mark_changed(server.service, index);
   return accept();
 }
 
@@ -117,6 +121,7 @@
       if (found->second.incarnation <= leave.incarnation) {
         departed = std::max(departed, found->second.incarnation);
         members->second.erase(found);
+        mark_changed(members->first, index);
       }
     }
     members = members->second.empty() ? m_servers.erase(members) : std::next(members);
@@ -246,6 +251,40 @@
   return all;
 }
 
+void
+Directory::mark_changed(const ServiceName& service, std::uint64_t index)
+{
+  std::uint64_t& changed_at = m_changed_at[service];
+  m_changes.erase({ changed_at, service });
+  changed_at = index;
+  m_changes.insert({ index, service });
+  if (m_changes.size() > kKeptServiceChanges) {
+    m_known_since = m_changes.begin()->first;
+    m_changed_at.erase(m_changes.begin()->second);
+    m_changes.erase(m_changes.begin());
+  }
+}
+
+std::optional<std::set<ServiceName>>
+Directory::changed_since(std::uint64_t index) const
+{
+  if (index < m_known_since) {
+    return std::nullopt;
+  }
+  std::set<ServiceName> services;
+  for (auto change = m_changes.lower_bound({ index + 1, ServiceName() }); change != m_changes.end();
+       ++change) {
+    services.insert(change->second);
+  }
+  return services;
+}
+
+std::uint64_t
+Directory::servers_index() const
+{
+  return m_changes.empty() ? m_known_since : m_changes.rbegin()->first;
+}
+
 std::vector<HostInfo>
 Directory::hosts() const
 {
@@ -291,8 +330,9 @@
 }
 
 void
-Directory::restore(const json& fields)
+Directory::restore(const json& fields, std::uint64_t index)
 {
+  m_known_since = index;
   fields.at("view").get_to(m_view);
   for (const auto& server : fields.at("servers").get<std::vector<ServerInfo>>()) {
     m_servers[server.service][server.id] = server;
--- a/src/libstate/directory.h
+++ b/src/libstate/directory.h
@@ -3,6 +3,8 @@
 #include "lovagehold/state_machine.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
 
 namespace lovagehold {
 
@@ -27,6 +29,12 @@
   bool has_left(const ServiceName& service, const ServerId& id, std::uint64_t incarnation) const;
   std::vector<ServerInfo> servers(const ServiceName& service) const;
   std::vector<ServerInfo> all_servers() const;
+  /// \param index a log index
+  /// \return the services whose servers changed after the index; nullopt if that is not known,
+  /// because the registry was restored since or very many services have changed
+  std::optional<std::set<ServiceName>> changed_since(std::uint64_t index) const;
+  /// \return log index of the last change of the servers
+  std::uint64_t servers_index() const;
   std::vector<HostInfo> hosts() const;
   std::uint64_t view() const { return m_view; }
   MembershipView membership() const;
@@ -37,7 +45,8 @@
 
   nlohmann::json snapshot() const;
   /// Throws std::exception if the fields are malformed.
-  void restore(const nlohmann::json& fields);
+  /// \param index log index of the restored state
+  void restore(const nlohmann::json& fields, std::uint64_t index);
 
 private:
   /// \return DepartedHost::known_members for the leaving host.
@@ -71,10 +80,17 @@
   /// \param known whether an incarnation of the server had joined
   void remember(const ServerKey& key, std::uint64_t incarnation, bool known, std::uint64_t index);
 
+  void mark_changed(const ServiceName& service, std::uint64_t index);
+
   std::size_t m_departed_limit;
   std::size_t m_unknown_limit;
   std::uint64_t m_view = 0;
   std::map<ServiceName, std::map<ServerId, ServerInfo>> m_servers;
+  /// Log index of the last change of each service's servers after m_known_since, and the reverse.
+  std::map<ServiceName, std::uint64_t> m_changed_at;
+  std::set<std::pair<std::uint64_t, ServiceName>> m_changes;
+  /// Log index from which on all changes are known.
+  std::uint64_t m_known_since = 0;
   std::map<HostId, HostInfo> m_hosts;
   /// View in which the joined incarnation of each host joined.
   std::map<HostId, std::uint64_t> m_joined_views;
--- a/src/libstate/routing_updates_test.cpp
+++ b/src/libstate/routing_updates_test.cpp
@@ -208,5 +208,30 @@
   EXPECT_FALSE(state.routing_changes_since(1).has_value());
 }
 
+// Guards against rebuilding the servers of all services because those of one changed.
+TEST(StateMachine, ChangedServicesAreKnownSinceAnIndex)
+{
+  StateMachine state;
+  const auto join = [](const char* service, const char* id) {
+    return JoinServer{
+      { .service = service, .id = id, .address = "127.0.0.1:1", .incarnation = 1 }
+    };
+  };
+  state.apply(1, join("s", "a"));
+  state.apply(2, join("t", "b"));
+  state.apply(3, ReplaceRouting{ .version = 1, .document = "one" });
+  EXPECT_EQ(state.servers_index(), 2U);
+  EXPECT_EQ(state.services_changed_since(0), (std::set<ServiceName>{ "s", "t" }));
+  EXPECT_EQ(state.services_changed_since(1), std::set<ServiceName>{ "t" });
+  state.apply(4, LeaveServer{ .id = "a", .incarnation = 1 });
+  EXPECT_EQ(state.services_changed_since(2), std::set<ServiceName>{ "s" });
+  StateMachine restored;
+  ASSERT_TRUE(restored.restore(state.snapshot()).has_value());
+  EXPECT_FALSE(restored.services_changed_since(2).has_value());
+  EXPECT_EQ(restored.services_changed_since(4), std::set<ServiceName>{});
+  restored.apply(5, join("t", "c"));
+  EXPECT_EQ(restored.services_changed_since(4), std::set<ServiceName>{ "t" });
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libstate/state_machine.cpp
+++ b/src/libstate/state_machine.cpp
@@ -274,6 +274,18 @@
   return m_impl->directory.all_servers();
 }
 
+std::optional<std::set<ServiceName>>
+StateMachine::services_changed_since(std::uint64_t index) const
+{
+  return m_impl->directory.changed_since(index);
+}
+
+std::uint64_t
+StateMachine::servers_index() const
+{
+  return m_impl->directory.servers_index();
+}
+
 bool
 StateMachine::has_left(const ServiceName& service,
                        const ServerId& id,
@@ -345,7 +357,7 @@
     next->routes_index = next->applied;
     next->config.restore(fields.at("config"));
     next->claims.restore(fields.at("claims"));
-    next->directory.restore(fields.at("directory"));
+    next->directory.restore(fields.at("directory"), next->applied);
     if (fields.contains("routing")) {
       next->routing = RoutingState(fields.at("routing").at(0).get<std::uint64_t>(),
                                    unpack_document(fields.at("routing").at(1).get_binary()));
