libsite: a change that another one overtakes is made again as a difference

In a storm of 95 changes entry hosts got ten whole documents, each 130 to 150 ms of their thread.

Cause: the accepting control host had not applied the version before, which another one had acknowledged 0.2 s earlier, so its difference was rejected and the whole document sent.

It waits until its state is current, makes the difference again, and sends the whole document only after three conflicts or if it can't reach the group.

--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -43,6 +43,10 @@
 // host. With 19 control hosts, StateMachineOptions::unknown_departed_limit covers 80 s of them.
 constexpr double kUnknownLeavesPerSecond = 2;
 constexpr double kUnknownLeaveBurst = 50;
+// How often the difference of a routing configuration is proposed before the whole one is.
+constexpr unsigned kMaxRoutingChanges = 3;
+// The table that differences are made from distributes no requests.
+constexpr std::uint64_t kRoutingSeed = 1;
 // Log growth after which a snapshot is taken. A starting entry host receives the snapshot and the
 // entries after it; a snapshot with 422 servers has 45 KB.
 constexpr std::size_t kSnapshotLogBytes = std::size_t{ 64 } << 10;
@@ -223,6 +227,9 @@
   counter("lovagehold_permits_denied_total",
           "Requests to limited servers that this host denied.",
           m_permits_denied);
+  counter("lovagehold_routing_conflicts_total",
+          "Routing changes made again because another version was accepted in the meantime.",
+          m_routing_conflicts);
   counter("lovagehold_dropped_messages_total",
           "Messages to other hosts that were dropped.",
           m_link.dropped_messages());
@@ -523,34 +530,51 @@
 void
 ControlHost::handle_call(const ReplaceRoutingCall& call, const AdminServer::Reply& reply)
 {
-  const StateMachine& machine = m_replica->machine();
   m_log.info("routing_received",
              { { "version", std::to_string(call.config.version) },
-               { "held", std::to_string(machine.routing_version()) },
+               { "held", std::to_string(m_replica->machine().routing_version()) },
                { "bytes", std::to_string(call.document.size()) } });
-  if (call.config.version <= machine.routing_version()) {
+  propose_routing(std::make_shared<const ReplaceRoutingCall>(call), kMaxRoutingChanges, reply);
+}
+
+// Proposes the difference to the version in force. Another version may have been accepted since, or
+// the state of this host may be behind; the difference is then made again from the current state.
+void
+ControlHost::propose_routing(const std::shared_ptr<const ReplaceRoutingCall>& call,
+                             unsigned attempts,
+                             const AdminServer::Reply& reply)
+{
+  const StateMachine& machine = m_replica->machine();
+  const RoutingConfig& config = call->config;
+  if (config.version <= machine.routing_version()) {
     send_reply(reply, AcceptedReply{});
     return;
   }
   const Result<void> updated =
-    update_routing_table(m_routing, machine, m_protocol.decode_routing, 1);
+    update_routing_table(m_routing, machine, m_protocol.decode_routing, kRoutingSeed);
   if (updated.has_error()) {
     m_log.warn("routing_unreadable",
                { { "version", std::to_string(machine.routing_version()) },
                  { "error", updated.error().message } });
   }
+  if (attempts == 0) {
+    propose(ReplaceRouting{ .version = config.version, .document = call->document },
+            AcceptedReply{},
+            reply);
+    return;
+  }
   m_client->propose(
-    make_routing_command(m_routing, machine, call.config, call.document),
-    [this, call, reply](const Result<ApplyResult>& result) {
+    make_routing_command(m_routing, machine, config, call->document),
+    [this, call, attempts, reply](const Result<ApplyResult>& result) {
       if (result.has_error()) {
         send_reply(reply, FailedReply{ unavailable(result.error().message) });
       } else if (result.value().accepted) {
         send_reply(reply, AcceptedReply{});
       } else {
-        // Another version was accepted in the meantime, so the difference doesn't apply.
-        propose(ReplaceRouting{ .version = call.config.version, .document = call.document },
-                AcceptedReply{},
-                reply);
+        ++m_routing_conflicts;
+        confirm([this, call, attempts, reply](bool confirmed) {
+          propose_routing(call, confirmed ? attempts - 1 : 0, reply);
+        });
       }
     },
     Clock::now());
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -57,6 +57,9 @@
                const ControlReply& content,
                const AdminServer::Reply& reply);
   void confirm(const std::function<void(bool confirmed)>& done);
+  void propose_routing(const std::shared_ptr<const ReplaceRoutingCall>& call,
+                       unsigned attempts,
+                       const AdminServer::Reply& reply);
   void leave(const LeaveCall& call, const ControlReply& content, const AdminServer::Reply& reply);
   bool propose_leave(const LeaveCall& call,
                      const ControlReply& content,
@@ -123,6 +126,7 @@
   /// Permits granted and denied since the start, for the metrics.
   std::uint64_t m_permits_granted = 0;
   std::uint64_t m_permits_denied = 0;
+  std::uint64_t m_routing_conflicts = 0;
   /// Limits the leaves of servers that have not joined.
   TokenBucket m_unknown_leaves;
   /// Whether this host led the group at the last tick.
--- a/src/libsite/entry_host_test.cpp
+++ b/src/libsite/entry_host_test.cpp
@@ -124,17 +124,25 @@
     return protocol;
   }
 
-  // \return the response with its header
-  static std::string call(unsigned short port, const std::string& path, const std::string& body)
+  static void send_call(TestSocket& socket,
+                        unsigned short port,
+                        const std::string& path,
+                        const std::string& body)
   {
-    boost::asio::io_context context;
-    TestSocket socket(context);
     socket.connect(test_endpoint(".7.3", port));
     set_read_timeout(socket);
     boost::asio::write(
       socket,
       boost::asio::buffer("GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" +
                           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body));
+  }
+
+  // \return the response with its header
+  static std::string call(unsigned short port, const std::string& path, const std::string& body)
+  {
+    boost::asio::io_context context;
+    TestSocket socket(context);
+    send_call(socket, port, path, body);
     return read_to_close(socket).value_or("");
   }
 
@@ -216,5 +224,29 @@
   EXPECT_EQ(read.substr(body + 4), document(kChanges + 1, services));
 }
 
+// Guards against whole documents for all entry hosts because two operators change the configuration
+// at the same time, or because a control host is behind.
+TEST_F(EntryHostTest, OvertakenChangeDoesNotDecodeTheOtherRoutes)
+{
+  std::vector<std::string> services(kRoutes, "s");
+  put(document(1, services));
+  ASSERT_TRUE(await_version(1));
+  constexpr std::uint64_t kRounds = 20;
+  for (std::uint64_t round = 0; round < kRounds; ++round) {
+    const std::uint64_t version = 2 + 2 * round;
+    boost::asio::io_context context;
+    TestSocket first(context);
+    TestSocket second(context);
+    services[round] = "t";
+    send_call(first, kPort, "/put", document(version, services));
+    services[kRoutes - 1 - round] = "t";
+    send_call(second, kPort, "/put", document(version + 1, services));
+    ASSERT_EQ(status_of(read_to_close(first).value_or("")), 200);
+    ASSERT_EQ(status_of(read_to_close(second).value_or("")), 200);
+    ASSERT_TRUE(await_version(version + 1));
+  }
+  EXPECT_LE(on_thread([this] { return m_decoded_routes; }), kRoutes + 4 * kRounds);
+}
+
 } // namespace
 } // namespace lovagehold
