libcontrol: a control host that is behind its subscriber does not answer it

Cause: a control host whose disk was wiped hears from the leader while it still receives the state. It answered the subscriptions of entry hosts that followed it before, although it lacked entries that they had, so they took themselves for current and got no change until it had caught up.

ReplicaTest.HostThatIsBehindItsSubscriberDoesNotAnswer failed before (1 answer) and passes.

--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -415,9 +415,9 @@
 
   void handle(const std::string& from, const Subscribe& message)
   {
-    // A host without contact with the leader may be behind. Without an answer, the subscriber
-    // switches to another host.
-    if (!consensus->in_contact()) {
+    // A host without contact with the leader may be behind, and one that lacks entries which the
+    // subscriber has is. Without an answer, the subscriber switches to another host.
+    if (!consensus->in_contact() || message.from_index > state.applied_index() + 1) {
       return;
     }
     if (message.confirm && message.accepts_source && redirect(from, message)) {
--- a/src/libcontrol/replica_test.cpp
+++ b/src/libcontrol/replica_test.cpp
@@ -270,6 +270,23 @@
   EXPECT_GT(chunks, 2U);
 }
 
+// Guards against an entry host that takes itself for current while the control host that it follows
+// is behind: a wiped control host hears from the leader while it still receives the state.
+TEST_F(ReplicaTest, HostThatIsBehindItsSubscriberDoesNotAnswer)
+{
+  ASSERT_TRUE(join("first"));
+  unsigned answers = 0;
+  m_drop = [&](const std::string& to, const ClusterMessage& message) {
+    answers += to == "subscriber" && std::holds_alternative<Entries>(message) ? 1 : 0;
+    return false;
+  };
+  const std::uint64_t applied = leader()->status().applied;
+  leader()->receive("subscriber", Subscribe{ .from_index = applied + 2 });
+  EXPECT_EQ(answers, 0U);
+  leader()->receive("subscriber", Subscribe{ .from_index = applied + 1 });
+  EXPECT_EQ(answers, 1U);
+}
+
 // Guards against starting subscribers that all stay at the control hosts of their settings, and
 // against one that is directed to a control host that does not run.
 TEST_F(ReplicaTest, StartingSubscriberIsDirectedToARunningSource)
