--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -13,3 +13,6 @@
 for seed in "${seeds[@]}"; do
   python3 "$here/soak.py" "$BUILD/src/lovagehold/lovagehold" --seed "$seed" --seconds "${SOAK_SECONDS:-12}"
 done
+# Guards against entry hosts that use a configuration 2 s after a later one was acknowledged: changes of 1,400 routes in
+# quick succession.
+python3 "$here/storm.py" "$BUILD/src/lovagehold/lovagehold" --seed 20261206 --seconds "${SOAK_SECONDS:-12}"
--- /dev/null
+++ b/testsuite/soak/storm.py
@@ -0,0 +1,137 @@
+"""Soak of configuration changes: real processes, changes in quick succession by two operators to a configuration of many
+routes, while servers name limits, crash and are replaced.
+
+Usage: storm.py PROGRAM [--seed N] [--seconds S] [--controls N] [--entries N] [--gap S] [--routes N] [--runs N]
+Each version adds a route of its own and drops the oldest one, so that an answer shows which versions an entry host had.
+"""
+
+import argparse
+import asyncio
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+# Adds the folder of wire to the path, so it comes first.
+from soak import CALL_ERRORS, SERVICES, Soak
+
+import wire
+from cluster import ENTRY_PORT
+from http_io import format_message, read_message
+
+# The platform's bound from the acknowledgement of a version to its use at every entry host.
+CONFIG_APPLY_S = 2.0
+PROBES = 8
+LIVE_ROUTES = 5
+
+
+class Storm(Soak):
+    """A run without faults of the system's own processes, so that its bound on late configurations holds throughout."""
+
+    def __init__(self, options, seed, work):
+        super().__init__(options, seed, work)
+        self.live = {}
+        self.acks = []
+        self.checked = 0
+
+    def make_document(self, version):
+        previous = self.live.get(max(self.live, default=0), ())
+        self.live[version] = (*previous, version)[-LIVE_ROUTES:]
+        routes = [wire.route("safe", "safe", "/safe/", "desk"), wire.route("once", "unsafe", "/once/", "ledger"),
+                  wire.route("moved", "safe", "/moved/", SERVICES[version % 2])]
+        routes += [wire.route(f"own-{v}", "safe", f"/own-{v}/", "desk") for v in self.live[version]]
+        routes += [wire.route(f"r{i}", "safe", f"/r{i}/", SERVICES[i == version % self.options.routes])
+                   for i in range(self.options.routes)]
+        return wire.configuration(version, "a.example", routes, SERVICES)
+
+    async def change_config(self):
+        before = self.acknowledged
+        await super().change_config()
+        if self.acknowledged > before:
+            self.acks.append((time.monotonic(), self.acknowledged))
+
+    def may_be_in_force(self, sent_at):
+        """Returns the versions that an entry host may use for a request that was sent at that time."""
+        oldest = max((version for at, version in self.acks if at <= sent_at - CONFIG_APPLY_S), default=0)
+        return [live for version, live in self.live.items() if version >= oldest]
+
+    async def probe(self):
+        while not self.stopping:
+            await asyncio.sleep(self.random.uniform(0.01, 0.1))
+            if not self.acks:
+                continue
+            own = self.random.choice(list(self.live)[-60:])
+            address = f"{self.random.choice(self.cluster.entries).ip}:{ENTRY_PORT}"
+            sent_at = time.monotonic()
+            try:
+                status = await self.ask(address, own)
+            except CALL_ERRORS:
+                continue
+            self.checked += 1
+            versions = self.may_be_in_force(sent_at)
+            if status == 404 and all(own in live for live in versions):
+                self.record.violations.append(f"{address} answers 404 for the route of version {own}")
+            if status == 200 and not any(own in live for live in versions):
+                self.record.violations.append(f"{address} serves the route of version {own}, which was dropped")
+
+    async def ask(self, address, own):
+        self.next_id += 1
+        headers = {"Host": "a.example", wire.ID_HEADER: f"{self.seed:x}-own-{self.next_id:x}",
+                   wire.DEADLINE_HEADER: "1500", "Connection": "close"}
+        host, port = address.rsplit(":", 1)
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
+        try:
+            writer.write(format_message(f"GET /own-{own}/ HTTP/1.1", headers))
+            return (await asyncio.wait_for(read_message(reader), 3)).status
+        finally:
+            writer.transport.abort()
+
+    async def operator(self):
+        while not self.stopping:
+            await self.change_config()
+            await asyncio.sleep(self.random.uniform(0, 2 * self.options.gap))
+
+    async def inject(self):
+        operators = [asyncio.create_task(self.operator()) for _ in range(2)]
+        probes = [asyncio.create_task(self.probe()) for _ in range(PROBES)]
+        end = time.monotonic() + self.options.seconds
+        while time.monotonic() < end:
+            self.spawn(self.random.choice((self.fault_limit, self.fault_replace, self.fault_responses))())
+            await asyncio.sleep(self.random.uniform(0.2, 1))
+        self.stopping = True
+        await asyncio.gather(*operators, *probes)
+        if self.checked == 0:
+            self.record.violations.append("no answer showed which version was in force")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("program")
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--controls", type=int, default=3)
+    parser.add_argument("--entries", type=int, default=6)
+    parser.add_argument("--gap", type=float, default=0.1, help="mean pause of an operator between two changes")
+    parser.add_argument("--routes", type=int, default=1400)
+    parser.add_argument("--runs", type=int, default=1)
+    options = parser.parse_args()
+    options.strict = False
+    first = options.seed if options.seed is not None else random.SystemRandom().randrange(1 << 30)
+    for seed in range(first, first + options.runs):
+        work = tempfile.mkdtemp(prefix="lovagehold-storm-")
+        storm = Storm(options, seed, work)
+        asyncio.run(storm.run())
+        print(f"seed {seed}: {len(storm.acks)} versions, {storm.checked} checks, "
+              f"responses {dict(sorted(storm.record.outcomes.items()))}, {len(storm.record.violations)} violations",
+              flush=True)
+        if storm.record.violations:
+            print("\n".join(storm.record.violations[:20]))
+            print(f"logs in {work}")
+            return 1
+        shutil.rmtree(work)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
