--- a/src/include/lovagehold/document_patch.h
+++ b/src/include/lovagehold/document_patch.h
@@ -31,9 +31,8 @@
   bool operator==(const DocumentPatch&) const = default;
 };
 
-/// Finds what two documents have in common, in pieces that end with a closing brace
-/// or a line end. Linear in the
-/// size of the documents.
+/// Finds what two documents have in common, in pieces that end with a closing brace or a line end.
+/// Linear in the size of the documents.
 DocumentPatch make_patch(std::string_view base, std::string_view document);
 
 /// Combines two patches, the second of which is based on the result of the first, to one that is
