--- a/src/teststand/routing_bench.cpp
+++ b/src/teststand/routing_bench.cpp
@@ -16,11 +16,14 @@
   for (std::size_t i = 0; i < routes; ++i) {
     const std::string name = std::to_string(i);
     const bool changed = i == routes / 2 && version % 2 == 0;
-    rules +=
-      std::string(i == 0 ? "" : ",") + R"({"name":"r-)" + name +
-      R"(","kind":"safe","targetLatency":"600ms","priority":2,"match":{"pathPrefix":"/leny)" +
-      name + R"(/"},"action":{"service":")" + (changed ? "t" : "s") +
-      R"(","timeout":"2000ms","maxAttempts":2}})";
+    rules += i == 0 ? "" : ",";
+    rules += R"({"name":"r-)";
+    rules += name;
+    rules += R"(","kind":"safe","targetLatency":"600ms","priority":2,"match":{"pathPrefix":"/leny)";
+    rules += name;
+    rules += R"(/"},"action":{"service":")";
+    rules += changed ? "t" : "s";
+    rules += R"(","timeout":"2000ms","maxAttempts":2}})";
   }
   return R"({"version":)" + std::to_string(version) +
          R"(,"listeners":[{"host":"a.example","rules":[)" + rules +
