libsite, libstate: no work for dropped messages that aren't logged, nor unused copies

Each dropped message posted a handler to the thread that serves requests, which then found that nothing was to be logged: the time is compared on the transport's thread now, before anything is posted.

--- a/src/libadapters/cluster_transport_test.cpp
+++ b/src/libadapters/cluster_transport_test.cpp
@@ -112,8 +112,8 @@
   EXPECT_EQ(transport.failed_connections(), kAttempts);
 }
 
-// Guards against messages that are lost without a trace, so that a host that is behind can't be
-// told from one whose messages were dropped.
+// Guards against messages that are lost without a trace: logs then don't distinguish a host that is
+// behind from one whose messages were dropped.
 TEST(ClusterTransport, DroppedMessagesAreCounted)
 {
   std::atomic<unsigned> reported{ 0 };
--- a/src/libsite/cluster_link.cpp
+++ b/src/libsite/cluster_link.cpp
@@ -28,10 +28,7 @@
               boost::asio::post(m_context, [on_unreachable, peer] { on_unreachable(peer); });
             }
           },
-        .on_dropped =
-          [this](const std::string& peer) {
-            boost::asio::post(m_context, [this, peer] { log_dropped(peer, Clock::now()); });
-          } },
+        .on_dropped = [this](const std::string& peer) { report_dropped(peer, Clock::now()); } },
       [this](const std::string& from, Bytes bytes) {
         boost::asio::post(m_context,
                           [this, from, bytes = std::move(bytes)] { receive(from, bytes); });
@@ -73,13 +70,16 @@
 }
 
 void
-ClusterLink::log_dropped(const std::string& peer, TimePoint now)
+ClusterLink::report_dropped(const std::string& peer, TimePoint now)
 {
-  if (now - m_dropped_logged_at >= kDroppedLogInterval) {
-    m_dropped_logged_at = now;
+  if (now - m_dropped_logged_at < kDroppedLogInterval) {
+    return;
+  }
+  m_dropped_logged_at = now;
+  boost::asio::post(m_context, [this, peer] {
     m_log.warn("messages_dropped",
                { { "peer", peer }, { "total", std::to_string(m_transport.dropped_messages()) } });
-  }
+  });
 }
 
 void
--- a/src/libsite/cluster_link.h
+++ b/src/libsite/cluster_link.h
@@ -38,12 +38,13 @@
 
 private:
   void receive(const std::string& from, const Bytes& bytes);
-  void log_dropped(const std::string& peer, TimePoint now);
+  void report_dropped(const std::string& peer, TimePoint now);
 
   boost::asio::io_context& m_context;
   std::string m_address;
   EventLog& m_log;
   Handler m_handler;
+  /// Used only on the transport's thread.
   TimePoint m_dropped_logged_at;
   ClusterTransport m_transport;
 };
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -550,6 +550,12 @@
     send_reply(reply, AcceptedReply{});
     return;
   }
+  if (attempts == 0) {
+    propose(ReplaceRouting{ .version = config.version, .document = call->document },
+            AcceptedReply{},
+            reply);
+    return;
+  }
   const Result<void> updated =
     update_routing_table(m_routing, machine, m_protocol.decode_routing, kRoutingSeed);
   if (updated.has_error()) {
@@ -557,12 +563,6 @@
                { { "version", std::to_string(machine.routing_version()) },
                  { "error", updated.error().message } });
   }
-  if (attempts == 0) {
-    propose(ReplaceRouting{ .version = config.version, .document = call->document },
-            AcceptedReply{},
-            reply);
-    return;
-  }
   m_client->propose(
     make_routing_command(m_routing, machine, config, call->document),
     [this, call, attempts, reply](const Result<ApplyResult>& result) {
--- a/src/libstate/routing_updates.cpp
+++ b/src/libstate/routing_updates.cpp
@@ -44,16 +44,18 @@
                      const RoutingConfig& config,
                      const std::string& document)
 {
-  const ReplaceRouting whole{ .version = config.version, .document = document };
   if (table.version() == 0 || table.version() != state.routing_version()) {
-    return whole;
+    return ReplaceRouting{ .version = config.version, .document = document };
   }
   ChangeRouting command{ .change = table.difference_to(config),
                          .document = make_patch(state.routing_document(), document) };
   const bool small_document = document.size() <= kSmallDocumentBytes;
   const bool small_change = command.change.size() <= table.size() / kWholeDivisor &&
                             command.document.inserted_bytes() <= document.size() / kWholeDivisor;
-  return small_document || small_change ? Command(std::move(command)) : Command(whole);
+  if (small_document || small_change) {
+    return command;
+  }
+  return ReplaceRouting{ .version = config.version, .document = document };
 }
 
 } // namespace lovagehold
