soak: one frame for the runs of the soak, the storm and the cases

The folder, the closing line and the exit code stood three times. run_seed() has them now; each kind of run says in summary() what it did. Checks and bounds are the same. case_soak, case_limit and case_deadly pass.

--- a/testsuite/soak/case.py
+++ b/testsuite/soak/case.py
@@ -2,11 +2,9 @@
 
 import argparse
 import asyncio
-import shutil
-import tempfile
 
 import wire
-from soak import Soak
+from soak import Soak, run_seed
 
 
 class Case(Soak):
@@ -53,13 +51,4 @@
     parser.add_argument("--entries", type=int, default=6)
     parser.add_argument("--strict", action="store_true")
     options = parser.parse_args()
-    work = tempfile.mkdtemp(prefix=f"lovagehold-{name}-")
-    case = case_class(options, options.seed, work)
-    asyncio.run(case.run())
-    print(f"seed {options.seed}: responses {dict(sorted(case.record.outcomes.items()))}")
-    if case.record.violations:
-        print("\n".join(case.record.violations[:20]))
-        print(f"logs in {work}")
-        return 1
-    shutil.rmtree(work)
-    return 0
+    return run_seed(case_class, options, options.seed, name)
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -398,6 +398,31 @@
             for server in self.servers:
                 server.crash()
 
+    def summary(self):
+        """Returns what the run did, for its closing line."""
+        return f"{len(self.faults)} faults, responses {dict(sorted(self.record.outcomes.items()))}"
+
+
+def run_seed(soak_class, options, seed, name):
+    """Runs the class with a seed in a folder of its own and prints the outcome. Returns the exit code."""
+    work = tempfile.mkdtemp(prefix=f"lovagehold-{name}-")
+    print(f"seed {seed}", flush=True)
+    soak = soak_class(options, seed, work)
+    asyncio.run(soak.run())
+    print(f"seed {seed}: {soak.summary()}, {len(soak.record.violations)} violations", flush=True)
+    if soak.record.violations:
+        print("\n".join(soak.record.violations[:20]))
+        print(f"logs in {work}")
+        return 1
+    shutil.rmtree(work)
+    return 0
+
+
+def run_seeds(soak_class, options, name):
+    """Runs options.runs seeds from options.seed, or from a random one, up to the first with a violation."""
+    first = options.seed if options.seed is not None else random.SystemRandom().randrange(1 << 30)
+    return int(any(run_seed(soak_class, options, seed, name) for seed in range(first, first + options.runs)))
+
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
@@ -410,20 +435,7 @@
     parser.add_argument("--strict", action="store_true",
                         help="also check that no request reaches a server too long after its leave")
     options = parser.parse_args()
-    first = options.seed if options.seed is not None else random.SystemRandom().randrange(1 << 30)
-    for seed in range(first, first + options.runs):
-        work = tempfile.mkdtemp(prefix="lovagehold-soak-")
-        print(f"seed {seed}", flush=True)
-        soak = Soak(options, seed, work)
-        asyncio.run(soak.run())
-        print(f"seed {seed}: {len(soak.faults)} faults, responses {dict(sorted(soak.record.outcomes.items()))}, "
-              f"{len(soak.record.violations)} violations", flush=True)
-        if soak.record.violations:
-            print("\n".join(soak.record.violations[:20]))
-            print(f"logs in {work}")
-            return 1
-        shutil.rmtree(work)
-    return 0
+    return run_seeds(Soak, options, "soak")
 
 
 if __name__ == "__main__":
--- a/testsuite/soak/storm.py
+++ b/testsuite/soak/storm.py
@@ -7,14 +7,11 @@
 
 import argparse
 import asyncio
-import random
-import shutil
 import sys
-import tempfile
 import time
 
 # Adds the folder of wire to the path, so it comes first.
-from soak import CALL_ERRORS, SERVICES, Soak
+from soak import CALL_ERRORS, SERVICES, Soak, run_seeds
 
 import wire
 from cluster import ENTRY_PORT
@@ -104,6 +101,9 @@
         if self.checked == 0:
             self.record.violations.append("no answer showed which version was in force")
 
+    def summary(self):
+        return f"{len(self.acks)} versions, {self.checked} checks, {super().summary()}"
+
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
@@ -117,20 +117,7 @@
     parser.add_argument("--runs", type=int, default=1)
     options = parser.parse_args()
     options.strict = False
-    first = options.seed if options.seed is not None else random.SystemRandom().randrange(1 << 30)
-    for seed in range(first, first + options.runs):
-        work = tempfile.mkdtemp(prefix="lovagehold-storm-")
-        storm = Storm(options, seed, work)
-        asyncio.run(storm.run())
-        print(f"seed {seed}: {len(storm.acks)} versions, {storm.checked} checks, "
-              f"responses {dict(sorted(storm.record.outcomes.items()))}, {len(storm.record.violations)} violations",
-              flush=True)
-        if storm.record.violations:
-            print("\n".join(storm.record.violations[:20]))
-            print(f"logs in {work}")
-            return 1
-        shutil.rmtree(work)
-    return 0
+    return run_seeds(Storm, options, "storm")
 
 
 if __name__ == "__main__":
