--- a/src/build-scripts/bench.sh
+++ b/src/build-scripts/bench.sh
@@ -8,7 +8,7 @@
 mkdir -p "$out"
 echo "bench: cost of a decision"
 "$build/src/teststand/decision_bench" | tee "$out/decision_bench.txt"
-"$build/src/teststand/routing_bench" | tee "$out/routing_bench.txt"
+"$build/platform/routing_bench" | tee "$out/routing_bench.txt"
 echo "bench: policies in virtual time (about a minute)"
 "$build/src/teststand/policy_bench" --threads "${BENCH_THREADS:-4}" --csv "$out/policies.csv" >"$out/policies.md"
 python3 src/build-scripts/plot_policies.py "$out/policies.csv" "$out/policies.svg"
