--- a/src/libstate/testing/fake_disk.h
+++ b/src/libstate/testing/fake_disk.h
@@ -57,4 +57,34 @@
   std::optional<std::size_t> m_capacity;
 };
 
+/// Forwards to a FakeDisk that outlives the owner of the disk, as a disk does across restarts.
+class SharedDisk : public Disk
+{
+public:
+  explicit SharedDisk(FakeDisk& disk)
+    : m_disk(disk)
+  {
+  }
+  Result<void> append(const std::string& file, const Bytes& bytes) override
+  {
+    return m_disk.append(file, bytes);
+  }
+  Result<void> sync(const std::string& file) override { return m_disk.sync(file); }
+  Result<Bytes> read(const std::string& file) override { return m_disk.read(file); }
+  Result<void> rename(const std::string& from, const std::string& to) override
+  {
+    return m_disk.rename(from, to);
+  }
+  Result<void> remove(const std::string& file) override { return m_disk.remove(file); }
+  Result<std::vector<std::string>> list() override { return m_disk.list(); }
+  Result<void> truncate(const std::string& file, std::size_t size) override
+  {
+    return m_disk.truncate(file, size);
+  }
+  Result<void> sync_folder() override { return m_disk.sync_folder(); }
+
+private:
+  FakeDisk& m_disk;
+};
+
 } // namespace lovagehold::testing
