libcontrol, libstate: entry hosts measure the age of their state

What the log and the metrics lacked to tell the hypotheses apart: an entry host knew when its control host last sent something, not until when its state is complete. A subscription carries a number; the answer returns it with the time for which the control host may have lacked committed entries (Consensus::lag). The age counts from the sending of the request, so that slow answers count too.

--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -58,6 +58,8 @@
   std::uint64_t directory_version = 0;
   /// The answer may name another control host to subscribe to, see Entries::source.
   bool accepts_source = false;
+  /// Number of the request, returned in Entries::answers; 0 if no answer is expected.
+  std::uint64_t request = 0;
 };
 
 /// Payloads of consecutive committed entries, as ReplicatedState::apply() takes them; empty for
@@ -75,6 +77,11 @@
   /// Control host that the subscriber is to follow instead of the sender; the message then carries
   /// no payloads. Empty: the sender.
   std::string source;
+  /// Subscribe::request that these entries complete the answer to; 0 if they complete none.
+  std::uint64_t answers = 0;
+  /// With these entries the subscriber has everything that was acknowledged this long before they
+  /// were sent. Set in answers; nothing if the sender can't tell.
+  std::optional<std::chrono::milliseconds> lag;
 };
 
 /// Entry hosts that have reported to a control host, which passes them on to the other control
--- a/src/include/lovagehold/consensus.h
+++ b/src/include/lovagehold/consensus.h
@@ -143,6 +143,11 @@
   /// Whether this member is the leader, or has heard from a leader within the election timeout.
   bool in_contact() const;
   std::uint64_t commit_index() const;
+  /// \return time since which commands may have been committed that this member does not know of:
+  /// for a follower since the leader's last message that it was up to date with, for a leader since
+  /// a majority last replied. Message delays are not included. Duration::max() if the member has
+  /// not been up to date since it was constructed
+  Duration lag(TimePoint now) const;
   /// Index of the first entry in memory.
   std::uint64_t first_index() const;
   std::uint64_t last_index() const;
--- a/src/include/lovagehold/control_client.h
+++ b/src/include/lovagehold/control_client.h
@@ -84,6 +84,10 @@
   /// Whether the state has been confirmed by the leader since the process started.
   bool ready() const;
 
+  /// \return time since which changes may have been acknowledged that the state lacks;
+  /// Duration::max() before the state is first confirmed
+  Duration state_age(TimePoint now) const;
+
   const StateMachine& state() const;
 
 private:
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -80,6 +80,8 @@
   Membership membership;
   /// Whether the host leads or has heard from the leader within the election timeout.
   bool in_contact = false;
+  /// See Consensus::lag().
+  Duration lag = Duration::max();
 };
 
 /// A control host's replica of the log: runs Consensus with real time and a disk, answers proposals
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -60,6 +60,9 @@
   if (message.accepts_source) {
     fields["accepts_source"] = true;
   }
+  if (message.request > 0) {
+    fields["request"] = message.request;
+  }
   return fields;
 }
 
@@ -83,6 +86,12 @@
   if (!message.source.empty()) {
     fields["source"] = message.source;
   }
+  if (message.answers > 0) {
+    fields["answers"] = message.answers;
+  }
+  if (message.lag) {
+    fields["lag"] = message.lag->count();
+  }
   return fields;
 }
 
@@ -210,6 +219,12 @@
            { "v", { message.id, message.answer.server, message.answer.wait.count() } } };
 }
 
+std::chrono::milliseconds
+parse_milliseconds(const json& value)
+{
+  return std::chrono::milliseconds(value.get<std::int64_t>());
+}
+
 Bytes
 get_bytes(const json& value)
 {
@@ -256,6 +271,10 @@
   }
   entries.entry_hosts = fields.value("entry_hosts", entries.entry_hosts);
   entries.source = fields.value("source", "");
+  entries.answers = fields.value("answers", entries.answers);
+  if (fields.contains("lag")) {
+    entries.lag = parse_milliseconds(fields.at("lag"));
+  }
   if (fields.contains("control")) {
     for (const json& control : fields.at("control")) {
       entries.control.push_back({ .address = control.at(0), .failure_domain = control.at(1) });
@@ -283,12 +302,6 @@
            .leader = values.at(3).get<std::string>() };
 }
 
-std::chrono::milliseconds
-parse_milliseconds(const json& value)
-{
-  return std::chrono::milliseconds(value.get<std::int64_t>());
-}
-
 PermitRequest
 parse_permit_request(const json& values)
 {
@@ -351,6 +364,7 @@
                          .snapshot_index = fields.at("snapshot").get<std::uint64_t>(),
                          .snapshot_offset = fields.at("offset").get<std::uint64_t>() };
     subscribe.accepts_source = fields.value("accepts_source", false);
+    subscribe.request = fields.value("request", subscribe.request);
     if (fields.contains("entry")) {
       subscribe.presence = parse_presence(fields.at("entry"));
       subscribe.directory_version = fields.value("directory", std::uint64_t{ 0 });
--- a/src/libcontrol/cluster_message_test.cpp
+++ b/src/libcontrol/cluster_message_test.cpp
@@ -36,6 +36,22 @@
   EXPECT_EQ(back.leader, reply.leader);
 }
 
+// Guards against answers that can't be matched with their requests, and a lag that is lost or made
+// up on the way.
+TEST(ClusterMessage, SubscriptionsAndAnswersKeepAllFields)
+{
+  using std::chrono::milliseconds;
+  const auto pass = [](const ClusterMessage& message) {
+    return decode_message(encode(message)).value();
+  };
+  EXPECT_EQ(std::get<Subscribe>(pass(Subscribe{ .request = 7 })).request, 7U);
+  EXPECT_EQ(std::get<Subscribe>(pass(Subscribe{})).request, 0U);
+  const auto answer = std::get<Entries>(pass(Entries{ .answers = 8, .lag = milliseconds(9) }));
+  EXPECT_EQ(answer.answers, 8U);
+  EXPECT_EQ(answer.lag, milliseconds(9));
+  EXPECT_EQ(std::get<Entries>(pass(Entries{})).lag, std::nullopt);
+}
+
 // Guards against evidence whose fields are lost or exchanged on the way.
 TEST(ClusterMessage, CrashReportsKeepAllFields)
 {
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -18,6 +18,11 @@
 // Time after a failover before the client may return to the control host in its failure domain.
 constexpr std::chrono::seconds kFailbackDelay{ 3 };
 
+// Requests to control hosts whose answers are awaited.
+constexpr std::size_t kMaxRequests = 32;
+// Lags that other hosts tell are limited to this, so that an absurd value does not overflow a time.
+constexpr std::chrono::hours kMaxLag{ 1 };
+
 struct PendingProposal
 {
   Bytes command;
@@ -63,6 +68,11 @@
   /// Cleared once the client was directed to another control host, so that it is not directed back
   /// if that one does not answer.
   bool accepts_source = true;
+  std::uint64_t next_request = 1;
+  /// When the requests that are not answered yet were sent, the latest ones.
+  std::map<std::uint64_t, TimePoint> requests;
+  /// The state includes everything that was acknowledged before this time.
+  std::optional<TimePoint> complete_until;
 
   // Each request makes the control host send again what may still be in transit. To keep that from
   // saturating a slow link, the interval doubles until the state is confirmed.
@@ -73,6 +83,28 @@
     return ready ? interval : interval * (1U << std::min(unconfirmed_requests, limit));
   }
 
+  std::uint64_t add_request(TimePoint now)
+  {
+    if (requests.size() == kMaxRequests) {
+      requests.erase(requests.begin());
+    }
+    requests[next_request] = now;
+    return next_request++;
+  }
+
+  // An answer to a request shows until when the state is complete, however long the request or the
+  // answer took.
+  void apply_answer(const Entries& entries)
+  {
+    const auto request = requests.find(entries.answers);
+    if (request == requests.end() || !entries.lag) {
+      return;
+    }
+    const Duration lag = std::clamp<Duration>(*entries.lag, Duration::zero(), kMaxLag);
+    complete_until = std::max(complete_until, std::optional(request->second - lag));
+    requests.erase(requests.begin(), std::next(request));
+  }
+
   void subscribe(TimePoint now)
   {
     last_subscribe = now;
@@ -84,7 +116,8 @@
                  .snapshot_offset = incoming_snapshot.state.size(),
                  .presence = options.presence ? options.presence() : std::nullopt,
                  .directory_version = options.directory_version ? options.directory_version() : 0,
-                 .accepts_source = !ready && accepts_source });
+                 .accepts_source = !ready && accepts_source,
+                 .request = add_request(now) });
   }
 
   // Subscribes to control_addresses[source] from the beginning.
@@ -216,6 +249,7 @@
     for (const Bytes& payload : entries.payloads) {
       state.apply(index++, payload);
     }
+    apply_answer(entries);
     const bool first_confirmation = entries.confirmed && !ready;
     ready = ready || entries.confirmed;
     if (ready && (first_confirmation || state.applied_index() > old_applied_index)) {
@@ -380,6 +414,14 @@
   return m_impl->ready;
 }
 
+Duration
+ControlClient::state_age(TimePoint now) const
+{
+  const auto& complete_until = m_impl->complete_until;
+  return complete_until ? std::max<Duration>(now - *complete_until, Duration::zero())
+                        : Duration::max();
+}
+
 const StateMachine&
 ControlClient::state() const
 {
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -43,6 +43,15 @@
     TimePoint expires;
   };
 
+  // What entries tell beside their payloads if they answer a subscription.
+  struct Answer
+  {
+    /// Subscribe::request; 0 if the entries answer none.
+    std::uint64_t request = 0;
+    /// A majority has confirmed that the state is current since the request arrived.
+    bool confirmed = false;
+  };
+
   // The whole state as of a log index, in the format of a snapshot.
   struct StateImage
   {
@@ -473,11 +482,11 @@
     // restoring it costs less than applying them.
     const bool starting = message.confirm && message.from_index == 1 && state.applied_index() > 0;
     if (!starting && message.from_index >= consensus->first_index()) {
-      subscribe(to, message.from_index, confirmed);
+      subscribe(to, message.from_index, { message.request, confirmed });
     } else if (const auto index = send_image(to, message)) {
       // An earlier subscription may be that of the same host before it restarted.
       subscriptions.erase(to);
-      subscribe(to, *index + 1, confirmed);
+      subscribe(to, *index + 1, { message.request, confirmed });
     }
   }
 
@@ -608,7 +617,16 @@
     }
   }
 
-  void subscribe(const std::string& subscriber, std::uint64_t from_index, bool confirmed)
+  // Rounded up; see Consensus::lag().
+  std::optional<std::chrono::milliseconds> lag() const
+  {
+    const Duration lag = consensus->lag(ports.now());
+    return lag == Duration::max()
+             ? std::nullopt
+             : std::optional(std::chrono::ceil<std::chrono::milliseconds>(lag));
+  }
+
+  void subscribe(const std::string& subscriber, std::uint64_t from_index, const Answer& answer)
   {
     const auto [entry, inserted] = subscriptions.try_emplace(subscriber);
     Subscription& subscription = entry->second;
@@ -618,12 +636,12 @@
     subscription.last_from = from_index;
     subscription.expires = ports.now() + options.subscription_timeout;
     // Sends at least one message, which tells the subscriber that this host is in contact.
-    while (send_entries(subscriber, subscription, confirmed) &&
+    while (send_entries(subscriber, subscription, answer) &&
            subscription.next <= state.applied_index()) {
     }
   }
 
-  bool send_entries(const std::string& to, Subscription& subscription, bool confirmed) const
+  bool send_entries(const std::string& to, Subscription& subscription, const Answer& answer) const
   {
     if (subscription.next < consensus->first_index()) {
       // The subscriber's next request is answered with the snapshot.
@@ -635,8 +653,14 @@
       entries.payloads.push_back(payload_of(consensus->entry(subscription.next++)));
       bytes += entries.payloads.back().size();
     }
-    entries.confirmed = confirmed && subscription.next > state.applied_index();
-    if (entries.payloads.empty() || confirmed) {
+    if (subscription.next > state.applied_index()) {
+      entries.confirmed = answer.confirmed;
+      entries.answers = answer.request;
+      if (answer.request > 0) {
+        entries.lag = answer.confirmed ? std::chrono::milliseconds(0) : lag();
+      }
+    }
+    if (entries.payloads.empty() || answer.confirmed) {
       entries.control = all_members();
       entries.entry_hosts = ports.entry_hosts ? ports.entry_hosts() : 0;
     }
@@ -648,7 +672,7 @@
   {
     for (auto& [address, subscription] : subscriptions) {
       while (subscription.next <= state.applied_index() &&
-             send_entries(address, subscription, false)) {
+             send_entries(address, subscription, {})) {
       }
     }
   }
@@ -751,7 +775,8 @@
            .commit = consensus.commit_index(),
            .applied = m_impl->state.applied_index(),
            .membership = consensus.membership(),
-           .in_contact = consensus.in_contact() };
+           .in_contact = consensus.in_contact(),
+           .lag = consensus.lag(m_impl->ports.now()) };
 }
 
 std::vector<ControlAddress>
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -193,6 +193,12 @@
   MetricsText text;
   text.begin("lovagehold_applied_index", "gauge", "Last applied entry of the control group's log.");
   text.sample({}, static_cast<double>(m_client->state().applied_index()));
+  if (m_client->ready()) {
+    text.begin("lovagehold_state_age_seconds",
+               "gauge",
+               "Time since which acknowledged changes may be missing.");
+    text.sample({}, std::chrono::duration<double>(m_client->state_age(Clock::now())).count());
+  }
   text.begin(
     "lovagehold_dropped_messages_total", "counter", "Messages to other hosts that were dropped.");
   text.sample({}, static_cast<double>(m_link.dropped_messages()));
--- a/src/libstate/consensus.cpp
+++ b/src/libstate/consensus.cpp
@@ -493,6 +493,12 @@
   return m_impl->in_contact();
 }
 
+Duration
+Consensus::lag(TimePoint now) const
+{
+  return m_impl->lag(now);
+}
+
 std::uint64_t
 Consensus::commit_index() const
 {
--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -70,6 +70,8 @@
   Duration clock{};
   Duration election_deadline{};
   Duration last_leader_contact{};
+  /// When this member last held all entries that the leader had committed.
+  std::optional<Duration> up_to_date_at;
   /// Whether a leader has been known since construction.
   bool had_leader = false;
   /// Campaigns of this member, pre-votes included, since construction.
@@ -122,6 +124,13 @@
   bool send_batch(MemberId to, Peer& peer, bool heartbeat_only);
   void send_chunk(MemberId to, Peer& peer);
   void advance_commit();
+  /// Whether an entry of the current term is committed. Until then, a leader may not know of all
+  /// entries that are.
+  bool is_commit_index_known() const;
+  /// Time at which the last reply of a majority had arrived.
+  Duration majority_contact() const;
+  /// See Consensus::lag().
+  Duration lag(TimePoint now) const;
   void set_commit(std::uint64_t index);
   void update_peers();
   bool may_change_membership() const;
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -9,6 +9,19 @@
 // Index, term, kind and framing of an entry in a message.
 constexpr std::size_t kEntryOverheadBytes = 32;
 
+// \return the highest value that a majority of the voters has reached; nothing without voters
+template<class Value>
+std::optional<Value>
+value_of_majority(std::vector<Value> values)
+{
+  if (values.empty()) {
+    return std::nullopt;
+  }
+  const auto position = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), position, values.end(), std::greater<>());
+  return *position;
+}
+
 } // namespace
 
 void
@@ -132,15 +145,7 @@
                                                       : peer->second.match_index);
     }
   }
-  if (durable_indexes.empty()) {
-    return;
-  }
-  const std::size_t majority_position = durable_indexes.size() / 2;
-  std::nth_element(durable_indexes.begin(),
-                   durable_indexes.begin() + majority_position,
-                   durable_indexes.end(),
-                   std::greater<>());
-  const std::uint64_t index = durable_indexes[majority_position];
+  const std::uint64_t index = value_of_majority(std::move(durable_indexes)).value_or(0);
   // Entries of earlier terms could still be replaced; they are committed together with an entry of
   // the current term.
   if (index > commit_index &&
@@ -161,11 +166,43 @@
   }
 }
 
+bool
+Consensus::Impl::is_commit_index_known() const
+{
+  return log.has_term(commit_index) && log.term_at(commit_index) == vote.term;
+}
+
+Duration
+Consensus::Impl::majority_contact() const
+{
+  std::vector<Duration> contacts;
+  for (const Member& member : log.membership()) {
+    if (member.voter) {
+      const auto peer = peers.find(member.id);
+      contacts.push_back(member.id == self     ? clock
+                         : peer == peers.end() ? Duration::zero()
+                                               : peer->second.last_reply);
+    }
+  }
+  return value_of_majority(std::move(contacts)).value_or(Duration::zero());
+}
+
+Duration
+Consensus::Impl::lag(TimePoint now) const
+{
+  const bool leads = role == ConsensusRole::Leader && is_commit_index_known();
+  if (!leads && !up_to_date_at) {
+    return Duration::max();
+  }
+  const Duration since_last_call = std::max<Duration>(now - last_time, Duration::zero());
+  return clock + since_last_call - (leads ? majority_contact() : *up_to_date_at);
+}
+
 bool
 Consensus::Impl::may_change_membership() const
 {
   return role == ConsensusRole::Leader && log.membership_index() <= commit_index &&
-         log.has_term(commit_index) && log.term_at(commit_index) == vote.term;
+         is_commit_index_known();
 }
 
 void
@@ -237,10 +274,7 @@
 void
 Consensus::Impl::start_read(MemberId requester, std::uint64_t id)
 {
-  // Until an entry of its own term is committed, a leader may not know the latest commit index.
-  const bool commit_index_known =
-    log.has_term(commit_index) && log.term_at(commit_index) == vote.term;
-  if (!commit_index_known) {
+  if (!is_commit_index_known()) {
     if (requester == self) {
       effects.reads.push_back({ .id = id });
     } else {
@@ -365,6 +399,9 @@
   reply.success = true;
   reply.index = previous + request.entries.size();
   set_commit(std::min(request.commit, reply.index));
+  if (commit_index >= request.commit && is_commit_index_known()) {
+    up_to_date_at = clock;
+  }
   send_after_sync(from, reply);
 }
 
