libcontrol: an entry host follows a control host only while that keeps it current

What callers may see: a request handled by an older version, although a later one was acknowledged longer ago than the deployment allows (CONFIG), by hosts that are themselves well.

Cause: contact was taken for currency, and the time without contact began anew with each control host that was tried. An entry host waited 1.2 s, and up to a tick of 0.5 s more, for one control host, then as long for the next; any message counted as contact, also from a control host that lacks entries, and whenever it arrived. Class: a bound on the age of what is known that is kept by timers which don't know that age.

Fix: the age itself decides. Once the state may lack what was acknowledged for 1 s, the host asks two other control hosts each 0.25 to 0.5 s how current they are and follows the first that is; a refused connection starts that at once. It returns to the control host that select_source() prefers only after that has shown to be current; before, it went back to it after 3 s, whether it answered or not. So the bound doesn't depend on how many are lost.

--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -84,6 +84,24 @@
   std::optional<std::chrono::milliseconds> lag;
 };
 
+/// Asks a control host how current it is.
+struct SourceQuery
+{
+  /// Number of the query, returned in SourceStatus::answers.
+  std::uint64_t request = 0;
+};
+
+/// Sent by a control host in contact with the group's leader.
+struct SourceStatus
+{
+  /// SourceQuery::request.
+  std::uint64_t answers = 0;
+  /// Last entry of the log that the host has applied.
+  std::uint64_t applied_index = 0;
+  /// As Entries::lag.
+  std::chrono::milliseconds lag{ 0 };
+};
+
 /// Entry hosts that have reported to a control host, which passes them on to the other control
 /// hosts.
 struct EntryHosts
@@ -203,6 +221,8 @@
                                     ProposeReply,
                                     Subscribe,
                                     Entries,
+                                    SourceQuery,
+                                    SourceStatus,
                                     SnapshotTransfer,
                                     JoinGroup,
                                     ConsensusEnvelope,
--- a/src/include/lovagehold/control_client.h
+++ b/src/include/lovagehold/control_client.h
@@ -18,14 +18,20 @@
   /// not.
   std::chrono::milliseconds proposal_timeout{ 3000 };
   std::chrono::milliseconds resend_interval{ 200 };
-  /// Interval at which the subscription is renewed.
+  /// Until the state is confirmed: interval at which the subscription is repeated, and time without
+  /// an answer after which the client switches to the next control host.
   std::chrono::milliseconds subscribe_interval{ 200 };
-  /// The client switches to the next control host if the current one has not answered for this
-  /// time.
   std::chrono::milliseconds subscription_timeout{ 600 };
-  /// Replaces subscription_timeout until the state is confirmed; zero: the same.
-  std::chrono::milliseconds initial_subscription_timeout{ 0 };
-  /// Failure domain of this host. The client prefers to subscribe to a control host in it.
+  /// Interval at which the subscription is renewed once the state is confirmed.
+  std::chrono::milliseconds renew_interval{ 200 };
+  /// Once the state is confirmed and gets older than this, see ControlClient::state_age(), the
+  /// client looks for a control host that is current, whether its own one answers or not.
+  std::chrono::milliseconds max_state_age{ 600 };
+  /// Interval at which it asks further control hosts for that; doubles once.
+  std::chrono::milliseconds search_interval{ 250 };
+  /// Address and failure domain of this host, by which it prefers a control host; see
+  /// select_source().
+  std::string address;
   std::string failure_domain;
   /// Whether to subscribe to the replicated state; false: the client only sends proposals.
   bool follow = true;
@@ -46,7 +52,8 @@
 };
 
 /// Replicates the state from one control host and sends proposals to the leader. Proposals without
-/// a reply are sent again, but are applied only once. Not thread-safe. Reads no clock: the time
+/// a reply are sent again, but are applied only once. Follows a control host only while that keeps
+/// the state current. Not thread-safe. Reads no clock: the time
 /// is an argument of each call.
 class ControlClient
 {
@@ -63,16 +70,19 @@
   /// Proposes the command. \p handler is called once, from a later call of receive() or tick().
   void propose(const Command& command, ResultHandler handler, TimePoint now);
 
-  /// Handles ProposeReply, Entries and SnapshotTransfer; ignores other messages.
+  /// Handles ProposeReply, Entries, SourceStatus and SnapshotTransfer; ignores other messages.
   void receive(const std::string& from, const ClusterMessage& message, TimePoint now);
 
   /// Renews the subscription, resends proposals and times them out. To be called about every 100
-  /// ms.
+  /// ms, or at next_tick() if there are no proposals.
   void tick(TimePoint now);
 
-  /// No connection to the address could be opened. If the client follows it and its state is not
-  /// confirmed yet, it turns to the next control host without waiting for
-  /// initial_subscription_timeout.
+  /// \return when the subscription has to be renewed, or another control host to be looked for;
+  /// meaningful once the state is confirmed
+  TimePoint next_tick() const;
+
+  /// No connection to the address could be opened. If the client follows it, it looks for another
+  /// control host at once.
   void unreachable(const std::string& address, TimePoint now);
 
   /// Replaces the seed addresses, which are tried when no known control host responds.
--- a/src/include/lovagehold/metrics.h
+++ b/src/include/lovagehold/metrics.h
@@ -44,6 +44,9 @@
   std::vector<std::unique_ptr<Shard>> m_shards;
 };
 
+/// \return the duration in seconds; infinity for Duration::max()
+double seconds_or_infinity(Duration duration);
+
 /// Builds a page in the Prometheus text format (version 0.0.4).
 class MetricsText
 {
--- a/src/libadapters/metrics.cpp
+++ b/src/libadapters/metrics.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <atomic>
 #include <boost/histogram.hpp>
+#include <cmath>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <spdlog/fmt/fmt.h>
@@ -153,6 +155,13 @@
   return text.text();
 }
 
+double
+seconds_or_infinity(Duration duration)
+{
+  return duration == Duration::max() ? std::numeric_limits<double>::infinity()
+                                     : std::chrono::duration<double>(duration).count();
+}
+
 void
 MetricsText::begin(std::string_view name, std::string_view type, std::string_view help)
 {
@@ -177,7 +186,8 @@
     m_text += '"';
     separator = ',';
   }
-  m_text += fmt::format("{} {:.15g}\n", labels.empty() ? "" : "}", value);
+  m_text.append(labels.empty() ? " " : "} ");
+  m_text += std::isinf(value) ? "+Inf\n" : fmt::format("{:.15g}\n", value);
 }
 
 const std::string&
--- a/src/libadapters/metrics_test.cpp
+++ b/src/libadapters/metrics_test.cpp
@@ -45,5 +45,15 @@
   EXPECT_EQ(text.text(), "# HELP m Help.\n# TYPE m gauge\nm{a=\"x\\\"y\\\\z\\n\"} 1.5\nm 2\n");
 }
 
+// Guards against an unknown age that is written as a number too large to plot.
+TEST(MetricsText, UnknownDurationIsInfinite)
+{
+  MetricsText text;
+  text.begin("m", "gauge", "Help.");
+  text.sample({}, seconds_or_infinity(Duration::max()));
+  text.sample({}, seconds_or_infinity(std::chrono::milliseconds(1500)));
+  EXPECT_EQ(text.text(), "# HELP m Help.\n# TYPE m gauge\nm +Inf\nm 1.5\n");
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -95,6 +95,19 @@
   return fields;
 }
 
+json
+to_fields(const SourceQuery& message)
+{
+  return { { "t", "source_query" }, { "request", message.request } };
+}
+
+json
+to_fields(const SourceStatus& message)
+{
+  return { { "t", "source_status" },
+           { "v", { message.answers, message.applied_index, message.lag.count() } } };
+}
+
 json
 to_fields(const EntryHosts& message)
 {
@@ -374,6 +387,15 @@
   if (type == "entries") {
     return parse_entries(fields);
   }
+  if (type == "source_query") {
+    return SourceQuery{ .request = fields.at("request").get<std::uint64_t>() };
+  }
+  if (type == "source_status") {
+    const json& values = fields.at("v");
+    return SourceStatus{ .answers = values.at(0).get<std::uint64_t>(),
+                         .applied_index = values.at(1).get<std::uint64_t>(),
+                         .lag = parse_milliseconds(values.at(2)) };
+  }
   if (type == "snapshot") {
     return SnapshotTransfer{ .index = fields.at("index").get<std::uint64_t>(),
                              .offset = fields.at("offset").get<std::uint64_t>(),
--- a/src/libcontrol/cluster_message_test.cpp
+++ b/src/libcontrol/cluster_message_test.cpp
@@ -50,6 +50,12 @@
   EXPECT_EQ(answer.answers, 8U);
   EXPECT_EQ(answer.lag, milliseconds(9));
   EXPECT_EQ(std::get<Entries>(pass(Entries{})).lag, std::nullopt);
+  EXPECT_EQ(std::get<SourceQuery>(pass(SourceQuery{ .request = 3 })).request, 3U);
+  const auto status = std::get<SourceStatus>(
+    pass(SourceStatus{ .answers = 4, .applied_index = 5, .lag = milliseconds(6) }));
+  EXPECT_EQ(status.answers, 4U);
+  EXPECT_EQ(status.applied_index, 5U);
+  EXPECT_EQ(status.lag, milliseconds(6));
 }
 
 // Guards against evidence whose fields are lost or exchanged on the way.
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 
 namespace lovagehold {
 
@@ -23,6 +24,30 @@
 // Lags that other hosts tell are limited to this, so that an absurd value does not overflow a time.
 constexpr std::chrono::hours kMaxLag{ 1 };
 
+// Control hosts asked in each round of a search, and rounds after which the interval between them
+// no longer doubles.
+constexpr unsigned kSearchWidth = 2;
+constexpr unsigned kMaxSearchDoublings = 1;
+// Reason to follow the control host that select_source() names among all members.
+constexpr char kPreferred[] = "preferred";
+
+// A subscription or query that was sent to a control host.
+struct Request
+{
+  std::string address;
+  TimePoint sent;
+  /// For a query: reason for which the control host is followed if it is current.
+  const char* follow_reason = nullptr;
+};
+
+// \param lag as told in the answer \return time until which a state is complete that includes what
+// the control host had when it answered
+TimePoint
+complete_time(const Request& request, Duration lag)
+{
+  return request.sent - std::clamp<Duration>(lag, Duration::zero(), kMaxLag);
+}
+
 struct PendingProposal
 {
   Bytes command;
@@ -69,47 +94,155 @@
   /// if that one does not answer.
   bool accepts_source = true;
   std::uint64_t next_request = 1;
-  /// When the requests that are not answered yet were sent, the latest ones.
-  std::map<std::uint64_t, TimePoint> requests;
+  /// The latest requests that are not answered yet.
+  std::map<std::uint64_t, Request> requests;
   /// The state includes everything that was acknowledged before this time.
   std::optional<TimePoint> complete_until;
+  /// All control hosts, as the followed one last named them.
+  std::vector<ControlAddress> members;
+  /// Whether the client looks for another control host.
+  bool searching = false;
+  TimePoint next_search_at;
+  /// Queries sent in this search, in rounds.
+  unsigned search_rounds = 0;
+  /// Control hosts asked in this search.
+  std::set<std::string> asked;
 
   // Each request makes the control host send again what may still be in transit. To keep that from
   // saturating a slow link, the interval doubles until the state is confirmed.
   Duration subscribe_interval() const
   {
-    const Duration interval = options.subscribe_interval;
     const unsigned limit = state_received ? kMaxDoublings : kMaxDoublingsBeforeAnswer;
-    return ready ? interval : interval * (1U << std::min(unconfirmed_requests, limit));
+    return ready ? options.renew_interval
+                 : options.subscribe_interval * (1U << std::min(unconfirmed_requests, limit));
   }
 
-  std::uint64_t add_request(TimePoint now)
+  std::uint64_t add_request(Request request)
   {
     if (requests.size() == kMaxRequests) {
       requests.erase(requests.begin());
     }
-    requests[next_request] = now;
+    requests[next_request] = std::move(request);
     return next_request++;
   }
 
+  std::optional<Request> take_request(std::uint64_t id)
+  {
+    const auto found = requests.find(id);
+    if (found == requests.end()) {
+      return std::nullopt;
+    }
+    Request request = std::move(found->second);
+    requests.erase(found);
+    return request;
+  }
+
   // An answer to a request shows until when the state is complete, however long the request or the
   // answer took.
-  void apply_answer(const Entries& entries)
+  void apply_answer(const Entries& entries, TimePoint now)
+  {
+    const auto request = take_request(entries.answers);
+    if (!request || !entries.lag) {
+      return;
+    }
+    complete_until = std::max(complete_until, std::optional(complete_time(*request, *entries.lag)));
+    if (!is_outdated(now)) {
+      end_search();
+    }
+  }
+
+  bool is_outdated(TimePoint now) const
+  {
+    return !complete_until || now - *complete_until >= options.max_state_age;
+  }
+
+  void end_search()
+  {
+    searching = false;
+    search_rounds = 0;
+    asked.clear();
+  }
+
+  // Asks the preferred control hosts among those that have not been asked yet. More than one,
+  // because the source may not be the only one that is lost.
+  void search(TimePoint now)
+  {
+    searching = true;
+    next_search_at =
+      now + options.search_interval * (1U << std::min(search_rounds++, kMaxSearchDoublings));
+    for (unsigned i = 0; i < kSearchWidth; ++i) {
+      std::vector<ControlAddress> candidates = search_candidates();
+      if (candidates.empty()) {
+        asked.clear();
+        candidates = search_candidates();
+      }
+      const std::string address =
+        select_source(options.address, options.failure_domain, candidates);
+      if (!address.empty()) {
+        asked.insert(address);
+        query(address, "outdated", now);
+      }
+    }
+  }
+
+  // All other control hosts that have not been asked in this search, the seeds among them: all
+  // members may have been replaced while this host was disconnected.
+  std::vector<ControlAddress> search_candidates() const
+  {
+    std::vector<ControlAddress> candidates = members;
+    for (const std::string& seed : seeds) {
+      candidates.push_back({ .address = seed, .failure_domain = "" });
+    }
+    std::erase_if(candidates, [this](const ControlAddress& candidate) {
+      return candidate.address == options.control_addresses[source] ||
+             asked.count(candidate.address) > 0;
+    });
+    return candidates;
+  }
+
+  // \param reason for which the client is to follow the control host if it is current
+  void query(const std::string& address, const char* reason, TimePoint now)
+  {
+    send(address,
+         SourceQuery{
+           .request = add_request({ .address = address, .sent = now, .follow_reason = reason }) });
+  }
+
+  void handle(const SourceStatus& status, TimePoint now)
   {
-    const auto request = requests.find(entries.answers);
-    if (request == requests.end() || !entries.lag) {
+    const auto request = take_request(status.answers);
+    if (!request || request->follow_reason == nullptr) {
       return;
     }
-    const Duration lag = std::clamp<Duration>(*entries.lag, Duration::zero(), kMaxLag);
-    complete_until = std::max(complete_until, std::optional(request->second - lag));
-    requests.erase(requests.begin(), std::next(request));
+    const bool is_current = status.applied_index >= state.applied_index() &&
+                            now - complete_time(*request, status.lag) < options.max_state_age;
+    // The own control host may have answered meanwhile.
+    const bool is_wanted = searching || request->follow_reason == kPreferred;
+    if (is_current && is_wanted && request->address != options.control_addresses[source]) {
+      end_search();
+      next_search_at = now + options.search_interval;
+      failback_at = now + kFailbackDelay;
+      follow(request->address, request->follow_reason, now);
+    }
+  }
+
+  void follow(const std::string& address, const char* reason, TimePoint now)
+  {
+    std::vector<std::string>& addresses = options.control_addresses;
+    const auto found = std::find(addresses.begin(), addresses.end(), address);
+    source = static_cast<std::size_t>(found - addresses.begin());
+    if (found == addresses.end()) {
+      addresses.push_back(address);
+    }
+    follow_source(reason, now);
   }
 
   void subscribe(TimePoint now)
   {
     last_subscribe = now;
+    const std::string& address = options.control_addresses[source];
     send(
-      options.control_addresses[source],
+      address,
       Subscribe{ .from_index = state.applied_index() + 1,
                  .confirm = !ready,
                  .snapshot_index = incoming_snapshot.index,
@@ -117,7 +250,7 @@
                  .presence = options.presence ? options.presence() : std::nullopt,
                  .directory_version = options.directory_version ? options.directory_version() : 0,
                  .accepts_source = !ready && accepts_source,
-                 .request = add_request(now) });
+                 .request = add_request({ .address = address, .sent = now }) });
   }
 
   // Subscribes to control_addresses[source] from the beginning.
@@ -161,24 +294,23 @@
     if (control.empty()) {
       return;
     }
-    const std::string current_address = options.control_addresses[source];
+    const std::string current = options.control_addresses[source];
+    const std::string preferred = select_source(options.address, options.failure_domain, control);
+    members = control;
     options.control_addresses.clear();
-    std::size_t current_index = control.size();
-    std::optional<std::size_t> nearest_index;
-    for (std::size_t i = 0; i < control.size(); ++i) {
-      options.control_addresses.push_back(control[i].address);
-      current_index = control[i].address == current_address ? i : current_index;
-      if (control[i].failure_domain == options.failure_domain && !nearest_index) {
-        nearest_index = i;
-      }
+    for (const ControlAddress& member : control) {
+      options.control_addresses.push_back(member.address);
+    }
+    const auto found =
+      std::find(options.control_addresses.begin(), options.control_addresses.end(), current);
+    if (found == options.control_addresses.end()) {
+      follow(preferred, "replaced", now);
+      return;
     }
-    const bool move =
-      current_index == control.size() ||
-      (nearest_index && control[current_index].failure_domain != options.failure_domain &&
-       now >= failback_at);
-    source = move ? nearest_index.value_or(0) : current_index;
-    if (move) {
-      follow_source(current_index == control.size() ? "replaced" : "nearer", now);
+    source = static_cast<std::size_t>(found - options.control_addresses.begin());
+    if (ready && preferred != current && now >= failback_at) {
+      failback_at = now + kFailbackDelay;
+      query(preferred, kPreferred, now);
     }
   }
 
@@ -249,7 +381,7 @@
     for (const Bytes& payload : entries.payloads) {
       state.apply(index++, payload);
     }
-    apply_answer(entries);
+    apply_answer(entries, now);
     const bool first_confirmation = entries.confirmed && !ready;
     ready = ready || entries.confirmed;
     if (ready && (first_confirmation || state.applied_index() > old_applied_index)) {
@@ -367,10 +499,9 @@
     impl.expire_proposals(now);
     return;
   }
-  const bool initial = !impl.ready && impl.options.initial_subscription_timeout.count() > 0;
-  const Duration timeout =
-    initial ? impl.options.initial_subscription_timeout : impl.options.subscription_timeout;
-  if (impl.last_subscribe && now - impl.last_source_contact >= timeout) {
+  const bool silent = !impl.ready && impl.last_subscribe &&
+                      now - impl.last_source_contact >= impl.options.subscription_timeout;
+  if (silent) {
     impl.fail_over("silent", now);
   } else if (!impl.last_subscribe) {
     impl.last_source_contact = now;
@@ -379,17 +510,35 @@
     ++impl.unconfirmed_requests;
     impl.subscribe(now);
   }
+  if (impl.ready && impl.is_outdated(now) && now >= impl.next_search_at) {
+    impl.search(now);
+  }
   impl.resend_proposals(now);
   impl.expire_proposals(now);
 }
 
+TimePoint
+ControlClient::next_tick() const
+{
+  const Impl& impl = *m_impl;
+  const TimePoint outdated_at =
+    impl.complete_until ? *impl.complete_until + impl.options.max_state_age : TimePoint::min();
+  return std::min(impl.last_subscribe.value_or(TimePoint::min()) + impl.subscribe_interval(),
+                  std::max(outdated_at, impl.next_search_at));
+}
+
 void
 ControlClient::unreachable(const std::string& address, TimePoint now)
 {
   Impl& impl = *m_impl;
-  const bool follows = impl.options.follow && !impl.ready && impl.last_subscribe &&
+  const bool follows = impl.options.follow && impl.last_subscribe &&
                        impl.options.control_addresses[impl.source] == address;
-  if (follows && now - impl.last_source_contact >= kStartupPatience) {
+  if (!follows) {
+    return;
+  }
+  if (impl.ready && now >= impl.next_search_at) {
+    impl.search(now);
+  } else if (!impl.ready && now - impl.last_source_contact >= kStartupPatience) {
     impl.fail_over("unreachable", now);
   }
 }
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -441,6 +441,18 @@
     }
   }
 
+  // A host without contact with the leader doesn't answer, so that others do.
+  void handle(const std::string& from, const SourceQuery& message)
+  {
+    const auto current_lag = lag();
+    if (consensus->in_contact() && current_lag) {
+      ports.send(from,
+                 SourceStatus{ .answers = message.request,
+                               .applied_index = state.applied_index(),
+                               .lag = *current_lag });
+    }
+  }
+
   // Directs a starting subscriber to the control host that it is to follow. Many hosts may start
   // together, and all of them know the same few control hosts. \return false if that is this host
   bool redirect(const std::string& from, const Subscribe& message) const
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -199,11 +199,9 @@
   gauge("lovagehold_term", "Election term.", static_cast<double>(status.term));
   gauge("lovagehold_commit_index", "Last committed entry.", static_cast<double>(status.commit));
   gauge("lovagehold_applied_index", "Last applied entry.", static_cast<double>(status.applied));
-  if (status.lag != Duration::max()) {
-    gauge("lovagehold_state_lag_seconds",
-          "Time since which committed entries may be missing.",
-          std::chrono::duration<double>(status.lag).count());
-  }
+  gauge("lovagehold_state_lag_seconds",
+        "Time since which committed entries may be missing.",
+        seconds_or_infinity(status.lag));
   gauge("lovagehold_group_members",
         "Members of the control group.",
         static_cast<double>(status.membership.size()));
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -15,11 +15,12 @@
 constexpr std::chrono::milliseconds kTickInterval{ 500 };
 // Tick interval until the host is ready; callers wait for that after a restart.
 constexpr std::chrono::milliseconds kStartupTickInterval{ 50 };
-// Another control host is followed if the current one has not replied for this time, so that an
-// acknowledged change arrives within 2 s.
-constexpr std::chrono::milliseconds kControlTimeout{ 1200 };
-// The same timeout before the first reply. After a restart of all, the control hosts of the
-// settings answer many entry hosts; one that can't be reached at all is left earlier.
+// Another control host is looked for once acknowledged changes may have been missing for this time,
+// so that they arrive within 2 s.
+constexpr std::chrono::milliseconds kMaxStateAge{ 1000 };
+// Until the state is first confirmed, another control host is followed after this time without an
+// answer. After a restart of all, the control hosts of the settings answer many entry hosts; one
+// that can't be reached at all is left earlier.
 constexpr std::chrono::milliseconds kFirstControlTimeout{ 1000 };
 // Time for which callers may cache the addresses of entry hosts; the settings may lower it.
 constexpr std::chrono::milliseconds kDirectoryTtl{ 5000 };
@@ -116,8 +117,10 @@
   ControlClientOptions options{
     .control_addresses = nearest_first(m_settings.seeds, m_settings.cluster_address),
     .subscribe_interval = kStartupTickInterval,
-    .subscription_timeout = kControlTimeout,
-    .initial_subscription_timeout = kFirstControlTimeout,
+    .subscription_timeout = kFirstControlTimeout,
+    .renew_interval = kTickInterval,
+    .max_state_age = kMaxStateAge,
+    .address = m_settings.cluster_address,
     .failure_domain = m_settings.failure_domain,
     .on_source =
       [this](const std::string& address, const char* reason) {
@@ -193,12 +196,10 @@
   MetricsText text;
   text.begin("lovagehold_applied_index", "gauge", "Last applied entry of the control group's log.");
   text.sample({}, static_cast<double>(m_client->state().applied_index()));
-  if (m_client->ready()) {
-    text.begin("lovagehold_state_age_seconds",
-               "gauge",
-               "Time since which acknowledged changes may be missing.");
-    text.sample({}, std::chrono::duration<double>(m_client->state_age(Clock::now())).count());
-  }
+  text.begin("lovagehold_state_age_seconds",
+             "gauge",
+             "Time since which acknowledged changes may be missing.");
+  text.sample({}, seconds_or_infinity(m_client->state_age(Clock::now())));
   text.begin(
     "lovagehold_dropped_messages_total", "counter", "Messages to other hosts that were dropped.");
   text.sample({}, static_cast<double>(m_link.dropped_messages()));
@@ -348,7 +349,8 @@
 {
   const TimePoint now = Clock::now();
   m_client->tick(now);
-  m_timer.expires_at(now + (m_client->ready() ? kTickInterval : kStartupTickInterval));
+  m_timer.expires_at(m_client->ready() ? std::min(m_client->next_tick(), now + kTickInterval)
+                                       : now + kStartupTickInterval);
   m_timer.async_wait([this](auto error) {
     if (!error) {
       tick();
