libdecision: crashes of a request that was at many servers at once go on to count

Cause: a host keeps 16 crashes a request and ignored all later ones. At 450 entry hosts the request was at more than 16 servers at once when the first of them crashed. These crashes overlap, so they count as two in succession; the evidence was full, and the request stayed at two for good: the log shows the same 20 hosts with crashes=2 from 9 s to 26 s, while hosts that heard of the crashes in another order quarantined it at 8.8 s. Class: bounded evidence that keeps what came first instead of what decides.

Fix: full evidence keeps the successive runs, then the latest ones. It changes only if that makes it stronger, so that hosts which exchange theirs settle. A quarantine of a request with full evidence is prolonged by each later crash; before, it ended.

CrashesAfterManyOverlappingOnesCount, CrashesBeyondTheLimitProlongTheQuarantine and FullEvidenceSettles failed before; all CrashSuspects tests pass, also with 20,000 random cases.

--- a/src/include/lovagehold/crash_suspects.h
+++ b/src/include/lovagehold/crash_suspects.h
@@ -51,7 +51,7 @@
   std::chrono::seconds max_quarantine{ 600 };
   /// Evidence is forgotten after this time, counted from the end of a quarantine if there is one.
   std::chrono::seconds retention{ 60 };
-  /// Requests with evidence, and crashes kept for each.
+  /// Requests with evidence, and crashes kept for each; successive ones displace others.
   std::size_t max_requests = 1024;
   std::size_t max_crashes = 16;
 };
@@ -115,11 +115,13 @@
     TimePoint crashed;
   };
 
+  /// By server.
+  using Runs = std::map<std::uint64_t, Run>;
+
   struct Record
   {
     ServiceName service;
-    /// By server.
-    std::map<std::uint64_t, Run> runs;
+    Runs runs;
     std::optional<TimePoint> cleared;
     /// Number of successive crashes among the runs.
     unsigned successive = 0;
@@ -127,8 +129,10 @@
     bool was_suspected = false;
   };
 
-  bool add(Record& record, std::uint64_t server, const Run& run) const;
-  void count_successive(Record& record) const;
+  bool add(Record& record, const Runs& runs) const;
+  void set_runs(Record& record, Runs runs) const;
+  Runs strongest(const Runs& runs) const;
+  static std::vector<std::uint64_t> successive_servers(const Runs& runs);
   bool exceeds_suspects(const ServiceName& service, TimePoint now) const;
   bool apply_clear(Record& record, TimePoint time) const;
   static TimePoint last_change(const Record& record);
--- a/src/libdecision/crash_suspects.cpp
+++ b/src/libdecision/crash_suspects.cpp
@@ -47,42 +47,94 @@
 {
   Record& record = m_records[request];
   record.service = service;
-  add(record, server, { .sent = sent, .crashed = now });
+  add(record, { { server, { .sent = sent, .crashed = now } } });
   limit_size();
 }
 
+// Full evidence changes only if that makes it stronger: hosts that exchange theirs would otherwise
+// displace each other's runs for ever.
 bool
-CrashSuspects::add(Record& record, std::uint64_t server, const Run& run) const
+CrashSuspects::add(Record& record, const Runs& runs) const
 {
-  const bool outdated = record.cleared && run.crashed <= *record.cleared;
-  if (outdated || record.runs.size() >= m_options.max_crashes) {
+  Runs all = record.runs;
+  for (const auto& [server, run] : runs) {
+    if (!record.cleared || run.crashed > *record.cleared) {
+      all.try_emplace(server, run);
+    }
+  }
+  if (all.size() == record.runs.size()) {
+    return false;
+  }
+  const bool was_full = record.runs.size() >= m_options.max_crashes;
+  const auto strength = [](const Runs& evidence) {
+    TimePoint last = TimePoint::min();
+    for (const auto& [server, run] : evidence) {
+      last = std::max(last, run.crashed);
+    }
+    return std::pair(successive_servers(evidence).size(), last);
+  };
+  Runs kept = strongest(all);
+  if (was_full && strength(kept) <= strength(record.runs)) {
     return false;
   }
-  const bool is_new = record.runs.try_emplace(server, run).second;
-  count_successive(record);
-  return is_new;
+  set_runs(record, std::move(kept));
+  return true;
 }
 
-// Largest number of runs that do not overlap (interval scheduling by the earliest end).
 void
-CrashSuspects::count_successive(Record& record) const
+CrashSuspects::set_runs(Record& record, Runs runs) const
 {
-  std::vector<Run> runs;
-  runs.reserve(record.runs.size());
-  for (const auto& [server, run] : record.runs) {
-    runs.push_back(run);
+  record.runs = std::move(runs);
+  record.successive = static_cast<unsigned>(successive_servers(record.runs).size());
+  record.was_suspected = record.was_suspected || record.successive >= m_options.suspect_crashes;
+}
+
+// \return at most max_crashes of the runs: the successive ones, then the other ones, the latest
+// first
+CrashSuspects::Runs
+CrashSuspects::strongest(const Runs& runs) const
+{
+  if (runs.size() <= m_options.max_crashes) {
+    return runs;
+  }
+  const auto crashed_later = [&](std::uint64_t a, std::uint64_t b) {
+    return runs.at(a).crashed > runs.at(b).crashed;
+  };
+  std::vector<std::uint64_t> order = successive_servers(runs);
+  std::reverse(order.begin(), order.end());
+  std::vector<std::uint64_t> others;
+  for (const auto& [server, run] : runs) {
+    if (std::find(order.begin(), order.end(), server) == order.end()) {
+      others.push_back(server);
+    }
   }
-  std::sort(
-    runs.begin(), runs.end(), [](const Run& a, const Run& b) { return a.crashed < b.crashed; });
-  record.successive = 0;
+  std::sort(others.begin(), others.end(), crashed_later);
+  order.insert(order.end(), others.begin(), others.end());
+  Runs kept;
+  for (std::size_t i = 0; i < m_options.max_crashes; ++i) {
+    kept[order[i]] = runs.at(order[i]);
+  }
+  return kept;
+}
+
+// \return servers of the largest number of runs that do not overlap (interval scheduling by the
+// earliest end), in the order of their crashes
+std::vector<std::uint64_t>
+CrashSuspects::successive_servers(const Runs& runs)
+{
+  std::vector<std::pair<std::uint64_t, Run>> ordered(runs.begin(), runs.end());
+  std::sort(ordered.begin(), ordered.end(), [](const auto& a, const auto& b) {
+    return a.second.crashed < b.second.crashed;
+  });
+  std::vector<std::uint64_t> successive;
   TimePoint earliest = TimePoint::min();
-  for (const Run& run : runs) {
+  for (const auto& [server, run] : ordered) {
     if (run.sent >= earliest) {
-      ++record.successive;
+      successive.push_back(server);
       earliest = run.crashed + kMinGap;
     }
   }
-  record.was_suspected = record.was_suspected || record.successive >= m_options.suspect_crashes;
+  return successive;
 }
 
 bool
@@ -92,8 +144,9 @@
     return false;
   }
   record.cleared = time;
-  std::erase_if(record.runs, [&](const auto& entry) { return entry.second.crashed <= time; });
-  count_successive(record);
+  Runs later = record.runs;
+  std::erase_if(later, [&](const auto& entry) { return entry.second.crashed <= time; });
+  set_runs(record, std::move(later));
   return true;
 }
 
@@ -113,12 +166,13 @@
   }
   Record& record = m_records[evidence.request];
   record.service = evidence.service;
-  bool changed = evidence.cleared && apply_clear(record, time_of(*evidence.cleared, now));
+  const bool cleared = evidence.cleared && apply_clear(record, time_of(*evidence.cleared, now));
+  Runs runs;
   for (const CrashEvidence::Crash& crash : evidence.crashes) {
-    const Run run{ .sent = time_of(std::max(crash.sent, crash.crashed), now),
-                   .crashed = time_of(crash.crashed, now) };
-    changed = add(record, crash.server, run) || changed;
+    runs[crash.server] = { .sent = time_of(std::max(crash.sent, crash.crashed), now),
+                           .crashed = time_of(crash.crashed, now) };
   }
+  const bool changed = add(record, runs) || cleared;
   limit_size();
   return changed;
 }
--- a/src/libdecision/crash_suspects_test.cpp
+++ b/src/libdecision/crash_suspects_test.cpp
@@ -126,6 +126,58 @@
   EXPECT_EQ(suspects.shared_evidence(now).size(), 1U);
 }
 
+// Guards against a request that is never quarantined because it was at many servers at once when
+// the first ones crashed: their runs fill the evidence, and later crashes were ignored.
+TEST(CrashSuspects, CrashesAfterManyOverlappingOnesCount)
+{
+  CrashSuspects suspects;
+  for (unsigned i = 0; i < 40; ++i) {
+    suspects.add_crash(kDeadly, "desk", i, kStart - kRun, kStart + milliseconds(i));
+  }
+  TimePoint now = crash_in_turn(suspects, kDeadly, 2, kStart + milliseconds(300));
+  EXPECT_EQ(suspects.crashes(kDeadly, now), 3U);
+  EXPECT_TRUE(suspects.quarantined_until(kDeadly, now));
+}
+
+// Guards against a quarantine that ends for good because the evidence is full: each later crash has
+// to prolong it.
+TEST(CrashSuspects, CrashesBeyondTheLimitProlongTheQuarantine)
+{
+  CrashSuspects suspects;
+  const TimePoint now = crash_in_turn(suspects, kDeadly, 40, kStart);
+  EXPECT_EQ(suspects.quarantined_until(kDeadly, now), now + seconds(600));
+}
+
+// Guards against hosts whose evidence is full and that replace each other's runs for ever, each
+// replacement being a change to pass on.
+RC_GTEST_PROP(CrashSuspects, FullEvidenceSettles, ())
+{
+  constexpr unsigned kHosts = 3;
+  const CrashSuspectsOptions options{ .max_crashes = 4 };
+  std::vector<CrashSuspects> hosts(kHosts, CrashSuspects(options));
+  const TimePoint now = kStart + seconds(30);
+  const auto crashes = *rc::gen::inRange<unsigned>(1, 40);
+  for (unsigned i = 0; i < crashes; ++i) {
+    const TimePoint crashed = kStart + milliseconds(*rc::gen::inRange(0, 3000));
+    const milliseconds run(*rc::gen::inRange(1, 400));
+    hosts[*rc::gen::inRange(0U, kHosts)].add_crash(kDeadly, "desk", i, crashed - run, crashed);
+  }
+  bool changed = true;
+  for (unsigned round = 0; round < 2 * crashes && changed; ++round) {
+    changed = false;
+    for (const CrashSuspects& from : hosts) {
+      for (CrashSuspects& to : hosts) {
+        changed = to.merge(from.evidence(kDeadly, now), now) || changed;
+      }
+    }
+  }
+  RC_ASSERT(!changed);
+  for (const CrashSuspects& host : hosts) {
+    RC_ASSERT(host.evidence(kDeadly, now).crashes.size() <= options.max_crashes);
+    RC_ASSERT(host.crashes(kDeadly, now) == hosts[0].crashes(kDeadly, now));
+  }
+}
+
 // Guards against absurd ages in a message of another host.
 TEST(CrashSuspects, AbsurdAgesAreLimited)
 {
