libgateway: a request whose caller has left is not sent to a server

Cause: the end of a connection is noticed by a watch that waits for the socket. On a busy host the request and the end of its connection are read in one turn, and the request is sent on before the watch runs. Fix: the end is looked for once more before each attempt, by the same read that the watch makes.

--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -55,6 +55,9 @@
   // The whole body is in memory.
   bool buffered = false;
 
+  // Whether what the caller sends next can't belong to this request.
+  bool body_has_ended() const { return buffered || (arriving && arriving->ended()); }
+
   // Whether the connection can serve another request: the next byte is not one of this body.
   bool read_whole() const { return arriving || (upload && upload->done()); }
 };
@@ -394,30 +397,52 @@
       boost::system::error_code error;
       co_await m_stream.socket().async_wait(tcp::socket::wait_read, capture(error));
       const auto request = forwarded.lock();
-      const std::size_t limit = std::min(m_buffer.max_size(), kMaxPipelinedBytes);
-      if (error || !request || m_buffer.size() >= limit) {
+      if (error || !request || m_buffer.size() >= max_pipelined_bytes()) {
         co_return;
       }
-      const auto space = m_buffer.prepare(limit - m_buffer.size());
-      const auto received =
-        ::recv(m_stream.socket().native_handle(), space.data(), space.size(), MSG_DONTWAIT);
-      if (received > 0) {
-        m_buffer.commit(static_cast<std::size_t>(received));
-      } else if (received == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)) {
+      if (has_disconnected()) {
         request->abandon();
         co_return;
       }
     }
   }
 
+  std::size_t max_pipelined_bytes() const
+  {
+    return std::min(m_buffer.max_size(), kMaxPipelinedBytes);
+  }
+
+  // Reads what the caller has sent behind the request. Must not be called before the request has
+  // been read to its end. \return whether the caller has closed the connection
+  bool has_disconnected()
+  {
+    const std::size_t limit = max_pipelined_bytes();
+    if (m_buffer.size() >= limit) {
+      return false;
+    }
+    const auto space = m_buffer.prepare(limit - m_buffer.size());
+    const auto received =
+      ::recv(m_stream.socket().native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+    if (received > 0) {
+      m_buffer.commit(static_cast<std::size_t>(received));
+    }
+    return received == 0 ||
+           (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  }
+
   awaitable<void> forward(IncomingRequestPtr incoming, std::shared_ptr<const Route> route)
   {
     const auto& arriving = incoming->arriving;
     GatewayRequest request = make_request(incoming, route);
     const std::string id = request.id;
     const TimePoint caller_deadline = request.caller_deadline;
+    // The watch below may learn of it later than an attempt starts, if the host is busy.
+    request.caller_left = [self = shared_from_this(), weak = std::weak_ptr(incoming)] {
+      const auto served = weak.lock();
+      return served && served->body_has_ended() && self->has_disconnected();
+    };
     const auto forwarded = std::make_shared<ForwardedRequest>(*m_context, std::move(request));
-    if (incoming->buffered || (arriving && arriving->ended())) {
+    if (incoming->body_has_ended()) {
       start_disconnect_watch(forwarded);
     } else if (arriving) {
       m_arriving_request = forwarded;
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -4,6 +4,7 @@
 #include "server_exchange.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 
 namespace lovagehold {
 
@@ -33,6 +34,8 @@
   TimePoint arrived;
   /// Time at which the caller stops waiting.
   TimePoint caller_deadline;
+  /// Returns whether the caller has closed the connection. Asked before each attempt; may be empty.
+  std::function<bool()> caller_left;
 };
 
 /// Response that the gateway generates itself when it forwards no server's response.
--- a/src/libgateway/gateway_test.cpp
+++ b/src/libgateway/gateway_test.cpp
@@ -410,6 +410,40 @@
   EXPECT_EQ(arrivals(), 1U);
 }
 
+// Guards against requests that reach a server after their callers have left: a busy host read the
+// request and the end of the connection at the same time, and noticed the end later.
+TEST_F(GatewayTest, RequestOfACallerThatLeftWhileItWasUnreadIsNotSent)
+{
+  constexpr unsigned kCallers = 20;
+  add_server(kServe);
+  // Without health checks, nothing delays the selection of a server.
+  m_health_path.clear();
+  configure();
+  ASSERT_NE(send(request("GET", "/safe/warm-up")).find("200 OK"), std::string::npos);
+  boost::asio::io_context context;
+  std::vector<TestSocket> callers;
+  for (unsigned i = 0; i < kCallers; ++i) {
+    callers.emplace_back(context);
+    callers.back().connect(test_endpoint(".8.1", kPort));
+  }
+  const auto await_connections = [this](std::size_t count) {
+    const TimePoint limit = Clock::now() + std::chrono::seconds(10);
+    for (std::size_t open = count + 1; open != count && Clock::now() < limit;) {
+      on_gateway([&] { open = m_gateway.connections(); });
+    }
+  };
+  await_connections(kCallers);
+  // The gateway's thread can't read meanwhile.
+  on_gateway([&] {
+    for (TestSocket& caller : callers) {
+      boost::asio::write(caller, boost::asio::buffer(request("GET", "/safe/left")));
+      caller.close();
+    }
+  });
+  await_connections(0);
+  EXPECT_EQ(arrivals(), 1U);
+}
+
 // Guards against responses to pipelined requests that are lost or in another order, and against
 // forwarding what was sent behind a response that closes the connection.
 TEST_F(GatewayTest, PipelinedRequestsAreAnsweredInOrder)
