--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -245,7 +245,8 @@
   const ReplicaStatus replica = m_replica->status();
   SiteStatus status{ .host = m_settings.host,
                      .version = m_replica->machine().routing_version(),
-                     .ready = replica.in_contact };
+                     .ready = replica.in_contact,
+                     .state_age = replica.lag };
   const auto add = [&](const HostId& id, const std::string& domain, const std::string& address) {
     status.hosts.push_back({ .id = id,
                              .failure_domain = domain,
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -212,6 +212,7 @@
   SiteStatus status{ .host = m_settings.host,
                      .version = m_gateway.version(),
                      .ready = is_ready(),
+                     .state_age = m_client->state_age(Clock::now()),
                      .services = m_gateway.services() };
   for (const std::string& seed : m_settings.seeds) {
     status.hosts.push_back(
--- a/src/libsite/status_page.cpp
+++ b/src/libsite/status_page.cpp
@@ -6,6 +6,13 @@
 
 using nlohmann::json;
 
+namespace {
+
+// An acknowledged change is in force at all hosts within this time.
+constexpr std::chrono::milliseconds kStaleAge{ 2000 };
+
+} // namespace
+
 std::string
 with_port_of(const std::string& address, const std::string& port_source)
 {
@@ -26,9 +33,13 @@
     services[service.name] = { { "servers", service.servers },
                                { "in_flight", service.in_progress } };
   }
-  const json page = { { "host", status.host },   { "revision", status.version },
-                      { "ready", status.ready }, { "stale", false },
-                      { "hosts", hosts },        { "services", services } };
+  json page = { { "host", status.host },   { "revision", status.version },
+                { "ready", status.ready }, { "stale", status.state_age > kStaleAge },
+                { "hosts", hosts },        { "services", services } };
+  if (status.state_age != Duration::max()) {
+    page["state_age_ms"] =
+      std::chrono::duration_cast<std::chrono::milliseconds>(status.state_age).count();
+  }
   return { .body = page.dump(-1, ' ', false, json::error_handler_t::replace) };
 }
 
--- a/src/libsite/status_page.h
+++ b/src/libsite/status_page.h
@@ -22,6 +22,8 @@
   std::uint64_t version = 0;
   /// On an entry host: it accepts callers. On a control host: it is in contact with its group.
   bool ready = false;
+  /// Time since which acknowledged changes may be missing; Duration::max() if that is not known.
+  Duration state_age = Duration::max();
   std::vector<KnownHost> hosts;
   std::vector<GatewayServiceStatus> services;
 };
--- a/src/lovagectl/status_command.cpp
+++ b/src/lovagectl/status_command.cpp
@@ -24,6 +24,16 @@
   return host.page.value("revision", std::uint64_t{ 0 }) < latest ? "behind" : "ready";
 }
 
+// \return the time since which the host may lack acknowledged changes; "-" if it doesn't tell
+std::string
+describe_age(const HostPage& host)
+{
+  if (!host.responded || !host.page.contains("state_age_ms")) {
+    return "-";
+  }
+  return std::to_string(host.page.value("state_age_ms", std::int64_t{ 0 })) + " ms";
+}
+
 } // namespace
 
 int
@@ -41,7 +51,7 @@
   }
   json page = { { "revision", latest }, { "hosts", json::array() } };
   std::vector<std::vector<std::string>> rows{
-    { "HOST", "DOMAIN", "REVISION", "STATE", "SERVICES OWNED", "IN FLIGHT" }
+    { "HOST", "DOMAIN", "REVISION", "STATE", "STATE AGE", "SERVICES OWNED", "IN FLIGHT" }
   };
   for (const HostPage& host : hosts.value()) {
     const std::string state = describe_state(host, latest);
@@ -63,6 +73,7 @@
                      host.failure_domain.empty() ? "-" : host.failure_domain,
                      revision,
                      state,
+                     describe_age(host),
                      host.responded ? std::to_string(owned) : "-",
                      host.responded ? std::to_string(in_flight) : "-" });
   }
