libadapters: a call at the address of a host has one response

Replies beyond the first, and to earlier calls, are dropped and logged. No handler of the product does this today.

--- a/src/libadapters/admin_server.cpp
+++ b/src/libadapters/admin_server.cpp
@@ -166,8 +166,9 @@
                                 .body = request.body() };
     m_keep_alive = request.keep_alive();
     m_stream.expires_never();
-    const auto reply = [self = shared_from_this()](AdminResponse response) {
-      self->write(std::move(response));
+    m_awaiting_reply = true;
+    const auto reply = [self = shared_from_this(), call = ++m_calls](AdminResponse response) {
+      self->write_reply(call, std::move(response));
     };
     try {
       m_state->handler(admin_request, reply);
@@ -177,8 +178,21 @@
                         { { "method", admin_request.method },
                           { "path", admin_request.path },
                           { "error", exception.what() } });
-      m_keep_alive = false;
-      write({ .status = 500, .content_type = "text/plain", .body = "internal error\n" });
+      if (m_awaiting_reply) {
+        m_keep_alive = false;
+        write_reply(m_calls,
+                    { .status = 500, .content_type = "text/plain", .body = "internal error\n" });
+      }
+    }
+  }
+
+  // A second reply to a call would be taken for the response to the next one.
+  void write_reply(std::uint64_t call, AdminResponse response)
+  {
+    if (call == m_calls && std::exchange(m_awaiting_reply, false)) {
+      write(std::move(response));
+    } else {
+      m_state->log.warn("reply_dropped", { { "status", std::to_string(response.status) } });
     }
   }
 
@@ -211,6 +225,9 @@
   // Key in AdminState::reading.
   std::uint64_t m_number = 0;
   std::size_t m_body_bytes = 0;
+  /// Calls passed to the handler, and whether the last one has no reply yet.
+  std::uint64_t m_calls = 0;
+  bool m_awaiting_reply = false;
   bool m_keep_alive = false;
   bool m_retry_later = false;
 };
--- a/src/libadapters/admin_server_test.cpp
+++ b/src/libadapters/admin_server_test.cpp
@@ -34,11 +34,22 @@
 protected:
   AdminServerTest()
     : m_server(m_context,
-               [](const AdminRequest& request, const AdminServer::Reply& reply) {
+               [this](const AdminRequest& request, const AdminServer::Reply& reply) {
                  if (request.path == "/throws") {
                    throw std::runtime_error("odd call");
                  }
+                 if (request.path == "/after-another" && m_earlier_reply) {
+                   m_earlier_reply({ .body = "late" });
+                 }
+                 // Keeps the connection open, so only where the test needs it.
+                 m_earlier_reply = request.path == "/once" ? reply : nullptr;
                  reply({ .body = request.path });
+                 if (request.path == "/twice") {
+                   reply({ .body = "second" });
+                 }
+                 if (request.path == "/replies-and-throws") {
+                   throw std::runtime_error("odd call");
+                 }
                },
                m_log,
                { .max_connections = kMaxConnections })
@@ -93,6 +104,15 @@
     return read(socket, "(close)");
   }
 
+  // Sends a request on a connection that is kept. \return what is received up to \p expected
+  static std::string call(tcp::socket& socket, const std::string& path, const std::string& expected)
+  {
+    boost::asio::write(socket, boost::asio::buffer("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n"));
+    return read(socket, expected);
+  }
+
+  /// Reply to the request before, used on the server's thread.
+  AdminServer::Reply m_earlier_reply;
   EventLog m_log{ { .host = "admin-server-test", .level = "error" } };
   boost::asio::io_context m_context;
   AdminServer m_server;
@@ -124,6 +144,22 @@
   EXPECT_NE(get("/other").find("/other"), std::string::npos);
 }
 
+// Guards against a second response on a connection, which its client would take for that to its
+// next request: a handler replies twice, replies and then fails, or replies to an earlier request.
+TEST_F(AdminServerTest, RequestHasOneResponse)
+{
+  for (const char* path : { "/twice", "/replies-and-throws", "/once" }) {
+    boost::asio::io_context context;
+    tcp::socket socket = connect(context);
+    EXPECT_NE(call(socket, path, path).find("200 OK"), std::string::npos) << path;
+    const std::string next = call(socket, "/after-another", "/after-another");
+    EXPECT_EQ(next.rfind("HTTP/1.1 200 OK", 0), 0U) << path << ": " << next;
+    EXPECT_NE(next.find("/after-another"), std::string::npos) << path << ": " << next;
+    EXPECT_EQ(next.find("second"), std::string::npos) << path << ": " << next;
+    EXPECT_EQ(next.find("late"), std::string::npos) << path << ": " << next;
+  }
+}
+
 // Guards against idle connections that keep all others out.
 TEST_F(AdminServerTest, IdleConnectionsGiveWay)
 {
