--- a/testsuite/soak/cluster.py
+++ b/testsuite/soak/cluster.py
@@ -36,7 +36,7 @@
             "front": f"{self.ip}:{ENTRY_PORT}", "readiness": f"{self.ip}:{READY_PORT}",
             "directory": f"{self.ip}:{DIRECTORY_PORT}"}
         settings = wire.settings(self.name, self.ip, "a", first, self.data if self.control else None, listen,
-                                 [CLUSTER_PORT, CLUSTER_PORT + 15], self.cluster.seeds)
+                                 [CLUSTER_PORT, CLUSTER_PORT + 15], self.cluster.seeds, self.cluster.losses)
         path = os.path.join(self.cluster.work, self.name + ".json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
@@ -88,6 +88,8 @@
     def __init__(self, program, work, net, controls, entries):
         self.program = program
         self.work = work
+        # Control hosts that may be lost at the same time.
+        self.losses = max(1, (controls - 1) // 2)
         ips = [f"{net}.1.{i + 1}" for i in range(controls)]
         self.seeds = [f"{ip}:{CONTROL_PORT}" for ip in ips[:3]]
         self.controls = [Process(self, f"control-{i + 1}", ip, True) for i, ip in enumerate(ips)]
--- a/testsuite/soak/storm.py
+++ b/testsuite/soak/storm.py
@@ -1,5 +1,5 @@
 """Soak of configuration changes: real processes, changes in quick succession by two operators to a configuration of many
-routes, while servers name limits, crash and are replaced.
+routes, while servers name limits, crash and are replaced, and as many control hosts as may be lost stop answering.
 
 Usage: storm.py PROGRAM [--seed N] [--seconds S] [--controls N] [--entries N] [--gap S] [--routes N] [--runs N]
 Each version adds a route of its own and drops the oldest one, so that an answer shows which versions an entry host had.
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import signal
 import sys
 import time
 
@@ -14,8 +15,8 @@
 from soak import CALL_ERRORS, SERVICES, Soak, run_seeds
 
 import wire
-from cluster import ENTRY_PORT
-from http_io import format_message, read_message
+from cluster import ENTRY_PORT, METRICS_PORT
+from http_io import call, format_message, read_message
 
 # The platform's bound from the acknowledgement of a version to its use at every entry host.
 CONFIG_APPLY_S = 2.0
@@ -24,13 +25,14 @@
 
 
 class Storm(Soak):
-    """A run without faults of the system's own processes, so that its bound on late configurations holds throughout."""
+    """A run without faults of entry hosts and of the leader, so that the bound on late configurations holds throughout."""
 
     def __init__(self, options, seed, work):
         super().__init__(options, seed, work)
         self.live = {}
         self.acks = []
         self.checked = 0
+        self.silences = 0
 
     def make_document(self, version):
         previous = self.live.get(max(self.live, default=0), ())
@@ -89,20 +91,46 @@
             await self.change_config()
             await asyncio.sleep(self.random.uniform(0, 2 * self.options.gap))
 
+    async def leads(self, process):
+        try:
+            page = await call(f"{process.ip}:{METRICS_PORT}", "GET", "/metrics")
+        except CALL_ERRORS:
+            return False
+        return b"\nlovagehold_leads 1\n" in page.body
+
+    async def silence_control_hosts(self):
+        """Pauses as many control hosts as may be lost, without the leader, again and again."""
+        while not self.stopping:
+            await asyncio.sleep(self.random.uniform(0.5, 2))
+            leading = [process for process in self.cluster.controls if await self.leads(process)]
+            if len(leading) != 1:
+                continue
+            others = [process for process in self.shuffled(self.cluster.controls) if process not in leading]
+            silent = others[:self.cluster.losses]
+            self.log_fault("pause " + " ".join(process.name for process in silent))
+            for process in silent:
+                process.signal(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(2, 4))
+            for process in silent:
+                process.signal(signal.SIGCONT)
+            self.silences += 1
+
     async def inject(self):
         operators = [asyncio.create_task(self.operator()) for _ in range(2)]
         probes = [asyncio.create_task(self.probe()) for _ in range(PROBES)]
+        silencer = asyncio.create_task(self.silence_control_hosts())
         end = time.monotonic() + self.options.seconds
         while time.monotonic() < end:
             self.spawn(self.random.choice((self.fault_limit, self.fault_replace, self.fault_responses))())
             await asyncio.sleep(self.random.uniform(0.2, 1))
         self.stopping = True
-        await asyncio.gather(*operators, *probes)
+        await asyncio.gather(*operators, *probes, silencer)
         if self.checked == 0:
             self.record.violations.append("no answer showed which version was in force")
 
     def summary(self):
-        return f"{len(self.acks)} versions, {self.checked} checks, {super().summary()}"
+        return (f"{len(self.acks)} versions, {self.checked} checks, {self.silences} silences of control hosts, "
+                f"{super().summary()}")
 
 
 def main():
@@ -110,7 +138,7 @@
     parser.add_argument("program")
     parser.add_argument("--seed", type=int)
     parser.add_argument("--seconds", type=float, default=10)
-    parser.add_argument("--controls", type=int, default=3)
+    parser.add_argument("--controls", type=int, default=5)
     parser.add_argument("--entries", type=int, default=6)
     parser.add_argument("--gap", type=float, default=0.1, help="mean pause of an operator between two changes")
     parser.add_argument("--routes", type=int, default=1400)
