--- a/src/libsite/entry_host_test.cpp
+++ b/src/libsite/entry_host_test.cpp
@@ -248,5 +248,24 @@
   EXPECT_LE(on_thread([this] { return m_decoded_routes; }), kRoutes + 4 * kRounds);
 }
 
+// Guards against a configuration that is acknowledged but too large for the log, the image of the
+// state or the messages that carry it, and against changes of it that cost as much as all of it.
+TEST_F(EntryHostTest, TwentyThousandRoutesAreServed)
+{
+  constexpr unsigned kManyRoutes = 20000;
+  std::vector<std::string> services(kManyRoutes, "s");
+  put(document(1, services));
+  ASSERT_TRUE(await_version(1));
+  EXPECT_EQ(route_status(kManyRoutes - 1), 503);
+  EXPECT_EQ(route_status(kManyRoutes), 404);
+  services[kManyRoutes / 2] = "";
+  put(document(2, services));
+  ASSERT_TRUE(await_version(2));
+  EXPECT_EQ(route_status(kManyRoutes / 2), 404);
+  EXPECT_LE(on_thread([this] { return m_decoded_routes; }), kManyRoutes + 2);
+  const std::string read = call(kPort, "/read", "");
+  EXPECT_TRUE(read.ends_with("\r\n\r\n" + document(2, services)));
+}
+
 } // namespace
 } // namespace lovagehold
