lovagehold: hosts of the own interface keep the control hosts to which they are assigned

Found on reading the change again: the control client prefers a control host by its own address, which node.cpp did not pass, so that all hosts of the product's own interface would have moved to the same one. AssignedControlHostIsPreferred guards the rule; nothing showed the fault at a node. Hosts on the platform pass their address and are not affected.

--- a/src/libcontrol/control_client_test.cpp
+++ b/src/libcontrol/control_client_test.cpp
@@ -218,6 +218,36 @@
   EXPECT_THAT(m_followed, ::testing::EndsWith(" outdated"));
 }
 
+// Guards against hosts that all leave the control hosts to which they were assigned for one of
+// them.
+TEST(ControlClientPreference, AssignedControlHostIsPreferred)
+{
+  const std::vector<ControlAddress> members{ { .address = "first" },
+                                             { .address = "second" },
+                                             { .address = "third" } };
+  std::set<std::string> assigned;
+  for (unsigned i = 0; i < 20; ++i) {
+    const std::string address = "client-" + std::to_string(i);
+    const std::string source = select_source(address, "", members);
+    assigned.insert(source);
+    unsigned queries = 0;
+    ControlClient client(
+      { .control_addresses = { source }, .address = address, .client = 1 },
+      [&](const std::string&, const ClusterMessage& message) {
+        queries += std::holds_alternative<SourceQuery>(message) ? 1 : 0;
+      },
+      [](const StateMachine&) {});
+    client.tick(kStart);
+    client.receive(
+      source,
+      Entries{ .confirmed = true, .control = members, .answers = 1, .lag = milliseconds(0) },
+      kStart);
+    EXPECT_TRUE(client.ready());
+    EXPECT_EQ(queries, 0U) << address;
+  }
+  EXPECT_EQ(assigned.size(), members.size());
+}
+
 // Guards against a return to the preferred control host while that is down, which would make the
 // state old again.
 TEST(ControlClientPreference, PreferredControlHostIsFollowedOnceItIsCurrent)
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -58,7 +58,7 @@
       boost::asio::post(m_context,
                         [this, from, bytes = std::move(bytes)] { receive(from, bytes); });
     });
-  ControlClientOptions client_options;
+  ControlClientOptions client_options{ .address = m_settings.cluster_address };
   for (const ControlPeer& peer : m_settings.control_peers) {
     client_options.control_addresses.push_back(peer.cluster_address);
   }
