libdecision: evidence on crashes is compared and copied only where it has changed

Found on reading the change again; behaviour stays. The runs of a record were copied before it was known whether any of the merged ones is new, which each exchange between control hosts does for evidence that all of them have. The strength of evidence was computed beside the record that already holds it, and the time of the last crash in two places. All CrashSuspects tests pass, also with 20,000 random cases.

--- a/src/include/lovagehold/crash_suspects.h
+++ b/src/include/lovagehold/crash_suspects.h
@@ -129,12 +129,13 @@
     bool was_suspected = false;
   };
 
-  bool add(Record& record, const Runs& runs) const;
+  bool add(Record& record, Runs runs) const;
   void set_runs(Record& record, Runs runs) const;
   Runs strongest(const Runs& runs) const;
   static std::vector<std::uint64_t> successive_servers(const Runs& runs);
   bool exceeds_suspects(const ServiceName& service, TimePoint now) const;
   bool apply_clear(Record& record, TimePoint time) const;
+  static TimePoint last_crash(const Runs& runs);
   static TimePoint last_change(const Record& record);
   std::optional<TimePoint> quarantine_end(const Record& record) const;
   bool is_outdated(const Record& record, TimePoint now) const;
--- a/src/libdecision/crash_suspects.cpp
+++ b/src/libdecision/crash_suspects.cpp
@@ -54,30 +54,24 @@
 // Full evidence changes only if that makes it stronger: hosts that exchange theirs would otherwise
 // displace each other's runs for ever.
 bool
-CrashSuspects::add(Record& record, const Runs& runs) const
+CrashSuspects::add(Record& record, Runs runs) const
 {
-  Runs all = record.runs;
-  for (const auto& [server, run] : runs) {
-    if (!record.cleared || run.crashed > *record.cleared) {
-      all.try_emplace(server, run);
-    }
-  }
-  if (all.size() == record.runs.size()) {
+  std::erase_if(runs, [&](const auto& entry) {
+    return record.runs.count(entry.first) > 0 ||
+           (record.cleared && entry.second.crashed <= *record.cleared);
+  });
+  if (runs.empty()) {
     return false;
   }
   const bool was_full = record.runs.size() >= m_options.max_crashes;
-  const auto strength = [](const Runs& evidence) {
-    TimePoint last = TimePoint::min();
-    for (const auto& [server, run] : evidence) {
-      last = std::max(last, run.crashed);
-    }
-    return std::pair(successive_servers(evidence).size(), last);
-  };
-  Runs kept = strongest(all);
-  if (was_full && strength(kept) <= strength(record.runs)) {
+  runs.insert(record.runs.begin(), record.runs.end());
+  Record changed = record;
+  set_runs(changed, strongest(runs));
+  const auto strength = [](const Record& r) { return std::pair(r.successive, last_crash(r.runs)); };
+  if (was_full && strength(changed) <= strength(record)) {
     return false;
   }
-  set_runs(record, std::move(kept));
+  record = std::move(changed);
   return true;
 }
 
@@ -97,23 +91,22 @@
   if (runs.size() <= m_options.max_crashes) {
     return runs;
   }
-  const auto crashed_later = [&](std::uint64_t a, std::uint64_t b) {
-    return runs.at(a).crashed > runs.at(b).crashed;
+  Runs kept;
+  const auto keep = [&](std::uint64_t server) {
+    if (kept.size() < m_options.max_crashes) {
+      kept.insert(*runs.find(server));
+    }
   };
-  std::vector<std::uint64_t> order = successive_servers(runs);
-  std::reverse(order.begin(), order.end());
-  std::vector<std::uint64_t> others;
+  const std::vector<std::uint64_t> successive = successive_servers(runs);
+  std::for_each(successive.rbegin(), successive.rend(), keep);
+  std::vector<std::uint64_t> latest_first;
   for (const auto& [server, run] : runs) {
-    if (std::find(order.begin(), order.end(), server) == order.end()) {
-      others.push_back(server);
-    }
-  }
-  std::sort(others.begin(), others.end(), crashed_later);
-  order.insert(order.end(), others.begin(), others.end());
-  Runs kept;
-  for (std::size_t i = 0; i < m_options.max_crashes; ++i) {
-    kept[order[i]] = runs.at(order[i]);
+    latest_first.push_back(server);
   }
+  std::sort(latest_first.begin(), latest_first.end(), [&](std::uint64_t a, std::uint64_t b) {
+    return runs.at(a).crashed > runs.at(b).crashed;
+  });
+  std::for_each(latest_first.begin(), latest_first.end(), keep);
   return kept;
 }
 
@@ -172,7 +165,7 @@
     runs[crash.server] = { .sent = time_of(std::max(crash.sent, crash.crashed), now),
                            .crashed = time_of(crash.crashed, now) };
   }
-  const bool changed = add(record, runs) || cleared;
+  const bool changed = add(record, std::move(runs)) || cleared;
   limit_size();
   return changed;
 }
@@ -208,15 +201,21 @@
 }
 
 TimePoint
-CrashSuspects::last_change(const Record& record)
+CrashSuspects::last_crash(const Runs& runs)
 {
-  TimePoint last = record.cleared.value_or(TimePoint::min());
-  for (const auto& [server, run] : record.runs) {
+  TimePoint last = TimePoint::min();
+  for (const auto& [server, run] : runs) {
     last = std::max(last, run.crashed);
   }
   return last;
 }
 
+TimePoint
+CrashSuspects::last_change(const Record& record)
+{
+  return std::max(record.cleared.value_or(TimePoint::min()), last_crash(record.runs));
+}
+
 std::optional<TimePoint>
 CrashSuspects::quarantine_end(const Record& record) const
 {
