--- a/src/libstate/consensus.cpp
+++ b/src/libstate/consensus.cpp
@@ -273,13 +273,7 @@
 void
 Consensus::Impl::check_quorum()
 {
-  std::set<MemberId> live{ self };
-  for (const auto& [id, peer] : peers) {
-    if (clock - peer.last_reply < options.quorum_timeout) {
-      live.insert(id);
-    }
-  }
-  if (!is_majority(live)) {
+  if (clock - majority_contact() >= options.quorum_timeout) {
     become_follower(vote.term, 0);
   }
 }
--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -123,6 +123,10 @@
   /// \return false if the entries are no longer in memory and a snapshot is sent instead.
   bool send_batch(MemberId to, Peer& peer, bool heartbeat_only);
   void send_chunk(MemberId to, Peer& peer);
+  /// \param own value of this member \param field that has the value of another member
+  /// \return the highest value that a majority of the voters has reached; zero without voters
+  template<class Value>
+  Value reached_by_majority(Value own, Value Peer::*field) const;
   void advance_commit();
   /// Whether an entry of the current term is committed. Until then, a leader may not know of all
   /// entries that are.
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -9,19 +9,6 @@
 // Index, term, kind and framing of an entry in a message.
 constexpr std::size_t kEntryOverheadBytes = 32;
 
-// \return the highest value that a majority of the voters has reached; nothing without voters
-template<class Value>
-std::optional<Value>
-value_of_majority(std::vector<Value> values)
-{
-  if (values.empty()) {
-    return std::nullopt;
-  }
-  const auto position = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-  std::nth_element(values.begin(), position, values.end(), std::greater<>());
-  return *position;
-}
-
 } // namespace
 
 void
@@ -133,19 +120,31 @@
                       .data = Bytes(begin, begin + static_cast<std::ptrdiff_t>(length)) });
 }
 
-void
-Consensus::Impl::advance_commit()
+template<class Value>
+Value
+Consensus::Impl::reached_by_majority(Value own, Value Peer::*field) const
 {
-  std::vector<std::uint64_t> durable_indexes;
+  std::vector<Value> values;
   for (const Member& member : log.membership()) {
     if (member.voter) {
       const auto peer = peers.find(member.id);
-      durable_indexes.push_back(member.id == self     ? durable_index
-                                : peer == peers.end() ? 0
-                                                      : peer->second.match_index);
+      values.push_back(member.id == self     ? own
+                       : peer == peers.end() ? Value{}
+                                             : peer->second.*field);
     }
   }
-  const std::uint64_t index = value_of_majority(std::move(durable_indexes)).value_or(0);
+  if (values.empty()) {
+    return Value{};
+  }
+  const auto position = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), position, values.end(), std::greater<>());
+  return *position;
+}
+
+void
+Consensus::Impl::advance_commit()
+{
+  const std::uint64_t index = reached_by_majority(durable_index, &Peer::match_index);
   // Entries of earlier terms could still be replaced; they are committed together with an entry of
   // the current term.
   if (index > commit_index &&
@@ -175,16 +174,7 @@
 Duration
 Consensus::Impl::majority_contact() const
 {
-  std::vector<Duration> contacts;
-  for (const Member& member : log.membership()) {
-    if (member.voter) {
-      const auto peer = peers.find(member.id);
-      contacts.push_back(member.id == self     ? clock
-                         : peer == peers.end() ? Duration::zero()
-                                               : peer->second.last_reply);
-    }
-  }
-  return value_of_majority(std::move(contacts)).value_or(Duration::zero());
+  return reached_by_majority(clock, &Peer::last_reply);
 }
 
 Duration
