libcontrol, libgateway: state that can be derived, and one way to abandon a request

Whether a search is on follows from its rounds; the age of the state was computed twice; the reason to follow a control host was compared by the address of its text. next_tick() is never later than the tick interval. An attempt whose caller has left calls abandon() instead of setting its flag.

--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -58,7 +58,7 @@
   std::uint64_t directory_version = 0;
   /// The answer may name another control host to subscribe to, see Entries::source.
   bool accepts_source = false;
-  /// Number of the request, returned in Entries::answers; 0 if no answer is expected.
+  /// Number of the request, returned in Entries::answers; 0 if it has none.
   std::uint64_t request = 0;
 };
 
--- a/src/include/lovagehold/control_client.h
+++ b/src/include/lovagehold/control_client.h
@@ -53,8 +53,7 @@
 
 /// Replicates the state from one control host and sends proposals to the leader. Proposals without
 /// a reply are sent again, but are applied only once. Follows a control host only while that keeps
-/// the state current. Not thread-safe. Reads no clock: the time
-/// is an argument of each call.
+/// the state current. Not thread-safe. Reads no clock: the time is an argument of each call.
 class ControlClient
 {
 public:
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -28,20 +28,26 @@
 // no longer doubles.
 constexpr unsigned kSearchWidth = 2;
 constexpr unsigned kMaxSearchDoublings = 1;
-// Reason to follow the control host that select_source() names among all members.
-constexpr char kPreferred[] = "preferred";
 
-// A subscription or query that was sent to a control host.
+enum class Purpose
+{
+  Subscription,
+  /// Query of a control host that is followed if it is current and the own one is not.
+  Search,
+  /// Query of the preferred control host, which is followed if it is current.
+  Preference,
+};
+
+// A request that was sent to a control host.
 struct Request
 {
+  Purpose purpose = Purpose::Subscription;
   std::string address;
   TimePoint sent;
-  /// For a query: reason for which the control host is followed if it is current.
-  const char* follow_reason = nullptr;
 };
 
-// \param lag as told in the answer \return time until which a state is complete that includes what
-// the control host had when it answered
+// \param lag of the control host when it answered
+// \return time before which everything that was acknowledged is in the answer
 TimePoint
 complete_time(const Request& request, Duration lag)
 {
@@ -100,10 +106,8 @@
   std::optional<TimePoint> complete_until;
   /// All control hosts, as the followed one last named them.
   std::vector<ControlAddress> members;
-  /// Whether the client looks for another control host.
-  bool searching = false;
   TimePoint next_search_at;
-  /// Queries sent in this search, in rounds.
+  /// Rounds of queries in this search for another control host; 0: there is no search.
   unsigned search_rounds = 0;
   /// Control hosts asked in this search.
   std::set<std::string> asked;
@@ -151,14 +155,16 @@
     }
   }
 
-  bool is_outdated(TimePoint now) const
+  Duration state_age(TimePoint now) const
   {
-    return !complete_until || now - *complete_until >= options.max_state_age;
+    return complete_until ? std::max<Duration>(now - *complete_until, Duration::zero())
+                          : Duration::max();
   }
 
+  bool is_outdated(TimePoint now) const { return state_age(now) >= options.max_state_age; }
+
   void end_search()
   {
-    searching = false;
     search_rounds = 0;
     asked.clear();
   }
@@ -167,7 +173,6 @@
   // because the source may not be the only one that is lost.
   void search(TimePoint now)
   {
-    searching = true;
     next_search_at =
       now + options.search_interval * (1U << std::min(search_rounds++, kMaxSearchDoublings));
     for (unsigned i = 0; i < kSearchWidth; ++i) {
@@ -180,7 +185,7 @@
         select_source(options.address, options.failure_domain, candidates);
       if (!address.empty()) {
         asked.insert(address);
-        query(address, "outdated", now);
+        query(Purpose::Search, address, now);
       }
     }
   }
@@ -200,29 +205,29 @@
     return candidates;
   }
 
-  // \param reason for which the client is to follow the control host if it is current
-  void query(const std::string& address, const char* reason, TimePoint now)
+  void query(Purpose purpose, const std::string& address, TimePoint now)
   {
     send(address,
-         SourceQuery{
-           .request = add_request({ .address = address, .sent = now, .follow_reason = reason }) });
+         SourceQuery{ .request =
+                        add_request({ .purpose = purpose, .address = address, .sent = now }) });
   }
 
   void handle(const SourceStatus& status, TimePoint now)
   {
     const auto request = take_request(status.answers);
-    if (!request || request->follow_reason == nullptr) {
+    if (!request || request->purpose == Purpose::Subscription) {
       return;
     }
     const bool is_current = status.applied_index >= state.applied_index() &&
                             now - complete_time(*request, status.lag) < options.max_state_age;
     // The own control host may have answered meanwhile.
-    const bool is_wanted = searching || request->follow_reason == kPreferred;
+    const bool is_preferred = request->purpose == Purpose::Preference;
+    const bool is_wanted = search_rounds > 0 || is_preferred;
     if (is_current && is_wanted && request->address != options.control_addresses[source]) {
       end_search();
       next_search_at = now + options.search_interval;
       failback_at = now + kFailbackDelay;
-      follow(request->address, request->follow_reason, now);
+      follow(request->address, is_preferred ? "preferred" : "outdated", now);
     }
   }
 
@@ -310,7 +315,7 @@
     source = static_cast<std::size_t>(found - options.control_addresses.begin());
     if (ready && preferred != current && now >= failback_at) {
       failback_at = now + kFailbackDelay;
-      query(preferred, kPreferred, now);
+      query(Purpose::Preference, preferred, now);
     }
   }
 
@@ -566,9 +571,7 @@
 Duration
 ControlClient::state_age(TimePoint now) const
 {
-  const auto& complete_until = m_impl->complete_until;
-  return complete_until ? std::max<Duration>(now - *complete_until, Duration::zero())
-                        : Duration::max();
+  return m_impl->state_age(now);
 }
 
 const StateMachine&
--- a/src/libcontrol/state_age_test.cpp
+++ b/src/libcontrol/state_age_test.cpp
@@ -147,13 +147,6 @@
     }
   }
 
-  void run_for(milliseconds duration)
-  {
-    for (const TimePoint end = m_now + duration; m_now < end;) {
-      step();
-    }
-  }
-
   /// \return longest time since the acknowledgement of a version that an entry host lacks. Times
   /// without a leader don't count: the rest of the group may not know yet what was acknowledged
   milliseconds longest_delay() const
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -167,7 +167,9 @@
   ServerSelector* selector = &m_context.selector(m_request.service);
   const auto server = select_server(now);
   --m_pending_selections;
-  m_abandoned = m_abandoned || (m_request.caller_left && m_request.caller_left());
+  if (m_request.caller_left && m_request.caller_left()) {
+    abandon();
+  }
   const bool too_late = !m_context.admission.has_time_for_attempt(now, m_deadline);
   if (!server || too_late || m_abandoned || m_given_up || m_winner) {
     m_no_server = !server;
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -350,8 +350,7 @@
 {
   const TimePoint now = Clock::now();
   m_client->tick(now);
-  m_timer.expires_at(m_client->ready() ? std::min(m_client->next_tick(), now + kTickInterval)
-                                       : now + kStartupTickInterval);
+  m_timer.expires_at(m_client->ready() ? m_client->next_tick() : now + kStartupTickInterval);
   m_timer.async_wait([this](auto error) {
     if (!error) {
       tick();
