libcontrol: log changes of the group's members, hosts outside it, and join requests that are dropped

The hypotheses on lost majorities could not be told apart from logs: a host outside the group logged nothing about it, no host logged who the members are, and a request to join that reached a follower was dropped without a line.

New events: control_members with what changed, the voters and the learners, at each member; outside_group at a host that no leader contacts, at most each 10 s; join_ignored at a host that can't carry out a request to join, at most each 10 s for each sender. ReplicaPorts::report takes any number of fields. No logic is changed.

--- a/src/include/lovagehold/event_log.h
+++ b/src/include/lovagehold/event_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovagehold/hybrid_clock.h"
+#include "lovagehold/log_field.h"
 #include "lovagehold/types.h"
 
 #include <deque>
@@ -14,9 +15,6 @@
 
 namespace lovagehold {
 
-/// Key and value in a log line or event.
-using LogField = std::pair<std::string_view, std::string>;
-
 /// An event of the timeline.
 struct Event
 {
@@ -55,6 +53,7 @@
 
   /// Records the event.
   void info(std::string_view event, std::initializer_list<LogField> fields = {});
+  void info(std::string_view event, const std::vector<LogField>& fields);
   void warn(std::string_view event, std::initializer_list<LogField> fields = {});
 
   /// \return a hybrid logical timestamp for a message to another process
@@ -75,7 +74,7 @@
     std::size_t suppressed = 0;
   };
 
-  void record(int level, std::string_view event, std::initializer_list<LogField> fields);
+  void record(int level, std::string_view event, const LogField* fields, std::size_t count);
   void write(int level, const std::string& line) const;
   bool allow_line(int level, std::string_view event, WallTime now);
 
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -2,6 +2,7 @@
 
 #include "lovagehold/cluster_message.h"
 #include "lovagehold/consensus.h"
+#include "lovagehold/log_field.h"
 #include "lovagehold/replicated_state.h"
 
 #include <functional>
@@ -39,6 +40,8 @@
   std::chrono::milliseconds snapshot_resend{ 500 };
   std::chrono::milliseconds subscription_timeout{ 2000 };
   std::chrono::milliseconds join_interval{ 200 };
+  /// Minimum time between two reports that this host is outside the group.
+  std::chrono::milliseconds outside_report_interval{ 10'000 };
   /// A read that confirms the state of subscribers is taken for lost after this time.
   std::chrono::milliseconds read_retry{ 300 };
   /// Delay after a storage failure before the disk is opened again.
@@ -62,8 +65,7 @@
   /// Schedules the function on the thread that runs the replica. Called from any thread.
   std::function<void(std::function<void()>)> post;
   /// Logs an event, such as a role change or a storage failure.
-  std::function<void(std::string_view event, std::string_view key, const std::string& value)>
-    report;
+  std::function<void(std::string_view event, const std::vector<LogField>& fields)> report;
   /// \return number of entry hosts that callers are directed to, which is sent to subscribers. May
   /// be empty.
   std::function<std::uint64_t()> entry_hosts;
--- a/src/libadapters/event_log.cpp
+++ b/src/libadapters/event_log.cpp
@@ -1,5 +1,6 @@
 #include "lovagehold/event_log.h"
 
+#include <algorithm>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -78,13 +79,19 @@
 void
 EventLog::info(std::string_view event, std::initializer_list<LogField> fields)
 {
-  record(spdlog::level::info, event, fields);
+  record(spdlog::level::info, event, fields.begin(), fields.size());
+}
+
+void
+EventLog::info(std::string_view event, const std::vector<LogField>& fields)
+{
+  record(spdlog::level::info, event, fields.data(), fields.size());
 }
 
 void
 EventLog::warn(std::string_view event, std::initializer_list<LogField> fields)
 {
-  record(spdlog::level::warn, event, fields);
+  record(spdlog::level::warn, event, fields.begin(), fields.size());
 }
 
 HybridTime
@@ -139,17 +146,17 @@
 }
 
 void
-EventLog::record(int level, std::string_view event, std::initializer_list<LogField> fields)
+EventLog::record(int level, std::string_view event, const LogField* fields, std::size_t count)
 {
   Event entry;
   entry.time = wall_now();
   entry.host = m_options.host;
   entry.name = event;
   std::string line = "host=" + quote(m_options.host) + " event=" + std::string(event);
-  for (const LogField& field : fields) {
+  std::for_each(fields, fields + count, [&](const LogField& field) {
     line += " " + std::string(field.first) + "=" + quote(field.second);
     entry.fields.emplace_back(field.first, field.second);
-  }
+  });
   if (allow_line(level, event, entry.time)) {
     write(level, line);
   }
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -28,6 +28,51 @@
   return entry.kind == EntryKind::Command && entry.payload ? *entry.payload : kEmpty;
 }
 
+const Member*
+find_member(const Membership& members, MemberId id)
+{
+  const auto found = std::find_if(
+    members.begin(), members.end(), [id](const Member& member) { return member.id == id; });
+  return found == members.end() ? nullptr : &*found;
+}
+
+// \return the addresses, separated by commas
+std::string
+addresses_of(const Membership& members, bool voters)
+{
+  std::string addresses;
+  for (const Member& member : members) {
+    if (member.voter == voters) {
+      addresses += (addresses.empty() ? "" : ",") + member.address;
+    }
+  }
+  return addresses;
+}
+
+// \return "joined A", "promoted A" and "removed A" for each member that differs
+std::string
+describe_change(const Membership& before, const Membership& after)
+{
+  std::string change;
+  const auto add = [&change](const char* what, const Member& member) {
+    change += (change.empty() ? "" : ", ") + std::string(what) + " " + member.address;
+  };
+  for (const Member& member : before) {
+    if (find_member(after, member.id) == nullptr) {
+      add("removed", member);
+    }
+  }
+  for (const Member& member : after) {
+    const Member* previous = find_member(before, member.id);
+    if (previous == nullptr) {
+      add("joined", member);
+    } else if (member.voter && !previous->voter) {
+      add("promoted", member);
+    }
+  }
+  return change;
+}
+
 } // namespace
 
 struct Replica::Impl
@@ -126,6 +171,11 @@
   std::map<std::uint64_t, LeadershipCheck> leadership_checks;
   std::uint64_t next_read = 1;
   TimePoint join_at;
+  /// When this host may next report that it is outside the group.
+  TimePoint report_outside_at;
+  /// When a request to join that this host could not carry out was last reported, by address.
+  std::map<std::string, TimePoint> reported_joins;
+  Membership reported_membership;
   std::optional<TimePoint> storage_retry_at;
   unsigned changes_since_snapshot = 0;
   /// Posted functions hold a weak reference and do nothing after destruction.
@@ -163,7 +213,7 @@
       BOOST_OUTCOME_TRYV(state.restore(restored.snapshot->state));
     }
     if (restored.truncated_bytes > 0) {
-      ports.report("log_tail_truncated", "bytes", std::to_string(restored.truncated_bytes));
+      ports.report("log_tail_truncated", { { "bytes", std::to_string(restored.truncated_bytes) } });
     }
     ConsensusOptions consensus_options = options.consensus;
     consensus_options.seed = random();
@@ -187,7 +237,7 @@
   void on_written(const Result<void>& result, std::uint64_t token)
   {
     if (result.has_error()) {
-      ports.report("storage_failed", "reason", result.error().message);
+      ports.report("storage_failed", { { "reason", result.error().message } });
       storage_retry_at = ports.now() + options.storage_retry;
       perform(consensus->storage_failed(ports.now()));
       return;
@@ -199,10 +249,8 @@
 
   std::string address_of(MemberId id) const
   {
-    for (const Member& member : consensus->membership()) {
-      if (member.id == id) {
-        return member.address;
-      }
+    if (const Member* member = find_member(consensus->membership(), id)) {
+      return member->address;
     }
     const auto known_address = addresses.find(id);
     return known_address == addresses.end() ? "" : known_address->second;
@@ -224,7 +272,7 @@
         effects.snapshot_to_install->last.index > state.applied_index()) {
       const Result<void> restored = state.restore(effects.snapshot_to_install->state);
       if (restored.has_error()) {
-        ports.report("snapshot_refused", "reason", restored.error().message);
+        ports.report("snapshot_refused", { { "reason", restored.error().message } });
       }
     }
     for (const LogEntry& entry : effects.committed) {
@@ -284,11 +332,11 @@
 
   void on_role_change()
   {
-    ports.report("control_role",
-                 "role",
-                 std::string(to_string(consensus->role())) + " term " +
-                   std::to_string(consensus->term()) + " leader " +
-                   address_of(consensus->leader()));
+    ports.report(
+      "control_role",
+      { { "role",
+          std::string(to_string(consensus->role())) + " term " + std::to_string(consensus->term()) +
+            " leader " + address_of(consensus->leader()) } });
     if (consensus->role() == ConsensusRole::Leader) {
       return;
     }
@@ -341,12 +389,44 @@
     perform(consensus->step(envelope, ports.now()));
   }
 
-  void handle(const std::string&, const JoinGroup& join)
+  // Reports how the membership known to this host differs from the one reported before.
+  void report_membership()
+  {
+    const Membership& members = consensus->membership();
+    const std::string change = describe_change(reported_membership, members);
+    if (change.empty()) {
+      return;
+    }
+    reported_membership = members;
+    ports.report("control_members",
+                 { { "change", change },
+                   { "voters", addresses_of(members, true) },
+                   { "learners", addresses_of(members, false) } });
+  }
+
+  void report_ignored_join(const std::string& from)
+  {
+    const TimePoint now = ports.now();
+    std::erase_if(reported_joins, [&](const auto& entry) {
+      return now - entry.second >= options.outside_report_interval;
+    });
+    if (reported_joins.try_emplace(from, now).second) {
+      ports.report("join_ignored",
+                   { { "from", from },
+                     { "role", to_string(consensus->role()) },
+                     { "leader", address_of(consensus->leader()) } });
+    }
+  }
+
+  void handle(const std::string& from, const JoinGroup& join)
   {
     if (!options.members.empty() && join.member.host == options.members.front().first) {
       first_host_nonce = join.nonce;
     }
     if (consensus->last_index() > 0) {
+      if (consensus->role() != ConsensusRole::Leader) {
+        report_ignored_join(from);
+      }
       perform(consensus->add_learner(join.member, ports.now()));
       return;
     }
@@ -382,15 +462,12 @@
       membership.back().voter = true;
     }
     perform(consensus->bootstrap(membership, ports.now()));
-    ports.report("group_founded", "members", std::to_string(membership.size()));
+    ports.report("group_founded", { { "members", std::to_string(membership.size()) } });
   }
 
   bool is_member() const
   {
-    const Membership& members = consensus->membership();
-    return std::any_of(members.begin(), members.end(), [this](const Member& member) {
-      return member.id == consensus->self();
-    });
+    return find_member(consensus->membership(), consensus->self()) != nullptr;
   }
 
   // A host that no leader contacts asks to join even if its own log lists it as a member, because
@@ -410,18 +487,34 @@
     for (const Member& member : consensus->membership()) {
       targets.insert(member.address);
     }
+    targets.erase(options.address);
     for (const std::string& address : targets) {
-      if (address != options.address) {
-        ports.send(address,
-                   JoinGroup{ .member = own_member(),
-                              .empty = consensus->last_index() == 0,
-                              .nonce = nonce,
-                              .first_host_nonce = first_host_nonce });
-      }
+      ports.send(address,
+                 JoinGroup{ .member = own_member(),
+                            .empty = consensus->last_index() == 0,
+                            .nonce = nonce,
+                            .first_host_nonce = first_host_nonce });
     }
+    report_outside(targets, now);
     bootstrap_if_all_empty();
   }
 
+  void report_outside(const std::set<std::string>& asked, TimePoint now)
+  {
+    if (now < report_outside_at) {
+      return;
+    }
+    report_outside_at = now + options.outside_report_interval;
+    std::string addresses;
+    for (const std::string& address : asked) {
+      addresses += (addresses.empty() ? "" : ",") + address;
+    }
+    ports.report("outside_group",
+                 { { "asked", addresses },
+                   { "member", is_member() ? "yes" : "no" },
+                   { "entries", std::to_string(consensus->last_index()) } });
+  }
+
   void handle(const std::string& from, const Subscribe& message)
   {
     // A host without contact with the leader may be behind, and one that lacks entries which the
@@ -536,7 +629,8 @@
       images.push_back({ .index = state.applied_index(),
                          .bytes = std::make_shared<const Bytes>(state.snapshot()) });
       bytes_since_image = 0;
-      ports.report("state_image_made", "bytes", std::to_string(images.back().bytes->size()));
+      ports.report("state_image_made",
+                   { { "bytes", std::to_string(images.back().bytes->size()) } });
       if (images.size() > kKeptImages) {
         images.pop_front();
       }
@@ -701,6 +795,7 @@
       start_confirmation();
     }
     ask_to_join(now);
+    report_membership();
     std::erase_if(heard_at,
                   [&](const auto& entry) { return now - entry.second >= options.source_heard; });
     const auto expired = [&](const auto& entry) { return entry.second.expires < now; };
@@ -717,11 +812,11 @@
     storage_retry_at.reset();
     const Result<void> opened = open();
     if (opened.has_error()) {
-      ports.report("storage_failed", "reason", opened.error().message);
+      ports.report("storage_failed", { { "reason", opened.error().message } });
       storage_retry_at = now + options.storage_retry;
       return;
     }
-    ports.report("storage_recovered", "applied", std::to_string(state.applied_index()));
+    ports.report("storage_recovered", { { "applied", std::to_string(state.applied_index()) } });
   }
 
   template<class Other>
--- a/src/libcontrol/replica_test.cpp
+++ b/src/libcontrol/replica_test.cpp
@@ -55,7 +55,7 @@
     ports.post = [this](std::function<void()> function) {
       m_posted.push_back(std::move(function));
     };
-    ports.report = [this](std::string_view event, std::string_view, const std::string&) {
+    ports.report = [this](std::string_view event, const std::vector<LogField>&) {
       m_reports.insert(std::string(event));
     };
     ports.now = [this] { return m_now; };
--- a/src/libcontrol/state_age_test.cpp
+++ b/src/libcontrol/state_age_test.cpp
@@ -216,7 +216,7 @@
     ports.post = [this, number](std::function<void()> function) {
       m_posted[number].push_back(std::move(function));
     };
-    ports.report = [](std::string_view, std::string_view, const std::string&) {};
+    ports.report = [](std::string_view, const std::vector<LogField>&) {};
     ports.now = [this] { return m_now; };
     m_replicas.push_back(std::make_unique<Replica>(
       std::move(options), std::move(ports), std::make_unique<SharedDisk>(m_disks[number])));
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -139,10 +139,8 @@
     .send = send_hook,
     .post =
       [this](std::function<void()> function) { boost::asio::post(m_context, std::move(function)); },
-    .report =
-      [this](std::string_view event, std::string_view key, const std::string& value) {
-        m_log.info(event, { { key, value } });
-      },
+    .report = [this](std::string_view event,
+                     const std::vector<LogField>& fields) { m_log.info(event, fields); },
     .entry_hosts = [this] { return m_advertised_host_count; }
   };
   m_replica = std::make_unique<Replica>(replica_options(m_settings),
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -167,8 +167,8 @@
   ports.post = [this](std::function<void()> function) {
     boost::asio::post(m_context, std::move(function));
   };
-  ports.report = [this](std::string_view event, std::string_view key, const std::string& value) {
-    m_log.info(event, { { key, value } });
+  ports.report = [this](std::string_view event, const std::vector<LogField>& fields) {
+    m_log.info(event, fields);
   };
   return std::make_unique<Replica>(
     std::move(options), std::move(ports), std::make_unique<FileDisk>(m_settings.data_folder));
--- a/src/teststand/control_bench.cpp
+++ b/src/teststand/control_bench.cpp
@@ -87,7 +87,7 @@
     ports.post = [this](std::function<void()> function) {
       boost::asio::post(m_context, std::move(function));
     };
-    ports.report = [](std::string_view, std::string_view, const std::string&) {};
+    ports.report = [](std::string_view, const std::vector<LogField>&) {};
     m_replicas[number] =
       std::make_unique<Replica>(std::move(options),
                                 std::move(ports),
