libcontrol, libsite: a read that can't be confirmed is answered 503 at once

A read of the configuration, the first heartbeat of a server and a leave of an unknown server wait until the leader has confirmed the host's state. The operator who asks host after host waited for each of them.

The callback is now always called once: with the time of the call, or without a value as soon as the confirmation is impossible, at the latest after ReplicaOptions::confirmation_timeout, which takes the place of the timer in ControlHost. A leader that is only silent may still answer, so its reads wait. Callbacks run after the finished checks have been taken out of the list, as they may start further ones.

--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace lovagehold {
@@ -44,6 +45,8 @@
   std::chrono::milliseconds outside_report_interval{ 10'000 };
   /// A read that confirms the state of subscribers is taken for lost after this time.
   std::chrono::milliseconds read_retry{ 300 };
+  /// Limit on the time that confirm_leadership() takes.
+  std::chrono::milliseconds confirmation_timeout{ 2000 };
   /// Delay after a storage failure before the disk is opened again.
   std::chrono::milliseconds storage_retry{ 5000 };
   /// A starting subscriber is directed only to control hosts from which a message arrived within
@@ -111,10 +114,13 @@
   /// Whether this host leads the group.
   bool leads() const;
 
-  /// Asks a majority to confirm that this host leads.
-  /// \param confirmed called with the time of this call once a majority has confirmed and all
-  /// entries committed before have been applied; not called if leadership is lost first
-  void confirm_leadership(std::function<void(TimePoint requested_at)> confirmed);
+  /// Asks a majority, through the leader, to confirm that the state of this host is current.
+  /// \param done called once, possibly before this function returns: with the time of this call
+  /// when a majority has confirmed the leader and all entries committed before have been applied
+  /// here; without a value as soon as that can't be confirmed any more, because no leader is known,
+  /// leadership is lost, the disk has failed, or ReplicaOptions::confirmation_timeout has passed.
+  /// Not called after the destruction of this object
+  void confirm_leadership(std::function<void(std::optional<TimePoint> requested_at)> done);
 
   ReplicaStatus status() const;
 
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -116,7 +116,9 @@
   struct LeadershipCheck
   {
     TimePoint requested_at;
-    std::function<void(TimePoint)> confirmed;
+    std::function<void(std::optional<TimePoint>)> done;
+    /// The member that was asked to confirm.
+    MemberId leader = 0;
     /// Index that has to be applied first; set once a majority has confirmed.
     std::optional<std::uint64_t> required_index;
   };
@@ -337,6 +339,7 @@
       { { "role",
           std::string(to_string(consensus->role())) + " term " + std::to_string(consensus->term()) +
             " leader " + address_of(consensus->leader()) } });
+    fail_checks_without_leader();
     if (consensus->role() == ConsensusRole::Leader) {
       return;
     }
@@ -670,11 +673,12 @@
   {
     const auto check = leadership_checks.find(read.id);
     if (check != leadership_checks.end()) {
-      check->second.required_index = read.index;
-      if (!read.confirmed) {
-        leadership_checks.erase(check);
+      if (read.confirmed) {
+        check->second.required_index = read.index;
+        finish_leadership_checks();
+      } else {
+        fail_leadership_checks([&](const auto& entry) { return entry.first == read.id; });
       }
-      finish_leadership_checks();
       return;
     }
     const auto found = confirmations.find(read.id);
@@ -693,19 +697,53 @@
     start_confirmation();
   }
 
-  void finish_leadership_checks()
+  // Removes the checks that the condition holds for. The caller notifies them afterwards, as they
+  // may start further checks.
+  template<class Condition>
+  std::vector<LeadershipCheck> take_leadership_checks(Condition condition)
   {
-    for (auto entry = leadership_checks.begin(); entry != leadership_checks.end();) {
-      const LeadershipCheck check = entry->second;
-      if (!check.required_index || *check.required_index > state.applied_index()) {
-        ++entry;
-        continue;
+    std::vector<LeadershipCheck> taken;
+    std::erase_if(leadership_checks, [&](const auto& entry) {
+      const bool matches = condition(entry);
+      if (matches) {
+        taken.push_back(entry.second);
       }
-      entry = leadership_checks.erase(entry);
-      check.confirmed(check.requested_at);
+      return matches;
+    });
+    return taken;
+  }
+
+  void finish_leadership_checks()
+  {
+    const auto is_finished = [&](const auto& entry) {
+      const std::optional<std::uint64_t> required_index = entry.second.required_index;
+      return required_index && *required_index <= state.applied_index();
+    };
+    for (const LeadershipCheck& check : take_leadership_checks(is_finished)) {
+      check.done(check.requested_at);
     }
   }
 
+  template<class Condition>
+  void fail_leadership_checks(Condition condition)
+  {
+    for (const LeadershipCheck& check : take_leadership_checks(condition)) {
+      check.done(std::nullopt);
+    }
+  }
+
+  // A leader that is only silent may still confirm; one that another has replaced can't, and a
+  // member without a disk takes part in nothing.
+  void fail_checks_without_leader()
+  {
+    const bool failed = consensus->role() == ConsensusRole::Failed;
+    const MemberId leader = consensus->leader();
+    fail_leadership_checks([&](const auto& entry) {
+      const LeadershipCheck& check = entry.second;
+      return failed || (!check.required_index && leader != 0 && check.leader != leader);
+    });
+  }
+
   void confirm_subscribers()
   {
     finish_leadership_checks();
@@ -805,6 +843,9 @@
     });
     std::erase_if(confirmations,
                   [&](const auto& entry) { return entry.second.front().expires < now; });
+    fail_leadership_checks([&](const auto& entry) {
+      return now - entry.second.requested_at >= options.confirmation_timeout;
+    });
   }
 
   void retry_storage(TimePoint now)
@@ -864,11 +905,13 @@
 }
 
 void
-Replica::confirm_leadership(std::function<void(TimePoint requested_at)> confirmed)
+Replica::confirm_leadership(std::function<void(std::optional<TimePoint> requested_at)> done)
 {
   const TimePoint now = m_impl->ports.now();
   const std::uint64_t id = m_impl->next_read++;
-  m_impl->leadership_checks[id] = { .requested_at = now, .confirmed = std::move(confirmed) };
+  m_impl->leadership_checks[id] = { .requested_at = now,
+                                    .done = std::move(done),
+                                    .leader = m_impl->consensus->leader() };
   m_impl->perform(m_impl->consensus->read(id, now));
 }
 
--- a/src/libcontrol/replica_test.cpp
+++ b/src/libcontrol/replica_test.cpp
@@ -191,7 +191,8 @@
   unsigned confirmed = 0;
   const TimePoint started = m_now;
   for (unsigned i = 0; i < kReads; ++i) {
-    leader()->confirm_leadership([&](TimePoint) { ++confirmed; });
+    leader()->confirm_leadership(
+      [&](std::optional<TimePoint> requested_at) { confirmed += requested_at ? 1 : 0; });
   }
   ASSERT_TRUE(run_until([&] { return confirmed == kReads; }));
   // Two rounds of a request and a reply for each of two followers, and as much for heartbeats.
@@ -199,6 +200,45 @@
   EXPECT_LT(m_now - started, std::chrono::milliseconds(200));
 }
 
+// Guards against a read of the configuration that waits for its time limit although the host knows
+// at once that nobody can confirm it.
+TEST_F(ReplicaTest, UnconfirmedReadFailsAsSoonAsThatIsKnown)
+{
+  ASSERT_TRUE(join("first"));
+  std::vector<std::optional<TimePoint>> results;
+  const auto done = [&](std::optional<TimePoint> requested_at) { results.push_back(requested_at); };
+  Replica* const former = leader();
+  former->confirm_leadership(done);
+  ASSERT_TRUE(run_until([&] { return results.size() == 1; }));
+  EXPECT_TRUE(results.front().has_value());
+  // The leader loses contact, and with it the leadership.
+  m_drop = [](const std::string& to, const ClusterMessage&) { return to != "client"; };
+  former->confirm_leadership(done);
+  ASSERT_TRUE(run_until([&] { return !former->leads(); }));
+  ASSERT_EQ(results.size(), 2U);
+  EXPECT_FALSE(results.back().has_value());
+  // No leader is known.
+  former->confirm_leadership(done);
+  ASSERT_EQ(results.size(), 3U);
+  EXPECT_FALSE(results.back().has_value());
+}
+
+// Guards against a follower that waits for the confirmation of a leader that has been replaced.
+TEST_F(ReplicaTest, ReadSentToAReplacedLeaderFails)
+{
+  ASSERT_TRUE(join("first"));
+  const unsigned replaced = leader_number();
+  const unsigned number = replaced == 0 ? 1 : 0;
+  stop(replaced);
+  std::optional<std::optional<TimePoint>> result;
+  m_replicas[number]->confirm_leadership(
+    [&](std::optional<TimePoint> requested_at) { result = requested_at; });
+  ASSERT_TRUE(run_until([&] { return leader() != nullptr; }));
+  ASSERT_TRUE(run_until([&] { return !m_replicas[number]->status().leader_address.empty(); }));
+  ASSERT_TRUE(result.has_value());
+  EXPECT_FALSE(result->has_value());
+}
+
 // Guards against a command that is applied twice when its reply is lost and the client resends it.
 TEST_F(ReplicaTest, ResentProposalIsAppliedOnce)
 {
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -93,6 +93,7 @@
                         .lost_after = kMemberLostTimeout };
   options.snapshot_bytes = kSnapshotLogBytes;
   options.subscription_timeout = kSubscriptionTimeout;
+  options.confirmation_timeout = kReadConfirmTimeout;
   return options;
 }
 
@@ -491,25 +492,14 @@
     Clock::now());
 }
 
-// Calls \p done once: with true when the local state contains everything acknowledged before this
-// call, or with false if that cannot be confirmed in time.
+// Calls \p done once, possibly before it returns: with true when the local state contains
+// everything acknowledged before this call, or with false if that cannot be confirmed, or not in
+// time.
 void
 ControlHost::confirm(const std::function<void(bool confirmed)>& done)
 {
-  const auto replied = std::make_shared<bool>(false);
-  const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, kReadConfirmTimeout);
-  // The handler owns the timer, because the group drops its callback when it has no leader.
-  timer->async_wait([replied, done, timer](auto error) {
-    if (!error && !std::exchange(*replied, true)) {
-      done(false);
-    }
-  });
-  m_replica->confirm_leadership([replied, done, timer](TimePoint) {
-    if (!std::exchange(*replied, true)) {
-      timer->cancel();
-      done(true);
-    }
-  });
+  m_replica->confirm_leadership(
+    [done](std::optional<TimePoint> requested_at) { done(requested_at.has_value()); });
 }
 
 void
--- a/src/lovagehold/node.cpp
+++ b/src/lovagehold/node.cpp
@@ -290,10 +290,12 @@
     m_leader->set_leading(false, now);
     return;
   }
-  m_replica->confirm_leadership([this](TimePoint requested_at) {
-    m_leader->set_membership(m_replica->machine().membership(), Clock::now());
-    m_leader->set_leading(true, Clock::now());
-    m_leader->confirm_leadership(requested_at);
+  m_replica->confirm_leadership([this](std::optional<TimePoint> requested_at) {
+    if (requested_at) {
+      m_leader->set_membership(m_replica->machine().membership(), Clock::now());
+      m_leader->set_leading(true, Clock::now());
+      m_leader->confirm_leadership(*requested_at);
+    }
   });
   m_leader->tick(now);
 }
