libstate, libcontrol: which losses a control group can still bear, and why it is less than wanted

Consensus gives the leader's knowledge (progress(): the time since each member's last reply, how far it has stored the log; a member that has never answered this leader counts as silent). Replica::status() has it, with the time for which the host has been outside the group and the hosts that ask it to join.

--- a/src/include/lovagehold/consensus.h
+++ b/src/include/lovagehold/consensus.h
@@ -89,6 +89,17 @@
   bool role_changed = false;
 };
 
+/// What a leader knows of the log of a member.
+struct MemberProgress
+{
+  MemberId id = 0;
+  /// The member has stored the leader's log up to this index, as far as it has replied.
+  std::uint64_t stored_index = 0;
+  /// Time since its last reply; zero for the leader itself, Duration::max() if it has not replied to
+  /// this leader yet.
+  Duration since_reply = Duration::max();
+};
+
 /// One member of a replicated log, using the Raft algorithm (Ongaro and Ousterhout, 2014) with
 /// pre-vote, check-quorum, read index and single-member changes (Ongaro's dissertation, 2014).
 /// Performs no I/O and reads no clock; the time passed to calls may jump in either direction. Not
@@ -160,6 +171,8 @@
   const LogEntry& entry(std::uint64_t index) const;
   /// \return the latest membership in the log, whether committed or not.
   const Membership& membership() const;
+  /// \return the progress of all members, itself included; empty unless this member is the leader
+  std::vector<MemberProgress> progress(TimePoint now) const;
 
 private:
   struct Impl;
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -87,6 +87,14 @@
   bool in_contact = false;
   /// See Consensus::lag().
   Duration lag = Duration::max();
+  /// See Consensus::progress(): empty unless this host leads.
+  std::vector<MemberProgress> progress;
+  /// How long this host has been outside the group: no member, or without a leader. Zero while it
+  /// is inside.
+  Duration outside = Duration::zero();
+  /// Addresses of hosts that are no members, or no longer under their present identity, and have
+  /// asked this host to join within ReplicaOptions::source_heard.
+  std::vector<std::string> joining;
 };
 
 /// A control host's replica of the log: runs Consensus with real time and a disk, answers proposals
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -112,6 +112,12 @@
     TimePoint sent;
   };
 
+  struct JoinRequest
+  {
+    MemberId member = 0;
+    TimePoint heard_at;
+  };
+
   // Pending call of confirm_leadership(), made as a linearizable read.
   struct LeadershipCheck
   {
@@ -173,6 +179,10 @@
   std::map<std::uint64_t, LeadershipCheck> leadership_checks;
   std::uint64_t next_read = 1;
   TimePoint join_at;
+  /// When this host was last seen to be in the group, or was opened.
+  TimePoint last_inside;
+  /// Last requests to join, by the address of the host.
+  std::map<std::string, JoinRequest> join_requests;
   /// When this host may next report that it is outside the group.
   TimePoint report_outside_at;
   /// When a request to join that this host could not carry out was last reported, by address.
@@ -423,6 +433,7 @@
 
   void handle(const std::string& from, const JoinGroup& join)
   {
+    join_requests[join.member.address] = { .member = join.member.id, .heard_at = ports.now() };
     if (!options.members.empty() && join.member.host == options.members.front().first) {
       first_host_nonce = join.nonce;
     }
@@ -468,6 +479,21 @@
     ports.report("group_founded", { { "members", std::to_string(membership.size()) } });
   }
 
+  std::vector<std::string> joining_hosts() const
+  {
+    std::vector<std::string> hosts;
+    for (const auto& [address, request] : join_requests) {
+      // A host that has lost its disk is no member, even if its former identity is one.
+      if (find_member(consensus->membership(), request.member) == nullptr &&
+          ports.now() - request.heard_at < options.source_heard) {
+        hosts.push_back(address);
+      }
+    }
+    return hosts;
+  }
+
+  bool is_inside() const { return is_member() && consensus->in_contact(); }
+
   bool is_member() const
   {
     return find_member(consensus->membership(), consensus->self()) != nullptr;
@@ -477,7 +503,7 @@
   // that membership may never have been committed.
   void ask_to_join(TimePoint now)
   {
-    if ((is_member() && consensus->in_contact()) || now < join_at) {
+    if (is_inside() || now < join_at) {
       return;
     }
     join_at = now + options.join_interval;
@@ -834,8 +860,12 @@
     }
     ask_to_join(now);
     report_membership();
+    last_inside = is_inside() ? now : last_inside;
     std::erase_if(heard_at,
                   [&](const auto& entry) { return now - entry.second >= options.source_heard; });
+    std::erase_if(join_requests, [&](const auto& entry) {
+      return now - entry.second.heard_at >= options.source_heard;
+    });
     const auto expired = [&](const auto& entry) { return entry.second.expires < now; };
     std::erase_if(subscriptions, expired);
     std::erase_if(sent_chunks, [&](const auto& entry) {
@@ -876,6 +906,7 @@
 Result<void>
 Replica::open()
 {
+  m_impl->last_inside = m_impl->ports.now();
   return m_impl->open();
 }
 
@@ -918,6 +949,7 @@
 ReplicaStatus
 Replica::status() const
 {
+  const TimePoint now = m_impl->ports.now();
   const Consensus& consensus = *m_impl->consensus;
   return { .role = consensus.role(),
            .term = consensus.term(),
@@ -926,7 +958,10 @@
            .applied = m_impl->state.applied_index(),
            .membership = consensus.membership(),
            .in_contact = consensus.in_contact(),
-           .lag = consensus.lag(m_impl->ports.now()) };
+           .lag = consensus.lag(now),
+           .progress = consensus.progress(now),
+           .outside = m_impl->is_inside() ? Duration::zero() : now - m_impl->last_inside,
+           .joining = m_impl->joining_hosts() };
 }
 
 std::vector<ControlAddress>
--- a/src/libcontrol/replica_test.cpp
+++ b/src/libcontrol/replica_test.cpp
@@ -2,6 +2,7 @@
 
 #include "libstate/testing/fake_disk.h"
 #include "lovagehold/control_client.h"
+#include "lovagehold/group_tolerance.h"
 
 #include <algorithm>
 #include <deque>
@@ -200,6 +201,49 @@
   EXPECT_LT(m_now - started, std::chrono::milliseconds(200));
 }
 
+// Guards against a host that nobody sees to be outside the group, and a group that is said to bear
+// more losses than it does.
+TEST_F(ReplicaTest, StatusTellsWhoIsOutsideAndWhoAnswers)
+{
+  ASSERT_TRUE(join("first"));
+  const auto losses_left = [&] {
+    const ReplicaStatus status = leader() == nullptr ? ReplicaStatus() : leader()->status();
+    return assess_tolerance(
+             member_states(
+               status.membership, status.progress, status.commit, std::chrono::milliseconds(600)),
+             1)
+      .losses_left;
+  };
+  ASSERT_TRUE(run_until([&] { return losses_left() == 1U; }));
+  for (const auto& replica : m_replicas) {
+    EXPECT_TRUE(!replica || replica->status().outside == Duration::zero());
+  }
+  stop(leader_number() == 0 ? 1 : 0);
+  ASSERT_TRUE(run_until([&] { return losses_left() == 0U; }));
+  m_drop = [&](const std::string& to, const ClusterMessage& message) {
+    return to == address(3) || std::holds_alternative<JoinGroup>(message);
+  };
+  start(3);
+  const TimePoint started = m_now;
+  ASSERT_TRUE(run_until([&] { return m_now - started > std::chrono::seconds(2); }));
+  EXPECT_GE(m_replicas[3]->status().outside, std::chrono::seconds(2));
+  EXPECT_TRUE(m_replicas[3]->status().progress.empty());
+  EXPECT_TRUE(leader()->status().joining.empty());
+  m_drop = nullptr;
+  ASSERT_TRUE(run_until([&] { return m_replicas[3]->status().outside == Duration::zero(); }));
+  // Of a new host, one that has lost its disk, and a member, the last one is in the group.
+  const unsigned follower = leader_number() == 2 ? 3 : 2;
+  const MemberId known = leader()->status().membership.front().id;
+  m_replicas[follower]->receive("a", JoinGroup{ .member = { .id = 99, .address = "new" } });
+  m_replicas[follower]->receive("b", JoinGroup{ .member = { .id = 98, .address = address(3) } });
+  m_replicas[follower]->receive("c", JoinGroup{ .member = { .id = known, .address = "c" } });
+  EXPECT_EQ(m_replicas[follower]->status().joining,
+            (std::vector<std::string>{ address(3), "new" }));
+  const TimePoint asked = m_now;
+  ASSERT_TRUE(run_until([&] { return m_now - asked > std::chrono::seconds(2); }));
+  EXPECT_TRUE(m_replicas[follower]->status().joining.empty());
+}
+
 // Guards against a read of the configuration that waits for its time limit although the host knows
 // at once that nobody can confirm it.
 TEST_F(ReplicaTest, UnconfirmedReadFailsAsSoonAsThatIsKnown)
--- a/src/libstate/consensus.cpp
+++ b/src/libstate/consensus.cpp
@@ -535,4 +535,10 @@
   return m_impl->log.membership();
 }
 
+std::vector<MemberProgress>
+Consensus::progress(TimePoint now) const
+{
+  return m_impl->progress(now);
+}
+
 } // namespace lovagehold
--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -23,7 +23,9 @@
     std::uint64_t match_index = 0;
     /// Latest heartbeat round that the member replied to.
     std::uint64_t acknowledged_round = 0;
+    /// Until the first reply, the time at which it became known to this leader.
     Duration last_reply{};
+    bool has_replied = false;
     /// Set while a snapshot is transferred.
     std::shared_ptr<const StateSnapshot> snapshot;
     std::size_t snapshot_offset = 0;
@@ -135,6 +137,10 @@
   Duration majority_contact() const;
   /// See Consensus::lag().
   Duration lag(TimePoint now) const;
+  /// See Consensus::progress().
+  std::vector<MemberProgress> progress(TimePoint now) const;
+  /// \return the member if this one leads and the reply belongs to its term, otherwise null
+  Peer* record_reply(MemberId from, std::uint64_t term);
   void set_commit(std::uint64_t index);
   void update_peers();
   bool may_change_membership() const;
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -196,6 +196,26 @@
   return clock + since_last_call - (leads ? majority_contact() : *up_to_date_at);
 }
 
+std::vector<MemberProgress>
+Consensus::Impl::progress(TimePoint now) const
+{
+  std::vector<MemberProgress> members;
+  if (role != ConsensusRole::Leader) {
+    return members;
+  }
+  const Duration since_last_call = std::max<Duration>(now - last_time, Duration::zero());
+  members.push_back(
+    { .id = self, .stored_index = durable_index, .since_reply = Duration::zero() });
+  for (const auto& [id, peer] : peers) {
+    members.push_back({ .id = id,
+                        .stored_index = peer.match_index,
+                        .since_reply = peer.has_replied
+                                         ? clock + since_last_call - peer.last_reply
+                                         : Duration::max() });
+  }
+  return members;
+}
+
 bool
 Consensus::Impl::may_change_membership() const
 {
@@ -409,18 +429,29 @@
   send_after_sync(from, reply);
 }
 
-void
-Consensus::Impl::handle(MemberId from, const AppendReply& reply)
+Consensus::Impl::Peer*
+Consensus::Impl::record_reply(MemberId from, std::uint64_t term)
 {
-  if (step_down_if_newer(reply.term) || role != ConsensusRole::Leader || reply.term != vote.term) {
-    return;
+  if (step_down_if_newer(term) || role != ConsensusRole::Leader || term != vote.term) {
+    return nullptr;
   }
   const auto found = peers.find(from);
   if (found == peers.end()) {
+    return nullptr;
+  }
+  found->second.last_reply = clock;
+  found->second.has_replied = true;
+  return &found->second;
+}
+
+void
+Consensus::Impl::handle(MemberId from, const AppendReply& reply)
+{
+  Peer* const replied = record_reply(from, reply.term);
+  if (replied == nullptr) {
     return;
   }
-  Peer& peer = found->second;
-  peer.last_reply = clock;
+  Peer& peer = *replied;
   peer.acknowledged_round = std::max(peer.acknowledged_round, reply.round);
   if (reply.success) {
     peer.match_index = std::max(peer.match_index, reply.index);
@@ -484,15 +515,11 @@
 void
 Consensus::Impl::handle(MemberId from, const SnapshotReply& reply)
 {
-  if (step_down_if_newer(reply.term) || role != ConsensusRole::Leader || reply.term != vote.term) {
-    return;
-  }
-  const auto found = peers.find(from);
-  if (found == peers.end()) {
+  Peer* const replied = record_reply(from, reply.term);
+  if (replied == nullptr) {
     return;
   }
-  Peer& peer = found->second;
-  peer.last_reply = clock;
+  Peer& peer = *replied;
   if (!peer.snapshot || peer.snapshot->last.index != reply.index) {
     return;
   }
--- a/src/libstate/consensus_test.cpp
+++ b/src/libstate/consensus_test.cpp
@@ -130,5 +130,34 @@
   EXPECT_EQ(voters(), (std::set<MemberId>{ 1, 2, 5 }));
 }
 
+// Guards against a member that is shown as up to date although it has stopped answering, or has
+// never answered this leader.
+TEST_F(LeaderTest, ProgressTellsWhoAnswersAndHoldsTheLog)
+{
+  m_silent = { 3 };
+  lead({ member(1, "a", true), member(2, "a", true), member(3, "b", true) }, {});
+  const auto progress_of = [&](MemberId id) {
+    const std::vector<MemberProgress> all = m_consensus->progress(m_now);
+    const auto found = std::find_if(
+      all.begin(), all.end(), [&](const MemberProgress& progress) { return progress.id == id; });
+    return found == all.end() ? MemberProgress{} : *found;
+  };
+  run(std::chrono::seconds(1));
+  const std::uint64_t last = m_consensus->last_index();
+  EXPECT_EQ(progress_of(1).stored_index, last);
+  EXPECT_EQ(progress_of(1).since_reply, Duration::zero());
+  EXPECT_EQ(progress_of(2).stored_index, last);
+  EXPECT_LE(progress_of(2).since_reply, std::chrono::milliseconds(100));
+  EXPECT_EQ(progress_of(3).stored_index, 0U);
+  EXPECT_EQ(progress_of(3).since_reply, Duration::max());
+  m_silent = { 2 };
+  run(std::chrono::milliseconds(500));
+  EXPECT_EQ(progress_of(3).stored_index, last);
+  EXPECT_GE(progress_of(2).since_reply, std::chrono::milliseconds(500));
+  m_silent = { 2, 3 };
+  run(std::chrono::seconds(2));
+  EXPECT_TRUE(m_consensus->progress(m_now).empty());
+}
+
 } // namespace
 } // namespace lovagehold
