libsite: metrics of the control group's voters, of the losses left, and of hosts outside it

The metrics of a control host had the number of members only: a group of five voters of which two were gone for good looked whole, and a host outside the group looked like one that had lost contact for a moment.

New: voters, learners, losses wanted, the time for which the host has been outside the group and the hosts that ask it to join, served by every control host; losses left and the entries that the member furthest behind lacks, served by the leader, which alone knows who answers.

ControlHostTest.LeaderServesTheLossesLeft and HostOutsideTheGroupServesForHowLong; ServedMetricsAreDocumented covers the table of docs/OPERATIONS.md.

--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -204,6 +204,30 @@
   gauge("lovagehold_group_members",
         "Members of the control group.",
         static_cast<double>(status.membership.size()));
+  const GroupStatus group = group_status(status);
+  gauge("lovagehold_group_voters",
+        "Members that count towards a majority, as in this host's log.",
+        static_cast<double>(group.count(true)));
+  gauge("lovagehold_group_learners",
+        "Members that receive the log and may become voters, as in this host's log.",
+        static_cast<double>(group.count(false)));
+  gauge("lovagehold_group_losses_wanted",
+        "Losses of control hosts at the same time that the settings ask for.",
+        static_cast<double>(group.wanted_losses));
+  gauge("lovagehold_group_outside_seconds",
+        "Time for which this host has been outside the group, as no member or without a leader.",
+        std::chrono::duration<double>(group.outside).count());
+  gauge("lovagehold_group_joining",
+        "Hosts outside the group that ask this host to join.",
+        static_cast<double>(group.joining.size()));
+  if (group.tolerance) {
+    gauge("lovagehold_group_losses_left",
+          "Control hosts that may still be lost; -1 without a majority. Served by the leader only.",
+          group.tolerance->losses_left ? static_cast<double>(*group.tolerance->losses_left) : -1);
+    gauge("lovagehold_group_missing_entries",
+          "Committed entries that the member furthest behind lacks. Served by the leader only.",
+          static_cast<double>(group.most_missing_entries()));
+  }
   gauge("lovagehold_routing_version",
         "Version of the routing configuration held.",
         static_cast<double>(m_replica->machine().routing_version()));
@@ -238,6 +262,13 @@
   return text.text();
 }
 
+GroupStatus
+ControlHost::group_status(const ReplicaStatus& replica) const
+{
+  return make_group_status(
+    m_settings.cluster_address, replica, m_settings.tolerated_losses, kQuorumTimeout);
+}
+
 SiteStatus
 ControlHost::status() const
 {
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cluster_link.h"
+#include "group_status.h"
 #include "libdecision/token_bucket.h"
 #include "lovagehold/control_client.h"
 #include "lovagehold/entry_directory.h"
@@ -79,6 +80,7 @@
   void handle_permit_request(const std::string& from, const PermitRequest& request, TimePoint now);
   void remove_expired_servers(TimePoint now);
   void update_leadership(TimePoint now);
+  GroupStatus group_status(const ReplicaStatus& replica) const;
 
   boost::asio::io_context& m_context;
   SiteSettings m_settings;
--- a/src/libsite/control_host_test.cpp
+++ b/src/libsite/control_host_test.cpp
@@ -120,12 +120,17 @@
     return false;
   }
 
-  // \return the value of a metric of the control host
-  double metric(const std::string& name)
+  std::string render_metrics()
   {
     std::promise<std::string> rendered;
     boost::asio::post(m_context, [&] { rendered.set_value(m_host->render_metrics()); });
-    const std::string metrics = rendered.get_future().get();
+    return rendered.get_future().get();
+  }
+
+  // \return the value of a metric of the control host
+  double metric(const std::string& name)
+  {
+    const std::string metrics = render_metrics();
     const std::size_t sample = metrics.find("\n" + name + " ");
     return sample == std::string::npos ? -1 : std::stod(metrics.substr(sample + name.size() + 2));
   }
@@ -211,6 +216,29 @@
   EXPECT_EQ(metric("lovagehold_servers"), 0);
 }
 
+// Guards against a group that bears fewer losses than the settings ask for without a sign of it.
+TEST_F(ControlHostTest, LeaderServesTheLossesLeft)
+{
+  start(true);
+  ASSERT_TRUE(wait_for_status("/leave", 200));
+  EXPECT_EQ(metric("lovagehold_group_voters"), 1);
+  EXPECT_EQ(metric("lovagehold_group_learners"), 0);
+  EXPECT_EQ(metric("lovagehold_group_losses_wanted"), 1);
+  EXPECT_EQ(metric("lovagehold_group_losses_left"), 0);
+  EXPECT_EQ(metric("lovagehold_group_missing_entries"), 0);
+  EXPECT_EQ(metric("lovagehold_group_outside_seconds"), 0);
+}
+
+// Guards against a host that states losses left which it can't know.
+TEST_F(ControlHostTest, HostOutsideTheGroupServesForHowLong)
+{
+  start(false);
+  EXPECT_EQ(call("/else"), 404);
+  EXPECT_EQ(metric("lovagehold_group_voters"), 0);
+  EXPECT_GT(metric("lovagehold_group_outside_seconds"), 0);
+  EXPECT_EQ(render_metrics().find("losses_left"), std::string::npos);
+}
+
 std::set<std::string>
 metric_names(const std::string& text)
 {
@@ -247,9 +275,7 @@
   start(true);
   ASSERT_TRUE(wait_for_status("/leave", 200));
   const EntryHost entry(m_context, SiteSettings{ .host = "h", .seeds = { "seed" } }, {}, m_log);
-  std::promise<std::string> control;
-  boost::asio::post(m_context, [&] { control.set_value(m_host->render_metrics()); });
-  const std::string served = control.get_future().get() + entry.render_metrics();
+  const std::string served = render_metrics() + entry.render_metrics();
   EXPECT_EQ(metric_names(served), documented_names());
 }
 
