libsite, lovagectl: the status shows the members of the group, the losses left, and hosts outside it

`lovagectl status` listed a control host outside the group as "not ready", and nothing of the group: neither its voters nor how many of them may still be lost.

The status page of a control host has a new field `group`; the leader's says who answers and what each member lacks. Nothing is printed for hosts without a control group.

--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -276,7 +276,8 @@
   SiteStatus status{ .host = m_settings.host,
                      .version = m_replica->machine().routing_version(),
                      .ready = replica.in_contact,
-                     .state_age = replica.lag };
+                     .state_age = replica.lag,
+                     .group = group_status(replica) };
   const auto add = [&](const HostId& id, const std::string& domain, const std::string& address) {
     status.hosts.push_back({ .id = id,
                              .failure_domain = domain,
--- a/src/libsite/status_page.h
+++ b/src/libsite/status_page.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "group_status.h"
 #include "lovagehold/admin_server.h"
 #include "lovagehold/gateway.h"
 
@@ -26,6 +27,8 @@
   Duration state_age = Duration::max();
   std::vector<KnownHost> hosts;
   std::vector<GatewayServiceStatus> services;
+  /// Set on control hosts only.
+  std::optional<GroupStatus> group;
 };
 
 /// \return the IP of \p address with the port of \p port_source
--- a/src/libsite/status_page_test.cpp
+++ b/src/libsite/status_page_test.cpp
@@ -30,5 +30,41 @@
   EXPECT_FALSE(unknown.contains("state_age_ms"));
 }
 
+// Guards against a follower that states losses left which only the leader can know, and against a
+// missing majority that reads as no loss left.
+TEST(StatusPage, OnlyTheLeaderTellsTheLossesLeft)
+{
+  const Membership members{ { .id = 1, .address = "a:1", .voter = true },
+                            { .id = 2, .address = "b:1", .voter = true },
+                            { .id = 3, .address = "c:1", .voter = false } };
+  ReplicaStatus replica{ .role = ConsensusRole::Follower,
+                         .commit = 10,
+                         .membership = members,
+                         .outside = milliseconds(1500),
+                         .joining = { "d:1" } };
+  const auto group_of = [&] {
+    return page_of(
+             { .host = "h", .group = make_group_status("a:1", replica, 1, milliseconds(700)) })
+      .at("group");
+  };
+  const json follower = group_of();
+  EXPECT_EQ(follower.at("leads"), false);
+  EXPECT_EQ(follower.at("outside_ms"), 1500);
+  EXPECT_EQ(follower.at("joining"), json::array({ "d:1" }));
+  EXPECT_FALSE(follower.contains("losses_left"));
+  EXPECT_FALSE(follower.at("members").at(1).contains("answers"));
+  replica.role = ConsensusRole::Leader;
+  replica.progress = { { .id = 1, .stored_index = 10, .since_reply = milliseconds(0) },
+                       { .id = 2, .stored_index = 10, .since_reply = milliseconds(100) },
+                       { .id = 3, .stored_index = 4, .since_reply = milliseconds(900) } };
+  const json leader = group_of();
+  EXPECT_EQ(leader.at("losses_left"), 0);
+  EXPECT_EQ(leader.at("losses_wanted"), 1);
+  EXPECT_EQ(leader.at("members").at(2).at("answers"), false);
+  EXPECT_EQ(leader.at("members").at(2).at("missing_entries"), 6);
+  replica.progress[1].since_reply = milliseconds(900);
+  EXPECT_TRUE(group_of().at("losses_left").is_null());
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/lovagectl/main.cpp
+++ b/src/lovagectl/main.cpp
@@ -21,7 +21,8 @@
   show [SERVICE]         merged configuration and the file that set each value
 
 Operation:
-  status                 hosts, the revision in force and whether they are up to date
+  status                 hosts, the revision in force, whether they are up to date, and the
+                         members of the control group with the losses that it can still bear
   timeline               events of all hosts in causal order
       --format FORMAT    text, json or chrome (text)
   key SERVICE KEY        outcome of a non-idempotent request
--- a/src/lovagectl/status_command.cpp
+++ b/src/lovagectl/status_command.cpp
@@ -1,4 +1,5 @@
 #include "commands.h"
+#include "group_report.h"
 
 #include <algorithm>
 #include <iostream>
@@ -50,6 +51,10 @@
     }
   }
   json page = { { "revision", latest }, { "hosts", json::array() } };
+  const json group = merge_group_pages(hosts.value());
+  if (!group.is_null()) {
+    page["group"] = group;
+  }
   std::vector<std::vector<std::string>> rows{
     { "HOST", "DOMAIN", "REVISION", "STATE", "STATE AGE", "SERVICES OWNED", "IN FLIGHT" }
   };
@@ -81,6 +86,9 @@
     std::cout << page.dump(2) << "\n";
   } else {
     print_table(rows);
+    for (const std::string& line : describe_group(group)) {
+      std::cout << line << "\n";
+    }
   }
   return kExitSuccess;
 }
--- a/testsuite/site/site.py
+++ b/testsuite/site/site.py
@@ -16,7 +16,7 @@
 sys.path.insert(0, os.path.join(HERE, "..", "..", "platform", "testing"))
 
 import wire
-from cluster import CONTROL_PORT, METRICS_PORT, Cluster
+from cluster import CLUSTER_PORT, CONTROL_PORT, METRICS_PORT, Cluster
 from http_io import call
 
 TIMEOUT_S = 60.0
@@ -78,6 +78,18 @@
     return False
 
 
+def await_text(lovagectl, host, texts):
+    """Waits until the status that the host gives contains all texts."""
+    end = time.monotonic() + TIMEOUT_S
+    while time.monotonic() < end:
+        status = run_lovagectl(lovagectl, host, "status")
+        if all(text in status for text in texts):
+            return True
+        time.sleep(0.2)
+    print(status)
+    return False
+
+
 def check(name, passed):
     print(f"{'ok' if passed else 'FAILED'}: {name}")
     return passed
@@ -101,6 +113,22 @@
         timeline = run_lovagectl(lovagectl, control, "timeline")
         passed &= check("the timeline has events of control and entry hosts",
                         "group_founded" in timeline and "routing_in_force" in timeline)
+        passed &= check("the status shows a whole group",
+                        await_text(lovagectl, control, ["group:    1 of 1 losses left\n", "learners: none\n",
+                                                        "outside:  none\n"]))
+        lost = cluster.controls[2]
+        lost.kill()
+        passed &= check("the status shows a lost host and that no further one may be lost",
+                        await_text(lovagectl, control, ["group:    0 of 1 losses left: 1 of 3 voters doesn't answer",
+                                                        f"{lost.ip}:{CLUSTER_PORT} (no answer)"]))
+        cluster.controls[1].kill()
+        passed &= check("the status shows a group without a leader, and the host outside it",
+                        await_text(lovagectl, control, ["group:    no leader answers",
+                                                        f"outside:  {control.ip}:{CLUSTER_PORT} ("]))
+        lost.start()
+        passed &= check("the status shows the group again",
+                        await_text(lovagectl, control, ["group:    0 of 1 losses left", "outside:  none\n"]))
+        print(run_lovagectl(lovagectl, control, "status"), end="")
         return passed
     finally:
         cluster.stop()
