libcontrol: failing test for hosts that can't join while a host outside their settings leads

Three control hosts are in the settings of all, a fourth one leads. Each of the three loses its disk and starts again, as the first row of the trials on lost disks does. None of them is a member again within 20 s, and with the third one the group has no majority left:

replica_test.cpp:417: run_until(identity(number) != before): Actual: false host-0, host-1 replica_test.cpp:419: m_replicas[kLeader]->leads(): Actual: false

--- a/src/libcontrol/replica_test.cpp
+++ b/src/libcontrol/replica_test.cpp
@@ -19,8 +19,8 @@
 {
 protected:
   static constexpr unsigned kReplicas = 3;
-  /// The last host is started only by tests that replace a host.
-  static constexpr unsigned kHosts = 4;
+  /// The hosts after these are started only by tests that add or replace hosts.
+  static constexpr unsigned kHosts = 5;
 
   ReplicaTest()
   {
@@ -155,6 +155,38 @@
     return run_until([&] { return accepted.has_value(); }) && *accepted;
   }
 
+  bool is_voter(unsigned number)
+  {
+    const Membership members = leader() == nullptr ? Membership() : leader()->status().membership;
+    return std::any_of(members.begin(), members.end(), [&](const Member& member) {
+      return member.address == address(number) && member.voter;
+    });
+  }
+
+  // Makes the host lead the group by dropping the vote requests of all others.
+  void transfer_leadership(unsigned number)
+  {
+    const auto own_id = [&] {
+      for (const Member& member : m_replicas[number]->status().membership) {
+        if (member.address == address(number)) {
+          return member.id;
+        }
+      }
+      return MemberId{ 0 };
+    }();
+    m_drop = [own_id](const std::string&, const ClusterMessage& message) {
+      const auto* envelope = std::get_if<ConsensusEnvelope>(&message);
+      return envelope != nullptr && envelope->from != own_id &&
+             std::holds_alternative<VoteRequest>(envelope->message);
+    };
+    const unsigned previous = leader_number();
+    stop(previous);
+    ASSERT_TRUE(run_until([&] { return m_replicas[number]->leads(); }));
+    m_drop = nullptr;
+    start(previous);
+    ASSERT_TRUE(run_until([&] { return m_replicas[previous]->status().in_contact; }));
+  }
+
   std::size_t voter_count()
   {
     std::size_t count = 0;
@@ -354,18 +386,43 @@
   const unsigned lost = leader_number() == 0 ? 1 : 0;
   m_replicas[lost].reset();
   start(3);
-  const auto is_voter = [&](unsigned number) {
-    const Membership members = leader() == nullptr ? Membership() : leader()->status().membership;
-    return std::any_of(members.begin(), members.end(), [&](const Member& member) {
-      return member.address == address(number) && member.voter;
-    });
-  };
   ASSERT_TRUE(run_until([&] { return is_voter(3) && !is_voter(lost); }));
   EXPECT_EQ(voter_count(), 3U);
   stop(leader_number() == 3 ? 2 : leader_number());
   ASSERT_TRUE(join("second"));
 }
 
+// Guards against hosts that can't join, new or with a lost disk, because they know only the hosts
+// in their settings and another host leads: each one lessens the losses that the group survives.
+TEST_F(ReplicaTest, HostsJoinWhileAHostOutsideTheirSettingsLeads)
+{
+  constexpr unsigned kLeader = 3;
+  constexpr unsigned kNewHost = 4;
+  start(kLeader);
+  ASSERT_TRUE(run_until([&] { return is_voter(kLeader); }));
+  transfer_leadership(kLeader);
+  const auto identity = [&](unsigned number) {
+    for (const Member& member : m_replicas[kLeader]->status().membership) {
+      if (member.address == address(number) && member.voter) {
+        return member.id;
+      }
+    }
+    return MemberId{ 0 };
+  };
+  for (unsigned number = 0; number < kReplicas; ++number) {
+    const MemberId before = identity(number);
+    m_replicas[number].reset();
+    m_disks[number].wipe();
+    start(number);
+    EXPECT_TRUE(run_until([&] { return identity(number) != 0 && identity(number) != before; }))
+      << address(number);
+    ASSERT_TRUE(m_replicas[kLeader]->leads());
+  }
+  start(kNewHost);
+  EXPECT_TRUE(run_until([&] { return is_voter(kNewHost); }));
+  EXPECT_TRUE(join("first"));
+}
+
 // Guards against a leader that keeps leading with a full disk, and a host that doesn't recover once
 // there is space again.
 TEST_F(ReplicaTest, LeaderWithFullDiskStepsDownAndRecovers)
