libcontrol: a host that asks to join learns from any member who leads the group

Callers saw: an acknowledged configuration was not in force (404, or run by the service of before), and the configuration could not be read, though never more control hosts were lost than the group tolerates.

Cause: only the leader adds members, but a host outside the group asked only the hosts in its settings, its seeds. A seed that did not lead dropped the request. So a host that had lost its disk, or a new one, came back only while one of its seeds led, and each loss after a change of leader lessened the losses that the group survives, until an allowed one took its majority. Class: a request that only the leader can carry out is sent to hosts that may not lead, and nothing leads it there.

Fix: a member in contact with the leader answers a request to join with the leader and all members (GroupContacts); the host then asks the leader itself, once for each answerer and round, so that no request is passed on and none can loop. It goes on asking the named members if the leader fails. A host also learns contacts from what a leader still sends to the identity that it had before its disk was lost, so that it joins when all its seeds are outside the group too.

--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -141,6 +141,15 @@
   std::uint64_t first_host_nonce = 0;
 };
 
+/// Answers a JoinGroup that arrived at a member which does not lead the group.
+struct GroupContacts
+{
+  /// Cluster address of the leader, which adds members.
+  std::string leader;
+  /// Cluster addresses of all members, to be asked if the leader doesn't answer.
+  std::vector<std::string> members;
+};
+
 /// Renews a server's registration; forwarded to the host that owns the service.
 struct ServerRenewal
 {
@@ -234,7 +243,8 @@
                                     ServerRenewals,
                                     PermitRequest,
                                     PermitReply,
-                                    CrashReports>;
+                                    CrashReports,
+                                    GroupContacts>;
 
 /// \return the message encoded as CBOR
 Bytes encode(const ClusterMessage& message);
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -98,8 +98,8 @@
   /// Reads the log from disk. \return Corrupt or Storage if it can't be used
   Result<void> open();
 
-  /// Handles Propose, Subscribe, SourceQuery, JoinGroup and ConsensusEnvelope; ignores other
-  /// messages.
+  /// Handles Propose, Subscribe, SourceQuery, JoinGroup, GroupContacts and ConsensusEnvelope;
+  /// ignores other messages.
   void receive(const std::string& from, const ClusterMessage& message);
 
   /// To be called about every 50 ms.
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -149,6 +149,12 @@
            { "heard", message.first_host_nonce } };
 }
 
+json
+to_fields(const GroupContacts& contacts)
+{
+  return { { "t", "contacts" }, { "leader", contacts.leader }, { "members", contacts.members } };
+}
+
 json
 to_fields(const ConsensusEnvelope& envelope)
 {
@@ -405,6 +411,10 @@
   if (type == "join") {
     return parse_join(fields);
   }
+  if (type == "contacts") {
+    return GroupContacts{ .leader = fields.at("leader").get<std::string>(),
+                          .members = fields.at("members").get<std::vector<std::string>>() };
+  }
   if (type == "consensus") {
     return decode_envelope(get_bytes(fields.at("envelope")));
   }
--- a/src/libcontrol/cluster_message_test.cpp
+++ b/src/libcontrol/cluster_message_test.cpp
@@ -58,6 +58,17 @@
   EXPECT_EQ(status.lag, milliseconds(6));
 }
 
+// Guards against a host that is told the wrong members when it asks to join.
+TEST(ClusterMessage, GroupContactsKeepAllFields)
+{
+  const GroupContacts contacts{ .leader = "10.0.0.1:7040",
+                                .members = { "10.0.0.1:7040", "10.0.0.2:7040" } };
+  const auto got =
+    std::get<GroupContacts>(decode_message(encode(ClusterMessage(contacts))).value());
+  EXPECT_EQ(got.leader, contacts.leader);
+  EXPECT_EQ(got.members, contacts.members);
+}
+
 // Guards against evidence whose fields are lost or exchanged on the way.
 TEST(ClusterMessage, CrashReportsKeepAllFields)
 {
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -13,6 +13,8 @@
 
 // A subscriber may still be receiving the image before the latest one.
 constexpr std::size_t kKeptImages = 2;
+// Limits what a host outside the group keeps of what others tell it.
+constexpr std::size_t kMaxContacts = 64;
 
 std::uint64_t
 random_seed()
@@ -171,6 +173,11 @@
   std::map<std::uint64_t, LeadershipCheck> leadership_checks;
   std::uint64_t next_read = 1;
   TimePoint join_at;
+  /// Hosts asked to add this one since join_at was last set.
+  std::set<std::string> asked;
+  /// Members that this host has learned of while it is outside the group, beside those in its
+  /// settings and its log.
+  std::set<std::string> contacts;
   /// When this host may next report that it is outside the group.
   TimePoint report_outside_at;
   /// When a request to join that this host could not carry out was last reported, by address.
@@ -386,6 +393,10 @@
   void handle(const std::string& from, const ConsensusEnvelope& envelope)
   {
     addresses[envelope.from] = from;
+    // A leader goes on sending to the identity that a host had before its disk was lost.
+    if (envelope.to != consensus->self() && is_outside() && contacts.size() < kMaxContacts) {
+      contacts.insert(from);
+    }
     perform(consensus->step(envelope, ports.now()));
   }
 
@@ -404,7 +415,7 @@
                    { "learners", addresses_of(members, false) } });
   }
 
-  void report_ignored_join(const std::string& from)
+  void report_ignored_join(const std::string& from, std::string_view reason)
   {
     const TimePoint now = ports.now();
     std::erase_if(reported_joins, [&](const auto& entry) {
@@ -413,7 +424,7 @@
     if (reported_joins.try_emplace(from, now).second) {
       ports.report("join_ignored",
                    { { "from", from },
-                     { "role", to_string(consensus->role()) },
+                     { "reason", std::string(reason) },
                      { "leader", address_of(consensus->leader()) } });
     }
   }
@@ -423,16 +434,39 @@
     if (!options.members.empty() && join.member.host == options.members.front().first) {
       first_host_nonce = join.nonce;
     }
-    if (consensus->last_index() > 0) {
-      if (consensus->role() != ConsensusRole::Leader) {
-        report_ignored_join(from);
-      }
+    if (consensus->role() == ConsensusRole::Leader) {
       perform(consensus->add_learner(join.member, ports.now()));
+    } else if (consensus->last_index() > 0) {
+      name_contacts(from);
+    } else if (join.empty && join.first_host_nonce == nonce) {
+      empty_members[join.member.host] = join.member;
+    }
+  }
+
+  // Only the leader adds members, and a host that asks to join may know only others.
+  void name_contacts(const std::string& to)
+  {
+    const std::string leader = address_of(consensus->leader());
+    if (!consensus->in_contact() || leader.empty()) {
+      report_ignored_join(to, "no leader is known");
       return;
     }
-    if (join.empty && join.first_host_nonce == nonce) {
-      empty_members[join.member.host] = join.member;
+    GroupContacts message{ .leader = leader };
+    for (const Member& member : consensus->membership()) {
+      message.members.push_back(member.address);
+    }
+    ports.send(to, message);
+  }
+
+  void handle(const std::string& from, const GroupContacts& message)
+  {
+    if (!is_outside() || asked.count(from) == 0) {
+      return;
     }
+    const auto last = message.members.begin() +
+                      static_cast<std::ptrdiff_t>(std::min(message.members.size(), kMaxContacts));
+    contacts = { message.members.begin(), last };
+    ask(message.leader);
   }
 
   Member own_member() const
@@ -472,13 +506,32 @@
 
   // A host that no leader contacts asks to join even if its own log lists it as a member, because
   // that membership may never have been committed.
+  bool is_outside() const { return !is_member() || !consensus->in_contact(); }
+
+  // Asks a host to add this one, once in each round.
+  void ask(const std::string& address)
+  {
+    if (address != options.address && asked.insert(address).second) {
+      ports.send(address,
+                 JoinGroup{ .member = own_member(),
+                            .empty = consensus->last_index() == 0,
+                            .nonce = nonce,
+                            .first_host_nonce = first_host_nonce });
+    }
+  }
+
   void ask_to_join(TimePoint now)
   {
-    if ((is_member() && consensus->in_contact()) || now < join_at) {
+    if (!is_outside()) {
+      contacts.clear();
+      return;
+    }
+    if (now < join_at) {
       return;
     }
     join_at = now + options.join_interval;
-    std::set<std::string> targets;
+    asked.clear();
+    std::set<std::string> targets = contacts;
     for (const auto& [host, address] : options.members) {
       targets.insert(address);
     }
@@ -487,19 +540,14 @@
     for (const Member& member : consensus->membership()) {
       targets.insert(member.address);
     }
-    targets.erase(options.address);
     for (const std::string& address : targets) {
-      ports.send(address,
-                 JoinGroup{ .member = own_member(),
-                            .empty = consensus->last_index() == 0,
-                            .nonce = nonce,
-                            .first_host_nonce = first_host_nonce });
+      ask(address);
     }
-    report_outside(targets, now);
+    report_outside(now);
     bootstrap_if_all_empty();
   }
 
-  void report_outside(const std::set<std::string>& asked, TimePoint now)
+  void report_outside(TimePoint now)
   {
     if (now < report_outside_at) {
       return;
