libstate, libcontrol: a request to join does not replace a running member

What could happen: a second process under the name of a member's host took that member's place at once, a voter's included, and the two replaced each other again and again; a request could name the address of another host; and requests that name invented hosts made the group grow without a limit, each with a log that the leader keeps sending to. Found by reading, while looking for other ways in which requests to join change the group.

Cause: Consensus::add_learner() looked at the identity only, except for the leader's own host.

Fix: Consensus::join_obstacle() names what speaks against a member: it is one already, another process of its host answers (its last reply is younger than the election timeout; a host that lost its disk joins after that), or the group has max_members. The replica compares the address with that of the sender. What is ignored is logged with its reason, at most each 10 s for each sender.

--- a/src/include/lovagehold/consensus.h
+++ b/src/include/lovagehold/consensus.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lovagehold {
@@ -41,6 +42,8 @@
   std::uint64_t trailing_entries = 1000;
   /// Learners are promoted until the group has this many voters.
   std::size_t target_voters = 5;
+  /// No member joins a group that has this number of members.
+  std::size_t max_members = 64;
   /// A voter that has not replied for this time is removed once a learner that holds the log can
   /// replace it; a learner is removed after five times this time. Zero: members are never removed.
   std::chrono::milliseconds lost_after{ 0 };
@@ -122,9 +125,15 @@
   Effects read(std::uint64_t id, TimePoint now);
 
   /// Adds a member as learner, in place of the previous member of its host, if any. Ignored unless
-  /// this member is the leader and no other membership change is in progress.
+  /// this member is the leader, no other membership change is in progress and nothing speaks
+  /// against the member, see join_obstacle().
   Effects add_learner(Member member, TimePoint now);
 
+  /// \return why the member may not join now, for logs; empty if it may. The previous member of a
+  /// host is replaced only once it has stopped answering: a second process under the name of a
+  /// running host must not take its place.
+  std::string_view join_obstacle(const Member& member, TimePoint now);
+
   /// Bootstraps a new group: appends the first entry, which holds the membership. Ignored unless
   /// the log is empty.
   Effects bootstrap(const Membership& membership, TimePoint now);
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -434,8 +434,10 @@
     if (!options.members.empty() && join.member.host == options.members.front().first) {
       first_host_nonce = join.nonce;
     }
-    if (consensus->role() == ConsensusRole::Leader) {
-      perform(consensus->add_learner(join.member, ports.now()));
+    if (from != join.member.address) {
+      report_ignored_join(from, "it names another address, " + join.member.address);
+    } else if (consensus->role() == ConsensusRole::Leader) {
+      add_member(join.member);
     } else if (consensus->last_index() > 0) {
       name_contacts(from);
     } else if (join.empty && join.first_host_nonce == nonce) {
@@ -443,6 +445,20 @@
     }
   }
 
+  void add_member(const Member& member)
+  {
+    // A member that has just started asks too, until it gets the leader's first message.
+    if (find_member(consensus->membership(), member.id) != nullptr) {
+      return;
+    }
+    const std::string_view obstacle = consensus->join_obstacle(member, ports.now());
+    if (!obstacle.empty()) {
+      report_ignored_join(member.address, obstacle);
+      return;
+    }
+    perform(consensus->add_learner(member, ports.now()));
+  }
+
   // Only the leader adds members, and a host that asks to join may know only others.
   void name_contacts(const std::string& to)
   {
--- a/src/libcontrol/replica_test.cpp
+++ b/src/libcontrol/replica_test.cpp
@@ -21,6 +21,7 @@
   static constexpr unsigned kReplicas = 3;
   /// The hosts after these are started only by tests that add or replace hosts.
   static constexpr unsigned kHosts = 5;
+  static constexpr std::size_t kMaxMembers = 8;
 
   ReplicaTest()
   {
@@ -44,6 +45,7 @@
     options.message_bytes = 100;
     options.consensus.trailing_entries = 2;
     options.consensus.target_voters = m_target_voters;
+    options.consensus.max_members = kMaxMembers;
     options.consensus.lost_after = m_lost_after;
     options.may_bootstrap = number < kReplicas;
     options.storage_thread = false;
@@ -423,6 +425,46 @@
   EXPECT_TRUE(join("first"));
 }
 
+// Guards against a request to join that removes a running member: a second process under the name
+// of a member's host, and a request that names the address of another host.
+TEST_F(ReplicaTest, RequestToJoinDoesNotReplaceARunningMember)
+{
+  ASSERT_TRUE(join("first"));
+  const unsigned member = (leader_number() + 1) % kReplicas;
+  const auto identities = [&] {
+    std::set<MemberId> ids;
+    for (const Member& known : leader()->status().membership) {
+      ids.insert(known.id);
+    }
+    return ids;
+  };
+  const std::set<MemberId> before = identities();
+  const auto ask = [&](unsigned host, const std::string& named, const std::string& from) {
+    leader()->receive(
+      from, JoinGroup{ .member = { .id = m_random(), .host = address(host), .address = named } });
+    EXPECT_FALSE(run_until([&] { return leader() == nullptr || identities() != before; }));
+  };
+  ask(member, "elsewhere", "elsewhere");
+  ask(leader_number(), "elsewhere", "elsewhere");
+  ask(member, address(member), "elsewhere");
+  EXPECT_EQ(m_reports.count("join_ignored"), 1U);
+  ASSERT_TRUE(join("second"));
+}
+
+// Guards against a flood of requests to join that makes the group grow without a limit.
+TEST_F(ReplicaTest, NumberOfMembersIsLimited)
+{
+  ASSERT_TRUE(join("first"));
+  for (unsigned i = 0; i < 3 * kMaxMembers; ++i) {
+    const std::string invented = "invented-" + std::to_string(i);
+    leader()->receive(
+      invented, JoinGroup{ .member = { .id = m_random(), .host = invented, .address = invented } });
+    run_until([step = 0]() mutable { return ++step == 10; });
+  }
+  EXPECT_EQ(leader()->status().membership.size(), kMaxMembers);
+  ASSERT_TRUE(join("second"));
+}
+
 // Guards against a leader that keeps leading with a full disk, and a host that doesn't recover once
 // there is space again.
 TEST_F(ReplicaTest, LeaderWithFullDiskStepsDownAndRecovers)
--- a/src/libstate/consensus.cpp
+++ b/src/libstate/consensus.cpp
@@ -410,18 +410,9 @@
 Consensus::add_learner(Member member, TimePoint now)
 {
   m_impl->advance_clock(now);
-  const Membership& current = m_impl->log.membership();
-  // A second process under the leader's own host id must not replace the leader.
-  const bool refused = std::any_of(current.begin(), current.end(), [&](const Member& m) {
-    return m.id == member.id || (m.id == m_impl->self && m.host == member.host);
-  });
-  if (!refused && m_impl->may_change_membership()) {
-    Membership next;
-    for (const Member& other : current) {
-      if (other.host != member.host) {
-        next.push_back(other);
-      }
-    }
+  if (m_impl->may_change_membership() && m_impl->join_obstacle(member).empty()) {
+    Membership next = m_impl->log.membership();
+    std::erase_if(next, [&](const Member& other) { return other.host == member.host; });
     member.voter = m_impl->options.faults.promote_early;
     next.push_back(std::move(member));
     m_impl->change_membership(next);
@@ -429,6 +420,13 @@
   return m_impl->take_effects();
 }
 
+std::string_view
+Consensus::join_obstacle(const Member& member, TimePoint now)
+{
+  m_impl->advance_clock(now);
+  return m_impl->join_obstacle(member);
+}
+
 Effects
 Consensus::bootstrap(const Membership& membership, TimePoint now)
 {
--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -138,6 +138,8 @@
   void set_commit(std::uint64_t index);
   void update_peers();
   bool may_change_membership() const;
+  /// See Consensus::join_obstacle().
+  std::string_view join_obstacle(const Member& member) const;
   void change_membership(const Membership& next);
   void promote_learner();
   bool is_silent(const Member& member, Duration limit) const;
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -195,6 +195,24 @@
          is_commit_index_known();
 }
 
+std::string_view
+Consensus::Impl::join_obstacle(const Member& member) const
+{
+  const Membership& members = log.membership();
+  const bool known = std::any_of(
+    members.begin(), members.end(), [&](const Member& other) { return other.id == member.id; });
+  if (known) {
+    return "it is a member already";
+  }
+  const bool runs = std::any_of(members.begin(), members.end(), [&](const Member& other) {
+    return other.host == member.host && !is_silent(other, options.election_timeout);
+  });
+  if (runs) {
+    return "another process of this host is a member and answers";
+  }
+  return members.size() >= options.max_members ? "the group has its maximum of members" : "";
+}
+
 void
 Consensus::Impl::change_membership(const Membership& next)
 {
