libstate: a host that lost its disk joins a new leader at once

A leader takes a member for running for the election timeout after its last reply, and counted that time from its election also for members that had never replied to it. A host that lost its disk in a loss of power of all then had to wait for it. Now a reply to this leader is needed. ReplicaTest.RequestToJoinDoesNotReplaceARunningMember passes as before.

docs/replication.md tells how a host outside the group finds the leader.

--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -138,6 +138,8 @@
   void set_commit(std::uint64_t index);
   void update_peers();
   bool may_change_membership() const;
+  /// Whether this leader had a reply of the member within the election timeout.
+  bool has_replied(const Member& member) const;
   /// See Consensus::join_obstacle().
   std::string_view join_obstacle(const Member& member) const;
   void change_membership(const Membership& next);
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -195,6 +195,14 @@
          is_commit_index_known();
 }
 
+bool
+Consensus::Impl::has_replied(const Member& member) const
+{
+  const auto peer = peers.find(member.id);
+  return member.id == self || (peer != peers.end() && peer->second.acknowledged_round > 0 &&
+                               clock - peer->second.last_reply < options.election_timeout);
+}
+
 std::string_view
 Consensus::Impl::join_obstacle(const Member& member) const
 {
@@ -205,7 +213,7 @@
     return "it is a member already";
   }
   const bool runs = std::any_of(members.begin(), members.end(), [&](const Member& other) {
-    return other.host == member.host && !is_silent(other, options.election_timeout);
+    return other.host == member.host && has_replied(other);
   });
   if (runs) {
     return "another process of this host is a member and answers";
