libstate, libcontrol: a host that moves to another address with its disk stays a member

What operators see: a control host that comes back at another address with its disk is never reached again, and the group is left with one loss less to bear; in the product's own settings, where lost members are not removed, for good. Found while looking for other hosts that can't come back into the group.

Cause: its request to join was ignored, as its identity is a member already, while the leader kept sending to the former address.

Fix: a request of a known identity from another address replaces the member's address in one change; it stays voter or learner. As for other requests, not while the member answers.

Evidence: ReplicaTest.HostThatMovesWithItsDiskStaysAVoter failed before (not a voter within 20 s, no second loss borne) and passes; consensus_fuzz_test passes.

--- a/src/include/lovagehold/consensus.h
+++ b/src/include/lovagehold/consensus.h
@@ -124,9 +124,9 @@
   /// never arrives if a message is lost.
   Effects read(std::uint64_t id, TimePoint now);
 
-  /// Adds a member as learner, in place of the previous member of its host, if any. Ignored unless
-  /// this member is the leader, no other membership change is in progress and nothing speaks
-  /// against the member, see join_obstacle().
+  /// Adds a member as learner, in place of the previous member of its host, if any. A known member
+  /// with a new address stays what it is. Ignored unless this member is the leader, no other
+  /// membership change is in progress and nothing speaks against the member, see join_obstacle().
   Effects add_learner(Member member, TimePoint now);
 
   /// \return why the member may not join now, for logs; empty if it may. The previous member of a
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -51,7 +51,7 @@
   return addresses;
 }
 
-// \return "joined A", "promoted A" and "removed A" for each member that differs
+// \return "joined A", "moved A", "promoted A" and "removed A" for each member that differs
 std::string
 describe_change(const Membership& before, const Membership& after)
 {
@@ -68,6 +68,8 @@
     const Member* previous = find_member(before, member.id);
     if (previous == nullptr) {
       add("joined", member);
+    } else if (member.address != previous->address) {
+      add("moved", member);
     } else if (member.voter && !previous->voter) {
       add("promoted", member);
     }
@@ -448,7 +450,8 @@
   void add_member(const Member& member)
   {
     // A member that has just started asks too, until it gets the leader's first message.
-    if (find_member(consensus->membership(), member.id) != nullptr) {
+    const Member* known = find_member(consensus->membership(), member.id);
+    if (known != nullptr && known->address == member.address) {
       return;
     }
     const std::string_view obstacle = consensus->join_obstacle(member, ports.now());
--- a/src/libcontrol/replica_test.cpp
+++ b/src/libcontrol/replica_test.cpp
@@ -451,6 +451,23 @@
   ASSERT_TRUE(join("second"));
 }
 
+// Guards against a host that can't join because its disk, which it brought to another address,
+// holds the identity of a member that the leader looks for at the former address.
+TEST_F(ReplicaTest, HostThatMovesWithItsDiskStaysAVoter)
+{
+  constexpr unsigned kMoved = 3;
+  ASSERT_TRUE(join("first"));
+  const unsigned former = (leader_number() + 1) % kReplicas;
+  stop(former);
+  m_disks[kMoved] = m_disks[former];
+  start(kMoved);
+  EXPECT_TRUE(run_until([&] { return is_voter(kMoved) && !is_voter(former); }));
+  EXPECT_EQ(voter_count(), kReplicas);
+  EXPECT_TRUE(run_until([&] { return m_replicas[kMoved]->status().in_contact; }));
+  stop(leader_number());
+  EXPECT_TRUE(join("second"));
+}
+
 // Guards against a flood of requests to join that makes the group grow without a limit.
 TEST_F(ReplicaTest, NumberOfMembersIsLimited)
 {
--- a/src/libstate/consensus.cpp
+++ b/src/libstate/consensus.cpp
@@ -412,8 +412,10 @@
   m_impl->advance_clock(now);
   if (m_impl->may_change_membership() && m_impl->join_obstacle(member).empty()) {
     Membership next = m_impl->log.membership();
-    std::erase_if(next, [&](const Member& other) { return other.host == member.host; });
-    member.voter = m_impl->options.faults.promote_early;
+    member.voter = m_impl->is_voter(member.id) || m_impl->options.faults.promote_early;
+    std::erase_if(next, [&](const Member& other) {
+      return other.host == member.host || other.id == member.id;
+    });
     next.push_back(std::move(member));
     m_impl->change_membership(next);
   }
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -207,18 +207,19 @@
 Consensus::Impl::join_obstacle(const Member& member) const
 {
   const Membership& members = log.membership();
-  const bool known = std::any_of(
-    members.begin(), members.end(), [&](const Member& other) { return other.id == member.id; });
-  if (known) {
-    return "it is a member already";
-  }
-  const bool runs = std::any_of(members.begin(), members.end(), [&](const Member& other) {
-    return other.host == member.host && has_replied(other);
-  });
-  if (runs) {
-    return "another process of this host is a member and answers";
+  bool known = false;
+  for (const Member& other : members) {
+    const bool same_member = other.id == member.id;
+    if (same_member && other.address == member.address) {
+      return "it is a member already";
+    }
+    if ((same_member || other.host == member.host) && has_replied(other)) {
+      return "another process of this host is a member and answers";
+    }
+    known = known || same_member;
   }
-  return members.size() >= options.max_members ? "the group has its maximum of members" : "";
+  return known || members.size() < options.max_members ? ""
+                                                       : "the group has its maximum of members";
 }
 
 void
