--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -13,6 +13,8 @@
 
 // A subscriber may still be receiving the image before the latest one.
 constexpr std::size_t kKeptImages = 2;
+// Limits what a host outside the group keeps of what others tell it.
+constexpr std::size_t kMaxContacts = 64;
 
 std::uint64_t
 random_seed()
@@ -49,7 +51,7 @@
   return addresses;
 }
 
-// \return "joined A", "promoted A" and "removed A" for each member that differs
+// \return "joined A", "moved A", "promoted A" and "removed A" for each member that differs
 std::string
 describe_change(const Membership& before, const Membership& after)
 {
@@ -66,6 +68,8 @@
     const Member* previous = find_member(before, member.id);
     if (previous == nullptr) {
       add("joined", member);
+    } else if (member.address != previous->address) {
+      add("moved", member);
     } else if (member.voter && !previous->voter) {
       add("promoted", member);
     }
@@ -183,6 +187,11 @@
   TimePoint last_inside;
   /// Last requests to join, by the address of the host.
   std::map<std::string, JoinRequest> join_requests;
+  /// Hosts asked to add this one since join_at was last set.
+  std::set<std::string> asked;
+  /// Members that this host has learned of while it is outside the group, beside those in its
+  /// settings and its log.
+  std::set<std::string> contacts;
   /// When this host may next report that it is outside the group.
   TimePoint report_outside_at;
   /// When a request to join that this host could not carry out was last reported, by address.
@@ -399,6 +408,10 @@
   void handle(const std::string& from, const ConsensusEnvelope& envelope)
   {
     addresses[envelope.from] = from;
+    // A leader goes on sending to the identity that a host had before its disk was lost.
+    if (envelope.to != consensus->self() && is_outside() && contacts.size() < kMaxContacts) {
+      contacts.insert(from);
+    }
     perform(consensus->step(envelope, ports.now()));
   }
 
@@ -417,7 +430,7 @@
                    { "learners", addresses_of(members, false) } });
   }
 
-  void report_ignored_join(const std::string& from)
+  void report_ignored_join(const std::string& from, std::string_view reason)
   {
     const TimePoint now = ports.now();
     std::erase_if(reported_joins, [&](const auto& entry) {
@@ -426,29 +439,71 @@
     if (reported_joins.try_emplace(from, now).second) {
       ports.report("join_ignored",
                    { { "from", from },
-                     { "role", to_string(consensus->role()) },
+                     { "reason", std::string(reason) },
                      { "leader", address_of(consensus->leader()) } });
     }
   }
 
   void handle(const std::string& from, const JoinGroup& join)
   {
-    join_requests[join.member.address] = { .member = join.member.id, .heard_at = ports.now() };
     if (!options.members.empty() && join.member.host == options.members.front().first) {
       first_host_nonce = join.nonce;
     }
-    if (consensus->last_index() > 0) {
-      if (consensus->role() != ConsensusRole::Leader) {
-        report_ignored_join(from);
-      }
-      perform(consensus->add_learner(join.member, ports.now()));
+    if (from != join.member.address) {
+      report_ignored_join(from, "it names another address, " + join.member.address);
       return;
     }
-    if (join.empty && join.first_host_nonce == nonce) {
+    join_requests[from] = { .member = join.member.id, .heard_at = ports.now() };
+    if (consensus->role() == ConsensusRole::Leader) {
+      add_member(join.member);
+    } else if (consensus->last_index() > 0) {
+      name_contacts(from);
+    } else if (join.empty && join.first_host_nonce == nonce) {
       empty_members[join.member.host] = join.member;
     }
   }
 
+  void add_member(const Member& member)
+  {
+    // A member that has just started asks too, until it gets the leader's first message.
+    const Member* known = find_member(consensus->membership(), member.id);
+    if (known != nullptr && known->address == member.address) {
+      return;
+    }
+    const std::string_view obstacle = consensus->join_obstacle(member, ports.now());
+    if (!obstacle.empty()) {
+      report_ignored_join(member.address, obstacle);
+      return;
+    }
+    perform(consensus->add_learner(member, ports.now()));
+  }
+
+  // Only the leader adds members, and a host that asks to join may know only others.
+  void name_contacts(const std::string& to)
+  {
+    const std::string leader = address_of(consensus->leader());
+    if (!consensus->in_contact() || leader.empty()) {
+      report_ignored_join(to, "no leader is known");
+      return;
+    }
+    GroupContacts message{ .leader = leader };
+    for (const Member& member : consensus->membership()) {
+      message.members.push_back(member.address);
+    }
+    ports.send(to, message);
+  }
+
+  void handle(const std::string& from, const GroupContacts& message)
+  {
+    if (!is_outside() || asked.count(from) == 0) {
+      return;
+    }
+    const auto last = message.members.begin() +
+                      static_cast<std::ptrdiff_t>(std::min(message.members.size(), kMaxContacts));
+    contacts = { message.members.begin(), last };
+    ask(message.leader);
+  }
+
   Member own_member() const
   {
     return { .id = consensus->self(),
@@ -492,8 +547,6 @@
     return hosts;
   }
 
-  bool is_inside() const { return is_member() && consensus->in_contact(); }
-
   bool is_member() const
   {
     return find_member(consensus->membership(), consensus->self()) != nullptr;
@@ -501,13 +554,32 @@
 
   // A host that no leader contacts asks to join even if its own log lists it as a member, because
   // that membership may never have been committed.
+  bool is_outside() const { return !is_member() || !consensus->in_contact(); }
+
+  // Asks a host to add this one, once in each round.
+  void ask(const std::string& address)
+  {
+    if (address != options.address && asked.insert(address).second) {
+      ports.send(address,
+                 JoinGroup{ .member = own_member(),
+                            .empty = consensus->last_index() == 0,
+                            .nonce = nonce,
+                            .first_host_nonce = first_host_nonce });
+    }
+  }
+
   void ask_to_join(TimePoint now)
   {
-    if (is_inside() || now < join_at) {
+    if (!is_outside()) {
+      contacts.clear();
+      return;
+    }
+    if (now < join_at) {
       return;
     }
     join_at = now + options.join_interval;
-    std::set<std::string> targets;
+    asked.clear();
+    std::set<std::string> targets = contacts;
     for (const auto& [host, address] : options.members) {
       targets.insert(address);
     }
@@ -516,19 +588,14 @@
     for (const Member& member : consensus->membership()) {
       targets.insert(member.address);
     }
-    targets.erase(options.address);
     for (const std::string& address : targets) {
-      ports.send(address,
-                 JoinGroup{ .member = own_member(),
-                            .empty = consensus->last_index() == 0,
-                            .nonce = nonce,
-                            .first_host_nonce = first_host_nonce });
+      ask(address);
     }
-    report_outside(targets, now);
+    report_outside(now);
     bootstrap_if_all_empty();
   }
 
-  void report_outside(const std::set<std::string>& asked, TimePoint now)
+  void report_outside(TimePoint now)
   {
     if (now < report_outside_at) {
       return;
@@ -860,7 +927,7 @@
     }
     ask_to_join(now);
     report_membership();
-    last_inside = is_inside() ? now : last_inside;
+    last_inside = is_outside() ? last_inside : now;
     std::erase_if(heard_at,
                   [&](const auto& entry) { return now - entry.second >= options.source_heard; });
     std::erase_if(join_requests, [&](const auto& entry) {
@@ -960,7 +1027,7 @@
            .in_contact = consensus.in_contact(),
            .lag = consensus.lag(now),
            .progress = consensus.progress(now),
-           .outside = m_impl->is_inside() ? Duration::zero() : now - m_impl->last_inside,
+           .outside = m_impl->is_outside() ? now - m_impl->last_inside : Duration::zero(),
            .joining = m_impl->joining_hosts() };
 }
 
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -223,6 +223,33 @@
          is_commit_index_known();
 }
 
+bool
+Consensus::Impl::has_replied(const Member& member) const
+{
+  const auto peer = peers.find(member.id);
+  return member.id == self || (peer != peers.end() && peer->second.acknowledged_round > 0 &&
+                               clock - peer->second.last_reply < options.election_timeout);
+}
+
+std::string_view
+Consensus::Impl::join_obstacle(const Member& member) const
+{
+  const Membership& members = log.membership();
+  bool known = false;
+  for (const Member& other : members) {
+    const bool same_member = other.id == member.id;
+    if (same_member && other.address == member.address) {
+      return "it is a member already";
+    }
+    if ((same_member || other.host == member.host) && has_replied(other)) {
+      return "another process of this host is a member and answers";
+    }
+    known = known || same_member;
+  }
+  return known || members.size() < options.max_members ? ""
+                                                       : "the group has its maximum of members";
+}
+
 void
 Consensus::Impl::change_membership(const Membership& next)
 {
