--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -204,14 +204,12 @@
     return members;
   }
   const Duration since_last_call = std::max<Duration>(now - last_time, Duration::zero());
-  members.push_back(
-    { .id = self, .stored_index = durable_index, .since_reply = Duration::zero() });
+  members.push_back({ .id = self, .stored_index = durable_index, .since_reply = Duration::zero() });
   for (const auto& [id, peer] : peers) {
     members.push_back({ .id = id,
                         .stored_index = peer.match_index,
-                        .since_reply = peer.has_replied
-                                         ? clock + since_last_call - peer.last_reply
-                                         : Duration::max() });
+                        .since_reply = peer.has_replied ? clock + since_last_call - peer.last_reply
+                                                        : Duration::max() });
   }
   return members;
 }
@@ -227,7 +225,7 @@
 Consensus::Impl::has_replied(const Member& member) const
 {
   const auto peer = peers.find(member.id);
-  return member.id == self || (peer != peers.end() && peer->second.acknowledged_round > 0 &&
+  return member.id == self || (peer != peers.end() && peer->second.has_replied &&
                                clock - peer->second.last_reply < options.election_timeout);
 }
 
