libstate: voters of a crowded failure domain are exchanged for learners of others

The choice of the learner spreads voters only when one is missing. A domain that loses its only voter for more than 2 s gets a replacement from another one, and when its host is back it stays a learner: with voters in a, a, b, b, c and the host in c lost and back, three voters could stand in a for good, so that the loss of a ends a group whose hosts bear the loss of any domain.

While all voters answer, the leader now exchanges a voter of a domain whose loss would end the majority for a learner of a domain with at least two voters less: it promotes the learner, and demotes the voter in the next change. One more voter than an odd number bears as many losses, so none are lost in between. Each exchange lowers the sum of the squares of the voters by domain, so without a further loss there are only a few of them, and none undoes another. The log event control_members says "demoted".

The new test runs without the replacement of silent members: with it found a group of three voters, one isolated, from which the isolated one was removed; then another one was wiped, which is a second loss at the same time, and the group stayed without a leader when the isolated one was back with its disk, as two voters were left in the log. That comes from removing a lost voter before its replacement is promoted, not from the exchange, and is not changed here.

--- a/src/include/lovagehold/consensus.h
+++ b/src/include/lovagehold/consensus.h
@@ -41,7 +41,8 @@
   /// slightly behind need no snapshot.
   std::uint64_t trailing_entries = 1000;
   /// Learners are promoted until the group has this many voters, first those of the failure domains
-  /// with the fewest voters.
+  /// with the fewest voters. While all voters answer, voters of a failure domain whose loss would
+  /// end the majority are exchanged for learners of other ones.
   std::size_t target_voters = 5;
   /// No member joins a group that has this number of members.
   std::size_t max_members = 64;
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -51,7 +51,8 @@
   return addresses;
 }
 
-// \return "joined A", "moved A", "promoted A" and "removed A" for each member that differs
+// \return "joined A", "moved A", "promoted A", "demoted A" and "removed A" for each member that
+// differs
 std::string
 describe_change(const Membership& before, const Membership& after)
 {
@@ -72,6 +73,8 @@
       add("moved", member);
     } else if (member.voter && !previous->voter) {
       add("promoted", member);
+    } else if (!member.voter && previous->voter) {
+      add("demoted", member);
     }
   }
   return change;
--- a/src/libstate/consensus.cpp
+++ b/src/libstate/consensus.cpp
@@ -290,6 +290,7 @@
     }
     remove_lost_member();
     promote_learner();
+    spread_voters();
   } else if (clock >= election_deadline) {
     campaign(!options.faults.skip_pre_vote);
   }
--- a/src/libstate/consensus_fuzz_test.cpp
+++ b/src/libstate/consensus_fuzz_test.cpp
@@ -144,6 +144,18 @@
   EXPECT_TRUE(result.match(success)) << text.str();
 }
 
+// Guards against the same when voters of a crowded failure domain become learners. Silent members
+// are not replaced here: a schedule may isolate one of three voters and wipe another.
+TEST(ConsensusFuzz, SpreadingVotersOverDomainsViolatesNoInvariant)
+{
+  const rc::detail::TestResult result =
+    fuzz({ .target_voters = 3, .failure_domains = 2 }, kReplacementSequences, true);
+  rc::detail::SuccessResult success;
+  std::ostringstream text;
+  rc::detail::printResultMessage(result, text);
+  EXPECT_TRUE(result.match(success)) << text.str();
+}
+
 TEST(ConsensusFuzzNotices, AcknowledgingBeforeSync)
 {
   expect_detected({ .faults = { .acknowledge_before_sync = true } });
--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -150,6 +150,10 @@
   std::string_view join_obstacle(const Member& member) const;
   void change_membership(const Membership& next);
   void promote_learner();
+  /// \return the learner to make a voter: it holds the log, and its failure domain has the fewest
+  /// voters; null if no learner holds the log
+  Member* next_voter(Membership& members) const;
+  void spread_voters();
   bool is_silent(const Member& member, Duration limit) const;
   /// Whether the member has all committed entries.
   bool holds_log(const Member& member) const;
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -268,16 +268,56 @@
   if (static_cast<std::size_t>(voter_count) >= options.target_voters) {
     return;
   }
-  // Spreads the voters over the failure domains.
+  if (Member* const chosen = next_voter(next)) {
+    chosen->voter = true;
+    change_membership(next);
+  }
+}
+
+Member*
+Consensus::Impl::next_voter(Membership& members) const
+{
   Member* chosen = nullptr;
-  for (Member& member : next) {
+  for (Member& member : members) {
     if (!member.voter && holds_log(member) &&
         (chosen == nullptr ||
-         voters_in(next, member.failure_domain) < voters_in(next, chosen->failure_domain))) {
+         voters_in(members, member.failure_domain) < voters_in(members, chosen->failure_domain))) {
       chosen = &member;
     }
   }
-  if (chosen != nullptr) {
+  return chosen;
+}
+
+// Exchanges a voter of a failure domain whose loss would end the majority for a learner of another
+// one. The learner is promoted first, so that the group bears no fewer losses in between. Its
+// domain has at least two voters less, so that each exchange spreads the voters further and none is
+// undone by the next.
+void
+Consensus::Impl::spread_voters()
+{
+  if (!may_change_membership()) {
+    return;
+  }
+  Membership next = log.membership();
+  const auto voter_count =
+    std::count_if(next.begin(), next.end(), [](const Member& m) { return m.voter; });
+  const bool all_answer = std::all_of(
+    next.begin(), next.end(), [&](const Member& m) { return !m.voter || has_replied(m); });
+  const auto crowded = std::find_if(next.rbegin(), next.rend(), [&](const Member& member) {
+    return member.voter && member.id != self && !member.failure_domain.empty() &&
+           2 * (voter_count - voters_in(next, member.failure_domain)) <= voter_count;
+  });
+  if (!all_answer || crowded == next.rend()) {
+    return;
+  }
+  if (static_cast<std::size_t>(voter_count) > options.target_voters) {
+    crowded->voter = false;
+    change_membership(next);
+    return;
+  }
+  Member* const chosen = next_voter(next);
+  if (chosen != nullptr && has_replied(*chosen) &&
+      voters_in(next, chosen->failure_domain) + 2 <= voters_in(next, crowded->failure_domain)) {
     chosen->voter = true;
     change_membership(next);
   }
--- a/src/libstate/consensus_test.cpp
+++ b/src/libstate/consensus_test.cpp
@@ -2,18 +2,22 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
 #include <set>
+#include <sstream>
 
 namespace lovagehold {
 namespace {
 
 constexpr std::chrono::milliseconds kTick{ 50 };
 constexpr MemberId kSelf = 1;
+constexpr std::uint64_t kSeed = 20261207;
+constexpr int kGroups = 300;
 
 // Runs one member, the leader of its group. The others vote for it and store all entries at once.
-class LeaderTest : public ::testing::Test
+class Group
 {
-protected:
+public:
   void lead(const Membership& members, ConsensusOptions options)
   {
     const LogEntry first{ .index = 1,
@@ -88,6 +92,11 @@
   std::set<MemberId> m_silent;
 };
 
+class LeaderTest
+  : public ::testing::Test
+  , protected Group
+{};
+
 Member
 member(MemberId id, const std::string& domain, bool voter)
 {
@@ -130,6 +139,82 @@
   EXPECT_EQ(voters(), (std::set<MemberId>{ 1, 2, 5 }));
 }
 
+// Guards against voters that stay gathered in one failure domain after hosts of another one were
+// lost and have come back.
+TEST_F(LeaderTest, ExchangesVotersOfACrowdedDomain)
+{
+  lead({ member(1, "a", true),
+         member(2, "a", true),
+         member(3, "a", true),
+         member(4, "b", true),
+         member(5, "b", true),
+         member(6, "c", false) },
+       { .target_voters = 5 });
+  run(std::chrono::seconds(1));
+  EXPECT_EQ(voters(), (std::set<MemberId>{ 1, 2, 4, 5, 6 }));
+}
+
+// Guards against an exchange that lessens the losses which can be borne while a voter is lost.
+TEST_F(LeaderTest, ExchangesNoVoterWhileOneIsSilent)
+{
+  m_silent = { 5 };
+  lead({ member(1, "a", true),
+         member(2, "a", true),
+         member(3, "a", true),
+         member(4, "b", true),
+         member(5, "b", true),
+         member(6, "c", false) },
+       { .target_voters = 5 });
+  run(std::chrono::seconds(2));
+  EXPECT_EQ(voters(), (std::set<MemberId>{ 1, 2, 3, 4, 5 }));
+}
+
+// Guards against voters that are exchanged again and again, and against exchanges that leave the
+// group with fewer voters, or with a crowded domain that a learner could have relieved.
+TEST(Spreading, ComesToRestWithVotersSpread)
+{
+  rc::detail::TestParams params;
+  params.seed = kSeed;
+  params.maxSuccess = kGroups;
+  const rc::detail::TestResult result = rc::detail::checkTestable(
+    [] {
+      Membership members;
+      const auto count = *rc::gen::inRange<unsigned>(1, 12);
+      const auto target = 2 * *rc::gen::inRange<std::size_t>(0, 4) + 1;
+      for (unsigned i = 0; i < count; ++i) {
+        const auto domain = *rc::gen::element<std::string>("a", "a", "b", "c", "d");
+        members.push_back(member(i + 1, domain, i == 0 || *rc::gen::arbitrary<bool>()));
+      }
+      Group group;
+      group.lead(members, { .target_voters = target });
+      group.run(std::chrono::seconds(5));
+      const std::uint64_t last = group.m_consensus->last_index();
+      group.run(std::chrono::seconds(5));
+      RC_ASSERT(group.m_consensus->last_index() == last);
+      const std::size_t voter_count = group.voters().size();
+      RC_ASSERT(voter_count >= std::min<std::size_t>(target, count));
+      const auto voters_in = [&](const std::string& domain) {
+        const Membership& now = group.m_consensus->membership();
+        return static_cast<std::size_t>(std::count_if(now.begin(), now.end(), [&](const Member& m) {
+          return m.voter && m.failure_domain == domain;
+        }));
+      };
+      for (const Member& learner : group.m_consensus->membership()) {
+        for (const std::string crowded : { "a", "b", "c", "d" }) {
+          const bool ends_majority = 2 * (voter_count - voters_in(crowded)) <= voter_count;
+          const bool can_relieve =
+            !learner.voter && voters_in(learner.failure_domain) + 2 <= voters_in(crowded);
+          RC_ASSERT(voter_count > target || !ends_majority || !can_relieve);
+        }
+      }
+    },
+    rc::detail::TestMetadata{},
+    params);
+  std::ostringstream text;
+  rc::detail::printResultMessage(result, text);
+  EXPECT_TRUE(result.is<rc::detail::SuccessResult>()) << text.str();
+}
+
 // Guards against a member that is shown as up to date although it has stopped answering, or has
 // never answered this leader.
 TEST_F(LeaderTest, ProgressTellsWhoAnswersAndHoldsTheLog)
--- a/src/libstate/testing/group_harness.cpp
+++ b/src/libstate/testing/group_harness.cpp
@@ -11,12 +11,23 @@
 constexpr unsigned kElectionTicks = 40;
 constexpr std::size_t kClients = 3;
 
+Member
+make_member(const HarnessOptions& options, unsigned node, MemberId id)
+{
+  Member member{ .id = id, .host = "host-" + std::to_string(node) };
+  if (options.failure_domains > 0) {
+    member.failure_domain = std::to_string(node % options.failure_domains);
+  }
+  return member;
+}
+
 Membership
-first_membership(unsigned nodes)
+first_membership(const HarnessOptions& options)
 {
   Membership members;
-  for (unsigned i = 0; i < nodes; ++i) {
-    members.push_back({ .id = i + 1, .host = "host-" + std::to_string(i), .voter = true });
+  for (unsigned i = 0; i < options.nodes; ++i) {
+    members.push_back(make_member(options, i, i + 1));
+    members.back().voter = true;
   }
   return members;
 }
@@ -42,7 +53,7 @@
   , m_random(m_options.seed)
   , m_clients(kClients)
 {
-  const Bytes membership = encode(first_membership(m_options.nodes));
+  const Bytes membership = encode(first_membership(m_options));
   for (unsigned i = 0; i < m_options.nodes; ++i) {
     Node& node = m_nodes.emplace_back();
     node.number = i;
@@ -348,8 +359,7 @@
     if (other.consensus && other.consensus->role() == ConsensusRole::Leader &&
         other.paused_until <= m_now && reachable(node.number, other.number)) {
       perform(other,
-              other.consensus->add_learner(
-                { .id = self, .host = "host-" + std::to_string(node.number) }, now(other)));
+              other.consensus->add_learner(make_member(m_options, node.number, self), now(other)));
     }
   }
 }
--- a/src/libstate/testing/group_harness.h
+++ b/src/libstate/testing/group_harness.h
@@ -55,6 +55,8 @@
   std::size_t target_voters = 5;
   std::chrono::milliseconds lost_after{ 0 };
   std::chrono::milliseconds first_election_timeout{ 0 };
+  /// Number of failure domains that the members are in; 0: in none.
+  unsigned failure_domains = 0;
   ConsensusFaults faults = {};
   /// Creates the identity of a wiped disk. If not set, each one is new.
   std::function<MemberId(unsigned node)> make_identity;
