--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -18,7 +18,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "platform", "testing"))
 
 import wire
-from cluster import CONTROL_PORT, DIRECTORY_PORT, ENTRY_PORT, READY_PORT, Cluster
+from cluster import DIRECTORY_PORT, ENTRY_PORT, READY_PORT, Cluster
 from http_io import call, format_message, read_message
 from odd_messages import odd_messages, send_odd
 from standins import Record, Server, expected_body
@@ -36,13 +36,16 @@
 class Soak:
     """A soak run with one seed."""
 
+    # Limit on the time until a configuration is acknowledged while faults are injected.
+    change_limit_s = RECOVERY_LIMIT_S
+
     def __init__(self, options, seed, work):
         self.options = options
         self.seed = seed
         self.random = random.Random(seed)
         net = os.environ.get("LOVAGEHOLD_TEST_NET", "127.10")
         self.server_host = f"{net}.3.1"
-        self.cluster = Cluster(options.program, work, net, options.controls, options.entries)
+        self.cluster = self.make_cluster(work, net)
         self.record = Record()
         self.servers = []
         self.next_server = 0
@@ -56,6 +59,9 @@
         self.wiped_at = 0.0
         self.background = set()
 
+    def make_cluster(self, work, net):
+        return Cluster(self.options.program, work, net, self.options.controls, self.options.entries)
+
     def spawn(self, coroutine):
         """Runs the coroutine in the background; it is cancelled when the run ends."""
         task = asyncio.create_task(coroutine)
@@ -66,7 +72,7 @@
         return self.random.sample(items, len(items))
 
     def control_addresses(self):
-        return [f"{process.ip}:{CONTROL_PORT}" for process in self.cluster.controls]
+        return [process.control_address for process in self.cluster.controls]
 
     def log_fault(self, text):
         self.faults.append(text)
@@ -88,7 +94,10 @@
         self.version += self.random.randint(1, 3)
         version = self.version
         self.documents[version] = self.make_document(version)
+        end = time.monotonic() + self.change_limit_s
         for _ in range(200):
+            if time.monotonic() > end:
+                break
             for address in self.shuffled(self.control_addresses()):
                 try:
                     body = self.documents[version].encode()
@@ -168,6 +177,8 @@
         self.record.count(str(response.status))
         if response.status in (429, 503, 408, 421) and method == "POST":
             self.record.record_not_run(request_id, response.status)
+        if response.status == 404:
+            self.record.violations.append(f"request {request_id} was answered 404 although all versions have its route")
         if response.status == 200:
             body_matches = response.body == expected_body(request_id)
             if not body_matches or response.headers.get(wire.SEAL_HEADER.lower()) != "seal-" + request_id:
