--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -13,6 +13,8 @@
 
 // A subscriber may still be receiving the image before the latest one.
 constexpr std::size_t kKeptImages = 2;
+// Limits what a host outside the group keeps of what others tell it.
+constexpr std::size_t kMaxContacts = 64;
 
 std::uint64_t
 random_seed()
@@ -28,6 +30,53 @@
   return entry.kind == EntryKind::Command && entry.payload ? *entry.payload : kEmpty;
 }
 
+const Member*
+find_member(const Membership& members, MemberId id)
+{
+  const auto found = std::find_if(
+    members.begin(), members.end(), [id](const Member& member) { return member.id == id; });
+  return found == members.end() ? nullptr : &*found;
+}
+
+// \return the addresses, separated by commas
+std::string
+addresses_of(const Membership& members, bool voters)
+{
+  std::string addresses;
+  for (const Member& member : members) {
+    if (member.voter == voters) {
+      addresses += (addresses.empty() ? "" : ",") + member.address;
+    }
+  }
+  return addresses;
+}
+
+// \return "joined A", "moved A", "promoted A" and "removed A" for each member that differs
+std::string
+describe_change(const Membership& before, const Membership& after)
+{
+  std::string change;
+  const auto add = [&change](const char* what, const Member& member) {
+    change += (change.empty() ? "" : ", ") + std::string(what) + " " + member.address;
+  };
+  for (const Member& member : before) {
+    if (find_member(after, member.id) == nullptr) {
+      add("removed", member);
+    }
+  }
+  for (const Member& member : after) {
+    const Member* previous = find_member(before, member.id);
+    if (previous == nullptr) {
+      add("joined", member);
+    } else if (member.address != previous->address) {
+      add("moved", member);
+    } else if (member.voter && !previous->voter) {
+      add("promoted", member);
+    }
+  }
+  return change;
+}
+
 } // namespace
 
 struct Replica::Impl
@@ -126,6 +175,16 @@
   std::map<std::uint64_t, LeadershipCheck> leadership_checks;
   std::uint64_t next_read = 1;
   TimePoint join_at;
+  /// Hosts asked to add this one since join_at was last set.
+  std::set<std::string> asked;
+  /// Members that this host has learned of while it is outside the group, beside those in its
+  /// settings and its log.
+  std::set<std::string> contacts;
+  /// When this host may next report that it is outside the group.
+  TimePoint report_outside_at;
+  /// When a request to join that this host could not carry out was last reported, by address.
+  std::map<std::string, TimePoint> reported_joins;
+  Membership reported_membership;
   std::optional<TimePoint> storage_retry_at;
   unsigned changes_since_snapshot = 0;
   /// Posted functions hold a weak reference and do nothing after destruction.
@@ -163,7 +222,7 @@
       BOOST_OUTCOME_TRYV(state.restore(restored.snapshot->state));
     }
     if (restored.truncated_bytes > 0) {
-      ports.report("log_tail_truncated", "bytes", std::to_string(restored.truncated_bytes));
+      ports.report("log_tail_truncated", { { "bytes", std::to_string(restored.truncated_bytes) } });
     }
     ConsensusOptions consensus_options = options.consensus;
     consensus_options.seed = random();
@@ -187,7 +246,7 @@
   void on_written(const Result<void>& result, std::uint64_t token)
   {
     if (result.has_error()) {
-      ports.report("storage_failed", "reason", result.error().message);
+      ports.report("storage_failed", { { "reason", result.error().message } });
       storage_retry_at = ports.now() + options.storage_retry;
       perform(consensus->storage_failed(ports.now()));
       return;
@@ -199,10 +258,8 @@
 
   std::string address_of(MemberId id) const
   {
-    for (const Member& member : consensus->membership()) {
-      if (member.id == id) {
-        return member.address;
-      }
+    if (const Member* member = find_member(consensus->membership(), id)) {
+      return member->address;
     }
     const auto known_address = addresses.find(id);
     return known_address == addresses.end() ? "" : known_address->second;
@@ -224,7 +281,7 @@
         effects.snapshot_to_install->last.index > state.applied_index()) {
       const Result<void> restored = state.restore(effects.snapshot_to_install->state);
       if (restored.has_error()) {
-        ports.report("snapshot_refused", "reason", restored.error().message);
+        ports.report("snapshot_refused", { { "reason", restored.error().message } });
       }
     }
     for (const LogEntry& entry : effects.committed) {
@@ -284,11 +341,11 @@
 
   void on_role_change()
   {
-    ports.report("control_role",
-                 "role",
-                 std::string(to_string(consensus->role())) + " term " +
-                   std::to_string(consensus->term()) + " leader " +
-                   address_of(consensus->leader()));
+    ports.report(
+      "control_role",
+      { { "role",
+          std::string(to_string(consensus->role())) + " term " + std::to_string(consensus->term()) +
+            " leader " + address_of(consensus->leader()) } });
     if (consensus->role() == ConsensusRole::Leader) {
       return;
     }
@@ -338,21 +395,97 @@
   void handle(const std::string& from, const ConsensusEnvelope& envelope)
   {
     addresses[envelope.from] = from;
+    // A leader goes on sending to the identity that a host had before its disk was lost.
+    if (envelope.to != consensus->self() && is_outside() && contacts.size() < kMaxContacts) {
+      contacts.insert(from);
+    }
     perform(consensus->step(envelope, ports.now()));
   }
 
-  void handle(const std::string&, const JoinGroup& join)
+  // Reports how the membership known to this host differs from the one reported before.
+  void report_membership()
+  {
+    const Membership& members = consensus->membership();
+    const std::string change = describe_change(reported_membership, members);
+    if (change.empty()) {
+      return;
+    }
+    reported_membership = members;
+    ports.report("control_members",
+                 { { "change", change },
+                   { "voters", addresses_of(members, true) },
+                   { "learners", addresses_of(members, false) } });
+  }
+
+  void report_ignored_join(const std::string& from, std::string_view reason)
+  {
+    const TimePoint now = ports.now();
+    std::erase_if(reported_joins, [&](const auto& entry) {
+      return now - entry.second >= options.outside_report_interval;
+    });
+    if (reported_joins.try_emplace(from, now).second) {
+      ports.report("join_ignored",
+                   { { "from", from },
+                     { "reason", std::string(reason) },
+                     { "leader", address_of(consensus->leader()) } });
+    }
+  }
+
+  void handle(const std::string& from, const JoinGroup& join)
   {
     if (!options.members.empty() && join.member.host == options.members.front().first) {
       first_host_nonce = join.nonce;
     }
-    if (consensus->last_index() > 0) {
-      perform(consensus->add_learner(join.member, ports.now()));
+    if (from != join.member.address) {
+      report_ignored_join(from, "it names another address, " + join.member.address);
+    } else if (consensus->role() == ConsensusRole::Leader) {
+      add_member(join.member);
+    } else if (consensus->last_index() > 0) {
+      name_contacts(from);
+    } else if (join.empty && join.first_host_nonce == nonce) {
+      empty_members[join.member.host] = join.member;
+    }
+  }
+
+  void add_member(const Member& member)
+  {
+    // A member that has just started asks too, until it gets the leader's first message.
+    const Member* known = find_member(consensus->membership(), member.id);
+    if (known != nullptr && known->address == member.address) {
       return;
     }
-    if (join.empty && join.first_host_nonce == nonce) {
-      empty_members[join.member.host] = join.member;
+    const std::string_view obstacle = consensus->join_obstacle(member, ports.now());
+    if (!obstacle.empty()) {
+      report_ignored_join(member.address, obstacle);
+      return;
+    }
+    perform(consensus->add_learner(member, ports.now()));
+  }
+
+  // Only the leader adds members, and a host that asks to join may know only others.
+  void name_contacts(const std::string& to)
+  {
+    const std::string leader = address_of(consensus->leader());
+    if (!consensus->in_contact() || leader.empty()) {
+      report_ignored_join(to, "no leader is known");
+      return;
+    }
+    GroupContacts message{ .leader = leader };
+    for (const Member& member : consensus->membership()) {
+      message.members.push_back(member.address);
+    }
+    ports.send(to, message);
+  }
+
+  void handle(const std::string& from, const GroupContacts& message)
+  {
+    if (!is_outside() || asked.count(from) == 0) {
+      return;
     }
+    const auto last = message.members.begin() +
+                      static_cast<std::ptrdiff_t>(std::min(message.members.size(), kMaxContacts));
+    contacts = { message.members.begin(), last };
+    ask(message.leader);
   }
 
   Member own_member() const
@@ -382,26 +515,42 @@
       membership.back().voter = true;
     }
     perform(consensus->bootstrap(membership, ports.now()));
-    ports.report("group_founded", "members", std::to_string(membership.size()));
+    ports.report("group_founded", { { "members", std::to_string(membership.size()) } });
   }
 
   bool is_member() const
   {
-    const Membership& members = consensus->membership();
-    return std::any_of(members.begin(), members.end(), [this](const Member& member) {
-      return member.id == consensus->self();
-    });
+    return find_member(consensus->membership(), consensus->self()) != nullptr;
   }
 
   // A host that no leader contacts asks to join even if its own log lists it as a member, because
   // that membership may never have been committed.
+  bool is_outside() const { return !is_member() || !consensus->in_contact(); }
+
+  // Asks a host to add this one, once in each round.
+  void ask(const std::string& address)
+  {
+    if (address != options.address && asked.insert(address).second) {
+      ports.send(address,
+                 JoinGroup{ .member = own_member(),
+                            .empty = consensus->last_index() == 0,
+                            .nonce = nonce,
+                            .first_host_nonce = first_host_nonce });
+    }
+  }
+
   void ask_to_join(TimePoint now)
   {
-    if ((is_member() && consensus->in_contact()) || now < join_at) {
+    if (!is_outside()) {
+      contacts.clear();
+      return;
+    }
+    if (now < join_at) {
       return;
     }
     join_at = now + options.join_interval;
-    std::set<std::string> targets;
+    asked.clear();
+    std::set<std::string> targets = contacts;
     for (const auto& [host, address] : options.members) {
       targets.insert(address);
     }
@@ -411,17 +560,28 @@
       targets.insert(member.address);
     }
     for (const std::string& address : targets) {
-      if (address != options.address) {
-        ports.send(address,
-                   JoinGroup{ .member = own_member(),
-                              .empty = consensus->last_index() == 0,
-                              .nonce = nonce,
-                              .first_host_nonce = first_host_nonce });
-      }
+      ask(address);
     }
+    report_outside(now);
     bootstrap_if_all_empty();
   }
 
+  void report_outside(TimePoint now)
+  {
+    if (now < report_outside_at) {
+      return;
+    }
+    report_outside_at = now + options.outside_report_interval;
+    std::string addresses;
+    for (const std::string& address : asked) {
+      addresses += (addresses.empty() ? "" : ",") + address;
+    }
+    ports.report("outside_group",
+                 { { "asked", addresses },
+                   { "member", is_member() ? "yes" : "no" },
+                   { "entries", std::to_string(consensus->last_index()) } });
+  }
+
   void handle(const std::string& from, const Subscribe& message)
   {
     // A host without contact with the leader may be behind, and one that lacks entries which the
@@ -536,7 +696,8 @@
       images.push_back({ .index = state.applied_index(),
                          .bytes = std::make_shared<const Bytes>(state.snapshot()) });
       bytes_since_image = 0;
-      ports.report("state_image_made", "bytes", std::to_string(images.back().bytes->size()));
+      ports.report("state_image_made",
+                   { { "bytes", std::to_string(images.back().bytes->size()) } });
       if (images.size() > kKeptImages) {
         images.pop_front();
       }
@@ -701,6 +862,7 @@
       start_confirmation();
     }
     ask_to_join(now);
+    report_membership();
     std::erase_if(heard_at,
                   [&](const auto& entry) { return now - entry.second >= options.source_heard; });
     const auto expired = [&](const auto& entry) { return entry.second.expires < now; };
@@ -717,11 +879,11 @@
     storage_retry_at.reset();
     const Result<void> opened = open();
     if (opened.has_error()) {
-      ports.report("storage_failed", "reason", opened.error().message);
+      ports.report("storage_failed", { { "reason", opened.error().message } });
       storage_retry_at = now + options.storage_retry;
       return;
     }
-    ports.report("storage_recovered", "applied", std::to_string(state.applied_index()));
+    ports.report("storage_recovered", { { "applied", std::to_string(state.applied_index()) } });
   }
 
   template<class Other>
--- a/src/libcontrol/replica_test.cpp
+++ b/src/libcontrol/replica_test.cpp
@@ -19,8 +19,9 @@
 {
 protected:
   static constexpr unsigned kReplicas = 3;
-  /// The last host is started only by tests that replace a host.
-  static constexpr unsigned kHosts = 4;
+  /// The hosts after these are started only by tests that add or replace hosts.
+  static constexpr unsigned kHosts = 5;
+  static constexpr std::size_t kMaxMembers = 8;
 
   ReplicaTest()
   {
@@ -44,6 +45,7 @@
     options.message_bytes = 100;
     options.consensus.trailing_entries = 2;
     options.consensus.target_voters = m_target_voters;
+    options.consensus.max_members = kMaxMembers;
     options.consensus.lost_after = m_lost_after;
     options.may_bootstrap = number < kReplicas;
     options.storage_thread = false;
@@ -55,7 +57,7 @@
     ports.post = [this](std::function<void()> function) {
       m_posted.push_back(std::move(function));
     };
-    ports.report = [this](std::string_view event, std::string_view, const std::string&) {
+    ports.report = [this](std::string_view event, const std::vector<LogField>&) {
       m_reports.insert(std::string(event));
     };
     ports.now = [this] { return m_now; };
@@ -155,6 +157,38 @@
     return run_until([&] { return accepted.has_value(); }) && *accepted;
   }
 
+  bool is_voter(unsigned number)
+  {
+    const Membership members = leader() == nullptr ? Membership() : leader()->status().membership;
+    return std::any_of(members.begin(), members.end(), [&](const Member& member) {
+      return member.address == address(number) && member.voter;
+    });
+  }
+
+  // Makes the host lead the group by dropping the vote requests of all others.
+  void transfer_leadership(unsigned number)
+  {
+    const auto own_id = [&] {
+      for (const Member& member : m_replicas[number]->status().membership) {
+        if (member.address == address(number)) {
+          return member.id;
+        }
+      }
+      return MemberId{ 0 };
+    }();
+    m_drop = [own_id](const std::string&, const ClusterMessage& message) {
+      const auto* envelope = std::get_if<ConsensusEnvelope>(&message);
+      return envelope != nullptr && envelope->from != own_id &&
+             std::holds_alternative<VoteRequest>(envelope->message);
+    };
+    const unsigned previous = leader_number();
+    stop(previous);
+    ASSERT_TRUE(run_until([&] { return m_replicas[number]->leads(); }));
+    m_drop = nullptr;
+    start(previous);
+    ASSERT_TRUE(run_until([&] { return m_replicas[previous]->status().in_contact; }));
+  }
+
   std::size_t voter_count()
   {
     std::size_t count = 0;
@@ -354,18 +388,100 @@
   const unsigned lost = leader_number() == 0 ? 1 : 0;
   m_replicas[lost].reset();
   start(3);
-  const auto is_voter = [&](unsigned number) {
-    const Membership members = leader() == nullptr ? Membership() : leader()->status().membership;
-    return std::any_of(members.begin(), members.end(), [&](const Member& member) {
-      return member.address == address(number) && member.voter;
-    });
-  };
   ASSERT_TRUE(run_until([&] { return is_voter(3) && !is_voter(lost); }));
   EXPECT_EQ(voter_count(), 3U);
   stop(leader_number() == 3 ? 2 : leader_number());
   ASSERT_TRUE(join("second"));
 }
 
+// Guards against hosts that can't join, new or with a lost disk, because they know only the hosts
+// in their settings and another host leads: each one lessens the losses that the group survives.
+TEST_F(ReplicaTest, HostsJoinWhileAHostOutsideTheirSettingsLeads)
+{
+  constexpr unsigned kLeader = 3;
+  constexpr unsigned kNewHost = 4;
+  start(kLeader);
+  ASSERT_TRUE(run_until([&] { return is_voter(kLeader); }));
+  transfer_leadership(kLeader);
+  const auto identity = [&](unsigned number) {
+    for (const Member& member : m_replicas[kLeader]->status().membership) {
+      if (member.address == address(number) && member.voter) {
+        return member.id;
+      }
+    }
+    return MemberId{ 0 };
+  };
+  for (unsigned number = 0; number < kReplicas; ++number) {
+    const MemberId before = identity(number);
+    m_replicas[number].reset();
+    m_disks[number].wipe();
+    start(number);
+    EXPECT_TRUE(run_until([&] { return identity(number) != 0 && identity(number) != before; }))
+      << address(number);
+    ASSERT_TRUE(m_replicas[kLeader]->leads());
+  }
+  start(kNewHost);
+  EXPECT_TRUE(run_until([&] { return is_voter(kNewHost); }));
+  EXPECT_TRUE(join("first"));
+}
+
+// Guards against a request to join that removes a running member: a second process under the name
+// of a member's host, and a request that names the address of another host.
+TEST_F(ReplicaTest, RequestToJoinDoesNotReplaceARunningMember)
+{
+  ASSERT_TRUE(join("first"));
+  const unsigned member = (leader_number() + 1) % kReplicas;
+  const auto identities = [&] {
+    std::set<MemberId> ids;
+    for (const Member& known : leader()->status().membership) {
+      ids.insert(known.id);
+    }
+    return ids;
+  };
+  const std::set<MemberId> before = identities();
+  const auto ask = [&](unsigned host, const std::string& named, const std::string& from) {
+    leader()->receive(
+      from, JoinGroup{ .member = { .id = m_random(), .host = address(host), .address = named } });
+    EXPECT_FALSE(run_until([&] { return leader() == nullptr || identities() != before; }));
+  };
+  ask(member, "elsewhere", "elsewhere");
+  ask(leader_number(), "elsewhere", "elsewhere");
+  ask(member, address(member), "elsewhere");
+  EXPECT_EQ(m_reports.count("join_ignored"), 1U);
+  ASSERT_TRUE(join("second"));
+}
+
+// Guards against a host that can't join because its disk, which it brought to another address,
+// holds the identity of a member that the leader looks for at the former address.
+TEST_F(ReplicaTest, HostThatMovesWithItsDiskStaysAVoter)
+{
+  constexpr unsigned kMoved = 3;
+  ASSERT_TRUE(join("first"));
+  const unsigned former = (leader_number() + 1) % kReplicas;
+  stop(former);
+  m_disks[kMoved] = m_disks[former];
+  start(kMoved);
+  EXPECT_TRUE(run_until([&] { return is_voter(kMoved) && !is_voter(former); }));
+  EXPECT_EQ(voter_count(), kReplicas);
+  EXPECT_TRUE(run_until([&] { return m_replicas[kMoved]->status().in_contact; }));
+  stop(leader_number());
+  EXPECT_TRUE(join("second"));
+}
+
+// Guards against a flood of requests to join that makes the group grow without a limit.
+TEST_F(ReplicaTest, NumberOfMembersIsLimited)
+{
+  ASSERT_TRUE(join("first"));
+  for (unsigned i = 0; i < 3 * kMaxMembers; ++i) {
+    const std::string invented = "invented-" + std::to_string(i);
+    leader()->receive(
+      invented, JoinGroup{ .member = { .id = m_random(), .host = invented, .address = invented } });
+    run_until([step = 0]() mutable { return ++step == 10; });
+  }
+  EXPECT_EQ(leader()->status().membership.size(), kMaxMembers);
+  ASSERT_TRUE(join("second"));
+}
+
 // Guards against a leader that keeps leading with a full disk, and a host that doesn't recover once
 // there is space again.
 TEST_F(ReplicaTest, LeaderWithFullDiskStepsDownAndRecovers)
