--- a/src/libcontrol/state_age_test.cpp
+++ b/src/libcontrol/state_age_test.cpp
@@ -1,24 +1,13 @@
-#include "libstate/testing/fake_disk.h"
-#include "lovagehold/control_client.h"
-#include "lovagehold/replica.h"
+#include "testing/simulated_group.h"
 
 #include <algorithm>
-#include <deque>
 #include <gtest/gtest.h>
-#include <numeric>
 #include <rapidcheck/gtest.h>
 
 namespace lovagehold::testing {
 namespace {
 
-using std::chrono::milliseconds;
-
-constexpr milliseconds kStep{ 10 };
-constexpr milliseconds kDelay{ 10 };
-constexpr milliseconds kControlTick{ 50 };
-constexpr milliseconds kEntryTick{ 100 };
-/// A leader that a majority has not answered for this time counts as lost.
-constexpr milliseconds kLeaderContact{ 300 };
+constexpr milliseconds kStep = SimulatedGroup::kStep;
 /// An acknowledged version is in force at all entry hosts after this time.
 constexpr milliseconds kInForceWithin{ 2000 };
 
@@ -45,220 +34,49 @@
   }
 };
 
-/// A control group, entry hosts that follow it, and an operator, in virtual time. Messages take
-/// kDelay.
+/// A SimulatedGroup whose control hosts fail at given times.
 class SimulatedSite
 {
 public:
   SimulatedSite(unsigned control_hosts, unsigned entry_hosts)
-    : m_disks(control_hosts)
+    : m_group(
+        { .control_hosts = control_hosts,
+          .entry_hosts = entry_hosts,
+          .is_lost = [this](const std::string& from,
+                            const std::string& to,
+                            const ClusterMessage& message) { return is_lost(from, to, message); } })
   {
-    for (unsigned number = 0; number < control_hosts; ++number) {
-      start_control_host(number, control_hosts);
-    }
-    ControlClientOptions operator_options{ .proposal_timeout = std::chrono::seconds(30),
-                                           .follow = false,
-                                           .client = 1 };
-    operator_options.control_addresses = control_addresses();
-    m_operator = make_client(operator_options, "operator");
-    for (unsigned number = 0; number < entry_hosts; ++number) {
-      ControlClientOptions options = entry_options();
-      options.control_addresses = control_addresses();
-      std::rotate(options.control_addresses.begin(),
-                  options.control_addresses.begin() + number % control_hosts,
-                  options.control_addresses.end());
-      options.client = number + 2;
-      options.address = "entry-" + std::to_string(number);
-      m_entry_hosts.push_back(make_client(options, "entry-" + std::to_string(number)));
-    }
-  }
-
-  static std::string control_address(unsigned number)
-  {
-    return "control-" + std::to_string(number);
   }
 
   void set_faults(std::vector<Fault> faults)
   {
     m_faults = std::move(faults);
-    m_faults_begin = m_now;
-  }
-
-  /// \return number of the control host that leads; nothing if none does
-  std::optional<unsigned> leader() const
-  {
-    for (unsigned number = 0; number < m_replicas.size(); ++number) {
-      if (m_replicas[number]->leads()) {
-        return number;
-      }
-    }
-    return std::nullopt;
+    m_faults_begin = m_group.now();
   }
 
-  bool ready() const
-  {
-    return leader() && std::all_of(m_entry_hosts.begin(), m_entry_hosts.end(), [](const auto& e) {
-             return e->ready();
-           });
-  }
-
-  void change_routing()
-  {
-    const std::uint64_t version = ++m_version;
-    m_operator->propose(
-      ReplaceRouting{ .version = version, .document = "version " + std::to_string(version) },
-      [this, version](const Result<ApplyResult>& result) {
-        if (result.has_value()) {
-          m_acknowledged[version] = m_now;
-        }
-      },
-      m_now);
-  }
+  SimulatedGroup& group() { return m_group; }
 
   void step()
   {
-    m_now += kStep;
-    while (!m_messages.empty() && m_messages.front().due <= m_now) {
-      Message message = std::move(m_messages.front());
-      m_messages.pop_front();
-      deliver(std::move(message));
-    }
-    for (unsigned number = 0; number < m_replicas.size(); ++number) {
-      if (has_fault(number, Fault::Kind::Frozen)) {
-        continue;
-      }
-      for (Message& message : std::exchange(m_held[control_address(number)], {})) {
-        deliver(std::move(message));
-      }
-      run_posted(number);
-      if (is_due(kControlTick)) {
-        m_replicas[number]->tick();
-      }
-      run_posted(number);
-    }
-    if (!has_effective_leader()) {
-      m_leaderless_until = m_now;
-    }
-    if (is_due(kEntryTick)) {
-      m_operator->tick(m_now);
-      for (const auto& entry_host : m_entry_hosts) {
-        entry_host->tick(m_now);
-      }
-    }
-  }
-
-  /// \return longest time since the acknowledgement of a version that an entry host lacks. Times
-  /// without a leader don't count: the rest of the group may not know yet what was acknowledged
-  milliseconds longest_delay() const
-  {
-    milliseconds longest{ 0 };
-    for (const auto& entry_host : m_entry_hosts) {
-      const auto missing = m_acknowledged.upper_bound(entry_host->state().routing_version());
-      if (missing != m_acknowledged.end()) {
-        // A later version may have been acknowledged earlier.
-        TimePoint oldest = m_now;
-        for (auto version = missing; version != m_acknowledged.end(); ++version) {
-          oldest = std::min(oldest, version->second);
-        }
-        const TimePoint begin = std::max(oldest, m_leaderless_until);
-        longest = std::max(longest, std::chrono::duration_cast<milliseconds>(m_now - begin));
-      }
+    for (std::size_t host = 0; host < m_group.hosts().size(); ++host) {
+      m_group.set_frozen(host, has_fault(host, Fault::Kind::Frozen));
     }
-    return longest;
+    m_group.step();
   }
 
-  std::size_t acknowledged() const { return m_acknowledged.size(); }
-
 private:
-  struct Message
-  {
-    TimePoint due;
-    std::string from;
-    std::string to;
-    Bytes bytes;
-  };
-
-  // The timing of EntryHost.
-  static ControlClientOptions entry_options()
-  {
-    return { .subscribe_interval = milliseconds(50),
-             .subscription_timeout = milliseconds(1000),
-             .renew_interval = milliseconds(500),
-             .max_state_age = milliseconds(1000) };
-  }
-
-  std::vector<std::string> control_addresses() const
-  {
-    std::vector<std::string> addresses;
-    for (unsigned number = 0; number < m_replicas.size(); ++number) {
-      addresses.push_back(control_address(number));
-    }
-    return addresses;
-  }
-
-  void start_control_host(unsigned number, unsigned control_hosts)
-  {
-    ReplicaOptions options{ .host = control_address(number), .address = control_address(number) };
-    for (unsigned i = 0; i < control_hosts; ++i) {
-      options.members.emplace_back(control_address(i), control_address(i));
-    }
-    options.consensus = { .heartbeat = milliseconds(100),
-                          .election_timeout = milliseconds(450),
-                          .first_election_timeout = milliseconds(100),
-                          .quorum_timeout = milliseconds(700) };
-    options.subscription_timeout = milliseconds(3000);
-    options.storage_thread = false;
-    options.seed = number + 1;
-    ReplicaPorts ports;
-    ports.send = [this, number](const std::string& to, const ClusterMessage& message) {
-      send(control_address(number), to, message);
-    };
-    ports.post = [this, number](std::function<void()> function) {
-      m_posted[number].push_back(std::move(function));
-    };
-    ports.report = [](std::string_view, std::string_view, const std::string&) {};
-    ports.now = [this] { return m_now; };
-    m_replicas.push_back(std::make_unique<Replica>(
-      std::move(options), std::move(ports), std::make_unique<SharedDisk>(m_disks[number])));
-    RC_ASSERT(m_replicas.back()->open().has_value());
-  }
-
-  std::unique_ptr<ControlClient> make_client(const ControlClientOptions& options,
-                                             const std::string& address)
-  {
-    return std::make_unique<ControlClient>(
-      options,
-      [this, address](const std::string& to, const ClusterMessage& message) {
-        send(address, to, message);
-      },
-      [](const StateMachine&) {});
-  }
-
-  milliseconds time() const
-  {
-    return std::chrono::duration_cast<milliseconds>(m_now - m_faults_begin);
-  }
-
-  bool has_fault(unsigned number, Fault::Kind kind) const
+  bool has_fault(std::size_t host, Fault::Kind kind) const
   {
+    const auto time = std::chrono::duration_cast<milliseconds>(m_group.now() - m_faults_begin);
     return std::any_of(m_faults.begin(), m_faults.end(), [&](const Fault& fault) {
-      return fault.affects(number, kind, time());
+      return fault.affects(static_cast<unsigned>(host), kind, time);
     });
   }
 
-  bool is_due(milliseconds interval) const
+  bool has_fault(const std::string& address, Fault::Kind kind) const
   {
-    return m_now.time_since_epoch() % interval == Duration::zero();
-  }
-
-  std::optional<unsigned> control_number(const std::string& address) const
-  {
-    for (unsigned number = 0; number < m_replicas.size(); ++number) {
-      if (address == control_address(number)) {
-        return number;
-      }
-    }
-    return std::nullopt;
+    const auto host = m_group.control_number(address);
+    return host && has_fault(*host, kind);
   }
 
   static bool carries_entries(const ClusterMessage& message)
@@ -274,71 +92,13 @@
 
   bool is_lost(const std::string& from, const std::string& to, const ClusterMessage& message) const
   {
-    const auto receiver = control_number(to);
-    const auto sender = control_number(from);
-    return (receiver && has_fault(*receiver, Fault::Kind::Silent)) ||
-           (sender && has_fault(*sender, Fault::Kind::Silent)) ||
-           (receiver && has_fault(*receiver, Fault::Kind::Starved) && carries_entries(message));
-  }
-
-  void send(const std::string& from, const std::string& to, const ClusterMessage& message)
-  {
-    if (!is_lost(from, to, message)) {
-      m_messages.push_back(
-        { .due = m_now + kDelay, .from = from, .to = to, .bytes = encode(message) });
-    }
-  }
-
-  void deliver(Message message)
-  {
-    const auto number = control_number(message.to);
-    if (number && has_fault(*number, Fault::Kind::Frozen)) {
-      m_held[message.to].push_back(std::move(message));
-      return;
-    }
-    const ClusterMessage received = decode_message(message.bytes).value();
-    if (number) {
-      m_replicas[*number]->receive(message.from, received);
-    } else if (message.to == "operator") {
-      m_operator->receive(message.from, received, m_now);
-    } else {
-      m_entry_hosts[std::stoul(message.to.substr(message.to.find('-') + 1))]->receive(
-        message.from, received, m_now);
-    }
-  }
-
-  bool has_effective_leader() const
-  {
-    return std::any_of(m_replicas.begin(), m_replicas.end(), [](const auto& replica) {
-      return replica->leads() && replica->status().lag < kLeaderContact;
-    });
-  }
-
-  void run_posted(unsigned number)
-  {
-    for (auto& posted = m_posted[number]; !posted.empty();) {
-      const auto function = std::move(posted.front());
-      posted.pop_front();
-      function();
-    }
+    return has_fault(to, Fault::Kind::Silent) || has_fault(from, Fault::Kind::Silent) ||
+           (has_fault(to, Fault::Kind::Starved) && carries_entries(message));
   }
 
-  TimePoint m_now{ std::chrono::hours(1) };
-  TimePoint m_faults_begin = TimePoint::max();
+  TimePoint m_faults_begin;
   std::vector<Fault> m_faults;
-  std::deque<Message> m_messages;
-  /// Messages to frozen hosts.
-  std::map<std::string, std::vector<Message>> m_held;
-  std::map<unsigned, std::deque<std::function<void()>>> m_posted;
-  std::vector<FakeDisk> m_disks;
-  std::vector<std::unique_ptr<Replica>> m_replicas;
-  std::unique_ptr<ControlClient> m_operator;
-  std::vector<std::unique_ptr<ControlClient>> m_entry_hosts;
-  std::uint64_t m_version = 0;
-  /// When each version was acknowledged.
-  std::map<std::uint64_t, TimePoint> m_acknowledged;
-  /// When there was last no leader in contact with a majority.
-  TimePoint m_leaderless_until;
+  SimulatedGroup m_group;
 };
 
 // \return longest delay seen while versions are sent each \p interval for \p duration
@@ -348,10 +108,10 @@
   milliseconds longest{ 0 };
   for (milliseconds time{ 0 }; time < duration; time += kStep) {
     if (time % interval == milliseconds(0)) {
-      site.change_routing();
+      site.group().change_routing();
     }
     site.step();
-    longest = std::max(longest, site.longest_delay());
+    longest = std::max(longest, site.group().longest_delay());
   }
   return longest;
 }
@@ -359,10 +119,10 @@
 void
 start(SimulatedSite& site)
 {
-  for (unsigned i = 0; i < 1000 && !site.ready(); ++i) {
+  for (unsigned i = 0; i < 1000 && !site.group().ready(); ++i) {
     site.step();
   }
-  ASSERT_TRUE(site.ready());
+  ASSERT_TRUE(site.group().ready());
 }
 
 // Guards against an acknowledged version that is late at an entry host because the waiting times
@@ -375,7 +135,7 @@
       SimulatedSite site(kControlHosts, 2 * kControlHosts);
       start(site);
       const unsigned second = (first + 1) % kControlHosts;
-      const unsigned leader = site.leader().value();
+      const std::size_t leader = site.group().leader().value();
       if (first == leader || second == leader) {
         continue;
       }
@@ -383,7 +143,7 @@
                         { .kind = kind, .host = second, .end = milliseconds(8000) } });
       EXPECT_LT(longest_delay(site, milliseconds(200), milliseconds(9000)), kInForceWithin)
         << "first=" << first;
-      EXPECT_GT(site.acknowledged(), 30U);
+      EXPECT_GT(site.group().acknowledged().size(), 30U);
     }
   }
 }
@@ -395,10 +155,10 @@
   constexpr unsigned kControlHosts = 5;
   SimulatedSite site(kControlHosts, 2 * kControlHosts);
   start(site);
-  const unsigned starved = (site.leader().value() + 1) % kControlHosts;
+  const auto starved = static_cast<unsigned>((site.group().leader().value() + 1) % kControlHosts);
   site.set_faults({ { .kind = Fault::Kind::Starved, .host = starved, .end = milliseconds(8000) } });
   EXPECT_LT(longest_delay(site, milliseconds(200), milliseconds(9000)), kInForceWithin);
-  EXPECT_GT(site.acknowledged(), 30U);
+  EXPECT_GT(site.group().acknowledged().size(), 30U);
 }
 
 // Guards against acknowledged versions that are late at an entry host, whichever control hosts
