libcontrol: the group model traces what hosts report, and names seeds that can be reached

A host that had lost its disk, or a new one, knew only itself or a host that is gone when there was one seed: no operator's list looks like that.

--- a/src/libcontrol/testing/group_model.h
+++ b/src/libcontrol/testing/group_model.h
@@ -106,11 +106,15 @@
   bool may_apply(const FaultEvent& event) const;
   void wait_for_trigger(const FaultEvent& event);
   std::uint64_t highest_term() const;
+  void trace(const FaultEvent& event) const;
   /// Begins the fault at the host and schedules its end.
   void strike(std::size_t host, const FaultEvent& event);
   void lose_power_everywhere(const FaultEvent& event);
   void exchange_seeds(const FaultEvent& event);
   void replace(std::size_t host, milliseconds duration);
+  /// Names another seed if the only one is among the hosts: an empty host can't find the group by
+  /// its own address, or by that of a host that is gone.
+  void replace_only_seed(const std::vector<std::size_t>& lost);
   void schedule(std::size_t host, milliseconds duration, std::function<void()> end);
   void check_progress();
   void check_whole();
--- a/src/libcontrol/testing/simulated_group.cpp
+++ b/src/libcontrol/testing/simulated_group.cpp
@@ -169,10 +169,8 @@
     }
     target.posted.push_back({ .due = due, .function = std::move(function) });
   };
-  ports.report = [this](std::string_view event, const auto&...) {
-    if (event == "group_founded" && ++m_groups_founded > 1) {
-      report_violation("a second group was founded");
-    }
+  ports.report = [this, number](std::string_view event, const std::vector<LogField>& fields) {
+    on_report(number, event, fields);
   };
   ports.now = [this] { return m_now; };
   auto disk = std::make_unique<SlowDisk>(host.disk);
@@ -429,13 +427,45 @@
   }
 }
 
+void
+SimulatedGroup::on_report(std::size_t number,
+                          std::string_view event,
+                          const std::vector<LogField>& fields)
+{
+  if (event == "group_founded" && ++m_groups_founded > 1) {
+    report_violation("a second group was founded");
+  }
+  if (m_options.trace) {
+    std::string text = m_hosts[number].address + " " + std::string(event);
+    for (const auto& [key, value] : fields) {
+      text += " " + std::string(key) + "=" + value;
+    }
+    trace(text);
+  }
+}
+
+std::string
+SimulatedGroup::time() const
+{
+  const auto since_start =
+    std::chrono::duration_cast<milliseconds>(m_now - TimePoint(std::chrono::hours(1)));
+  return std::to_string(since_start.count());
+}
+
+void
+SimulatedGroup::trace(const std::string& text) const
+{
+  if (m_options.trace) {
+    m_options.trace(time() + " " + text);
+  }
+}
+
 void
 SimulatedGroup::report_violation(const std::string& violation)
 {
   if (m_violation.empty()) {
-    const auto time =
-      std::chrono::duration_cast<milliseconds>(m_now - TimePoint(std::chrono::hours(1)));
-    m_violation = "at " + std::to_string(time.count()) + " ms: " + violation;
+    m_violation = "at " + time() + " ms: " + violation;
+    trace(violation);
   }
 }
 
--- a/src/libcontrol/testing/simulated_group.h
+++ b/src/libcontrol/testing/simulated_group.h
@@ -42,6 +42,8 @@
   /// Messages for which this returns true are lost. May be empty.
   std::function<bool(const std::string& from, const std::string& to, const ClusterMessage&)>
     is_lost;
+  /// Receives what the control hosts report, with the time and the host. May be empty.
+  std::function<void(const std::string&)> trace;
 };
 
 /// Control hosts with their disks, entry hosts that follow them, an operator that changes the
@@ -126,6 +128,8 @@
   /// \return the first promise that was broken, or an empty string
   const std::string& violation() const { return m_violation; }
   void report_violation(const std::string& violation);
+  /// Writes the text to SimulatedGroupOptions::trace.
+  void trace(const std::string& text) const;
 
   /// Asks the host for a read that is confirmed by a majority; its result is seen in
   /// Host::read_confirmed.
@@ -164,6 +168,9 @@
   void deliver(Message message);
   void run_posted(std::size_t host);
   void run_host(std::size_t host);
+  void on_report(std::size_t host, std::string_view event, const std::vector<LogField>& fields);
+  /// Time since the start, in milliseconds.
+  std::string time() const;
   void check_leader(std::size_t host);
   bool has_effective_leader() const;
 
