libcontrol: all rejected proposals of a client are sent to the leader that the rejection names

What could happen: a client with several pending proposals while the leader changes sends one of them at a time to the new leader; the others wait for their resend (0.4 s at a control host), which tries another host first and again takes only one of them further. With 20 changes a second none of them was acknowledged within 4 s of the election.

Cause: a rejection was answered only if it named another leader than the one that the client had learned from the rejection before, not if the rejected proposal had been sent to another host.

ControlClientProposals.AllRejectedProposalsAreSentToTheLeader failed before (one of three proposals was sent) and passes.

--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -60,6 +60,8 @@
   ControlClient::ResultHandler handler;
   TimePoint expires;
   TimePoint resend_at;
+  /// Address that it was last sent to.
+  std::string sent_to;
 };
 
 std::uint64_t
@@ -338,6 +340,7 @@
   void send_proposal(std::uint64_t id, PendingProposal& proposal, TimePoint now)
   {
     proposal.resend_at = now + options.resend_interval;
+    proposal.sent_to = proposal_target;
     send(proposal_target,
          Propose{ .client = options.client,
                   .id = id,
@@ -358,7 +361,7 @@
     }
     if (!reply.decided) {
       // Without a known leader the next resend tries another host.
-      if (!reply.leader_address.empty() && reply.leader_address != proposal_target) {
+      if (!reply.leader_address.empty() && reply.leader_address != found->second.sent_to) {
         proposal_target = reply.leader_address;
         send_proposal(reply.id, found->second, now);
       }
--- a/src/libcontrol/control_client_test.cpp
+++ b/src/libcontrol/control_client_test.cpp
@@ -79,6 +79,35 @@
   EXPECT_GT(contacted.size(), count);
 }
 
+// Guards against proposals that wait for their resend, one after the other, when several of them
+// are pending while the leader changes.
+TEST(ControlClientProposals, AllRejectedProposalsAreSentToTheLeader)
+{
+  constexpr std::uint64_t kProposals = 3;
+  std::vector<std::uint64_t> sent_to_leader;
+  ControlClient client(
+    { .control_addresses = { "follower" }, .follow = false },
+    [&](const std::string& to, const ClusterMessage& message) {
+      if (to == "leader") {
+        sent_to_leader.push_back(std::get<Propose>(message).id);
+      }
+    },
+    [](const StateMachine&) {});
+  for (std::uint64_t id = 1; id <= kProposals; ++id) {
+    client.propose(
+      ReplaceRouting{ .version = id }, [](const Result<ApplyResult>&) {}, kStart);
+  }
+  for (std::uint64_t id = 1; id <= kProposals; ++id) {
+    client.receive(
+      "follower", ProposeReply{ .id = id, .leader_address = "leader" }, kStart + milliseconds(20));
+  }
+  EXPECT_EQ(sent_to_leader, (std::vector<std::uint64_t>{ 1, 2, 3 }));
+  // A rejection by the leader itself isn't answered at once.
+  client.receive(
+    "leader", ProposeReply{ .id = 1, .leader_address = "leader" }, kStart + milliseconds(40));
+  EXPECT_EQ(sent_to_leader.size(), kProposals);
+}
+
 // A client of three control hosts, the first of which has confirmed its state at kStart. The test
 // sees what it sends and answers by hand.
 class ControlClientSourceTest : public ::testing::Test
