--- a/src/libcontrol/testing/group_model.cpp
+++ b/src/libcontrol/testing/group_model.cpp
@@ -128,6 +128,7 @@
 GroupModel::GroupModel(GroupModelOptions options)
   : m_options(complete(std::move(options)))
   , m_group(m_options.group)
+  , m_random(m_options.group.seed)
   , m_disturbed(m_group.now())
 {
 }
@@ -151,8 +152,10 @@
   if (!m_formed) {
     return;
   }
-  if (m_group.now().time_since_epoch() % m_options.change_interval == Duration::zero()) {
+  if (m_group.now() >= m_change_at) {
     m_group.change_routing();
+    const auto interval = static_cast<std::uint64_t>(m_options.change_interval.count());
+    m_change_at = m_group.now() + milliseconds(interval / 2 + m_random() % (interval + 1));
   }
   check_progress();
   if (is_calm() && m_group.now().time_since_epoch() % kReadInterval == Duration::zero()) {
@@ -184,8 +187,11 @@
 bool
 GroupModel::is_lost(std::size_t host) const
 {
-  const auto found = m_lost_until.find(host);
-  return found != m_lost_until.end() && found->second > m_group.now();
+  const auto is_in = [&](const std::map<std::size_t, TimePoint>& hosts) {
+    const auto found = hosts.find(host);
+    return found != hosts.end() && found->second > m_group.now();
+  };
+  return is_in(m_lost_until) || is_in(m_new_until);
 }
 
 unsigned
@@ -292,10 +298,15 @@
     case FaultKind::PowerForAll:
       lose_power_everywhere(event);
       break;
-    default:
-      for (const std::size_t host : select(event)) {
+    default: {
+      const std::vector<std::size_t> hosts = select(event);
+      if (event.kind == FaultKind::LostDisk || event.kind == FaultKind::Replace) {
+        keep_a_seed(hosts);
+      }
+      for (const std::size_t host : hosts) {
         strike(host, event);
       }
+    }
   }
   m_disturbed = m_group.now();
 }
@@ -333,7 +344,6 @@
       schedule(host, event.duration, start);
       break;
     case FaultKind::LostDisk:
-      replace_only_seed({ host });
       m_group.lose_disk(host);
       schedule(host, event.duration, start);
       break;
@@ -366,9 +376,9 @@
 void
 GroupModel::replace(std::size_t host, milliseconds duration)
 {
-  replace_only_seed({ host });
   m_group.remove(host);
   const std::size_t successor = m_group.add_host(m_group.hosts()[host].failure_domain);
+  m_new_until[successor] = m_group.now() + duration + catch_up();
   schedule(host, duration, [this, host, successor] {
     // A seed that is gone is replaced in the settings as well.
     std::vector<std::size_t> seeds = m_group.seeds();
@@ -379,15 +389,20 @@
 }
 
 void
-GroupModel::replace_only_seed(const std::vector<std::size_t>& lost)
+GroupModel::keep_a_seed(const std::vector<std::size_t>& lost)
 {
-  const std::vector<std::size_t>& seeds = m_group.seeds();
-  if (seeds.size() != 1 || std::find(lost.begin(), lost.end(), seeds.front()) == lost.end()) {
+  const auto is_usable = [&](std::size_t host) {
+    return m_group.runs(host) && !is_lost(host) &&
+           std::find(lost.begin(), lost.end(), host) == lost.end();
+  };
+  std::vector<std::size_t> seeds = m_group.seeds();
+  if (std::any_of(seeds.begin(), seeds.end(), is_usable)) {
     return;
   }
   for (std::size_t host = 0; host < m_group.hosts().size(); ++host) {
-    if (m_group.runs(host) && std::find(lost.begin(), lost.end(), host) == lost.end()) {
-      m_group.set_seeds({ host });
+    if (is_usable(host)) {
+      seeds.front() = host;
+      m_group.set_seeds(seeds);
       return;
     }
   }
@@ -398,7 +413,9 @@
 {
   const std::vector<std::size_t> lost_disks =
     event.count == 0 ? std::vector<std::size_t>() : select(event);
-  replace_only_seed(lost_disks);
+  if (!lost_disks.empty()) {
+    keep_a_seed(lost_disks);
+  }
   for (std::size_t host = 0; host < m_group.hosts().size(); ++host) {
     if (m_group.hosts()[host].removed || !m_group.hosts()[host].replica) {
       continue;
--- a/src/libcontrol/testing/group_model.h
+++ b/src/libcontrol/testing/group_model.h
@@ -62,7 +62,7 @@
   SimulatedGroupOptions group;
   /// Number of hosts that may be lost at once.
   unsigned tolerance = 1;
-  /// Interval at which the operator changes the routing.
+  /// Mean interval at which the operator changes the routing.
   milliseconds change_interval{ 300 };
 };
 
@@ -98,6 +98,7 @@
   static GroupModelOptions complete(GroupModelOptions options);
   milliseconds catch_up() const;
   void step();
+  /// Whether the host counts as lost, or replaces one that does.
   bool is_lost(std::size_t host) const;
   unsigned lost_hosts() const;
   bool is_calm() const;
@@ -112,17 +113,21 @@
   void lose_power_everywhere(const FaultEvent& event);
   void exchange_seeds(const FaultEvent& event);
   void replace(std::size_t host, milliseconds duration);
-  /// Names another seed if the only one is among the hosts: an empty host can't find the group by
-  /// its own address, or by that of a host that is gone.
-  void replace_only_seed(const std::vector<std::size_t>& lost);
+  /// Names a host that is up as a seed if there is none beside the given ones: an empty host can't
+  /// find the group through hosts that are gone or as empty as itself.
+  void keep_a_seed(const std::vector<std::size_t>& lost);
   void schedule(std::size_t host, milliseconds duration, std::function<void()> end);
   void check_progress();
   void check_whole();
 
   GroupModelOptions m_options;
   SimulatedGroup m_group;
+  std::mt19937_64 m_random;
+  TimePoint m_change_at;
   /// Until when hosts count as lost.
   std::map<std::size_t, TimePoint> m_lost_until;
+  /// Until when hosts have not caught up that replace others, which count as lost for them.
+  std::map<std::size_t, TimePoint> m_new_until;
   /// The ends of faults.
   std::multimap<TimePoint, std::function<void()>> m_ends;
   /// When a fault last began or ended.
--- a/src/libcontrol/testing/simulated_group.cpp
+++ b/src/libcontrol/testing/simulated_group.cpp
@@ -10,9 +10,10 @@
 /// Tick of a control host without a leader.
 constexpr milliseconds kElectionTick{ 10 };
 constexpr milliseconds kEntryTick{ 100 };
+/// The operator tries another control host after this time.
+constexpr milliseconds kOperatorRetry{ 500 };
 /// A leader that a majority has not answered for this time counts as lost.
 constexpr milliseconds kLeaderContact{ 300 };
-const std::string kOperator = "operator";
 const std::string kEntryPrefix = "entry-";
 
 } // namespace
@@ -80,13 +81,6 @@
   for (std::size_t number = 0; number < m_hosts.size(); ++number) {
     launch(number, true);
   }
-  ControlClientOptions operator_options{ .proposal_timeout = std::chrono::seconds(30),
-                                         .follow = false,
-                                         .client = 1 };
-  for (const Host& host : m_hosts) {
-    operator_options.control_addresses.push_back(host.address);
-  }
-  m_operator = make_client(operator_options, kOperator);
   for (unsigned number = 0; number < m_options.entry_hosts; ++number) {
     ControlClientOptions client_options = entry_options();
     std::vector<std::string>& addresses = client_options.control_addresses;
@@ -142,6 +136,8 @@
   Host& host = m_hosts[number];
   Process& process = m_processes[number];
   process = {};
+  // The ticks of different hosts don't coincide.
+  process.tick_at = m_now + kStep * (m_random() % static_cast<std::uint64_t>(kControlTick / kStep));
   ReplicaOptions options{ .host = host.address,
                           .address = host.address,
                           .failure_domain = host.failure_domain,
@@ -173,6 +169,12 @@
     on_report(number, event, fields);
   };
   ports.now = [this] { return m_now; };
+  process.client = make_client({ .control_addresses = { host.address },
+                                 .proposal_timeout = milliseconds(2500),
+                                 .resend_interval = milliseconds(400),
+                                 .follow = false,
+                                 .client = m_random() | 1U },
+                               host.address);
   auto disk = std::make_unique<SlowDisk>(host.disk);
   process.disk = disk.get();
   host.read_confirmed = m_now;
@@ -253,7 +255,6 @@
   for (const auto& entry_host : m_entry_hosts) {
     entry_host->set_seeds(addresses);
   }
-  m_operator->set_seeds(addresses);
 }
 
 std::optional<std::size_t>
@@ -282,19 +283,43 @@
 SimulatedGroup::change_routing()
 {
   const std::uint64_t version = ++m_version;
-  m_proposed[version] = m_now;
+  m_changes[version] = { .proposed = m_now, .retry_at = m_now };
+  send_changes();
+  return version;
+}
+
+void
+SimulatedGroup::send_changes()
+{
+  for (auto& [version, change] : m_changes) {
+    if (change.retry_at > m_now) {
+      continue;
+    }
+    change.retry_at = m_now + kOperatorRetry;
+    do {
+      m_next_host = (m_next_host + 1) % m_hosts.size();
+    } while (m_hosts[m_next_host].removed);
+    const Host& host = m_hosts[m_next_host];
+    if (runs(m_next_host) && host.hears && host.is_heard) {
+      send_change(version, m_next_host);
+    }
+  }
+}
+
+void
+SimulatedGroup::send_change(std::uint64_t version, std::size_t number)
+{
   std::string document = "version " + std::to_string(version);
   document.resize(std::max(document.size(), m_options.document_bytes), ' ');
-  m_operator->propose(
+  m_processes[number].client->propose(
     ReplaceRouting{ .version = version, .document = std::move(document) },
-    [this, version](const Result<ApplyResult>& result) {
-      m_proposed.erase(version);
-      if (result.has_value()) {
-        m_acknowledged[version] = m_now;
+    [this, version, number](const Result<ApplyResult>& result) {
+      if (result.has_value() && m_hosts[number].is_heard) {
+        m_changes.erase(version);
+        m_acknowledged.try_emplace(version, m_now);
       }
     },
     m_now);
-  return version;
 }
 
 std::uint64_t
@@ -306,7 +331,7 @@
 std::optional<TimePoint>
 SimulatedGroup::oldest_proposal() const
 {
-  return m_proposed.empty() ? std::nullopt : std::optional(m_proposed.begin()->second);
+  return m_changes.empty() ? std::nullopt : std::optional(m_changes.begin()->second.proposed);
 }
 
 bool
@@ -354,10 +379,12 @@
   const ClusterMessage received = decode_message(message.bytes).value();
   if (number) {
     if (m_hosts[*number].replica && m_hosts[*number].hears) {
-      m_hosts[*number].replica->receive(message.from, received);
+      if (std::holds_alternative<ProposeReply>(received)) {
+        m_processes[*number].client->receive(message.from, received, m_now);
+      } else {
+        m_hosts[*number].replica->receive(message.from, received);
+      }
     }
-  } else if (message.to == kOperator) {
-    m_operator->receive(message.from, received, m_now);
   } else {
     m_entry_hosts[std::stoul(message.to.substr(kEntryPrefix.size()))]->receive(
       message.from, received, m_now);
@@ -386,8 +413,11 @@
     deliver(std::move(message));
   }
   run_posted(number);
-  if (is_due(kControlTick) || (is_due(kElectionTick) && !host.replica->status().in_contact)) {
+  TimePoint& tick_at = m_processes[number].tick_at;
+  if (tick_at <= m_now) {
     host.replica->tick();
+    m_processes[number].client->tick(m_now);
+    tick_at = m_now + (host.replica->status().in_contact ? kControlTick : kElectionTick);
   }
   run_posted(number);
   check_leader(number);
@@ -487,7 +517,7 @@
     m_leaderless_until = m_now;
   }
   if (is_due(kEntryTick)) {
-    m_operator->tick(m_now);
+    send_changes();
     for (const auto& entry_host : m_entry_hosts) {
       entry_host->tick(m_now);
     }
--- a/src/libcontrol/testing/simulated_group.h
+++ b/src/libcontrol/testing/simulated_group.h
@@ -47,9 +47,9 @@
 };
 
 /// Control hosts with their disks, entry hosts that follow them, an operator that changes the
-/// routing, and the links between them, in virtual time. After each step it checks that there is
-/// one group with at most one leader a term, and that confirmed reads include each acknowledged
-/// version.
+/// routing through any of the control hosts, and the links between them, in virtual time. After
+/// each step it checks that there is one group with at most one leader a term, and that confirmed
+/// reads include each acknowledged version.
 class SimulatedGroup
 {
 public:
@@ -151,10 +151,20 @@
   /// What belongs to one run of a process.
   struct Process
   {
+    TimePoint tick_at;
     std::deque<Posted> posted;
     std::vector<Message> held;
     /// Owned by the replica.
     SlowDisk* disk = nullptr;
+    /// Makes the proposals of this host.
+    std::unique_ptr<ControlClient> client;
+  };
+  /// A version without an acknowledgement.
+  struct Change
+  {
+    TimePoint proposed;
+    /// When the operator tries the next control host.
+    TimePoint retry_at;
   };
 
   static ControlClientOptions entry_options();
@@ -164,6 +174,9 @@
                                              const std::string& address);
   bool is_due(milliseconds interval) const;
   milliseconds link_delay(const std::string& from, const std::string& to) const;
+  /// The operator sends the changes that are due to the next control host.
+  void send_changes();
+  void send_change(std::uint64_t version, std::size_t host);
   void send(const std::string& from, const std::string& to, const ClusterMessage& message);
   void deliver(Message message);
   void run_posted(std::size_t host);
@@ -175,7 +188,7 @@
   bool has_effective_leader() const;
 
   SimulatedGroupOptions m_options;
-  mutable std::mt19937_64 m_random;
+  std::mt19937_64 m_random;
   TimePoint m_now{ std::chrono::hours(1) };
   std::deque<Host> m_hosts;
   std::deque<Process> m_processes;
@@ -183,12 +196,12 @@
   std::vector<std::size_t> m_seeds;
   /// Messages on their way, by the time of their delivery.
   std::multimap<TimePoint, Message> m_messages;
-  std::unique_ptr<ControlClient> m_operator;
+  /// The control host that the operator turns to next.
+  std::size_t m_next_host = 0;
   std::vector<std::unique_ptr<ControlClient>> m_entry_hosts;
   std::uint64_t m_version = 0;
   std::map<std::uint64_t, TimePoint> m_acknowledged;
-  /// Proposed versions without an acknowledgement.
-  std::map<std::uint64_t, TimePoint> m_proposed;
+  std::map<std::uint64_t, Change> m_changes;
   /// When there was last no leader in contact with a majority.
   TimePoint m_leaderless_until;
   /// Address of the leader of each term, and the number of disks that it had lost.
