--- a/src/include/lovagehold/consensus.h
+++ b/src/include/lovagehold/consensus.h
@@ -40,7 +40,8 @@
   /// Entries kept in memory from before a snapshot, so that members and subscribers that are
   /// slightly behind need no snapshot.
   std::uint64_t trailing_entries = 1000;
-  /// Learners are promoted until the group has this many voters.
+  /// Learners are promoted until the group has this many voters, first those of the failure domains
+  /// with the fewest voters.
   std::size_t target_voters = 5;
   /// No member joins a group that has this number of members.
   std::size_t max_members = 64;
@@ -91,6 +92,17 @@
   bool role_changed = false;
 };
 
+/// What a leader knows of the log of a member.
+struct MemberProgress
+{
+  MemberId id = 0;
+  /// The member has stored the leader's log up to this index, as far as it has replied.
+  std::uint64_t stored_index = 0;
+  /// Time since its last reply; zero for the leader itself, Duration::max() if it has not replied to
+  /// this leader yet.
+  Duration since_reply = Duration::max();
+};
+
 /// One member of a replicated log, using the Raft algorithm (Ongaro and Ousterhout, 2014) with
 /// pre-vote, check-quorum, read index and single-member changes (Ongaro's dissertation, 2014).
 /// Performs no I/O and reads no clock; the time passed to calls may jump in either direction. Not
@@ -124,9 +136,9 @@
   /// never arrives if a message is lost.
   Effects read(std::uint64_t id, TimePoint now);
 
-  /// Adds a member as learner, in place of the previous member of its host, if any. Ignored unless
-  /// this member is the leader, no other membership change is in progress and nothing speaks
-  /// against the member, see join_obstacle().
+  /// Adds a member as learner, in place of the previous member of its host, if any. A known member
+  /// with a new address stays what it is. Ignored unless this member is the leader, no other
+  /// membership change is in progress and nothing speaks against the member, see join_obstacle().
   Effects add_learner(Member member, TimePoint now);
 
   /// \return why the member may not join now, for logs; empty if it may. The previous member of a
@@ -168,6 +180,8 @@
   const LogEntry& entry(std::uint64_t index) const;
   /// \return the latest membership in the log, whether committed or not.
   const Membership& membership() const;
+  /// \return the progress of all members, itself included; empty unless this member is the leader
+  std::vector<MemberProgress> progress(TimePoint now) const;
 
 private:
   struct Impl;
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace lovagehold {
@@ -44,6 +45,8 @@
   std::chrono::milliseconds outside_report_interval{ 10'000 };
   /// A read that confirms the state of subscribers is taken for lost after this time.
   std::chrono::milliseconds read_retry{ 300 };
+  /// Limit on the time that confirm_leadership() takes.
+  std::chrono::milliseconds confirmation_timeout{ 2000 };
   /// Delay after a storage failure before the disk is opened again.
   std::chrono::milliseconds storage_retry{ 5000 };
   /// A starting subscriber is directed only to control hosts from which a message arrived within
@@ -84,6 +87,14 @@
   bool in_contact = false;
   /// See Consensus::lag().
   Duration lag = Duration::max();
+  /// See Consensus::progress(): empty unless this host leads.
+  std::vector<MemberProgress> progress;
+  /// How long this host has been outside the group: no member, or without a leader. Zero while it
+  /// is inside.
+  Duration outside = Duration::zero();
+  /// Addresses of hosts that are no members, or no longer under their present identity, and have
+  /// asked this host to join within ReplicaOptions::source_heard.
+  std::vector<std::string> joining;
 };
 
 /// A control host's replica of the log: runs Consensus with real time and a disk, answers proposals
@@ -111,10 +122,13 @@
   /// Whether this host leads the group.
   bool leads() const;
 
-  /// Asks a majority to confirm that this host leads.
-  /// \param confirmed called with the time of this call once a majority has confirmed and all
-  /// entries committed before have been applied; not called if leadership is lost first
-  void confirm_leadership(std::function<void(TimePoint requested_at)> confirmed);
+  /// Asks a majority, through the leader, to confirm that the state of this host is current.
+  /// \param done called once, possibly before this function returns: with the time of this call
+  /// when a majority has confirmed the leader and all entries committed before have been applied
+  /// here; without a value as soon as that can't be confirmed any more, because no leader is known,
+  /// leadership is lost, the disk has failed, or ReplicaOptions::confirmation_timeout has passed.
+  /// Not called after the destruction of this object
+  void confirm_leadership(std::function<void(std::optional<TimePoint> requested_at)> done);
 
   ReplicaStatus status() const;
 
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -51,7 +51,7 @@
   return addresses;
 }
 
-// \return "joined A", "promoted A" and "removed A" for each member that differs
+// \return "joined A", "moved A", "promoted A" and "removed A" for each member that differs
 std::string
 describe_change(const Membership& before, const Membership& after)
 {
@@ -68,6 +68,8 @@
     const Member* previous = find_member(before, member.id);
     if (previous == nullptr) {
       add("joined", member);
+    } else if (member.address != previous->address) {
+      add("moved", member);
     } else if (member.voter && !previous->voter) {
       add("promoted", member);
     }
@@ -114,11 +116,19 @@
     TimePoint sent;
   };
 
+  struct JoinRequest
+  {
+    MemberId member = 0;
+    TimePoint heard_at;
+  };
+
   // Pending call of confirm_leadership(), made as a linearizable read.
   struct LeadershipCheck
   {
     TimePoint requested_at;
-    std::function<void(TimePoint)> confirmed;
+    std::function<void(std::optional<TimePoint>)> done;
+    /// The member that was asked to confirm.
+    MemberId leader = 0;
     /// Index that has to be applied first; set once a majority has confirmed.
     std::optional<std::uint64_t> required_index;
   };
@@ -173,6 +183,10 @@
   std::map<std::uint64_t, LeadershipCheck> leadership_checks;
   std::uint64_t next_read = 1;
   TimePoint join_at;
+  /// When this host was last seen to be in the group, or was opened.
+  TimePoint last_inside;
+  /// Last requests to join, by the address of the host.
+  std::map<std::string, JoinRequest> join_requests;
   /// Hosts asked to add this one since join_at was last set.
   std::set<std::string> asked;
   /// Members that this host has learned of while it is outside the group, beside those in its
@@ -344,6 +358,7 @@
       { { "role",
           std::string(to_string(consensus->role())) + " term " + std::to_string(consensus->term()) +
             " leader " + address_of(consensus->leader()) } });
+    fail_checks_without_leader();
     if (consensus->role() == ConsensusRole::Leader) {
       return;
     }
@@ -436,7 +451,10 @@
     }
     if (from != join.member.address) {
       report_ignored_join(from, "it names another address, " + join.member.address);
-    } else if (consensus->role() == ConsensusRole::Leader) {
+      return;
+    }
+    join_requests[from] = { .member = join.member.id, .heard_at = ports.now() };
+    if (consensus->role() == ConsensusRole::Leader) {
       add_member(join.member);
     } else if (consensus->last_index() > 0) {
       name_contacts(from);
@@ -448,7 +466,8 @@
   void add_member(const Member& member)
   {
     // A member that has just started asks too, until it gets the leader's first message.
-    if (find_member(consensus->membership(), member.id) != nullptr) {
+    const Member* known = find_member(consensus->membership(), member.id);
+    if (known != nullptr && known->address == member.address) {
       return;
     }
     const std::string_view obstacle = consensus->join_obstacle(member, ports.now());
@@ -515,6 +534,19 @@
     ports.report("group_founded", { { "members", std::to_string(membership.size()) } });
   }
 
+  std::vector<std::string> joining_hosts() const
+  {
+    std::vector<std::string> hosts;
+    for (const auto& [address, request] : join_requests) {
+      // A host that has lost its disk is no member, even if its former identity is one.
+      if (find_member(consensus->membership(), request.member) == nullptr &&
+          ports.now() - request.heard_at < options.source_heard) {
+        hosts.push_back(address);
+      }
+    }
+    return hosts;
+  }
+
   bool is_member() const
   {
     return find_member(consensus->membership(), consensus->self()) != nullptr;
@@ -734,11 +766,12 @@
   {
     const auto check = leadership_checks.find(read.id);
     if (check != leadership_checks.end()) {
-      check->second.required_index = read.index;
-      if (!read.confirmed) {
-        leadership_checks.erase(check);
+      if (read.confirmed) {
+        check->second.required_index = read.index;
+        finish_leadership_checks();
+      } else {
+        fail_leadership_checks([&](const auto& entry) { return entry.first == read.id; });
       }
-      finish_leadership_checks();
       return;
     }
     const auto found = confirmations.find(read.id);
@@ -757,19 +790,53 @@
     start_confirmation();
   }
 
-  void finish_leadership_checks()
+  // Removes the checks that the condition holds for. The caller notifies them afterwards, as they
+  // may start further checks.
+  template<class Condition>
+  std::vector<LeadershipCheck> take_leadership_checks(Condition condition)
   {
-    for (auto entry = leadership_checks.begin(); entry != leadership_checks.end();) {
-      const LeadershipCheck check = entry->second;
-      if (!check.required_index || *check.required_index > state.applied_index()) {
-        ++entry;
-        continue;
+    std::vector<LeadershipCheck> taken;
+    std::erase_if(leadership_checks, [&](const auto& entry) {
+      const bool matches = condition(entry);
+      if (matches) {
+        taken.push_back(entry.second);
       }
-      entry = leadership_checks.erase(entry);
-      check.confirmed(check.requested_at);
+      return matches;
+    });
+    return taken;
+  }
+
+  void finish_leadership_checks()
+  {
+    const auto is_finished = [&](const auto& entry) {
+      const std::optional<std::uint64_t> required_index = entry.second.required_index;
+      return required_index && *required_index <= state.applied_index();
+    };
+    for (const LeadershipCheck& check : take_leadership_checks(is_finished)) {
+      check.done(check.requested_at);
+    }
+  }
+
+  template<class Condition>
+  void fail_leadership_checks(Condition condition)
+  {
+    for (const LeadershipCheck& check : take_leadership_checks(condition)) {
+      check.done(std::nullopt);
     }
   }
 
+  // A leader that is only silent may still confirm; one that another has replaced can't, and a
+  // member without a disk takes part in nothing.
+  void fail_checks_without_leader()
+  {
+    const bool failed = consensus->role() == ConsensusRole::Failed;
+    const MemberId leader = consensus->leader();
+    fail_leadership_checks([&](const auto& entry) {
+      const LeadershipCheck& check = entry.second;
+      return failed || (!check.required_index && leader != 0 && check.leader != leader);
+    });
+  }
+
   void confirm_subscribers()
   {
     finish_leadership_checks();
@@ -860,8 +927,12 @@
     }
     ask_to_join(now);
     report_membership();
+    last_inside = is_outside() ? last_inside : now;
     std::erase_if(heard_at,
                   [&](const auto& entry) { return now - entry.second >= options.source_heard; });
+    std::erase_if(join_requests, [&](const auto& entry) {
+      return now - entry.second.heard_at >= options.source_heard;
+    });
     const auto expired = [&](const auto& entry) { return entry.second.expires < now; };
     std::erase_if(subscriptions, expired);
     std::erase_if(sent_chunks, [&](const auto& entry) {
@@ -869,6 +940,9 @@
     });
     std::erase_if(confirmations,
                   [&](const auto& entry) { return entry.second.front().expires < now; });
+    fail_leadership_checks([&](const auto& entry) {
+      return now - entry.second.requested_at >= options.confirmation_timeout;
+    });
   }
 
   void retry_storage(TimePoint now)
@@ -899,6 +973,7 @@
 Result<void>
 Replica::open()
 {
+  m_impl->last_inside = m_impl->ports.now();
   return m_impl->open();
 }
 
@@ -928,17 +1003,20 @@
 }
 
 void
-Replica::confirm_leadership(std::function<void(TimePoint requested_at)> confirmed)
+Replica::confirm_leadership(std::function<void(std::optional<TimePoint> requested_at)> done)
 {
   const TimePoint now = m_impl->ports.now();
   const std::uint64_t id = m_impl->next_read++;
-  m_impl->leadership_checks[id] = { .requested_at = now, .confirmed = std::move(confirmed) };
+  m_impl->leadership_checks[id] = { .requested_at = now,
+                                    .done = std::move(done),
+                                    .leader = m_impl->consensus->leader() };
   m_impl->perform(m_impl->consensus->read(id, now));
 }
 
 ReplicaStatus
 Replica::status() const
 {
+  const TimePoint now = m_impl->ports.now();
   const Consensus& consensus = *m_impl->consensus;
   return { .role = consensus.role(),
            .term = consensus.term(),
@@ -947,7 +1025,10 @@
            .applied = m_impl->state.applied_index(),
            .membership = consensus.membership(),
            .in_contact = consensus.in_contact(),
-           .lag = consensus.lag(m_impl->ports.now()) };
+           .lag = consensus.lag(now),
+           .progress = consensus.progress(now),
+           .outside = m_impl->is_outside() ? now - m_impl->last_inside : Duration::zero(),
+           .joining = m_impl->joining_hosts() };
 }
 
 std::vector<ControlAddress>
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -93,6 +93,7 @@
                         .lost_after = kMemberLostTimeout };
   options.snapshot_bytes = kSnapshotLogBytes;
   options.subscription_timeout = kSubscriptionTimeout;
+  options.confirmation_timeout = kReadConfirmTimeout;
   return options;
 }
 
@@ -203,6 +204,30 @@
   gauge("lovagehold_group_members",
         "Members of the control group.",
         static_cast<double>(status.membership.size()));
+  const GroupStatus group = group_status(status);
+  gauge("lovagehold_group_voters",
+        "Members that count towards a majority, as in this host's log.",
+        static_cast<double>(group.count(true)));
+  gauge("lovagehold_group_learners",
+        "Members that receive the log and may become voters, as in this host's log.",
+        static_cast<double>(group.count(false)));
+  gauge("lovagehold_group_losses_wanted",
+        "Losses of control hosts at the same time that the settings ask for.",
+        static_cast<double>(group.wanted_losses));
+  gauge("lovagehold_group_outside_seconds",
+        "Time for which this host has been outside the group, as no member or without a leader.",
+        std::chrono::duration<double>(group.outside).count());
+  gauge("lovagehold_group_joining",
+        "Hosts outside the group that ask this host to join.",
+        static_cast<double>(group.joining.size()));
+  if (group.tolerance) {
+    gauge("lovagehold_group_losses_left",
+          "Control hosts that may still be lost; -1 without a majority. Served by the leader only.",
+          group.tolerance->losses_left ? static_cast<double>(*group.tolerance->losses_left) : -1);
+    gauge("lovagehold_group_missing_entries",
+          "Committed entries that the member furthest behind lacks. Served by the leader only.",
+          static_cast<double>(group.most_missing_entries()));
+  }
   gauge("lovagehold_routing_version",
         "Version of the routing configuration held.",
         static_cast<double>(m_replica->machine().routing_version()));
@@ -237,6 +262,13 @@
   return text.text();
 }
 
+GroupStatus
+ControlHost::group_status(const ReplicaStatus& replica) const
+{
+  return make_group_status(
+    m_settings.cluster_address, replica, m_settings.tolerated_losses, kQuorumTimeout);
+}
+
 SiteStatus
 ControlHost::status() const
 {
@@ -244,7 +276,8 @@
   SiteStatus status{ .host = m_settings.host,
                      .version = m_replica->machine().routing_version(),
                      .ready = replica.in_contact,
-                     .state_age = replica.lag };
+                     .state_age = replica.lag,
+                     .group = group_status(replica) };
   const auto add = [&](const HostId& id, const std::string& domain, const std::string& address) {
     status.hosts.push_back({ .id = id,
                              .failure_domain = domain,
@@ -491,25 +524,14 @@
     Clock::now());
 }
 
-// Calls \p done once: with true when the local state contains everything acknowledged before this
-// call, or with false if that cannot be confirmed in time.
+// Calls \p done once, possibly before it returns: with true when the local state contains
+// everything acknowledged before this call, or with false if that cannot be confirmed, or not in
+// time.
 void
 ControlHost::confirm(const std::function<void(bool confirmed)>& done)
 {
-  const auto replied = std::make_shared<bool>(false);
-  const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, kReadConfirmTimeout);
-  // The handler owns the timer, because the group drops its callback when it has no leader.
-  timer->async_wait([replied, done, timer](auto error) {
-    if (!error && !std::exchange(*replied, true)) {
-      done(false);
-    }
-  });
-  m_replica->confirm_leadership([replied, done, timer](TimePoint) {
-    if (!std::exchange(*replied, true)) {
-      timer->cancel();
-      done(true);
-    }
-  });
+  m_replica->confirm_leadership(
+    [done](std::optional<TimePoint> requested_at) { done(requested_at.has_value()); });
 }
 
 void
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -9,6 +9,14 @@
 // Index, term, kind and framing of an entry in a message.
 constexpr std::size_t kEntryOverheadBytes = 32;
 
+std::ptrdiff_t
+voters_in(const Membership& members, const std::string& failure_domain)
+{
+  return std::count_if(members.begin(), members.end(), [&](const Member& member) {
+    return member.voter && member.failure_domain == failure_domain;
+  });
+}
+
 } // namespace
 
 void
@@ -188,6 +196,24 @@
   return clock + since_last_call - (leads ? majority_contact() : *up_to_date_at);
 }
 
+std::vector<MemberProgress>
+Consensus::Impl::progress(TimePoint now) const
+{
+  std::vector<MemberProgress> members;
+  if (role != ConsensusRole::Leader) {
+    return members;
+  }
+  const Duration since_last_call = std::max<Duration>(now - last_time, Duration::zero());
+  members.push_back({ .id = self, .stored_index = durable_index, .since_reply = Duration::zero() });
+  for (const auto& [id, peer] : peers) {
+    members.push_back({ .id = id,
+                        .stored_index = peer.match_index,
+                        .since_reply = peer.has_replied ? clock + since_last_call - peer.last_reply
+                                                        : Duration::max() });
+  }
+  return members;
+}
+
 bool
 Consensus::Impl::may_change_membership() const
 {
@@ -195,22 +221,31 @@
          is_commit_index_known();
 }
 
+bool
+Consensus::Impl::has_replied(const Member& member) const
+{
+  const auto peer = peers.find(member.id);
+  return member.id == self || (peer != peers.end() && peer->second.has_replied &&
+                               clock - peer->second.last_reply < options.election_timeout);
+}
+
 std::string_view
 Consensus::Impl::join_obstacle(const Member& member) const
 {
   const Membership& members = log.membership();
-  const bool known = std::any_of(
-    members.begin(), members.end(), [&](const Member& other) { return other.id == member.id; });
-  if (known) {
-    return "it is a member already";
-  }
-  const bool runs = std::any_of(members.begin(), members.end(), [&](const Member& other) {
-    return other.host == member.host && !is_silent(other, options.election_timeout);
-  });
-  if (runs) {
-    return "another process of this host is a member and answers";
+  bool known = false;
+  for (const Member& other : members) {
+    const bool same_member = other.id == member.id;
+    if (same_member && other.address == member.address) {
+      return "it is a member already";
+    }
+    if ((same_member || other.host == member.host) && has_replied(other)) {
+      return "another process of this host is a member and answers";
+    }
+    known = known || same_member;
   }
-  return members.size() >= options.max_members ? "the group has its maximum of members" : "";
+  return known || members.size() < options.max_members ? ""
+                                                       : "the group has its maximum of members";
 }
 
 void
@@ -233,13 +268,19 @@
   if (static_cast<std::size_t>(voter_count) >= options.target_voters) {
     return;
   }
+  // Spreads the voters over the failure domains.
+  Member* chosen = nullptr;
   for (Member& member : next) {
-    if (!member.voter && holds_log(member)) {
-      member.voter = true;
-      change_membership(next);
-      return;
+    if (!member.voter && holds_log(member) &&
+        (chosen == nullptr ||
+         voters_in(next, member.failure_domain) < voters_in(next, chosen->failure_domain))) {
+      chosen = &member;
     }
   }
+  if (chosen != nullptr) {
+    chosen->voter = true;
+    change_membership(next);
+  }
 }
 
 bool
@@ -413,18 +454,29 @@
   send_after_sync(from, reply);
 }
 
-void
-Consensus::Impl::handle(MemberId from, const AppendReply& reply)
+Consensus::Impl::Peer*
+Consensus::Impl::record_reply(MemberId from, std::uint64_t term)
 {
-  if (step_down_if_newer(reply.term) || role != ConsensusRole::Leader || reply.term != vote.term) {
-    return;
+  if (step_down_if_newer(term) || role != ConsensusRole::Leader || term != vote.term) {
+    return nullptr;
   }
   const auto found = peers.find(from);
   if (found == peers.end()) {
+    return nullptr;
+  }
+  found->second.last_reply = clock;
+  found->second.has_replied = true;
+  return &found->second;
+}
+
+void
+Consensus::Impl::handle(MemberId from, const AppendReply& reply)
+{
+  Peer* const replied = record_reply(from, reply.term);
+  if (replied == nullptr) {
     return;
   }
-  Peer& peer = found->second;
-  peer.last_reply = clock;
+  Peer& peer = *replied;
   peer.acknowledged_round = std::max(peer.acknowledged_round, reply.round);
   if (reply.success) {
     peer.match_index = std::max(peer.match_index, reply.index);
@@ -488,15 +540,11 @@
 void
 Consensus::Impl::handle(MemberId from, const SnapshotReply& reply)
 {
-  if (step_down_if_newer(reply.term) || role != ConsensusRole::Leader || reply.term != vote.term) {
-    return;
-  }
-  const auto found = peers.find(from);
-  if (found == peers.end()) {
+  Peer* const replied = record_reply(from, reply.term);
+  if (replied == nullptr) {
     return;
   }
-  Peer& peer = found->second;
-  peer.last_reply = clock;
+  Peer& peer = *replied;
   if (!peer.snapshot || peer.snapshot->last.index != reply.index) {
     return;
   }
