libcontrol, libstate: deviations from a correct group that the group model has to notice

Followers that drop requests to join, voters that still count after their removal, learners that are promoted before they hold the log. Once all hosts count as lost after a loss of power, further restarts may hit any of them, also one that has just voted.

--- a/src/include/lovagehold/consensus.h
+++ b/src/include/lovagehold/consensus.h
@@ -18,6 +18,8 @@
   bool forget_vote = false;
   bool commit_earlier_term = false;
   bool promote_early = false;
+  /// Voters that were removed still count among those of which a majority is needed.
+  bool count_removed_voters = false;
 };
 
 struct ConsensusOptions
@@ -98,8 +100,8 @@
   MemberId id = 0;
   /// The member has stored the leader's log up to this index, as far as it has replied.
   std::uint64_t stored_index = 0;
-  /// Time since its last reply; zero for the leader itself, Duration::max() if it has not replied to
-  /// this leader yet.
+  /// Time since its last reply; zero for the leader itself, Duration::max() if it has not replied
+  /// to this leader yet.
   Duration since_reply = Duration::max();
 };
 
--- a/src/libcontrol/group_model_test.cpp
+++ b/src/libcontrol/group_model_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <iostream>
 #include <rapidcheck/gtest.h>
 #include <sstream>
 
@@ -9,6 +10,9 @@
 namespace {
 
 constexpr unsigned kMaxEvents = 12;
+/// Number of histories within which each deviation must be detected.
+constexpr int kFaultHistories = 200;
+constexpr std::uint64_t kFaultSeed = 20261204;
 
 GroupModelOptions
 seven_hosts(unsigned tolerance)
@@ -112,14 +116,15 @@
       rc::gen::set(&FaultEvent::trigger,
                    rc::gen::weightedElement<FaultTrigger>({ { 4, FaultTrigger::None },
                                                             { 2, FaultTrigger::Acknowledgement },
-                                                            { 1, FaultTrigger::Election } })),
+                                                            { 1, FaultTrigger::Election },
+                                                            { 1, FaultTrigger::Vote } })),
       rc::gen::set(&FaultEvent::count, rc::gen::inRange(0U, tolerance + 1)),
       rc::gen::set(&FaultEvent::choice, rc::gen::inRange(0U, 100U)),
       rc::gen::set(&FaultEvent::gap,
                    rc::gen::map(rc::gen::inRange(0, 300),
                                 [](int steps) { return SimulatedGroup::kStep * steps; })),
       rc::gen::set(&FaultEvent::duration,
-                   rc::gen::map(rc::gen::inRange(5, 400),
+                   rc::gen::map(rc::gen::inRange(1, 400),
                                 [](int steps) { return SimulatedGroup::kStep * steps; }))),
     [](FaultEvent event) {
       // One host leads.
@@ -145,9 +150,9 @@
   return model.violation();
 }
 
-// Guards against a control group that loses acknowledged versions, members or its tolerance,
-// whatever happens to as many hosts at once as it has to tolerate.
-RC_GTEST_PROP(GroupModel, PromisesHoldUnderToleratedLosses, ())
+// Draws a group and a history, with the given deviations from a correct group.
+void
+check_history(const ConsensusFaults& faults, bool lose_contacts)
 {
   const auto hosts = *rc::gen::element(1U, 3U, 5U, 6U, 7U, 9U, 11U);
   const auto tolerance = std::min(*rc::gen::inRange(1U, 3U), (hosts - 1) / 2);
@@ -163,6 +168,13 @@
     .tolerance = tolerance,
     .change_interval = SimulatedGroup::kStep * *rc::gen::inRange(5, 60)
   };
+  options.group.consensus.faults = faults;
+  if (lose_contacts) {
+    options.group.is_lost =
+      [](const std::string&, const std::string&, const ClusterMessage& message) {
+        return std::holds_alternative<GroupContacts>(message);
+      };
+  }
   const auto length = *rc::gen::inRange(1U, kMaxEvents);
   const auto history = *rc::gen::container<std::vector<FaultEvent>>(length, make_event(tolerance));
   const std::string violation = run_history(options, history);
@@ -176,5 +188,49 @@
   }
 }
 
+// Guards against a control group that loses acknowledged versions, members or its tolerance,
+// whatever happens to as many hosts at once as it has to tolerate.
+RC_GTEST_PROP(GroupModel, PromisesHoldUnderToleratedLosses, ())
+{
+  check_history({}, false);
+}
+
+// Verifies that the model detects the deviation within kFaultHistories.
+void
+expect_detected(const ConsensusFaults& faults, bool lose_contacts)
+{
+  rc::detail::TestParams params;
+  params.seed = kFaultSeed;
+  params.maxSuccess = kFaultHistories;
+  params.disableShrinking = true;
+  const rc::detail::TestResult result = rc::detail::checkTestable(
+    [&] { check_history(faults, lose_contacts); }, rc::detail::TestMetadata(), params);
+  rc::detail::FailureResult failure;
+  ASSERT_TRUE(result.match(failure)) << "the deviation was not detected";
+  std::cout << "detected after " << failure.numSuccess
+            << " histories: " << failure.description.substr(0, failure.description.find('{'))
+            << "\n";
+}
+
+TEST(GroupModelNotices, FollowerThatDropsRequestsToJoin)
+{
+  expect_detected({}, true);
+}
+
+TEST(GroupModelNotices, RemovedVoterThatStillCounts)
+{
+  expect_detected({ .count_removed_voters = true }, false);
+}
+
+TEST(GroupModelNotices, LearnerPromotedEarly)
+{
+  expect_detected({ .promote_early = true }, false);
+}
+
+TEST(GroupModelNotices, ForgottenVote)
+{
+  expect_detected({ .forget_vote = true }, false);
+}
+
 } // namespace
 } // namespace lovagehold::testing
--- a/src/libcontrol/testing/group_model.cpp
+++ b/src/libcontrol/testing/group_model.cpp
@@ -85,6 +85,8 @@
       return "Acknowledgement";
     case FaultTrigger::Election:
       return "Election";
+    case FaultTrigger::Vote:
+      return "Vote";
   }
   return "";
 }
@@ -215,13 +217,14 @@
   std::vector<std::size_t> candidates;
   const auto& seeds = m_group.seeds();
   const auto leader = m_group.leader();
+  const bool anyone = all_lost();
   for (std::size_t host = 0; host < m_group.hosts().size(); ++host) {
     const bool is_seed = std::find(seeds.begin(), seeds.end(), host) != seeds.end();
     const bool matches = event.target == FaultTarget::Any ||
                          (event.target == FaultTarget::Seed && is_seed) ||
                          (event.target == FaultTarget::Other && !is_seed) ||
                          (event.target == FaultTarget::Leader && leader == host);
-    if (matches && m_group.runs(host) && !is_lost(host)) {
+    if (matches && m_group.runs(host) && (anyone || !is_lost(host))) {
       candidates.push_back(host);
     }
   }
@@ -242,37 +245,68 @@
     return true;
   }
   // Hosts without power keep their disks, so that any number of them may lose it.
-  return lost_hosts() + event.count <= m_options.tolerance && select(event).size() == event.count;
+  const bool keeps_data = event.kind != FaultKind::LostDisk && event.kind != FaultKind::Replace &&
+                          event.kind != FaultKind::PowerForAll;
+  return ((keeps_data && all_lost()) || lost_hosts() + event.count <= m_options.tolerance) &&
+         select(event).size() == event.count;
 }
 
-std::uint64_t
-GroupModel::highest_term() const
+bool
+GroupModel::all_lost() const
 {
-  std::uint64_t term = 0;
+  for (std::size_t host = 0; host < m_group.hosts().size(); ++host) {
+    if (!m_group.hosts()[host].removed && !is_lost(host)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::vector<std::uint64_t>
+GroupModel::terms() const
+{
+  std::vector<std::uint64_t> terms;
   for (const auto& host : m_group.hosts()) {
-    term = std::max(term, host.replica ? host.replica->status().term : 0);
+    terms.push_back(host.replica ? host.replica->status().term : 0);
   }
-  return term;
+  return terms;
 }
 
-void
+std::optional<std::size_t>
+GroupModel::entered_term(const std::vector<std::uint64_t>& before, bool voter) const
+{
+  const std::vector<std::uint64_t> now = terms();
+  for (std::size_t host = 0; host < before.size(); ++host) {
+    // The terms of a process that has just started are those of the one before it.
+    const bool entered = before[host] != 0 && now[host] > before[host];
+    if (entered &&
+        (!voter || m_group.hosts()[host].replica->status().role == ConsensusRole::Follower)) {
+      return host;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::size_t>
 GroupModel::wait_for_trigger(const FaultEvent& event)
 {
   if (event.trigger == FaultTrigger::None) {
-    return;
+    return std::nullopt;
   }
   const std::size_t acknowledged = m_group.acknowledged().size();
-  const std::uint64_t term = highest_term();
   for (milliseconds waited{ 0 }; waited < kTriggerWait && violation().empty();
        waited += SimulatedGroup::kStep) {
+    const std::vector<std::uint64_t> before = terms();
     step();
-    const bool occurred = event.trigger == FaultTrigger::Acknowledgement
-                            ? m_group.acknowledged().size() > acknowledged
-                            : highest_term() > term;
-    if (occurred) {
-      return;
+    if (event.trigger == FaultTrigger::Acknowledgement) {
+      if (m_group.acknowledged().size() > acknowledged) {
+        break;
+      }
+    } else if (const auto host = entered_term(before, event.trigger == FaultTrigger::Vote)) {
+      return host;
     }
   }
+  return std::nullopt;
 }
 
 void
@@ -283,7 +317,7 @@
        waited += SimulatedGroup::kStep) {
     step();
   }
-  wait_for_trigger(event);
+  const auto cause = wait_for_trigger(event);
   if (!violation().empty() || !may_apply(event)) {
     return;
   }
@@ -299,13 +333,20 @@
       lose_power_everywhere(event);
       break;
     default: {
-      const std::vector<std::size_t> hosts = select(event);
+      std::vector<std::size_t> hosts = select(event);
+      if (event.trigger == FaultTrigger::Vote && cause && (all_lost() || !is_lost(*cause))) {
+        hosts = { *cause };
+      }
+      const bool beyond_tolerance = lost_hosts() + hosts.size() > m_options.tolerance;
       if (event.kind == FaultKind::LostDisk || event.kind == FaultKind::Replace) {
         keep_a_seed(hosts);
       }
       for (const std::size_t host : hosts) {
         strike(host, event);
       }
+      if (beyond_tolerance) {
+        m_enough_run = std::max(m_enough_run, m_group.now() + event.duration);
+      }
     }
   }
   m_disturbed = m_group.now();
@@ -428,7 +469,7 @@
       SimulatedGroup::kStep *
       ((event.choice + 7 * host) % static_cast<std::size_t>(kStartSpread / SimulatedGroup::kStep));
     schedule(host, event.duration + spread, [this, host] { m_group.start(host); });
-    m_power_back = std::max(m_power_back, m_group.now() + event.duration + spread);
+    m_enough_run = std::max(m_enough_run, m_group.now() + event.duration + spread);
   }
 }
 
@@ -462,7 +503,7 @@
   if (!proposed) {
     return;
   }
-  const TimePoint begin = std::max({ *proposed, m_disturbed, m_power_back });
+  const TimePoint begin = std::max({ *proposed, m_disturbed, m_enough_run });
   const milliseconds limit = is_calm() ? kAcknowledgedWhenCalm : kAcknowledgedWithin;
   if (m_group.now() - begin > limit) {
     m_group.report_violation("a version is not acknowledged after " +
--- a/src/libcontrol/testing/group_model.h
+++ b/src/libcontrol/testing/group_model.h
@@ -38,6 +38,7 @@
   None,
   Acknowledgement, ///< right after the next acknowledgement
   Election,        ///< when a host enters the next term
+  Vote,            ///< when a host enters a term of another's campaign; it happens to this host
 };
 
 struct FaultEvent
@@ -105,8 +106,14 @@
   /// \return the hosts that the event happens to; too few if there are not enough
   std::vector<std::size_t> select(const FaultEvent& event) const;
   bool may_apply(const FaultEvent& event) const;
-  void wait_for_trigger(const FaultEvent& event);
-  std::uint64_t highest_term() const;
+  /// Whether all hosts count as lost, so that nothing is promised but that no data is lost.
+  bool all_lost() const;
+  /// \return the host that caused the trigger, for FaultTrigger::Vote
+  std::optional<std::size_t> wait_for_trigger(const FaultEvent& event);
+  std::vector<std::uint64_t> terms() const;
+  /// \return the first host that entered a term, or with \p voter one that did so as follower
+  std::optional<std::size_t> entered_term(const std::vector<std::uint64_t>& before,
+                                          bool voter) const;
   void trace(const FaultEvent& event) const;
   /// Begins the fault at the host and schedules its end.
   void strike(std::size_t host, const FaultEvent& event);
@@ -132,8 +139,8 @@
   std::multimap<TimePoint, std::function<void()>> m_ends;
   /// When a fault last began or ended.
   TimePoint m_disturbed;
-  /// When all hosts have power again.
-  TimePoint m_power_back;
+  /// When enough hosts run again for changes to be acknowledged.
+  TimePoint m_enough_run;
   /// The group has been formed.
   bool m_formed = false;
 };
--- a/src/libcontrol/testing/simulated_group.cpp
+++ b/src/libcontrol/testing/simulated_group.cpp
@@ -430,16 +430,20 @@
 SimulatedGroup::request_read(std::size_t number)
 {
   const std::uint64_t acknowledged = last_acknowledged();
-  m_hosts[number].replica->confirm_leadership([this, number, acknowledged](TimePoint requested) {
-    Host& host = m_hosts[number];
-    host.read_confirmed = std::max(host.read_confirmed, requested);
-    const std::uint64_t version = host.replica->machine().routing_version();
-    if (version < acknowledged) {
-      report_violation("a confirmed read at " + host.address + " shows version " +
-                       std::to_string(version) + " after version " + std::to_string(acknowledged) +
-                       " was acknowledged");
-    }
-  });
+  m_hosts[number].replica->confirm_leadership(
+    [this, number, acknowledged](std::optional<TimePoint> requested) {
+      if (!requested) {
+        return;
+      }
+      Host& host = m_hosts[number];
+      host.read_confirmed = std::max(host.read_confirmed, *requested);
+      const std::uint64_t version = host.replica->machine().routing_version();
+      if (version < acknowledged) {
+        report_violation("a confirmed read at " + host.address + " shows version " +
+                         std::to_string(version) + " after version " +
+                         std::to_string(acknowledged) + " was acknowledged");
+      }
+    });
 }
 
 void
--- a/src/libstate/consensus.cpp
+++ b/src/libstate/consensus.cpp
@@ -17,6 +17,7 @@
   , random(consensus_options.seed)
   , last_time(now)
 {
+  note_voters();
   start_election_timer();
   if (is_majority({ self })) {
     // The only voter need not wait for another leader.
@@ -85,6 +86,7 @@
     writes.back().last_index = entry->index;
   }
   effects.records.push_back(std::move(next));
+  note_voters();
 }
 
 void
@@ -148,6 +150,9 @@
     voter_count += member.voter ? 1 : 0;
     included_count += member.voter && members.count(member.id) > 0 ? 1 : 0;
   }
+  if (options.faults.count_removed_voters) {
+    voter_count = std::max(voter_count, known_voters.size());
+  }
   return included_count * 2 > voter_count;
 }
 
--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -85,6 +85,8 @@
   /// Latest heartbeat round of this member as leader.
   std::uint64_t round = 0;
   std::deque<PendingRead> reads;
+  /// Voters of all memberships seen; see ConsensusFaults::count_removed_voters.
+  std::set<MemberId> known_voters;
   /// Snapshot of which chunks are being received.
   StateSnapshot received_snapshot;
   /// Effects of the current call.
@@ -149,6 +151,8 @@
   /// See Consensus::join_obstacle().
   std::string_view join_obstacle(const Member& member) const;
   void change_membership(const Membership& next);
+  /// Called after each change of the log.
+  void note_voters();
   void promote_learner();
   bool is_silent(const Member& member, Duration limit) const;
   /// Whether the member has all committed entries.
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -141,6 +141,9 @@
                                              : peer->second.*field);
     }
   }
+  if (options.faults.count_removed_voters) {
+    values.resize(std::max(values.size(), known_voters.size()));
+  }
   if (values.empty()) {
     return Value{};
   }
@@ -256,6 +259,18 @@
   replicate();
 }
 
+void
+Consensus::Impl::note_voters()
+{
+  if (options.faults.count_removed_voters) {
+    for (const Member& member : log.membership()) {
+      if (member.voter) {
+        known_voters.insert(member.id);
+      }
+    }
+  }
+}
+
 void
 Consensus::Impl::promote_learner()
 {
