libcontrol: the group model draws elections in which voters restart

A vote that isn't synced shows only if two campaigns of one term overlap and a voter restarts between its two votes; elections after a loss of power with slow links and disks bring that often enough.

--- a/src/libcontrol/group_model_test.cpp
+++ b/src/libcontrol/group_model_test.cpp
@@ -138,8 +138,25 @@
     });
 }
 
-std::string
-run_history(const GroupModelOptions& options, const std::vector<FaultEvent>& history)
+GroupModelOptions
+make_options(const std::vector<unsigned>& sizes)
+{
+  const auto hosts = *rc::gen::elementOf(sizes);
+  const auto tolerance = std::min(*rc::gen::inRange(1U, 3U), (hosts - 1) / 2);
+  return { .group = { .control_hosts = hosts,
+                      .entry_hosts = *rc::gen::inRange(1U, 4U),
+                      .seeds = std::min(hosts, *rc::gen::inRange(1U, 4U)),
+                      .failure_domains = *rc::gen::inRange(2U, 5U),
+                      .max_delay = SimulatedGroup::kStep * *rc::gen::inRange(1, 5),
+                      .sync_time = SimulatedGroup::kStep * *rc::gen::inRange(0, 4),
+                      .document_bytes = *rc::gen::element<std::size_t>(0, 4000),
+                      .seed = *rc::gen::inRange<std::uint64_t>(1, 1U << 20U) },
+           .tolerance = tolerance,
+           .change_interval = SimulatedGroup::kStep * *rc::gen::inRange(5, 60) };
+}
+
+void
+check_history(const GroupModelOptions& options, const std::vector<FaultEvent>& history)
 {
   GroupModel model(options);
   model.form();
@@ -147,89 +164,113 @@
     model.apply(event);
   }
   model.finish();
-  return model.violation();
+  if (!model.violation().empty()) {
+    std::ostringstream text;
+    text << model.violation() << "\n" << options;
+    for (const FaultEvent& event : history) {
+      text << "\n" << event;
+    }
+    RC_FAIL(text.str());
+  }
 }
 
-// Draws a group and a history, with the given deviations from a correct group.
+// What differs from a correct group.
+struct Deviations
+{
+  ConsensusFaults faults = {};
+  bool contacts_lost = false;
+};
+
+// Draws a group and the losses that it has to tolerate.
 void
-check_history(const ConsensusFaults& faults, bool lose_contacts)
+check_losses(const Deviations& deviations)
 {
-  const auto hosts = *rc::gen::element(1U, 3U, 5U, 6U, 7U, 9U, 11U);
-  const auto tolerance = std::min(*rc::gen::inRange(1U, 3U), (hosts - 1) / 2);
-  GroupModelOptions options{
-    .group = { .control_hosts = hosts,
-               .entry_hosts = *rc::gen::inRange(1U, 4U),
-               .seeds = std::min(hosts, *rc::gen::inRange(1U, 4U)),
-               .failure_domains = *rc::gen::inRange(2U, 5U),
-               .max_delay = SimulatedGroup::kStep * *rc::gen::inRange(1, 5),
-               .sync_time = SimulatedGroup::kStep * *rc::gen::inRange(0, 4),
-               .document_bytes = *rc::gen::element<std::size_t>(0, 4000),
-               .seed = *rc::gen::inRange<std::uint64_t>(1, 1U << 20U) },
-    .tolerance = tolerance,
-    .change_interval = SimulatedGroup::kStep * *rc::gen::inRange(5, 60)
-  };
-  options.group.consensus.faults = faults;
-  if (lose_contacts) {
+  GroupModelOptions options = make_options({ 1, 3, 5, 6, 7, 9, 11 });
+  options.group.consensus.faults = deviations.faults;
+  if (deviations.contacts_lost) {
     options.group.is_lost =
       [](const std::string&, const std::string&, const ClusterMessage& message) {
         return std::holds_alternative<GroupContacts>(message);
       };
   }
   const auto length = *rc::gen::inRange(1U, kMaxEvents);
-  const auto history = *rc::gen::container<std::vector<FaultEvent>>(length, make_event(tolerance));
-  const std::string violation = run_history(options, history);
-  if (!violation.empty()) {
-    std::ostringstream text;
-    text << violation << "\n" << options;
-    for (const FaultEvent& event : history) {
-      text << "\n" << event;
+  check_history(
+    options, *rc::gen::container<std::vector<FaultEvent>>(length, make_event(options.tolerance)));
+}
+
+// Draws a group that loses its power again and again, and voters that restart during the elections
+// that follow.
+void
+check_elections(const Deviations& deviations)
+{
+  GroupModelOptions options = make_options({ 3, 5 });
+  options.group.consensus.faults = deviations.faults;
+  // Campaigns overlap if messages and syncs take long.
+  options.group.max_delay = SimulatedGroup::kStep * *rc::gen::inRange(1, 11);
+  options.group.sync_time = SimulatedGroup::kStep * *rc::gen::inRange(0, 7);
+  const auto duration =
+    rc::gen::map(rc::gen::inRange(1, 8), [](int steps) { return SimulatedGroup::kStep * steps; });
+  std::vector<FaultEvent> history;
+  for (auto left = *rc::gen::inRange(1U, kMaxEvents); left > 0; --left) {
+    history.push_back({ .kind = FaultKind::PowerForAll,
+                        .count = 0,
+                        .choice = *rc::gen::inRange(0U, 100U),
+                        .duration = *duration });
+    for (auto votes = *rc::gen::inRange(1U, 3U); votes > 0; --votes) {
+      history.push_back(
+        { .kind = FaultKind::PowerLoss, .trigger = FaultTrigger::Vote, .duration = *duration });
     }
-    RC_FAIL(text.str());
   }
+  check_history(options, history);
 }
 
 // Guards against a control group that loses acknowledged versions, members or its tolerance,
 // whatever happens to as many hosts at once as it has to tolerate.
 RC_GTEST_PROP(GroupModel, PromisesHoldUnderToleratedLosses, ())
 {
-  check_history({}, false);
+  check_losses({});
+}
+
+// Guards against two leaders in a term and lost versions when voters restart during elections.
+RC_GTEST_PROP(GroupModel, PromisesHoldWhenVotersRestart, ())
+{
+  check_elections({});
 }
 
 // Verifies that the model detects the deviation within kFaultHistories.
 void
-expect_detected(const ConsensusFaults& faults, bool lose_contacts)
+expect_detected(const std::function<void()>& check)
 {
   rc::detail::TestParams params;
   params.seed = kFaultSeed;
   params.maxSuccess = kFaultHistories;
   params.disableShrinking = true;
-  const rc::detail::TestResult result = rc::detail::checkTestable(
-    [&] { check_history(faults, lose_contacts); }, rc::detail::TestMetadata(), params);
+  const rc::detail::TestResult result =
+    rc::detail::checkTestable(check, rc::detail::TestMetadata(), params);
   rc::detail::FailureResult failure;
   ASSERT_TRUE(result.match(failure)) << "the deviation was not detected";
-  std::cout << "detected after " << failure.numSuccess
-            << " histories: " << failure.description.substr(0, failure.description.find('{'))
+  std::cout << "detected after " << failure.numSuccess << " histories: " << failure.description
             << "\n";
 }
 
 TEST(GroupModelNotices, FollowerThatDropsRequestsToJoin)
 {
-  expect_detected({}, true);
+  expect_detected([] { check_losses({ .contacts_lost = true }); });
 }
 
 TEST(GroupModelNotices, RemovedVoterThatStillCounts)
 {
-  expect_detected({ .count_removed_voters = true }, false);
+  expect_detected([] { check_losses({ .faults = { .count_removed_voters = true } }); });
 }
 
 TEST(GroupModelNotices, LearnerPromotedEarly)
 {
-  expect_detected({ .promote_early = true }, false);
+  expect_detected([] { check_losses({ .faults = { .promote_early = true } }); });
 }
 
 TEST(GroupModelNotices, ForgottenVote)
 {
-  expect_detected({ .forget_vote = true }, false);
+  expect_detected([] { check_elections({ .faults = { .forget_vote = true } }); });
 }
 
 } // namespace
--- a/src/libcontrol/testing/group_model.cpp
+++ b/src/libcontrol/testing/group_model.cpp
@@ -262,29 +262,24 @@
   return true;
 }
 
-std::vector<std::uint64_t>
-GroupModel::terms() const
+std::uint64_t
+GroupModel::highest_term() const
 {
-  std::vector<std::uint64_t> terms;
+  std::uint64_t term = 0;
   for (const auto& host : m_group.hosts()) {
-    terms.push_back(host.replica ? host.replica->status().term : 0);
+    term = std::max(term, host.replica ? host.replica->status().term : 0);
   }
-  return terms;
+  return term;
 }
 
-std::optional<std::size_t>
-GroupModel::entered_term(const std::vector<std::uint64_t>& before, bool voter) const
-{
-  const std::vector<std::uint64_t> now = terms();
-  for (std::size_t host = 0; host < before.size(); ++host) {
-    // The terms of a process that has just started are those of the one before it.
-    const bool entered = before[host] != 0 && now[host] > before[host];
-    if (entered &&
-        (!voter || m_group.hosts()[host].replica->status().role == ConsensusRole::Follower)) {
-      return host;
-    }
+std::vector<unsigned>
+GroupModel::votes() const
+{
+  std::vector<unsigned> votes;
+  for (const auto& host : m_group.hosts()) {
+    votes.push_back(host.votes);
   }
-  return std::nullopt;
+  return votes;
 }
 
 std::optional<std::size_t>
@@ -294,16 +289,22 @@
     return std::nullopt;
   }
   const std::size_t acknowledged = m_group.acknowledged().size();
+  const std::uint64_t term = highest_term();
+  const std::vector<unsigned> votes_before = votes();
   for (milliseconds waited{ 0 }; waited < kTriggerWait && violation().empty();
        waited += SimulatedGroup::kStep) {
-    const std::vector<std::uint64_t> before = terms();
     step();
-    if (event.trigger == FaultTrigger::Acknowledgement) {
-      if (m_group.acknowledged().size() > acknowledged) {
-        break;
-      }
-    } else if (const auto host = entered_term(before, event.trigger == FaultTrigger::Vote)) {
-      return host;
+    const std::vector<unsigned> votes_now = votes();
+    const auto [voter, before] = std::mismatch(
+      votes_now.begin(), votes_now.begin() + votes_before.size(), votes_before.begin());
+    if (event.trigger == FaultTrigger::Vote && before != votes_before.end()) {
+      return voter - votes_now.begin();
+    }
+    const bool occurred = event.trigger == FaultTrigger::Acknowledgement
+                            ? m_group.acknowledged().size() > acknowledged
+                            : event.trigger == FaultTrigger::Election && highest_term() > term;
+    if (occurred) {
+      break;
     }
   }
   return std::nullopt;
@@ -467,7 +468,7 @@
     }
     const milliseconds spread =
       SimulatedGroup::kStep *
-      ((event.choice + 7 * host) % static_cast<std::size_t>(kStartSpread / SimulatedGroup::kStep));
+      (m_random() % static_cast<std::uint64_t>(kStartSpread / SimulatedGroup::kStep));
     schedule(host, event.duration + spread, [this, host] { m_group.start(host); });
     m_enough_run = std::max(m_enough_run, m_group.now() + event.duration + spread);
   }
--- a/src/libcontrol/testing/group_model.h
+++ b/src/libcontrol/testing/group_model.h
@@ -110,10 +110,8 @@
   bool all_lost() const;
   /// \return the host that caused the trigger, for FaultTrigger::Vote
   std::optional<std::size_t> wait_for_trigger(const FaultEvent& event);
-  std::vector<std::uint64_t> terms() const;
-  /// \return the first host that entered a term, or with \p voter one that did so as follower
-  std::optional<std::size_t> entered_term(const std::vector<std::uint64_t>& before,
-                                          bool voter) const;
+  std::uint64_t highest_term() const;
+  std::vector<unsigned> votes() const;
   void trace(const FaultEvent& event) const;
   /// Begins the fault at the host and schedules its end.
   void strike(std::size_t host, const FaultEvent& event);
--- a/src/libcontrol/testing/simulated_group.cpp
+++ b/src/libcontrol/testing/simulated_group.cpp
@@ -16,6 +16,14 @@
 constexpr milliseconds kLeaderContact{ 300 };
 const std::string kEntryPrefix = "entry-";
 
+bool
+is_vote(const ClusterMessage& message)
+{
+  const auto* envelope = std::get_if<ConsensusEnvelope>(&message);
+  const auto* reply = envelope == nullptr ? nullptr : std::get_if<VoteReply>(&envelope->message);
+  return reply != nullptr && reply->granted && !reply->pre_vote;
+}
+
 } // namespace
 
 /// A sync takes effect when the functions that were posted after it run, at the latest.
@@ -359,6 +367,7 @@
 SimulatedGroup::send(const std::string& from, const std::string& to, const ClusterMessage& message)
 {
   const auto sender = control_number(from);
+  m_hosts[sender.value_or(0)].votes += is_vote(message) ? 1 : 0;
   const auto receiver = control_number(to);
   const bool is_cut =
     (sender && !m_hosts[*sender].is_heard) || (receiver && !m_hosts[*receiver].hears);
--- a/src/libcontrol/testing/simulated_group.h
+++ b/src/libcontrol/testing/simulated_group.h
@@ -72,6 +72,8 @@
     milliseconds sync_time{ 0 };
     /// Number of disks that this host has lost.
     unsigned lost_disks = 0;
+    /// Number of votes that this host has given to others.
+    unsigned votes = 0;
     /// When the last confirmed read was requested.
     TimePoint read_confirmed;
   };
