--- a/src/include/lovagehold/consensus.h
+++ b/src/include/lovagehold/consensus.h
@@ -18,6 +18,8 @@
   bool forget_vote = false;
   bool commit_earlier_term = false;
   bool promote_early = false;
+  /// Voters that were removed still count among those of which a majority is needed.
+  bool count_removed_voters = false;
 };
 
 struct ConsensusOptions
