libstate: a silent voter is removed after its replacement has become a voter

What could happen: a group of three whose one host is cut off, and that loses the disk of another one in the moment in which the first is replaced, has no majority for good, also when the host that was cut off is back with its disk.

Cause: the silent voter was removed first and the learner promoted in the next change. In between two voters were left, both of which were needed. And a silent voter of an even number stayed one without a learner to replace it, though the group bears one loss more without it.

Fix: while a voter is silent, a learner is promoted beyond target_voters if the number of voters is odd; a silent voter is removed only from an even number, which then bears as many losses as before. Only learners that answer are promoted.

Evidence: LeaderTest.SilentVoterIsRemovedAfterItsReplacementHasBecomeAVoter (fewest voters 2, expected 3) and SilentVotersAreRemovedOnlyFromAnEvenNumber (6 voters, expected 5) failed before and pass.

--- a/src/include/lovagehold/consensus.h
+++ b/src/include/lovagehold/consensus.h
@@ -48,8 +48,9 @@
   std::size_t target_voters = 5;
   /// No member joins a group that has this number of members.
   std::size_t max_members = 64;
-  /// A voter that has not replied for this time is removed once a learner that holds the log can
-  /// replace it; a learner is removed after five times this time. Zero: members are never removed.
+  /// A voter that has not replied for this time is removed, but from an odd number of voters only
+  /// once a learner that holds the log has become a voter in its place; a learner is removed after
+  /// five times this time. Zero: members are never removed.
   std::chrono::milliseconds lost_after{ 0 };
   std::uint64_t seed = 1;
   ConsensusFaults faults = {};
--- a/src/libstate/consensus_fuzz_test.cpp
+++ b/src/libstate/consensus_fuzz_test.cpp
@@ -144,8 +144,23 @@
   EXPECT_TRUE(result.match(success)) << text.str();
 }
 
-// Guards against the same when voters of a crowded failure domain become learners. Silent members
-// are not replaced here: a schedule may isolate one of three voters and wipe another.
+// Guards against a majority that is lost for good when one of three voters is isolated and
+// replaced, and the disk of another one is lost.
+TEST(ConsensusFuzz, ReplacingVotersOfFiveHostsViolatesNoInvariant)
+{
+  const rc::detail::TestResult result = fuzz({ .nodes = 5,
+                                               .target_voters = 3,
+                                               .lost_after = std::chrono::milliseconds(800),
+                                               .failure_domains = 2 },
+                                             kReplacementSequences,
+                                             true);
+  rc::detail::SuccessResult success;
+  std::ostringstream text;
+  rc::detail::printResultMessage(result, text);
+  EXPECT_TRUE(result.match(success)) << text.str();
+}
+
+// Guards against the same when voters of a crowded failure domain become learners.
 TEST(ConsensusFuzz, SpreadingVotersOverDomainsViolatesNoInvariant)
 {
   const rc::detail::TestResult result =
--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -159,6 +159,8 @@
   Member* next_voter(Membership& members) const;
   void spread_voters();
   bool is_silent(const Member& member, Duration limit) const;
+  /// Whether a voter has been silent for ConsensusOptions::lost_after.
+  bool has_lost_voter(const Membership& members) const;
   /// Whether the member has all committed entries.
   bool holds_log(const Member& member) const;
   void remove_lost_member();
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -9,6 +9,13 @@
 // Index, term, kind and framing of an entry in a message.
 constexpr std::size_t kEntryOverheadBytes = 32;
 
+std::size_t
+voter_count(const Membership& members)
+{
+  return static_cast<std::size_t>(std::count_if(
+    members.begin(), members.end(), [](const Member& member) { return member.voter; }));
+}
+
 std::ptrdiff_t
 voters_in(const Membership& members, const std::string& failure_domain)
 {
@@ -278,9 +285,9 @@
     return;
   }
   Membership next = log.membership();
-  const auto voter_count =
-    std::count_if(next.begin(), next.end(), [](const Member& m) { return m.voter; });
-  if (static_cast<std::size_t>(voter_count) >= options.target_voters) {
+  const std::size_t voters = voter_count(next);
+  const bool is_short = voters < options.target_voters;
+  if (!is_short && (voters > options.target_voters || voters % 2 == 0 || !has_lost_voter(next))) {
     return;
   }
   if (Member* const chosen = next_voter(next)) {
@@ -294,7 +301,7 @@
 {
   Member* chosen = nullptr;
   for (Member& member : members) {
-    if (!member.voter && holds_log(member) &&
+    if (!member.voter && holds_log(member) && has_replied(member) &&
         (chosen == nullptr ||
          voters_in(members, member.failure_domain) < voters_in(members, chosen->failure_domain))) {
       chosen = &member;
@@ -314,24 +321,23 @@
     return;
   }
   Membership next = log.membership();
-  const auto voter_count =
-    std::count_if(next.begin(), next.end(), [](const Member& m) { return m.voter; });
+  const auto voters = static_cast<std::ptrdiff_t>(voter_count(next));
   const bool all_answer = std::all_of(
     next.begin(), next.end(), [&](const Member& m) { return !m.voter || has_replied(m); });
   const auto crowded = std::find_if(next.rbegin(), next.rend(), [&](const Member& member) {
     return member.voter && member.id != self && !member.failure_domain.empty() &&
-           2 * (voter_count - voters_in(next, member.failure_domain)) <= voter_count;
+           2 * (voters - voters_in(next, member.failure_domain)) <= voters;
   });
   if (!all_answer || crowded == next.rend()) {
     return;
   }
-  if (static_cast<std::size_t>(voter_count) > options.target_voters) {
+  if (static_cast<std::size_t>(voters) > options.target_voters) {
     crowded->voter = false;
     change_membership(next);
     return;
   }
   Member* const chosen = next_voter(next);
-  if (chosen != nullptr && has_replied(*chosen) &&
+  if (chosen != nullptr &&
       voters_in(next, chosen->failure_domain) + 2 <= voters_in(next, crowded->failure_domain)) {
     chosen->voter = true;
     change_membership(next);
@@ -345,6 +351,16 @@
   return member.id != self && peer != peers.end() && clock - peer->second.last_reply >= limit;
 }
 
+bool
+Consensus::Impl::has_lost_voter(const Membership& members) const
+{
+  const Duration limit = options.lost_after;
+  return limit > Duration::zero() &&
+         std::any_of(members.begin(), members.end(), [&](const Member& member) {
+           return member.voter && is_silent(member, limit);
+         });
+}
+
 bool
 Consensus::Impl::holds_log(const Member& member) const
 {
@@ -352,8 +368,9 @@
   return peer != peers.end() && peer->second.match_index >= commit_index;
 }
 
-// Removes one member at a time. A voter is removed only if a learner can take its place, so that
-// the group does not shrink while hosts are merely unreachable.
+// Removes one member at a time, and a voter only from an even number of voters: one less bears as
+// many losses. promote_learner() makes the number even while a voter is lost, so its replacement
+// votes before it is removed, and the disk of a voter that returns counts until then.
 void
 Consensus::Impl::remove_lost_member()
 {
@@ -362,11 +379,9 @@
     return;
   }
   const Membership& members = log.membership();
-  const bool replaceable = std::any_of(members.begin(), members.end(), [&](const Member& member) {
-    return !member.voter && holds_log(member) && !is_silent(member, limit);
-  });
+  const bool removable = voter_count(members) % 2 == 0;
   const auto lost = std::find_if(members.begin(), members.end(), [&](const Member& member) {
-    return member.voter ? replaceable && is_silent(member, limit) : is_silent(member, 5 * limit);
+    return member.voter ? removable && is_silent(member, limit) : is_silent(member, 5 * limit);
   });
   if (lost != members.end()) {
     Membership next = members;
--- a/src/libstate/consensus_test.cpp
+++ b/src/libstate/consensus_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <limits>
 #include <rapidcheck.h>
 #include <set>
 #include <sstream>
@@ -40,6 +41,7 @@
 
   void perform(const Effects& effects)
   {
+    m_fewest_voters = std::min(m_fewest_voters, voters().size());
     if (effects.token != 0) {
       perform(m_consensus->storage_done(effects.token, m_now));
     }
@@ -90,6 +92,7 @@
   std::unique_ptr<Consensus> m_consensus;
   /// Members that don't answer.
   std::set<MemberId> m_silent;
+  std::size_t m_fewest_voters = std::numeric_limits<std::size_t>::max();
 };
 
 class LeaderTest
@@ -139,6 +142,36 @@
   EXPECT_EQ(voters(), (std::set<MemberId>{ 1, 2, 5 }));
 }
 
+// Guards against a group that is a voter short while a silent one is replaced: a disk that is lost
+// in that moment would cost the majority for good, also once the silent voter is back.
+TEST_F(LeaderTest, SilentVoterIsRemovedAfterItsReplacementHasBecomeAVoter)
+{
+  lead({ member(1, "a", true), member(2, "b", true), member(3, "c", true), member(4, "c", false) },
+       { .target_voters = 3, .lost_after = std::chrono::milliseconds(2000) });
+  run(std::chrono::seconds(1));
+  m_silent = { 3 };
+  run(std::chrono::seconds(5));
+  EXPECT_EQ(voters(), (std::set<MemberId>{ 1, 2, 4 }));
+  EXPECT_EQ(m_fewest_voters, 3U);
+}
+
+// Guards against a silent voter that stays one although the group would bear a further loss without
+// it, and against one that is removed although the group would bear one loss less.
+TEST_F(LeaderTest, SilentVotersAreRemovedOnlyFromAnEvenNumber)
+{
+  lead({ member(1, "a", true),
+         member(2, "b", true),
+         member(3, "c", true),
+         member(4, "d", true),
+         member(5, "a", true),
+         member(6, "b", true) },
+       { .target_voters = 7, .lost_after = std::chrono::milliseconds(2000) });
+  run(std::chrono::seconds(1));
+  m_silent = { 5, 6 };
+  run(std::chrono::seconds(5));
+  EXPECT_EQ(voters().size(), 5U);
+}
+
 // Guards against voters that stay gathered in one failure domain after hosts of another one were
 // lost and have come back.
 TEST_F(LeaderTest, ExchangesVotersOfACrowdedDomain)
