soak: rounds on files in memory, repeated losses, and probes that do not fill the servers

Three findings of the rounds, traced to the test or the machine:

- Seeds 7105, 11105, 11106 on a disk: changes acknowledged after 18 to 22 s, and reads of the configuration 503 at all hosts in a calm.
All hosts stored their votes in the same millisecond, 3 to 5 s after they had begun to (11106: four candidates at 13.353 s).
Seed 11105 on the same disk again: 11 processes blocked for 39 s at their first sync, and went on in the same millisecond.
A loop of fsync beside it took up to 1.7 s (median 0.4 ms).
So the rounds measure the disk that all hosts share and show slow syncs, and run.sh puts their files in memory.
- Seed 1990, 190 entry hosts: two hosts answered 503 for 6 s for a new route.
Their logs: routing=66, reason="the servers are full".
The check asked again without a pause, so 190 hosts kept 8 servers full.
It now waits between attempts, 15 s at most; a 404 still counts at once.
- The directed history of run.sh passed once on, since the step could also take the disk of the leader, after which a seed led.

A host that still counts as lost may now fail again, up to four times in a row, with its disk lost each time.

--- a/testsuite/soak/rounds.py
+++ b/testsuite/soak/rounds.py
@@ -32,8 +32,10 @@
 # From SIGTERM to SIGKILL.
 GRACE_PERIOD_S = 6.0
 # Limit for servers with faults to answer a request on a new route; a 404 is never accepted.
-PROBE_LIMIT_S = 6.0
+PROBE_LIMIT_S = 15.0
 PROBES = 3
+# A sync that takes longer than the election timeout of the control hosts is shown.
+SLOW_SYNC_S = 0.45
 KINDS = {"wipe": 5, "replace": 3, "power": 3, "blackout": 1, "freeze": 3, "kill": 2, "terminate": 1, "reseed": 2,
          "entries": 2}
 CHOICES = ("any", "any", "leader", "leader", "seeds", "others", "oldest")
@@ -72,6 +74,7 @@
         self.rounds = 0
         self.worst_read_s = 0.0
         self.worst_ack_s = 0.0
+        self.slowest_sync_s = 0.0
 
     def make_cluster(self, work, net):
         rng, options = self.plan_random, self.options
@@ -149,16 +152,17 @@
         await asyncio.sleep(self.random.uniform(0.1, 2.5))
         process.start()
 
-    async def kill(self, victims):
-        for process in victims:
-            process.kill()
-        await asyncio.gather(*map(self.down, victims))
+    async def kill(self, victims, wipe=False):
+        # A host that still counts as lost may fail again.
+        for _ in range(self.random.choice((1, 1, 2, 4))):
+            for process in victims:
+                process.kill()
+                if wipe:
+                    process.wipe()
+            await asyncio.gather(*map(self.down, victims))
 
     async def wipe(self, victims):
-        for process in victims:
-            process.kill()
-            process.wipe()
-        await asyncio.gather(*map(self.down, victims))
+        await self.kill(victims, wipe=True)
 
     async def replace(self, victims):
         successors = [self.cluster.replace(process) for process in victims]
@@ -249,6 +253,9 @@
                     status = await self.ask(address, version)
                 except CALL_ERRORS:
                     pass
+                if status not in (200, 404):
+                    # The servers are few: hosts that ask again at once would fill them for all others.
+                    await asyncio.sleep(self.random.uniform(0.05, 0.2 + 0.01 * len(self.cluster.entries)))
             self.checked += 1
             if status != 200:
                 self.record.violations.append(f"{process.name} answers {status} for the route of version {version}")
@@ -264,6 +271,7 @@
 
     async def check_calm(self):
         await self.check_reads()
+        unreadable = len(self.record.violations)
         begin = time.monotonic()
         await self.change_config()
         ack_s = time.monotonic() - begin
@@ -272,7 +280,8 @@
             self.record.violations.append(f"the change in the calm was acknowledged after {ack_s:.1f} s")
             return
         await self.check_in_force(self.acknowledged)
-        await self.check_reads()
+        if not unreadable:
+            await self.check_reads()
 
     async def run_round(self, steps):
         self.log_fault(f"round {self.rounds + 1}: " + " + ".join(" ".join(map(str, step)) for step in steps))
@@ -288,6 +297,7 @@
     async def inject(self):
         end = time.monotonic() + self.options.seconds
         faults = asyncio.create_task(self.server_faults())
+        self.spawn(self.time_syncs())
         for _ in range(PROBES):
             self.spawn(self.probe())
         while time.monotonic() < end and self.rounds < self.options.rounds:
@@ -301,6 +311,22 @@
         if self.rounds == 0 and not self.record.violations:
             self.record.violations.append("no round was played")
 
+    async def time_syncs(self):
+        """Measures the disk that all hosts share: while it stalls, nothing can be acknowledged."""
+        def sync(path):
+            with open(path, "wb") as file:
+                begin = time.monotonic()
+                file.write(b"x")
+                os.fsync(file.fileno())
+                return time.monotonic() - begin
+
+        while True:
+            sync_s = await asyncio.to_thread(sync, os.path.join(self.cluster.work, "sync"))
+            self.slowest_sync_s = max(self.slowest_sync_s, sync_s)
+            if sync_s > SLOW_SYNC_S:
+                self.log_fault(f"the disk took {sync_s:.1f} s for a sync")
+            await asyncio.sleep(0.1)
+
     async def server_faults(self):
         while True:
             self.spawn(self.random.choice((self.fault_limit, self.fault_replace, self.fault_responses))())
@@ -334,7 +360,8 @@
         return (f"{self.rounds} rounds, {len(cluster.controls)} control hosts in {len(cluster.domains)} failure domains, "
                 f"{cluster.losses} losses, {len(cluster.entries)} entry hosts, {len(self.acks)} versions, "
                 f"{self.checked} checks, slowest read {self.worst_read_s:.2f} s, slowest acknowledgement in a calm "
-                f"{self.worst_ack_s:.2f} s, {super(Storm, self).summary()}")
+                f"{self.worst_ack_s:.2f} s, slowest sync of the disk {self.slowest_sync_s:.2f} s, "
+                f"{super(Storm, self).summary()}")
 
 
 def main():
--- a/testsuite/soak/run.sh
+++ b/testsuite/soak/run.sh
@@ -3,7 +3,8 @@
 # paused and restarted while servers, links and the configuration change.
 # Fresh seeds, here 50 of them, three at a time, with a table at the end:
 #   python3 testsuite/soak/seeds.py soak.py build/src/lovagehold/lovagehold --count 50 --parallel 3 --strict
-#   python3 testsuite/soak/seeds.py rounds.py build/src/lovagehold/lovagehold --count 6 --seconds 100 --controls 11
+#   python3 testsuite/soak/seeds.py rounds.py build/src/lovagehold/lovagehold --count 6 --seconds 100 --controls 11 \
+#     --logs /dev/shm/rounds
 set -eu
 BUILD="${1:-build}"
 here="$(cd "$(dirname "$0")" && pwd)"
@@ -21,5 +22,7 @@
 python3 "$here/storm.py" "$BUILD/src/lovagehold/lovagehold" --seed 20261206 --seconds "${SOAK_SECONDS:-12}"
 # Guards against losses that last: a host whose disk was lost, or a new one, stays outside the control group while a host
 # that is no seed leads. Then drawn rounds of as many losses as are tolerated.
+# The files are in memory where that is possible: all hosts share one disk here, and while it stalls, none can store a change.
+[ -w /dev/shm ] && export TMPDIR=/dev/shm
 python3 "$here/rounds.py" "$BUILD/src/lovagehold/lovagehold" --seed 20261207 --seconds "${SOAK_SECONDS:-30}" \
-  --controls 7 --losses 3 --entries 8 --plan "freeze 3 seeds; wipe 2 any + replace 1 seeds"
+  --controls 7 --losses 3 --entries 8 --plan "freeze 3 seeds; wipe 2 seeds"
