libgateway: requests that outlive a shutdown are answered before the process ends

What callers see: a request that a stopping host has sent to a server ends with a closed connection and no answer, if its server is silent until the grace period is over (LOST).

Class: a deadline that is fixed when a request starts and isn't shortened by a later, earlier one.

What was sent to a server gets 504, what was sent to none 503 with Retry-After.

Open: a response that is being passed on can't be replaced by an error and is still cut if its server sends until the end. The product's own interface cuts what runs at its shutdown_limit.

--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -162,7 +162,8 @@
   void add_crash_evidence(const std::vector<CrashEvidence>& evidence, TimePoint now);
 
   /// Starts a graceful shutdown: closes each connection after its current request, and refuses
-  /// requests that are unlikely to finish in time.
+  /// requests that are unlikely to finish in time. Requests that have no response shortly before
+  /// the deadline are answered with an error then.
   /// \param deadline latest time at which the process exits
   void begin_shutdown(TimePoint deadline, TimePoint now);
 
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -19,7 +19,6 @@
 // restart together have their configuration again within half a second, and a refusal would cost
 // the caller one of its few retries.
 constexpr std::chrono::milliseconds kFirstRoutingWait{ 700 };
-constexpr std::chrono::milliseconds kShutdownRetryAfter{ 10 };
 constexpr std::chrono::milliseconds kDefaultCallerTimeout{ 30000 };
 // During shutdown idle connections are closed after this time, so that a request that is already on
 // its way is still served.
@@ -312,10 +311,7 @@
     if (m_context->shutting_down &&
         !m_context->admission.accepts(arrival, m_context->shutdown, arrived)) {
       m_open = false;
-      const GatewayErrorResponse error_response{ .status = 503,
-                                                 .reason =
-                                                   "this host is shutting down; use another host",
-                                                 .retry_after = kShutdownRetryAfter };
+      const GatewayErrorResponse error_response = make_shutdown_refusal();
       log_refused_request(header, error_response);
       co_await send_error_response(error_response);
       co_return;
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -34,6 +34,7 @@
 constexpr std::chrono::milliseconds kCrashRetryDelay{ 10 };
 // Bytes of a request's target in a log line.
 constexpr std::size_t kMaxLoggedTarget = 200;
+constexpr std::chrono::milliseconds kShutdownRetryAfter{ 10 };
 // An attempt that did not reach its server is not counted towards Route::max_attempts while fewer
 // than this many attempts have been made.
 constexpr unsigned kUncountedAttemptLimit = 3;
@@ -89,6 +90,14 @@
 
 } // namespace
 
+GatewayErrorResponse
+make_shutdown_refusal()
+{
+  return { .status = 503,
+           .reason = "this host is shutting down; use another host",
+           .retry_after = kShutdownRetryAfter };
+}
+
 ForwardedRequest::ForwardedRequest(GatewayContext& context, GatewayRequest request)
   : m_context(context)
   , m_request(std::move(request))
@@ -105,10 +114,11 @@
     give_up(m_request.arrived);
     co_return;
   }
+  const RegisteredTimer registered(m_context.forwarding_waiters, m_wakeup);
   start_attempt(false);
   while (!m_given_up) {
     const TimePoint hedge = hedge_time();
-    m_wakeup.expires_at(std::min(m_deadline, hedge));
+    m_wakeup.expires_at(std::min(answer_deadline(), hedge));
     boost::system::error_code ignored;
     co_await m_wakeup.async_wait(capture(ignored));
     const TimePoint now = Clock::now();
@@ -123,7 +133,7 @@
     if (m_winner) {
       break;
     }
-    if (now >= m_deadline) {
+    if (now >= answer_deadline()) {
       give_up(now);
     } else if (!has_active_attempts()) {
       if (may_retry(now)) {
@@ -143,6 +153,13 @@
   cancel_active_attempts();
 }
 
+// \return the time at which the caller gets an answer, whatever the servers do
+TimePoint
+ForwardedRequest::answer_deadline() const
+{
+  return m_context.shutting_down ? std::min(m_deadline, m_context.shutdown.end) : m_deadline;
+}
+
 void
 ForwardedRequest::start_attempt(bool hedge)
 {
@@ -580,6 +597,8 @@
 {
   m_given_up = true;
   const bool in_progress = has_active_attempts() && !m_attempts.empty();
+  const bool timed_out = now >= answer_deadline();
+  const bool shutdown_ends = timed_out && now < m_deadline;
   if (m_server_error) {
     m_winner = m_server_error;
   } else if (m_quarantined) {
@@ -588,10 +607,14 @@
     m_error_response = { .status = 502,
                          .reason =
                            "the request is quarantined: servers crashed while they ran it" };
-  } else if (in_progress || (m_may_have_executed && now >= m_deadline)) {
-    m_error_response = { .status = 504, .reason = "no server answered in time" };
+  } else if (in_progress || (m_may_have_executed && timed_out)) {
+    m_error_response = { .status = 504,
+                         .reason = shutdown_ends ? "no server answered before this host shut down"
+                                                 : "no server answered in time" };
   } else if (m_may_have_executed) {
     m_error_response = { .status = 502, .reason = "the server's response was lost or broken" };
+  } else if (shutdown_ends) {
+    m_error_response = make_shutdown_refusal();
   } else if (m_no_server) {
     const bool limited = m_context.selector(m_request.service).limited_count() > 0;
     refuse_not_executed(limited ? "the request limits of the servers are used up"
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -49,6 +49,9 @@
   std::optional<std::chrono::milliseconds> retry_after;
 };
 
+/// \return the response to a request that was not executed because this host shuts down
+GatewayErrorResponse make_shutdown_refusal();
+
 /// Forwards one request: selects servers, retries failed attempts where that is safe, and hedges
 /// slow ones. Not thread-safe.
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
@@ -122,6 +125,7 @@
   bool may_retry(TimePoint now);
   void give_up(TimePoint now);
   void refuse_not_executed(const char* reason, TimePoint now);
+  TimePoint answer_deadline() const;
   TimePoint hedge_time() const;
   bool may_hedge(TimePoint now);
   OutgoingRequest make_outgoing_request(const ServerInfo& server, TimePoint now) const;
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -8,6 +8,14 @@
 
 namespace lovagehold {
 
+namespace {
+
+// Time before the process exits at which the remaining requests are answered. Leaves a busy host
+// the time to write the responses.
+constexpr std::chrono::milliseconds kShutdownAnswerTime{ 200 };
+
+} // namespace
+
 struct Gateway::Impl
 {
   Impl(asio::io_context& io, GatewayOptions options, EventLog& log)
@@ -132,11 +140,15 @@
 void
 Gateway::begin_shutdown(TimePoint deadline, TimePoint now)
 {
-  m_impl->context->shutdown = { .begin = now, .end = deadline };
-  m_impl->context->shutting_down = true;
-  for (const auto& [number, caller] : m_impl->context->idle_callers) {
+  GatewayContext& context = *m_impl->context;
+  context.shutdown = { .begin = now, .end = deadline - kShutdownAnswerTime };
+  context.shutting_down = true;
+  for (const auto& [number, caller] : context.idle_callers) {
     caller->cancel();
   }
+  for (asio::steady_timer* waiter : context.forwarding_waiters) {
+    waiter->cancel();
+  }
 }
 
 std::size_t
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -33,6 +33,25 @@
   std::size_t& m_count;
 };
 
+/// Keeps a timer in a set from its construction to its destruction, whatever ends its scope.
+class RegisteredTimer
+{
+public:
+  RegisteredTimer(std::set<asio::steady_timer*>& timers, asio::steady_timer& timer)
+    : m_timers(timers)
+    , m_timer(timer)
+  {
+    m_timers.insert(&m_timer);
+  }
+  ~RegisteredTimer() { m_timers.erase(&m_timer); }
+  RegisteredTimer(const RegisteredTimer&) = delete;
+  RegisteredTimer& operator=(const RegisteredTimer&) = delete;
+
+private:
+  std::set<asio::steady_timer*>& m_timers;
+  asio::steady_timer& m_timer;
+};
+
 /// State shared by all requests of a gateway. Accessed only on the gateway's thread.
 struct GatewayContext
 {
@@ -75,8 +94,11 @@
   bool shutting_down = false;
   /// Until then callers' connections are closed after each response.
   TimePoint spread_until;
-  /// Valid if shutting_down is set.
+  /// Valid if shutting_down is set. At its end all remaining requests are answered.
   ShutdownPeriod shutdown;
+  /// Timers of requests that are being forwarded; cancelled when the shutdown begins, so that they
+  /// take its end into account.
+  std::set<asio::steady_timer*> forwarding_waiters;
   /// Timers of requests that wait for the first routing configuration; cancelled when it arrives.
   std::set<asio::steady_timer*> routing_waiters;
   /// Connections of callers that wait for their next request, longest waiting first; cancelled when
--- a/src/libgateway/scripted_server.h
+++ b/src/libgateway/scripted_server.h
@@ -40,6 +40,8 @@
   bool crash = false;
   /// Sends nothing and waits until the peer closes the connection.
   bool hang = false;
+  /// Sends \p bytes, then keeps the connection open and reads and sends nothing more.
+  bool stall = false;
   /// Sent repeatedly after \p bytes until the peer closes the connection.
   std::string endless;
   /// Pause between two repetitions.
@@ -188,6 +190,13 @@
     return bool(error);
   }
 
+  void await_stop() const
+  {
+    while (!m_stopping) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+  }
+
   bool respond(TestSocket& socket, const ReceivedRequest& request)
   {
     ScriptedResponse scripted;
@@ -222,6 +231,10 @@
       m_peer_closed = send_without_end(socket, scripted);
       return false;
     }
+    if (scripted.stall) {
+      await_stop();
+      return false;
+    }
     if (scripted.reset) {
       socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     }
