libgateway: a refused request doesn't wait for the body of its refusal

What callers see: a request, mostly an upload, that its server has refused waits until its deadline and then gets 504 ("may have run"), although the refusal said that it had not run and other servers had room.

Cause: ServerExchange::read_small_body() read the body of each response to its end before the exchange counted as ended, also of one with Lovagehold-Not-Executed. A server that refuses an upload early and then neither sends the body that it announced nor closes the connection (a length without the bytes, no length, a chunked body without its end) was waited for until the request's deadline, while the upload was still being sent to it. The body is of no use: it is read only so that the connection can be kept.

Fix: the deadline for the body of a refusal is 50 ms after its header. Nothing else changes: the refusal stays valid without its body, as before, and the connection is closed then.

Evidence: EarlyEndTest, 32 cases: eight ways in which a server may end an upload before it has read it, for uploads that can be sent again and streamed ones, on fast and slow links. Before, 12 fail (the three refusals without their whole body, each four times: 504 at 2.5 s instead of 200 from the other server or 503), e.g. [ FAILED ] EarlyEndTest.IsNoticedAtOnceInAStreamedUpload/RefusedWithoutLength upload_status(kLongBytes) Which is: 504, expected 503 Now all 32 pass. The other 20 passed before: complete refusals, with the connection kept, stalled or closed, and connections that are closed or reset without a response, were noticed at once.

--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 1 } << 20;
 // A connection is closed after this many interim (1xx) responses to one request.
 constexpr int kMaxInterimResponses = 8;
+// The body of a refusal comes with its header or shortly after it, or not at all.
+constexpr std::chrono::milliseconds kRefusalBodyTimeout{ 50 };
 // A host refuses a connection within a round trip; one that is down does not answer at all.
 constexpr std::chrono::milliseconds kCrashCheckTimeout{ 50 };
 // Fraction of the server's advertised idle timeout for which a connection is kept in the pool.
@@ -136,6 +138,11 @@
     fail();
   } else {
     classify();
+    if (m_status != ExchangeStatus::Responded) {
+      // The body of a refusal is read only to keep the connection, so the caller doesn't wait for
+      // it.
+      m_connection->set_deadline(std::min(deadline, Clock::now() + kRefusalBodyTimeout));
+    }
     co_await read_small_body();
   }
   if (m_status == ExchangeStatus::Broken) {
--- a/src/libgateway/upload_test.cpp
+++ b/src/libgateway/upload_test.cpp
@@ -294,6 +294,104 @@
   EXPECT_EQ(serve(), 200);
 }
 
+// How a server ends an upload before it has read it.
+struct EarlyEnd
+{
+  std::string name;
+  // Headers of the refusal that describe its body.
+  std::string headers;
+  ScriptedResponse response;
+  bool refuses = true;
+};
+
+void
+PrintTo(const EarlyEnd& end, std::ostream* stream)
+{
+  *stream << end.name;
+}
+
+std::vector<EarlyEnd>
+early_ends()
+{
+  const std::string no_body = "Content-Length: 0\r\n";
+  return {
+    { .name = "RefusedAndKept", .headers = no_body },
+    { .name = "RefusedAndStalled", .headers = no_body, .response = { .stall = true } },
+    { .name = "RefusedAndClosed", .headers = no_body, .response = { .close = true } },
+    { .name = "RefusedWithoutTheBody",
+      .headers = "Content-Length: 20\r\n",
+      .response = { .stall = true } },
+    { .name = "RefusedWithoutLength", .response = { .stall = true } },
+    { .name = "RefusedInAChunkWithoutEnd",
+      .headers = "Transfer-Encoding: chunked\r\n",
+      .response = { .stall = true } },
+    { .name = "Closed", .response = { .close = true }, .refuses = false },
+    { .name = "Reset", .response = { .reset = true }, .refuses = false },
+  };
+}
+
+// Ends uploads at the first server that they reach; on a slow link they are sent while they arrive.
+class EarlyEndTest
+  : public GatewayTest
+  , public ::testing::WithParamInterface<std::tuple<EarlyEnd, bool>>
+{
+protected:
+  EarlyEndTest()
+    : GatewayTest(std::get<1>(GetParam()) ? 30 : 0)
+  {
+  }
+
+  // \return the response status of an upload; the second server that gets it serves it
+  int upload_status(std::size_t size)
+  {
+    const EarlyEnd& end = std::get<0>(GetParam());
+    std::atomic<int> calls{ 0 };
+    const auto script = [&](const ReceivedRequest& received) {
+      if (++calls > 1) {
+        return kServe(received);
+      }
+      ScriptedResponse response = end.response;
+      if (end.refuses) {
+        response.bytes = "HTTP/1.1 503 Full\r\n" + ScriptedServer::id_header(received) +
+                         "Lovagehold-Not-Executed: 1\r\n" + end.headers + "\r\n";
+      }
+      return response;
+    };
+    add_server(script).respond_early();
+    add_server(script).respond_early();
+    configure();
+    Caller caller(kPort);
+    const std::string body(size, 'x');
+    caller.send_head("/once/x", Caller::framing(size, false));
+    std::thread sender([&] { caller.send_body(body, false); });
+    const int status = status_of(caller.read_response());
+    sender.join();
+    m_servers.clear();
+    return status;
+  }
+};
+
+// Guards against an upload that waits until its deadline for a server that has refused it, and is
+// then answered as if it might have run: another server could have served it.
+TEST_P(EarlyEndTest, IsNoticedAtOnce)
+{
+  EXPECT_EQ(upload_status(200000), std::get<0>(GetParam()).refuses ? 200 : 502);
+}
+
+// Guards against the same for an upload that can't be sent again.
+TEST_P(EarlyEndTest, IsNoticedAtOnceInAStreamedUpload)
+{
+  EXPECT_EQ(upload_status(kLongBytes), std::get<0>(GetParam()).refuses ? 503 : 502);
+}
+
+INSTANTIATE_TEST_SUITE_P(,
+                         EarlyEndTest,
+                         ::testing::Combine(::testing::ValuesIn(early_ends()), ::testing::Bool()),
+                         [](const ::testing::TestParamInfo<std::tuple<EarlyEnd, bool>>& info) {
+                           return std::get<0>(info.param).name +
+                                  (std::get<1>(info.param) ? "OnASlowLink" : "");
+                         });
+
 INSTANTIATE_TEST_SUITE_P(,
                          UploadTest,
                          ::testing::Bool(),
