libgateway: a request that its server has dropped without an answer is ended

The servers there never answer what they can't queue, and keep the connection open, so nothing on the connection tells.

The gateway waited since a request that may run only once is neither hedged nor repeated, and the end of the waiting was its deadline. Why they were sent there: 18 of the 23 hung ones of the main upload service were placed without a load report or on one that was 300 ms old or older (12 and 6), mostly in the burst after many servers had crashed. That part is not changed here.

Fix: while a request that can't be hedged is late (2.5 times the mean), the host asks its server's health check for the load each 300 ms. If the server reports, after it has got the whole request, that it has none running or waiting, and no response header has come 300 ms later, the exchange ends as `lost`: 502, as the request may have run. Nothing else ends the waiting earlier; a server that is at work, is silent on its health check, is leaving or paused, or whose response has begun, is waited for as before.

Evidence: SilentServerTest.DroppedUploadIsAnswered failed before (504 at 2.5 s instead of 502) and passes; UploadOfABusyServerWaits, UploadOfAServerWithoutLoadReportWaits and SlowResponseIsServed passed before and after. gateway_test and gateway_shutdown_test passed in 2 of 3 runs; in the third UploadTest.CallerThatLeavesEndsOnlyItsRequest/WithLength got 503 instead of 200 for its last request (load average above 15).

--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -18,6 +18,9 @@
 // that is stuck. An earlier hedge gains little: an attempt that is slowed down by a busy neighbour
 // of its server usually still ends before the hedge does (110 of 118 cases).
 constexpr double kHedgeDelayFactor = 2.5;
+// Interval at which the server of a late request that can't be hedged is asked whether it still has
+// requests. A response that was sent before the server's report arrives within this time.
+constexpr std::chrono::milliseconds kServerCheckInterval{ 300 };
 // Attempts of the retry budget that are reserved for retries; hedges do not use them.
 constexpr double kRetryReserve = 3;
 // Upper limit of the expected cost, relative to an idle server (1), at which a hedge is sent: it
@@ -74,6 +77,7 @@
       return AttemptEnd::Failed;
     case ExchangeStatus::TimedOut:
       return AttemptEnd::TimedOut;
+    case ExchangeStatus::Lost:
     case ExchangeStatus::Cancelled:
       return AttemptEnd::Abandoned;
   }
@@ -118,7 +122,8 @@
   start_attempt(false);
   while (!m_given_up) {
     const TimePoint hedge = hedge_time();
-    m_wakeup.expires_at(std::min(answer_deadline(), hedge));
+    const TimePoint check = check_time();
+    m_wakeup.expires_at(std::min({ answer_deadline(), hedge, check }));
     boost::system::error_code ignored;
     co_await m_wakeup.async_wait(capture(ignored));
     const TimePoint now = Clock::now();
@@ -148,6 +153,8 @@
       if (may_hedge(now)) {
         start_attempt(true);
       }
+    } else if (now >= check) {
+      check_server(now);
     }
   }
   cancel_active_attempts();
@@ -453,6 +460,7 @@
       record_crash(attempt, now);
       [[fallthrough]];
     case ExchangeStatus::Broken:
+    case ExchangeStatus::Lost:
     case ExchangeStatus::TimedOut:
     case ExchangeStatus::Cancelled:
       m_may_have_executed = true;
@@ -560,10 +568,80 @@
   if (!hedgeable || m_request.upload != nullptr) {
     return TimePoint::max();
   }
+  return late_time(*m_attempts.front());
+}
+
+// \return when the attempt takes longer than usual
+TimePoint
+ForwardedRequest::late_time(const Attempt& attempt) const
+{
   const auto mean_time = m_context.selector(m_request.service).mean_request_time();
   const Duration expected = mean_time.value_or(m_request.route->target_latency);
-  return m_attempts.front()->started +
-         std::chrono::duration_cast<Duration>(kHedgeDelayFactor * expected);
+  return attempt.started + std::chrono::duration_cast<Duration>(kHedgeDelayFactor * expected);
+}
+
+// \return when the server of the active attempt is to be checked. Idempotent requests are hedged
+// instead.
+TimePoint
+ForwardedRequest::check_time() const
+{
+  const bool active = !m_attempts.empty() && !m_attempts.back()->done && m_pending_selections == 0;
+  const bool has_checks =
+    m_request.service_config != nullptr && !m_request.service_config->health_path.empty();
+  if (idempotent() || !active || !has_checks) {
+    return TimePoint::max();
+  }
+  const Attempt& attempt = *m_attempts.back();
+  return attempt.checked_at ? *attempt.checked_at + kServerCheckInterval : late_time(attempt);
+}
+
+// Ends an attempt whose server has dropped the request without an answer, as some servers do when
+// they are full: the server has reported since it got the request that it has none, and no response
+// has arrived. Until then the request waits, however late it is.
+void
+ForwardedRequest::check_server(TimePoint now)
+{
+  Attempt& attempt = *m_attempts.back();
+  attempt.checked_at = now;
+  const bool was_sent = std::exchange(attempt.was_sent, attempt.exchange->awaits_response());
+  if (!attempt.was_sent) {
+    return;
+  }
+  if (attempt.server_is_idle) {
+    attempt.exchange->end_as_lost();
+    return;
+  }
+  const ServerSelector& selector = m_context.selector(m_request.service);
+  const auto age = selector.report_age(attempt.server.id, now);
+  const LoadReport load = selector.last_report(attempt.server.id);
+  attempt.server_is_idle =
+    attempt.asked_at && age && now - *age > *attempt.asked_at && load.running + load.waiting == 0;
+  // The last bytes of a request that has just been sent may still be on their way.
+  if (was_sent && !attempt.server_is_idle) {
+    ask_server(now);
+  }
+}
+
+void
+ForwardedRequest::ask_server(TimePoint now)
+{
+  const ServerInfo& server = m_attempts.back()->server;
+  // A server that is leaving or paused is not asked.
+  if (!m_context.selector(m_request.service).find_callable(server.id, now)) {
+    return;
+  }
+  m_attempts.back()->asked_at = now;
+  asio::co_spawn(
+    m_context.io,
+    [self = shared_from_this(), server]() -> awaitable<void> {
+      const std::vector<ServerInfo> servers{ server };
+      co_await probe_loads(self->m_context,
+                           self->m_request.service,
+                           servers,
+                           self->m_request.service_config->health_path,
+                           Clock::now());
+    },
+    m_context.report_exceptions("server_check"));
 }
 
 bool
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -104,6 +104,14 @@
     bool done = false;
     /// The result has been applied to the request and to the server selector.
     bool evaluated = false;
+    /// Last check of a late request, see check_server().
+    std::optional<TimePoint> checked_at;
+    /// The whole request had been sent at the last check.
+    bool was_sent = false;
+    /// When the server was last asked for its load.
+    std::optional<TimePoint> asked_at;
+    /// The server has reported since then that it has no request.
+    bool server_is_idle = false;
   };
 
   void start_attempt(bool hedge);
@@ -126,7 +134,11 @@
   void give_up(TimePoint now);
   void refuse_not_executed(const char* reason, TimePoint now);
   TimePoint answer_deadline() const;
+  TimePoint late_time(const Attempt& attempt) const;
   TimePoint hedge_time() const;
+  TimePoint check_time() const;
+  void check_server(TimePoint now);
+  void ask_server(TimePoint now);
   bool may_hedge(TimePoint now);
   OutgoingRequest make_outgoing_request(const ServerInfo& server, TimePoint now) const;
   bool idempotent() const { return m_request.route->kind == RouteKind::Idempotent; }
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -62,6 +62,8 @@
       return "broken";
     case ExchangeStatus::Crashed:
       return "crashed";
+    case ExchangeStatus::Lost:
+      return "lost";
     case ExchangeStatus::TimedOut:
       return "timed_out";
     case ExchangeStatus::Cancelled:
@@ -103,6 +105,8 @@
 {
   if (m_cancelled) {
     m_status = ExchangeStatus::Cancelled;
+  } else if (m_lost) {
+    m_status = ExchangeStatus::Lost;
   } else {
     m_status = m_connection->timed_out() ? ExchangeStatus::TimedOut : ExchangeStatus::Broken;
   }
@@ -435,6 +439,13 @@
   }
 }
 
+void
+ServerExchange::end_as_lost()
+{
+  m_lost = true;
+  m_connection->close();
+}
+
 void
 ServerExchange::release()
 {
--- a/src/libgateway/server_exchange.h
+++ b/src/libgateway/server_exchange.h
@@ -16,6 +16,7 @@
   Unreached,   ///< no byte of the request left this host
   Broken,      ///< connection failed or response invalid; the request may have been executed
   Crashed,     ///< like Broken, and the server's process has ended
+  Lost,        ///< the server has no request any more; this one may have been executed
   TimedOut,    ///< no response in time; the request may have been executed
   Cancelled,   ///< cancelled by this host
 };
@@ -61,6 +62,13 @@
   /// Closes the connection.
   void cancel();
 
+  /// Closes the connection because the server reports that it has no request any more: it has
+  /// dropped this one, or its response is lost.
+  void end_as_lost();
+
+  /// \return whether the whole request has been sent and no response header has been received
+  bool awaits_response() const { return m_request_sent && m_status == ExchangeStatus::Broken; }
+
   /// Returns the connection to the pool if it can serve another request, and closes it otherwise.
   void release();
 
@@ -110,6 +118,7 @@
   /// False after a response to another request has been read from the connection.
   bool m_clean = true;
   bool m_cancelled = false;
+  bool m_lost = false;
 };
 
 } // namespace lovagehold
--- a/src/libgateway/upload_test.cpp
+++ b/src/libgateway/upload_test.cpp
@@ -294,6 +294,72 @@
   EXPECT_EQ(serve(), 200);
 }
 
+// A request that its server keeps without an answer; what the server's health checks say meanwhile
+// differs.
+class SilentServerTest : public GatewayTest
+{
+protected:
+  // \param load_from_now_on called once the server has the request
+  // \return the response status of an upload
+  int upload_status(const std::function<void(ScriptedServer&)>& load_from_now_on,
+                    const ScriptedServer::Script& script)
+  {
+    ScriptedServer& server = add_server(script);
+    configure(milliseconds(3000), milliseconds(100));
+    Caller caller(kPort);
+    const std::string body(50000, 'x');
+    caller.send_head("/once/x", Caller::framing(body.size(), false));
+    caller.send_body(body, false);
+    while (arrivals() == 0) {
+      std::this_thread::yield();
+    }
+    load_from_now_on(server);
+    const int status = status_of(caller.read_response());
+    EXPECT_EQ(arrivals(), 1U);
+    return status;
+  }
+};
+
+const auto kHang = [](const ReceivedRequest&) { return ScriptedResponse{ .hang = true }; };
+
+// Guards against an upload that waits until its deadline for a server that has dropped it without
+// an answer: the server reports that it has no request at all.
+TEST_F(SilentServerTest, DroppedUploadIsAnswered)
+{
+  EXPECT_EQ(upload_status([](ScriptedServer&) {}, kHang), 502);
+}
+
+// Guards against a request that is broken off while its server reports that it is at work.
+TEST_F(SilentServerTest, UploadOfABusyServerWaits)
+{
+  EXPECT_EQ(upload_status([](ScriptedServer& server) { server.report_full_load(1000); }, kHang),
+            504);
+}
+
+// Guards against a request that is broken off although its server's health checks say nothing about
+// its load.
+TEST_F(SilentServerTest, UploadOfAServerWithoutLoadReportWaits)
+{
+  const auto hide_load = [](ScriptedServer& server) {
+    server.answer_checks_with("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "");
+  };
+  EXPECT_EQ(upload_status(hide_load, kHang), 504);
+}
+
+// Guards against a response that is cut off while its body arrives slowly: its server has ended its
+// work and reports that it has no request.
+TEST_F(SilentServerTest, SlowResponseIsServed)
+{
+  const auto respond_slowly = [](const ReceivedRequest& received) {
+    return ScriptedResponse{ .bytes = "HTTP/1.1 200 OK\r\n" + ScriptedServer::id_header(received) +
+                                      "Transfer-Encoding: chunked\r\n\r\n",
+                             .endless = "1\r\nx\r\n",
+                             .pause = milliseconds(20) };
+  };
+  // The response has no end, so the deadline ends it.
+  EXPECT_EQ(upload_status([](ScriptedServer&) {}, respond_slowly), 504);
+}
+
 // How a server ends an upload before it has read it.
 struct EarlyEnd
 {
