--- a/src/libgateway/upload_test.cpp
+++ b/src/libgateway/upload_test.cpp
@@ -370,10 +370,10 @@
   bool refuses = true;
 };
 
-void
-PrintTo(const EarlyEnd& end, std::ostream* stream)
+std::ostream&
+operator<<(std::ostream& stream, const EarlyEnd& end)
 {
-  *stream << end.name;
+  return stream << end.name;
 }
 
 std::vector<EarlyEnd>
