--- a/src/libgateway/upload_test.cpp
+++ b/src/libgateway/upload_test.cpp
@@ -294,6 +294,170 @@
   EXPECT_EQ(serve(), 200);
 }
 
+// A request that its server keeps without an answer; what the server's health checks say meanwhile
+// differs.
+class SilentServerTest : public GatewayTest
+{
+protected:
+  // \param load_from_now_on called once the server has the request
+  // \return the response status of an upload
+  int upload_status(const std::function<void(ScriptedServer&)>& load_from_now_on,
+                    const ScriptedServer::Script& script)
+  {
+    ScriptedServer& server = add_server(script);
+    configure(milliseconds(3000), milliseconds(100));
+    Caller caller(kPort);
+    const std::string body(50000, 'x');
+    caller.send_head("/once/x", Caller::framing(body.size(), false));
+    caller.send_body(body, false);
+    while (arrivals() == 0) {
+      std::this_thread::yield();
+    }
+    load_from_now_on(server);
+    const int status = status_of(caller.read_response());
+    EXPECT_EQ(arrivals(), 1U);
+    return status;
+  }
+};
+
+const auto kHang = [](const ReceivedRequest&) { return ScriptedResponse{ .hang = true }; };
+
+// Guards against an upload that waits until its deadline for a server that has dropped it without
+// an answer: the server reports that it has no request at all.
+TEST_F(SilentServerTest, DroppedUploadIsAnswered)
+{
+  EXPECT_EQ(upload_status([](ScriptedServer&) {}, kHang), 502);
+}
+
+// Guards against a request that is broken off while its server reports that it is at work.
+TEST_F(SilentServerTest, UploadOfABusyServerWaits)
+{
+  EXPECT_EQ(upload_status([](ScriptedServer& server) { server.report_full_load(1000); }, kHang),
+            504);
+}
+
+// Guards against a request that is broken off although its server's health checks say nothing about
+// its load.
+TEST_F(SilentServerTest, UploadOfAServerWithoutLoadReportWaits)
+{
+  const auto hide_load = [](ScriptedServer& server) {
+    server.answer_checks_with("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "");
+  };
+  EXPECT_EQ(upload_status(hide_load, kHang), 504);
+}
+
+// Guards against a response that is cut off while its body arrives slowly: its server has ended its
+// work and reports that it has no request.
+TEST_F(SilentServerTest, SlowResponseIsServed)
+{
+  const auto respond_slowly = [](const ReceivedRequest& received) {
+    return ScriptedResponse{ .bytes = "HTTP/1.1 200 OK\r\n" + ScriptedServer::id_header(received) +
+                                      "Transfer-Encoding: chunked\r\n\r\n",
+                             .endless = "1\r\nx\r\n",
+                             .pause = milliseconds(20) };
+  };
+  // The response has no end, so the deadline ends it.
+  EXPECT_EQ(upload_status([](ScriptedServer&) {}, respond_slowly), 504);
+}
+
+// How a server ends an upload before it has read it.
+struct EarlyEnd
+{
+  std::string name;
+  // Headers of the refusal that describe its body.
+  std::string headers;
+  ScriptedResponse response;
+  bool refuses = true;
+};
+
+std::ostream&
+operator<<(std::ostream& stream, const EarlyEnd& end)
+{
+  return stream << end.name;
+}
+
+std::vector<EarlyEnd>
+early_ends()
+{
+  const std::string no_body = "Content-Length: 0\r\n";
+  return {
+    { .name = "RefusedAndKept", .headers = no_body },
+    { .name = "RefusedAndStalled", .headers = no_body, .response = { .stall = true } },
+    { .name = "RefusedAndClosed", .headers = no_body, .response = { .close = true } },
+    { .name = "RefusedWithoutTheBody",
+      .headers = "Content-Length: 20\r\n",
+      .response = { .stall = true } },
+    { .name = "RefusedWithoutLength", .response = { .stall = true } },
+    { .name = "RefusedInAChunkWithoutEnd",
+      .headers = "Transfer-Encoding: chunked\r\n",
+      .response = { .stall = true } },
+    { .name = "Closed", .response = { .close = true }, .refuses = false },
+    { .name = "Reset", .response = { .reset = true }, .refuses = false },
+  };
+}
+
+// Ends uploads at the first server that they reach; on a slow link they are sent while they arrive.
+class EarlyEndTest
+  : public GatewayTest
+  , public ::testing::WithParamInterface<std::tuple<EarlyEnd, bool>>
+{
+protected:
+  EarlyEndTest()
+    : GatewayTest(std::get<1>(GetParam()) ? 30 : 0)
+  {
+  }
+
+  // \return the response status of an upload; the second server that gets it serves it
+  int upload_status(std::size_t size)
+  {
+    const EarlyEnd& end = std::get<0>(GetParam());
+    std::atomic<int> calls{ 0 };
+    const auto script = [&](const ReceivedRequest& received) {
+      if (++calls > 1) {
+        return kServe(received);
+      }
+      ScriptedResponse response = end.response;
+      if (end.refuses) {
+        response.bytes = "HTTP/1.1 503 Full\r\n" + ScriptedServer::id_header(received) +
+                         "Lovagehold-Not-Executed: 1\r\n" + end.headers + "\r\n";
+      }
+      return response;
+    };
+    add_server(script).respond_early();
+    add_server(script).respond_early();
+    configure();
+    Caller caller(kPort);
+    const std::string body(size, 'x');
+    caller.send_head("/once/x", Caller::framing(size, false));
+    std::thread sender([&] { caller.send_body(body, false); });
+    const int status = status_of(caller.read_response());
+    sender.join();
+    m_servers.clear();
+    return status;
+  }
+};
+
+// Guards against an upload that waits until its deadline for a server that has refused it, and is
+// then answered as if it might have run: another server could have served it.
+TEST_P(EarlyEndTest, IsNoticedAtOnce)
+{
+  EXPECT_EQ(upload_status(200000), std::get<0>(GetParam()).refuses ? 200 : 502);
+}
+
+// Guards against the same for an upload that can't be sent again.
+TEST_P(EarlyEndTest, IsNoticedAtOnceInAStreamedUpload)
+{
+  EXPECT_EQ(upload_status(kLongBytes), std::get<0>(GetParam()).refuses ? 503 : 502);
+}
+
+INSTANTIATE_TEST_SUITE_P(,
+                         EarlyEndTest,
+                         ::testing::Combine(::testing::ValuesIn(early_ends()), ::testing::Bool()),
+                         [](const ::testing::TestParamInfo<std::tuple<EarlyEnd, bool>>& info) {
+                           return std::get<0>(info.param).name +
+                                  (std::get<1>(info.param) ? "OnASlowLink" : "");
+                         });
+
 INSTANTIATE_TEST_SUITE_P(,
                          UploadTest,
                          ::testing::Bool(),
