libgateway: tests of silent servers and stops end when their request doesn't arrive

A run of gateway_test was still going when it was ended after 150 s, at a load average of 20. Which test hung was not recorded. Suspected: SilentServerTest, whose objective of 100 ms left a request 12 ms to find a server; refused, it never arrived, and the test waited for it without a limit. The objective is the fixture's again, and both waits have a limit, at which they fail.

--- a/src/libgateway/shutdown_test.cpp
+++ b/src/libgateway/shutdown_test.cpp
@@ -27,9 +27,11 @@
   void await(const std::function<bool()>& condition)
   {
     bool met = false;
-    while (!met) {
+    const TimePoint limit = Clock::now() + std::chrono::seconds(10);
+    while (!met && Clock::now() < limit) {
       on_gateway([&] { met = condition(); });
     }
+    EXPECT_TRUE(met);
   }
 };
 
--- a/src/libgateway/upload_test.cpp
+++ b/src/libgateway/upload_test.cpp
@@ -304,18 +304,23 @@
   int upload_status(const std::function<void(ScriptedServer&)>& load_from_now_on,
                     const ScriptedServer::Script& script)
   {
-    ScriptedServer& server = add_server(script);
-    configure(milliseconds(3000), milliseconds(100));
+    ScriptedServer& server = add_server([script](const ReceivedRequest& received) {
+      return received.head.rfind("GET ", 0) == 0 ? kServe(received) : script(received);
+    });
+    configure();
+    // Tells the gateway how soon a request is late.
+    EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
     Caller caller(kPort);
     const std::string body(50000, 'x');
     caller.send_head("/once/x", Caller::framing(body.size(), false));
     caller.send_body(body, false);
-    while (arrivals() == 0) {
+    const TimePoint limit = Clock::now() + std::chrono::seconds(10);
+    while (arrivals() < 2 && Clock::now() < limit) {
       std::this_thread::yield();
     }
     load_from_now_on(server);
     const int status = status_of(caller.read_response());
-    EXPECT_EQ(arrivals(), 1U);
+    EXPECT_EQ(arrivals(), 2U);
     return status;
   }
 };
