libhttp: a response whose status is not within 100 to 599 is an error

Cause: Beast's parser takes any three digits for a status, and no reader checked it.

Fix: BoundedParser, through which all responses of servers, health checks and control hosts are read, reports http::error::bad_status (RFC 9110, 15). A request with such a response is a broken exchange: 502, or another attempt if it may be repeated. The check is in on_response_impl, because Beast 1.74 drops an error of on_header_impl when the body follows in the same buffer: a first try there passed the gateway's tests and failed BoundedReader.StatusOutsideOfTheRangeIsAnError for all five statuses, which is how the health checks read.

--- a/src/libgateway/odd_message_test.cpp
+++ b/src/libgateway/odd_message_test.cpp
@@ -17,6 +17,14 @@
   , public ::testing::WithParamInterface<OddMessage>
 {
 protected:
+  // \return the message of this test from a table whose messages have other fields
+  static OddMessage find_played(const std::vector<OddMessage>& messages)
+  {
+    return *std::find_if(messages.begin(), messages.end(), [](const OddMessage& message) {
+      return message.name == GetParam().name;
+    });
+  }
+
   void expect_service()
   {
     const std::string received = send(request("GET", "/safe/other"));
@@ -42,12 +50,9 @@
     if (received.head.find("/once/odd") == std::string::npos) {
       return kServe(received);
     }
-    const auto messages = odd_messages(kStatusLine, ScriptedServer::id_header(received));
-    const auto played =
-      std::find_if(messages.begin(), messages.end(), [](const OddMessage& message) {
-        return message.name == GetParam().name;
-      });
-    return ScriptedResponse{ .bytes = played->bytes, .endless = played->endless };
+    const OddMessage played =
+      find_played(odd_messages(kStatusLine, ScriptedServer::id_header(received)));
+    return ScriptedResponse{ .bytes = played.bytes, .endless = played.endless };
   });
   configure(milliseconds(1000));
   EXPECT_NE(send(request("POST", "/once/odd", "body")), "(not closed)");
@@ -61,11 +66,9 @@
 {
   ScriptedServer& server = add_server(kServe);
   configure(milliseconds(1000));
-  const auto messages = odd_messages(kStatusLine, "Lovagehold-Server-Load: 0,0,3,100\r\n");
-  const auto played = std::find_if(messages.begin(), messages.end(), [](const OddMessage& message) {
-    return message.name == GetParam().name;
-  });
-  server.answer_checks_with(played->bytes, played->endless);
+  const OddMessage played =
+    find_played(odd_messages(kStatusLine, "Lovagehold-Server-Load: 0,0,3,100\r\n"));
+  server.answer_checks_with(played.bytes, played.endless);
   EXPECT_NE(send(request("GET", "/safe/x")), "(not closed)");
   EXPECT_GE(server.checks(), 1U);
   expect_bounded(server);
@@ -90,6 +93,26 @@
   expect_service();
 }
 
+class OddResponseTest : public OddMessageTest
+{};
+
+// Guards against a server's response without a valid status that the caller gets as an answer.
+TEST_P(OddResponseTest, FromAServerIsNotForwarded)
+{
+  ScriptedServer& server = add_server([](const ReceivedRequest& received) {
+    if (received.head.find("/once/odd") == std::string::npos) {
+      return kServe(received);
+    }
+    const OddMessage played = find_played(odd_responses(ScriptedServer::id_header(received)));
+    return ScriptedResponse{ .bytes = played.bytes, .endless = played.endless };
+  });
+  configure(milliseconds(1000));
+  EXPECT_EQ(status_of(send(request("POST", "/once/odd", "body"))), 502);
+  EXPECT_EQ(arrivals(), 1U);
+  expect_bounded(server);
+  expect_service();
+}
+
 // Guards against an exception that is lost, with the probe or connection that it ended.
 TEST_F(GatewayTest, ExceptionEndsOnlyItsProbeAndIsCounted)
 {
@@ -120,5 +143,7 @@
                                    "Host: a.example\r\nLovagehold-Request-Id: id-2\r\n")),
   test_name);
 
+INSTANTIATE_TEST_SUITE_P(, OddResponseTest, ::testing::ValuesIn(odd_responses("")), test_name);
+
 } // namespace
 } // namespace lovagehold
--- a/src/libhttp/bounded_reader.h
+++ b/src/libhttp/bounded_reader.h
@@ -34,12 +34,15 @@
   }
 };
 
-/// Parser for messages from a peer that may send anything. Differs from the base class in two ways:
+/// Parser for messages from a peer that may send anything. Differs from the base class in three
+/// ways:
 /// - A field that is longer than Beast can store is reported as http::error::header_limit. Beast
 ///   throws std::length_error instead, from within its asynchronous operation, where nothing but
 ///   the caller of io_context::run() can catch it.
 /// - Fields behind the last chunk (trailers) are checked and dropped. Beast adds them to the
 ///   header, so that they would be taken for routing or deadline fields (RFC 9110, 6.5.1).
+/// - A status outside of 100 to 599 is reported as http::error::bad_status (RFC 9110, 15). Beast
+///   accepts any three digits.
 template<bool isRequest, class Body>
 class BoundedParser : public boost::beast::http::parser<isRequest, Body>
 {
@@ -49,6 +52,8 @@
 private:
   // Beast stores the length of a name or value in 16 bits, together with two bytes of separators.
   static constexpr std::size_t kMaxStoredBytes = std::numeric_limits<std::uint16_t>::max() - 2;
+  static constexpr int kMinStatus = 100;
+  static constexpr int kMaxStatus = 599;
 
   void on_field_impl(boost::beast::http::field name,
                      boost::beast::string_view name_text,
@@ -61,6 +66,22 @@
       this->get().insert(name, name_text, value);
     }
   }
+
+  void on_response_impl(int code,
+                        boost::beast::string_view reason,
+                        int version,
+                        boost::beast::error_code& error) override
+  {
+    if constexpr (!isRequest) {
+      if (code < kMinStatus || code > kMaxStatus) {
+        error = boost::beast::http::error::bad_status;
+        return;
+      }
+      this->get().result(static_cast<unsigned>(code));
+      this->get().version(static_cast<unsigned>(version));
+      this->get().reason(reason);
+    }
+  }
 };
 
 template<class Body>
--- a/src/libhttp/bounded_reader_test.cpp
+++ b/src/libhttp/bounded_reader_test.cpp
@@ -85,6 +85,21 @@
   EXPECT_EQ(parser.get().count("Lovagehold-Deadline-Ms"), 0U);
 }
 
+// Guards against a response with an invalid status that is passed on as one.
+TEST(BoundedReader, StatusOutsideOfTheRangeIsAnError)
+{
+  const auto read_status = [](const std::string& status) {
+    BoundedResponseParser<http::string_body> parser;
+    return read(parser, "HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok");
+  };
+  for (const char* status : { "200", "299", "404", "503", "599" }) {
+    EXPECT_EQ(read_status(status), beast::error_code()) << status;
+  }
+  for (const char* status : { "000", "001", "099", "600", "999", "20", "2000", "-20", "+20", "" }) {
+    EXPECT_EQ(read_status(status), beast::error_code(http::error::bad_status)) << status;
+  }
+}
+
 // Guards against a maximum below what the buffer holds, of which Beast computes a huge read size.
 TEST(ReadBuffer, MaximumNeverFallsBelowTheContent)
 {
--- a/src/libhttp/testing/odd_messages.h
+++ b/src/libhttp/testing/odd_messages.h
@@ -72,6 +72,26 @@
   };
 }
 
+/// \param fields further fields of each response, each with its line end
+/// \return responses whose status line is invalid
+inline std::vector<OddMessage>
+odd_responses(const std::string& fields)
+{
+  const auto response = [&fields](const std::string& status) {
+    return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: 2\r\n\r\nok";
+  };
+  return {
+    { .name = "status 000", .bytes = response("000 OK") },
+    { .name = "status 099", .bytes = response("099 OK") },
+    { .name = "status 600", .bytes = response("600 OK") },
+    { .name = "status 999", .bytes = response("999 OK") },
+    { .name = "status of two digits", .bytes = response("20 OK") },
+    { .name = "status of four digits", .bytes = response("2000 OK") },
+    { .name = "negative status", .bytes = response("-20 OK") },
+    { .name = "no status", .bytes = response("OK") },
+  };
+}
+
 /// Bytes that a reader may take of a message without end before it closes the connection: what it
 /// holds, and what fits into the buffers of both sockets (up to 6 MiB and 4 MiB by default).
 inline constexpr std::size_t kMaxBytesTaken = std::size_t{ 16 } << 20;
--- a/src/libproxy/odd_message_test.cpp
+++ b/src/libproxy/odd_message_test.cpp
@@ -49,5 +49,16 @@
   }
 }
 
+// Guards against a server's response without a valid status that the caller gets as an answer.
+TEST(OddMessage, ResponseWithoutAValidStatusIsNotPassedOn)
+{
+  for (const OddMessage& message : odd_responses("")) {
+    EntryFixture entry(kPort + 1);
+    entry.server().respond_with(message.bytes, message.endless);
+    const std::string received = entry.send(ordinary_request()).value_or("(not closed)");
+    EXPECT_EQ(status_of(received), 502) << message.name;
+  }
+}
+
 } // namespace
 } // namespace lovagehold
