libproxy: interim responses without end are a broken exchange

A server that sends interim (1xx) responses and no final one was read for as long as the request had time: the caller waited for its whole budget, got 504, and the host parsed 43 MB in that second. Nothing was kept, so memory did not grow. Found on checking each reader of responses against the table of odd ones.

Cause: only the gateway counted interim responses. Fix: the limit of 8 moved to libhttp, and ServerAttempt has it too; the request gets 502, or another attempt, at once.

--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -22,8 +22,6 @@
 // of more than this size: it may have no end.
 constexpr int kMaxMismatchedResponses = 4;
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 1 } << 20;
-// A connection is closed after this many interim (1xx) responses to one request.
-constexpr int kMaxInterimResponses = 8;
 // A host refuses a connection within a round trip; one that is down does not answer at all.
 constexpr std::chrono::milliseconds kCrashCheckTimeout{ 50 };
 // Fraction of the server's advertised idle timeout for which a connection is kept in the pool.
--- a/src/libhttp/bounded_reader.h
+++ b/src/libhttp/bounded_reader.h
@@ -16,6 +16,9 @@
 /// the reading with http::error::buffer_overflow.
 inline constexpr std::size_t kMaxUnparsedBytes = std::size_t{ 64 } << 10;
 
+/// A connection is closed after this many interim (1xx) responses to one request.
+inline constexpr int kMaxInterimResponses = 8;
+
 /// Read buffer of one connection. All HTTP is read through this type, because beast::flat_buffer
 /// without a maximum keeps whatever the peer sends until the end of a header or trailer.
 class ReadBuffer : public boost::beast::flat_buffer
--- a/src/libhttp/testing/odd_messages.h
+++ b/src/libhttp/testing/odd_messages.h
@@ -73,7 +73,7 @@
 }
 
 /// \param fields further fields of each response, each with its line end
-/// \return responses whose status line is invalid
+/// \return responses whose status line is invalid, and interim responses without a final one
 inline std::vector<OddMessage>
 odd_responses(const std::string& fields)
 {
@@ -89,6 +89,9 @@
     { .name = "status of four digits", .bytes = response("2000 OK") },
     { .name = "negative status", .bytes = response("-20 OK") },
     { .name = "no status", .bytes = response("OK") },
+    { .name = "interim responses without end",
+      .bytes = "",
+      .endless = "HTTP/1.1 100 Continue\r\n" + fields + "\r\n" },
   };
 }
 
--- a/src/libproxy/odd_message_test.cpp
+++ b/src/libproxy/odd_message_test.cpp
@@ -49,7 +49,8 @@
   }
 }
 
-// Guards against a server's response without a valid status that the caller gets as an answer.
+// Guards against a server's response without a valid status that the caller gets as an answer, and
+// against reading interim responses without end.
 TEST(OddMessage, ResponseWithoutAValidStatusIsNotPassedOn)
 {
   for (const OddMessage& message : odd_responses("")) {
@@ -57,6 +58,7 @@
     entry.server().respond_with(message.bytes, message.endless);
     const std::string received = entry.send(ordinary_request()).value_or("(not closed)");
     EXPECT_EQ(status_of(received), 502) << message.name;
+    EXPECT_LE(entry.server().endless_bytes(), kMaxBytesTaken) << message.name;
   }
 }
 
--- a/src/libproxy/server_attempt.cpp
+++ b/src/libproxy/server_attempt.cpp
@@ -232,7 +232,13 @@
 ServerAttempt::read_header()
 {
   const auto connection = m_connection;
+  int interim = 0;
   do {
+    if (interim > kMaxInterimResponses) {
+      m_error = http::error::bad_status;
+      co_return;
+    }
+    ++interim;
     m_parser.emplace();
     m_parser->header_limit(kMaxResponseHeaderBytes);
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
