libgateway: a response that ends with its connection needs a request that was sent whole

Callers got a part of a response as a complete one: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: Linux reports a reset once, to the first operation that asks. While the upload is being written that is the pending write (asio serves it before the read); the read then sees an ordinary end of the stream, which ends a body without a length. The outcome of the sending was used only to decide whether the connection is kept.

Fix: ServerExchange::verify_end() decides for both places that read the body of a response. One that ended with its connection is complete if the whole request has been sent; if the sending still goes on, its end is awaited, at most until the deadline of the exchange (RFC 9112, 8: complete unless an error was indicated by the underlying connection). An exchange with an error is never complete. Nothing was passed on yet: 502; a body that is being passed on is broken off. A server that answers early, closes its direction in order and reads on is still passed on whole. Bodies with a length or in chunks carry their end in themselves, and are not affected.

ResponseToAnUploadThatIsNeverReadEndsInTime fails too (200 at once); it guards the new wait. So a server that ends its response in order, but neither reads the rest of the upload nor closes, now costs the request its time and gets 504: TCP has delivered that response, but whether the server has taken the request is unknown. ResponseThatEndsBeforeItsUploadIsComplete passes before and after, and guards against a fix that breaks off too much.

--- a/src/libgateway/scripted_server.h
+++ b/src/libgateway/scripted_server.h
@@ -36,6 +36,11 @@
   bool close = false;
   /// Closes the connection with a TCP reset.
   bool reset = false;
+  /// Waits before that until the peer can send no more, because nobody reads it.
+  bool stall = false;
+  /// Closes only the sending direction and reads until the peer closes the connection. With
+  /// \p stall, reads nothing.
+  bool half_close = false;
   /// Closes the connection and refuses all further ones.
   bool crash = false;
   /// Sends nothing and waits until the peer closes the connection.
@@ -132,6 +137,8 @@
   }
 
 private:
+  static constexpr std::chrono::milliseconds kStallTime{ 100 };
+
   void accept()
   {
     while (!m_stopping) {
@@ -222,6 +229,17 @@
       m_peer_closed = send_without_end(socket, scripted);
       return false;
     }
+    if (scripted.half_close) {
+      socket.shutdown(TestSocket::shutdown_send, ignored);
+      while (scripted.stall && !m_stopping) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
+      read_to_close(socket);
+      return false;
+    }
+    if (scripted.stall) {
+      wait_for_stall(socket);
+    }
     if (scripted.reset) {
       socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     }
@@ -231,6 +249,21 @@
     return true;
   }
 
+  // Waits until no more bytes arrive, because the buffers of both sockets are full.
+  static void wait_for_stall(TestSocket& socket)
+  {
+    std::size_t unread = 0;
+    TimePoint changed = Clock::now();
+    while (Clock::now() - changed < kStallTime) {
+      const std::size_t arrived = socket.available();
+      if (arrived != unread) {
+        unread = arrived;
+        changed = Clock::now();
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+  }
+
   static bool close(TestSocket& socket)
   {
     boost::system::error_code ignored;
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -115,6 +115,7 @@
     co_return;
   }
   m_connection->set_deadline(deadline);
+  m_send_ended.expires_at(deadline);
   m_status = ExchangeStatus::Broken;
   const bool direct =
     request.upload == nullptr && !request.arriving && request.body->size() <= kMaxDirectBodyBytes;
@@ -164,9 +165,14 @@
 void
 ServerExchange::start_sending(const OutgoingRequest& request)
 {
+  m_sending = true;
   asio::co_spawn(
     m_context.io,
-    [self = shared_from_this(), request]() -> awaitable<void> { co_await self->send(request); },
+    [self = shared_from_this(), request]() -> awaitable<void> {
+      co_await self->send(request);
+      self->m_sending = false;
+      self->m_send_ended.cancel();
+    },
     m_context.report_exceptions("send_request"));
 }
 
@@ -372,17 +378,37 @@
   if (length && *length > kStreamBufferBytes) {
     co_return;
   }
-  while (!m_parser->is_done() && m_buffered_body.size() < kStreamBufferBytes) {
+  while (!m_error && !m_parser->is_done() && m_buffered_body.size() < kStreamBufferBytes) {
     const std::string_view piece = co_await read_piece();
+    m_buffered_body.append(piece);
+  }
+  // A refusal stays valid if its body is truncated.
+  if (m_status == ExchangeStatus::Responded) {
+    co_await verify_end();
     if (m_error) {
-      // A refusal stays valid if its body is truncated.
-      if (m_status == ExchangeStatus::Responded) {
-        fail();
-      }
-      m_connection->close();
-      co_return;
+      fail();
     }
-    m_buffered_body.append(piece);
+  }
+  if (m_error) {
+    m_connection->close();
+  }
+}
+
+// A connection reports a reset once, and to a pending write first; reads then see an ordinary end
+// of the stream. So a body that ends with the connection is complete only if the whole request has
+// been sent.
+awaitable<void>
+ServerExchange::verify_end()
+{
+  if (m_error || !m_parser->is_done() || !m_parser->need_eof()) {
+    co_return;
+  }
+  if (m_sending) {
+    boost::system::error_code ignored;
+    co_await m_send_ended.async_wait(capture(ignored));
+  }
+  if (!m_request_sent) {
+    m_error = http::error::partial_message;
   }
 }
 
@@ -390,7 +416,9 @@
 ServerExchange::read_body(TimePoint deadline)
 {
   m_connection->set_deadline(deadline);
+  m_send_ended.expires_at(deadline);
   const std::string_view piece = co_await read_piece();
+  co_await verify_end();
   if (m_error) {
     fail();
   }
@@ -421,6 +449,7 @@
 ServerExchange::cancel()
 {
   m_cancelled = true;
+  m_send_ended.cancel();
   if (m_connection) {
     m_connection->close();
   }
--- a/src/libgateway/server_exchange.h
+++ b/src/libgateway/server_exchange.h
@@ -47,6 +47,7 @@
   ServerExchange(GatewayContext& context, ServerInfo server)
     : m_context(context)
     , m_server(std::move(server))
+    , m_send_ended(context.io, TimePoint::max())
   {
   }
 
@@ -66,7 +67,8 @@
 
   ExchangeStatus status() const { return m_status; }
   const ServerInfo& server() const { return m_server; }
-  bool is_complete() const { return m_parser && m_parser->is_done(); }
+  /// \return whether the whole response has been read.
+  bool is_complete() const { return m_parser && m_parser->is_done() && !m_error; }
   const ResponseParser::value_type& response() const { return m_parser->get(); }
   std::optional<std::uint64_t> content_length() const;
   const std::string& buffered_body() const { return m_buffered_body; }
@@ -90,6 +92,7 @@
   awaitable<bool> discard_body();
   awaitable<void> read_small_body();
   awaitable<std::string_view> read_piece();
+  awaitable<void> verify_end();
   bool matches(const OutgoingRequest& request) const;
   void classify();
   void fail();
@@ -107,6 +110,10 @@
   boost::system::error_code m_error;
   ExchangeStatus m_status = ExchangeStatus::Unreached;
   bool m_request_sent = false;
+  /// The request is being sent while the response is read.
+  bool m_sending = false;
+  /// Expires at the deadline; cancelled when the sending ends.
+  asio::steady_timer m_send_ended;
   /// False after a response to another request has been read from the connection.
   bool m_clean = true;
   bool m_cancelled = false;
--- a/src/libgateway/upload_test.cpp
+++ b/src/libgateway/upload_test.cpp
@@ -79,6 +79,9 @@
     return head;
   }
 
+  // \return all bytes received until the connection is closed
+  std::string read_all() { return m_received + read_to_close(m_socket).value_or("(not closed)"); }
+
 private:
   static std::string as_chunk(const std::string& piece)
   {
@@ -92,6 +95,23 @@
   std::string m_received;
 };
 
+// \return whether the bytes are one whole response with a length or in chunks
+bool
+is_whole(const std::string& bytes)
+{
+  const std::size_t head = bytes.find("\r\n\r\n");
+  if (head == std::string::npos) {
+    return false;
+  }
+  const std::size_t length = bytes.find("Content-Length: ");
+  if (length < head) {
+    return bytes.size() - head - 4 == std::stoul(bytes.substr(length + sizeof("Content-Length:")));
+  }
+  const std::string last_chunk = "\r\n0\r\n\r\n";
+  return bytes.size() > last_chunk.size() &&
+         bytes.compare(bytes.size() - last_chunk.size(), last_chunk.size(), last_chunk) == 0;
+}
+
 // Sends uploads with a length and in chunks; they are streamed to the server.
 class UploadTest
   : public GatewayTest
@@ -100,6 +120,26 @@
 protected:
   static bool chunked() { return GetParam(); }
 
+  // \return the whole response to a long upload that is sent without a pause
+  static std::string send_upload()
+  {
+    Caller caller(kPort);
+    // More than the buffers of the sockets hold, so that a part of it is always on its way.
+    const std::string body(std::size_t{ 16 } << 20, 'x');
+    caller.send_head("/once/x", "Connection: close\r\n" + Caller::framing(body.size(), chunked()));
+    std::thread sender([&] { caller.send_body(body, chunked()); });
+    std::string response = caller.read_all();
+    sender.join();
+    return response;
+  }
+
+  // \return a response of this size that ends with its connection
+  static ScriptedResponse response_without_length(const ReceivedRequest& received, std::size_t size)
+  {
+    return { .bytes = "HTTP/1.1 200 OK\r\n" + ScriptedServer::id_header(received) + "\r\n" +
+                      std::string(size, 'y') };
+  }
+
   // A body whose text looks like requests.
   static std::string smuggling_body(std::size_t size)
   {
@@ -237,6 +277,58 @@
   expect_nothing_smuggled("/once/x", 200);
 }
 
+// Guards against a part of a response that looks complete: the server responds early and without a
+// length, and resets the connection while the upload is still being written. Short responses are
+// read to their end before they are forwarded, long ones are not.
+TEST_P(UploadTest, ResponseCutByAResetIsNotComplete)
+{
+  std::atomic<std::size_t> size{ 0 };
+  add_server([&size](const ReceivedRequest& received) {
+    ScriptedResponse response = response_without_length(received, size);
+    response.reset = true;
+    response.stall = true;
+    return response;
+  }).respond_early();
+  configure();
+  for (const std::size_t part : { 0, 5, 10000, 300000 }) {
+    size = part;
+    const std::string response = send_upload();
+    EXPECT_FALSE(status_of(response) == 200 && is_whole(response))
+      << part << ": " << response.substr(0, 300);
+    EXPECT_TRUE(part > kPieceBytes || status_of(response) == 502) << response.substr(0, 300);
+  }
+}
+
+// Guards against a whole response that is broken off: the server responds early and without a
+// length, closes its direction of the connection and reads the rest of the upload.
+TEST_P(UploadTest, ResponseThatEndsBeforeItsUploadIsComplete)
+{
+  add_server([](const ReceivedRequest& received) {
+    ScriptedResponse response = response_without_length(received, 5);
+    response.half_close = true;
+    return response;
+  }).respond_early();
+  configure();
+  const std::string response = send_upload();
+  EXPECT_EQ(status_of(response), 200) << response;
+  EXPECT_TRUE(is_whole(response)) << response;
+}
+
+// Guards against a request without an end: its response has ended, but the server never reads the
+// rest of the upload.
+TEST_P(UploadTest, ResponseToAnUploadThatIsNeverReadEndsInTime)
+{
+  add_server([](const ReceivedRequest& received) {
+    ScriptedResponse response = response_without_length(received, 5);
+    response.half_close = true;
+    response.stall = true;
+    return response;
+  }).respond_early();
+  configure(milliseconds(300));
+  const std::string response = send_upload();
+  EXPECT_TRUE(status_of(response) == 502 || status_of(response) == 504) << response;
+}
+
 // Guards against a connection that is closed although its request has been read whole.
 TEST_P(UploadTest, ConnectionIsKeptAfterAWholeRequest)
 {
