testsuite/soak: responses without a valid status, and parts of responses that are reset

Servers with the fault "odd" also send the responses of odd_responses(); those with "truncate" or "early" also send a part of a response without a length and reset the connection. An answer whose status is not within 100 to 599 is a violation. The proxy before a server passes a reset on as one (it closed in order where nothing was unread), and its sockets hold less than a long upload.

--- a/testsuite/soak/odd_messages.py
+++ b/testsuite/soak/odd_messages.py
@@ -37,6 +37,25 @@
     ]
 
 
+def odd_responses(fields=b""):
+    """Returns (name, bytes, endless) for responses without a valid status line, and interim ones without end."""
+
+    def response(status):
+        return b"HTTP/1.1 " + status + b"\r\n" + fields + b"Content-Length: 2\r\n\r\nok"
+
+    return [
+        ("status 000", response(b"000 OK"), b""),
+        ("status 099", response(b"099 OK"), b""),
+        ("status 600", response(b"600 OK"), b""),
+        ("status 999", response(b"999 OK"), b""),
+        ("status of two digits", response(b"20 OK"), b""),
+        ("status of four digits", response(b"2000 OK"), b""),
+        ("negative status", response(b"-20 OK"), b""),
+        ("no status", response(b"OK"), b""),
+        ("interim responses without end", b"", b"HTTP/1.1 100 Continue\r\n" + fields + b"\r\n"),
+    ]
+
+
 async def send_odd(writer, data, endless):
     """Returns the bytes sent of a message until the peer closed, or up to MAX_TAKEN_BYTES and some more."""
     sent = 0
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import json
+import socket
+import struct
 import time
 
 import wire
 from http_io import call, format_message, read_message
-from odd_messages import odd_messages, send_odd
+from odd_messages import odd_messages, odd_responses, send_odd
 
 SLOTS = 3
+# With these, sockets hold less than a long upload, so that its sender is still writing when a server answers early.
+# Those of the loopback hold megabytes.
+SEGMENT_BYTES = 1460
+SOCKET_BUFFER = 64 << 10
 
 
 class Record:
@@ -34,6 +40,8 @@
 
     def count(self, outcome):
         self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+        if outcome.isdigit() and not 100 <= int(outcome) <= 599:
+            self.violations.append(f"a caller was answered with status {outcome}")
 
 
 def expected_body(request_id):
@@ -41,6 +49,14 @@
     return (request_id * 20).encode()
 
 
+def reset(writer):
+    """Closes the connection with a TCP reset."""
+    if not writer.transport.is_closing():
+        linger = struct.pack("ii", 1, 0)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+
 class FaultProxy:
     """Forwards connections to a server and injects faults. Modes: pass, delay, reset, silent, one_way."""
 
@@ -52,6 +68,9 @@
 
     async def start(self, host):
         self.server = await asyncio.start_server(self.accept, host, 0)
+        listener = self.server.sockets[0]
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER)
         return f"{host}:{self.server.sockets[0].getsockname()[1]}"
 
     def close(self):
@@ -70,6 +89,7 @@
         try:
             host, port = self.target.rsplit(":", 1)
             upstream_reader, upstream = await asyncio.open_connection(host, int(port))
+            upstream.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER)
             self.writers.add(upstream)
             await asyncio.gather(self.pump(reader, upstream, True), self.pump(upstream_reader, writer, False))
             self.writers.discard(upstream)
@@ -88,6 +108,8 @@
                     await asyncio.sleep(0.05)
                 writer.write(data)
                 await writer.drain()
+        except ConnectionError:
+            reset(writer)
         except OSError:
             pass
         finally:
@@ -200,6 +222,15 @@
         """Returns further headers of all answers."""
         return {} if self.limit is None else {wire.LIMIT_HEADER: f"{self.limit:.3f}"}
 
+    async def send_part(self, writer, headers, body):
+        """Sends a part of an answer without a length and resets the connection."""
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body[:-3])
+        await writer.drain()
+        # A reset discards what has not been read yet.
+        await asyncio.sleep(0.2)
+        reset(writer)
+
     async def run_request(self, request):
         await asyncio.sleep(self.soak.random.uniform(0.002, 0.03))
 
@@ -230,10 +261,14 @@
             return False
         if self.fault == "odd" and self.soak.random.random() < 0.3:
             lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items()).encode()
-            _, data, endless = self.soak.random.choice(odd_messages(b"HTTP/1.1 200 OK", lines))
+            messages = odd_messages(b"HTTP/1.1 200 OK", lines) + odd_responses(lines)
+            _, data, endless = self.soak.random.choice(messages)
             await send_odd(writer, data, endless)
             return False
         headers[wire.SEAL_HEADER] = "seal-" + request_id
+        if self.fault in ("truncate", "early") and self.soak.random.random() < 0.3:
+            await self.send_part(writer, headers, expected_body(request_id))
+            return False
         response = format_message("HTTP/1.1 200 OK", headers, expected_body(request_id))
         if self.fault == "truncate" and self.soak.random.random() < 0.3:
             writer.write(response[:-3])
