--- a/src/libcontrol/group_model_test.cpp
+++ b/src/libcontrol/group_model_test.cpp
@@ -211,7 +211,7 @@
   const auto duration =
     rc::gen::map(rc::gen::inRange(1, 8), [](int steps) { return SimulatedGroup::kStep * steps; });
   std::vector<FaultEvent> history;
-  for (auto left = *rc::gen::inRange(1U, kMaxEvents); left > 0; --left) {
+  for (auto left = *rc::gen::inRange(1U, 2 * kMaxEvents); left > 0; --left) {
     history.push_back({ .kind = FaultKind::PowerForAll,
                         .count = 0,
                         .choice = *rc::gen::inRange(0U, 100U),
