--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -18,6 +18,9 @@
 // that is stuck. An earlier hedge gains little: an attempt that is slowed down by a busy neighbour
 // of its server usually still ends before the hedge does (110 of 118 cases).
 constexpr double kHedgeDelayFactor = 2.5;
+// Interval at which the server of a late request that can't be hedged is asked whether it still has
+// requests. A response that was sent before the server's report arrives within this time.
+constexpr std::chrono::milliseconds kServerCheckInterval{ 300 };
 // Attempts of the retry budget that are reserved for retries; hedges do not use them.
 constexpr double kRetryReserve = 3;
 // Upper limit of the expected cost, relative to an idle server (1), at which a hedge is sent: it
@@ -34,6 +37,7 @@
 constexpr std::chrono::milliseconds kCrashRetryDelay{ 10 };
 // Bytes of a request's target in a log line.
 constexpr std::size_t kMaxLoggedTarget = 200;
+constexpr std::chrono::milliseconds kShutdownRetryAfter{ 10 };
 // An attempt that did not reach its server is not counted towards Route::max_attempts while fewer
 // than this many attempts have been made.
 constexpr unsigned kUncountedAttemptLimit = 3;
@@ -73,6 +77,7 @@
       return AttemptEnd::Failed;
     case ExchangeStatus::TimedOut:
       return AttemptEnd::TimedOut;
+    case ExchangeStatus::Lost:
     case ExchangeStatus::Cancelled:
       return AttemptEnd::Abandoned;
   }
@@ -89,6 +94,14 @@
 
 } // namespace
 
+GatewayErrorResponse
+make_shutdown_refusal()
+{
+  return { .status = 503,
+           .reason = "this host is shutting down; use another host",
+           .retry_after = kShutdownRetryAfter };
+}
+
 ForwardedRequest::ForwardedRequest(GatewayContext& context, GatewayRequest request)
   : m_context(context)
   , m_request(std::move(request))
@@ -105,10 +118,12 @@
     give_up(m_request.arrived);
     co_return;
   }
+  const RegisteredTimer registered(m_context.forwarding_waiters, m_wakeup);
   start_attempt(false);
   while (!m_given_up) {
     const TimePoint hedge = hedge_time();
-    m_wakeup.expires_at(std::min(m_deadline, hedge));
+    const TimePoint check = check_time();
+    m_wakeup.expires_at(std::min({ answer_deadline(), hedge, check }));
     boost::system::error_code ignored;
     co_await m_wakeup.async_wait(capture(ignored));
     const TimePoint now = Clock::now();
@@ -123,7 +138,7 @@
     if (m_winner) {
       break;
     }
-    if (now >= m_deadline) {
+    if (now >= answer_deadline()) {
       give_up(now);
     } else if (!has_active_attempts()) {
       if (may_retry(now)) {
@@ -138,11 +153,20 @@
       if (may_hedge(now)) {
         start_attempt(true);
       }
+    } else if (now >= check) {
+      check_server(now);
     }
   }
   cancel_active_attempts();
 }
 
+// \return the time at which the caller gets an answer, whatever the servers do
+TimePoint
+ForwardedRequest::answer_deadline() const
+{
+  return m_context.shutting_down ? std::min(m_deadline, m_context.shutdown.end) : m_deadline;
+}
+
 void
 ForwardedRequest::start_attempt(bool hedge)
 {
@@ -436,6 +460,7 @@
       record_crash(attempt, now);
       [[fallthrough]];
     case ExchangeStatus::Broken:
+    case ExchangeStatus::Lost:
     case ExchangeStatus::TimedOut:
     case ExchangeStatus::Cancelled:
       m_may_have_executed = true;
@@ -543,10 +568,80 @@
   if (!hedgeable || m_request.upload != nullptr) {
     return TimePoint::max();
   }
+  return late_time(*m_attempts.front());
+}
+
+// \return when the attempt takes longer than usual
+TimePoint
+ForwardedRequest::late_time(const Attempt& attempt) const
+{
   const auto mean_time = m_context.selector(m_request.service).mean_request_time();
   const Duration expected = mean_time.value_or(m_request.route->target_latency);
-  return m_attempts.front()->started +
-         std::chrono::duration_cast<Duration>(kHedgeDelayFactor * expected);
+  return attempt.started + std::chrono::duration_cast<Duration>(kHedgeDelayFactor * expected);
+}
+
+// \return when the server of the active attempt is to be checked. Idempotent requests are hedged
+// instead.
+TimePoint
+ForwardedRequest::check_time() const
+{
+  const bool active = !m_attempts.empty() && !m_attempts.back()->done && m_pending_selections == 0;
+  const bool has_checks =
+    m_request.service_config != nullptr && !m_request.service_config->health_path.empty();
+  if (idempotent() || !active || !has_checks) {
+    return TimePoint::max();
+  }
+  const Attempt& attempt = *m_attempts.back();
+  return attempt.checked_at ? *attempt.checked_at + kServerCheckInterval : late_time(attempt);
+}
+
+// Ends an attempt whose server has dropped the request without an answer, as some servers do when
+// they are full: the server has reported since it got the request that it has none, and no response
+// has arrived. Until then the request waits, however late it is.
+void
+ForwardedRequest::check_server(TimePoint now)
+{
+  Attempt& attempt = *m_attempts.back();
+  attempt.checked_at = now;
+  const bool was_sent = std::exchange(attempt.was_sent, attempt.exchange->awaits_response());
+  if (!attempt.was_sent) {
+    return;
+  }
+  if (attempt.server_is_idle) {
+    attempt.exchange->end_as_lost();
+    return;
+  }
+  const ServerSelector& selector = m_context.selector(m_request.service);
+  const auto age = selector.report_age(attempt.server.id, now);
+  const LoadReport load = selector.last_report(attempt.server.id);
+  attempt.server_is_idle =
+    attempt.asked_at && age && now - *age > *attempt.asked_at && load.running + load.waiting == 0;
+  // The last bytes of a request that has just been sent may still be on their way.
+  if (was_sent && !attempt.server_is_idle) {
+    ask_server(now);
+  }
+}
+
+void
+ForwardedRequest::ask_server(TimePoint now)
+{
+  const ServerInfo& server = m_attempts.back()->server;
+  // A server that is leaving or paused is not asked.
+  if (!m_context.selector(m_request.service).find_callable(server.id, now)) {
+    return;
+  }
+  m_attempts.back()->asked_at = now;
+  asio::co_spawn(
+    m_context.io,
+    [self = shared_from_this(), server]() -> awaitable<void> {
+      const std::vector<ServerInfo> servers{ server };
+      co_await probe_loads(self->m_context,
+                           self->m_request.service,
+                           servers,
+                           self->m_request.service_config->health_path,
+                           Clock::now());
+    },
+    m_context.report_exceptions("server_check"));
 }
 
 bool
@@ -580,6 +675,8 @@
 {
   m_given_up = true;
   const bool in_progress = has_active_attempts() && !m_attempts.empty();
+  const bool timed_out = now >= answer_deadline();
+  const bool shutdown_ends = timed_out && now < m_deadline;
   if (m_server_error) {
     m_winner = m_server_error;
   } else if (m_quarantined) {
@@ -588,10 +685,14 @@
     m_error_response = { .status = 502,
                          .reason =
                            "the request is quarantined: servers crashed while they ran it" };
-  } else if (in_progress || (m_may_have_executed && now >= m_deadline)) {
-    m_error_response = { .status = 504, .reason = "no server answered in time" };
+  } else if (in_progress || (m_may_have_executed && timed_out)) {
+    m_error_response = { .status = 504,
+                         .reason = shutdown_ends ? "no server answered before this host shut down"
+                                                 : "no server answered in time" };
   } else if (m_may_have_executed) {
     m_error_response = { .status = 502, .reason = "the server's response was lost or broken" };
+  } else if (shutdown_ends) {
+    m_error_response = make_shutdown_refusal();
   } else if (m_no_server) {
     const bool limited = m_context.selector(m_request.service).limited_count() > 0;
     refuse_not_executed(limited ? "the request limits of the servers are used up"
--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -154,7 +154,13 @@
   /// Called after each change of the log.
   void note_voters();
   void promote_learner();
+  /// \return the learner to make a voter: it holds the log, and its failure domain has the fewest
+  /// voters; null if no learner holds the log
+  Member* next_voter(Membership& members) const;
+  void spread_voters();
   bool is_silent(const Member& member, Duration limit) const;
+  /// Whether a voter has been silent for ConsensusOptions::lost_after.
+  bool has_lost_voter(const Membership& members) const;
   /// Whether the member has all committed entries.
   bool holds_log(const Member& member) const;
   void remove_lost_member();
