--- a/src/libstate/consensus.cpp
+++ b/src/libstate/consensus.cpp
@@ -37,6 +37,11 @@
 Effects
 Consensus::Impl::take_effects()
 {
+  // The next change must not wait for a tick: until then a lost voter and its replacement both
+  // count.
+  if (membership_committed && role == ConsensusRole::Leader) {
+    adapt_membership();
+  }
   if (!effects.records.empty()) {
     if (options.faults.forget_vote) {
       for (LogRecord& record : effects.records) {
@@ -293,9 +298,7 @@
     if (clock >= next_heartbeat) {
       heartbeat();
     }
-    remove_lost_member();
-    promote_learner();
-    spread_voters();
+    adapt_membership();
   } else if (clock >= election_deadline) {
     campaign(!options.faults.skip_pre_vote);
   }
--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -85,6 +85,8 @@
   /// Latest heartbeat round of this member as leader.
   std::uint64_t round = 0;
   std::deque<PendingRead> reads;
+  /// A change of the membership has been committed since adapt_membership().
+  bool membership_committed = false;
   /// Voters of all memberships seen; see ConsensusFaults::count_removed_voters.
   std::set<MemberId> known_voters;
   /// Snapshot of which chunks are being received.
@@ -153,11 +155,18 @@
   void change_membership(const Membership& next);
   /// Called after each change of the log.
   void note_voters();
+  /// Whether the group has fewer voters than wanted, or a learner is to replace a lost one.
+  bool needs_voter(const Membership& members) const;
   void promote_learner();
   /// \return the learner to make a voter: it holds the log, and its failure domain has the fewest
   /// voters; null if no learner holds the log
   Member* next_voter(Membership& members) const;
   void spread_voters();
+  /// \return a voter of the failure domain with the most voters, other than this member; null if
+  /// there is none
+  Member* fullest_voter(Membership& members) const;
+  /// Makes the next change of the membership, if one is due and none is in progress.
+  void adapt_membership();
   bool is_silent(const Member& member, Duration limit) const;
   /// Whether a voter has been silent for ConsensusOptions::lost_after.
   bool has_lost_voter(const Membership& members) const;
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -174,7 +174,10 @@
 void
 Consensus::Impl::set_commit(std::uint64_t index)
 {
+  const bool was_pending = log.membership_index() > commit_index;
   commit_index = std::max(commit_index, std::min(index, log.last_index()));
+  membership_committed =
+    membership_committed || (was_pending && log.membership_index() <= commit_index);
   while (delivered_index < commit_index) {
     effects.committed.push_back(log.at(++delivered_index));
   }
@@ -278,6 +281,15 @@
   }
 }
 
+bool
+Consensus::Impl::needs_voter(const Membership& members) const
+{
+  const std::size_t voters = voter_count(members);
+  const bool replaces_lost_voter =
+    voters == options.target_voters && voters % 2 == 1 && has_lost_voter(members);
+  return voters < options.target_voters || replaces_lost_voter;
+}
+
 void
 Consensus::Impl::promote_learner()
 {
@@ -285,9 +297,7 @@
     return;
   }
   Membership next = log.membership();
-  const std::size_t voters = voter_count(next);
-  const bool is_short = voters < options.target_voters;
-  if (!is_short && (voters > options.target_voters || voters % 2 == 0 || !has_lost_voter(next))) {
+  if (!needs_voter(next)) {
     return;
   }
   if (Member* const chosen = next_voter(next)) {
@@ -321,29 +331,55 @@
     return;
   }
   Membership next = log.membership();
-  const auto voters = static_cast<std::ptrdiff_t>(voter_count(next));
+  const std::size_t voters = voter_count(next);
   const bool all_answer = std::all_of(
     next.begin(), next.end(), [&](const Member& m) { return !m.voter || has_replied(m); });
-  const auto crowded = std::find_if(next.rbegin(), next.rend(), [&](const Member& member) {
-    return member.voter && member.id != self && !member.failure_domain.empty() &&
-           2 * (voters - voters_in(next, member.failure_domain)) <= voters;
-  });
-  if (!all_answer || crowded == next.rend()) {
+  Member* const fullest = fullest_voter(next);
+  if (!all_answer || fullest == nullptr) {
     return;
   }
-  if (static_cast<std::size_t>(voters) > options.target_voters) {
-    crowded->voter = false;
-    change_membership(next);
+  const std::ptrdiff_t crowd = voters_in(next, fullest->failure_domain);
+  if (voters > options.target_voters) {
+    // Cut into halves, an even number of voters has no leader in either.
+    if (voters % 2 == 0) {
+      fullest->voter = false;
+      change_membership(next);
+    }
     return;
   }
+  const bool ends_majority =
+    !fullest->failure_domain.empty() &&
+    2 * (static_cast<std::ptrdiff_t>(voters) - crowd) <= static_cast<std::ptrdiff_t>(voters);
   Member* const chosen = next_voter(next);
-  if (chosen != nullptr &&
-      voters_in(next, chosen->failure_domain) + 2 <= voters_in(next, crowded->failure_domain)) {
+  if (ends_majority && chosen != nullptr && voters_in(next, chosen->failure_domain) + 2 <= crowd) {
     chosen->voter = true;
     change_membership(next);
   }
 }
 
+Member*
+Consensus::Impl::fullest_voter(Membership& members) const
+{
+  Member* fullest = nullptr;
+  for (Member& member : members) {
+    if (member.voter && member.id != self &&
+        (fullest == nullptr || voters_in(members, member.failure_domain) >=
+                                 voters_in(members, fullest->failure_domain))) {
+      fullest = &member;
+    }
+  }
+  return fullest;
+}
+
+void
+Consensus::Impl::adapt_membership()
+{
+  membership_committed = false;
+  remove_lost_member();
+  promote_learner();
+  spread_voters();
+}
+
 bool
 Consensus::Impl::is_silent(const Member& member, Duration limit) const
 {
@@ -368,9 +404,9 @@
   return peer != peers.end() && peer->second.match_index >= commit_index;
 }
 
-// Removes one member at a time, and a voter only from an even number of voters: one less bears as
-// many losses. promote_learner() makes the number even while a voter is lost, so its replacement
-// votes before it is removed, and the disk of a voter that returns counts until then.
+// Removes one member at a time, and a voter only if there are more than wanted or their number is
+// even, as one less bears as many losses. promote_learner() adds one while a voter is lost, so its
+// replacement votes before it is removed, and the disk of a voter that returns counts until then.
 void
 Consensus::Impl::remove_lost_member()
 {
@@ -379,7 +415,8 @@
     return;
   }
   const Membership& members = log.membership();
-  const bool removable = voter_count(members) % 2 == 0;
+  const std::size_t voters = voter_count(members);
+  const bool removable = voters % 2 == 0 || voters > options.target_voters;
   const auto lost = std::find_if(members.begin(), members.end(), [&](const Member& member) {
     return member.voter ? removable && is_silent(member, limit) : is_silent(member, 5 * limit);
   });
--- a/src/libstate/consensus_test.cpp
+++ b/src/libstate/consensus_test.cpp
@@ -172,6 +172,53 @@
   EXPECT_EQ(voters().size(), 5U);
 }
 
+// Guards against an even number of voters that stays when a silent voter answers again before it is
+// removed: cut into halves, such a group has no leader in either.
+TEST_F(LeaderTest, EvenNumberOfVotersAboveTheTargetIsMadeOdd)
+{
+  lead({ member(1, "a", true),
+         member(2, "a", true),
+         member(3, "b", true),
+         member(4, "b", true),
+         member(5, "c", true),
+         member(6, "c", true) },
+       { .target_voters = 5, .lost_after = std::chrono::milliseconds(2000) });
+  run(std::chrono::seconds(2));
+  EXPECT_EQ(voters().size(), 5U);
+  EXPECT_EQ(voters().count(kSelf), 1U);
+}
+
+// Guards against a silent voter that is neither replaced nor removed because the group has more
+// voters than wanted, so that the next loss may cost the majority.
+TEST_F(LeaderTest, SilentVoterAboveTheTargetIsRemoved)
+{
+  lead({ member(1, "a", true),
+         member(2, "b", true),
+         member(3, "c", true),
+         member(4, "d", true),
+         member(5, "e", true),
+         member(6, "f", false) },
+       { .target_voters = 3, .lost_after = std::chrono::milliseconds(2000) });
+  run(std::chrono::seconds(1));
+  m_silent = { 5 };
+  run(std::chrono::seconds(5));
+  EXPECT_EQ(voters().count(5), 0U);
+}
+
+// Guards against a replacement whose loss costs the majority, because the voter that it replaces
+// still counts until the next tick.
+TEST_F(LeaderTest, SilentVoterIsRemovedOnceItsReplacementIsCommitted)
+{
+  lead({ member(1, "a", true), member(2, "b", true), member(3, "c", true), member(4, "c", false) },
+       { .target_voters = 3, .lost_after = std::chrono::milliseconds(2000) });
+  run(std::chrono::seconds(1));
+  m_silent = { 3 };
+  while (voters().count(4) == 0) {
+    run(kTick);
+  }
+  EXPECT_EQ(voters(), (std::set<MemberId>{ 1, 2, 4 }));
+}
+
 // Guards against voters that stay gathered in one failure domain after hosts of another one were
 // lost and have come back.
 TEST_F(LeaderTest, ExchangesVotersOfACrowdedDomain)
@@ -226,6 +273,7 @@
       RC_ASSERT(group.m_consensus->last_index() == last);
       const std::size_t voter_count = group.voters().size();
       RC_ASSERT(voter_count >= std::min<std::size_t>(target, count));
+      RC_ASSERT(voter_count <= target || voter_count % 2 == 1);
       const auto voters_in = [&](const std::string& domain) {
         const Membership& now = group.m_consensus->membership();
         return static_cast<std::size_t>(std::count_if(now.begin(), now.end(), [&](const Member& m) {
