--- a/src/include/lovagehold/group_tolerance.h
+++ b/src/include/lovagehold/group_tolerance.h
@@ -11,9 +11,8 @@
 /// A host is one of three things:
 /// - A *voter* elects the leader and acknowledges commands. The group works while a majority of the
 ///   voters runs: with 2n + 1 voters it bears the loss of n.
-/// - A *learner* receives the log and has no vote. A learner that holds the log is made a voter
-/// when
-///   one is missing or lost; until then it adds nothing to the losses that can be borne.
+/// - A *learner* receives the log and has no vote. If it holds the log, it is made a voter when one
+///   is missing or lost; until then it adds nothing to the losses that can be borne.
 /// - A host *outside* the group asks to join it. Its log is not updated.
 ///
 /// A lost voter counts against the majority until a learner has taken its place. Only the leader
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -92,8 +92,8 @@
   /// How long this host has been outside the group: no member, or without a leader. Zero while it
   /// is inside.
   Duration outside = Duration::zero();
-  /// Addresses of hosts that are no members, or no longer under their present identity, and have
-  /// asked this host to join within ReplicaOptions::source_heard.
+  /// Addresses of hosts that asked this one to add them within ReplicaOptions::source_heard and
+  /// whose present identity is not that of a member.
   std::vector<std::string> joining;
 };
 
--- a/src/libcontrol/cluster_message_test.cpp
+++ b/src/libcontrol/cluster_message_test.cpp
@@ -58,7 +58,7 @@
   EXPECT_EQ(status.lag, milliseconds(6));
 }
 
-// Guards against a host that is told the wrong members when it asks to join.
+// Guards against an answer to a request to join whose leader or members are lost on the way.
 TEST(ClusterMessage, GroupContactsKeepAllFields)
 {
   const GroupContacts contacts{ .leader = "10.0.0.1:7040",
