soak: a part of an answer ends with a reset also if its server crashes first

The stand-in's crash closed the connections in order, so its parts were whole answers by the protocol. Now the socket is set to end with a reset before the part is sent. The check on bodies is unchanged.

--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -49,11 +49,16 @@
     return (request_id * 20).encode()
 
 
+def end_with_reset(writer):
+    """Makes the connection end with a TCP reset, whoever closes it."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def reset(writer):
     """Closes the connection with a TCP reset."""
     if not writer.transport.is_closing():
-        linger = struct.pack("ii", 1, 0)
-        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        end_with_reset(writer)
         writer.transport.abort()
 
 
@@ -225,6 +230,8 @@
     async def send_part(self, writer, headers, body):
         """Sends a part of an answer without a length and resets the connection."""
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        # Also if the server crashes before: an orderly end would make the part a whole answer.
+        end_with_reset(writer)
         writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body[:-3])
         await writer.drain()
         # A reset discards what has not been read yet.
