libstate: changes of the members in a file of their own

The functions are moved, none is changed; consensus_test, consensus_fuzz_test, replica_test, group_model_test and state_age_test pass.

--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -10,8 +10,8 @@
 
 namespace lovagehold {
 
-/// State of Consensus. Elections are in consensus.cpp, the log's replication in
-/// consensus_replication.cpp.
+/// State of Consensus. Elections are in consensus.cpp, changes of the members in
+/// consensus_membership.cpp, the log's replication in consensus_replication.cpp.
 struct Consensus::Impl
 {
   /// What the leader knows about another member.
@@ -146,6 +146,8 @@
   /// \return the member if this one leads and the reply belongs to its term, otherwise null
   Peer* record_reply(MemberId from, std::uint64_t term);
   void set_commit(std::uint64_t index);
+
+  // consensus_membership.cpp
   void update_peers();
   bool may_change_membership() const;
   /// Whether this leader had a reply of the member within the election timeout.
@@ -173,6 +175,8 @@
   /// Whether the member has all committed entries.
   bool holds_log(const Member& member) const;
   void remove_lost_member();
+
+  // consensus_replication.cpp
   void answer_reads();
   void start_read(MemberId requester, std::uint64_t id);
   void accept_leader(std::uint64_t term, MemberId from);
