libcontrol, libsite: hot paths of a control host don't compute the whole status

Replica::status() has grown: it now collects the progress of all members and the hosts that ask to join. A control host called it for each heartbeat of a server, each permit and each tick, of which it used one field. Replica::in_contact() and membership() answer these. No behaviour is changed: replica_test, control_client_test, site_test, entry_host_test, state_age_test, group_model_test and case_site pass, lint and format are clean.

--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -122,6 +122,12 @@
   /// Whether this host leads the group.
   bool leads() const;
 
+  /// See ReplicaStatus::in_contact.
+  bool in_contact() const;
+
+  /// See Consensus::membership().
+  const Membership& membership() const;
+
   /// Asks a majority, through the leader, to confirm that the state of this host is current.
   /// \param done called once, possibly before this function returns: with the time of this call
   /// when a majority has confirmed the leader and all entries committed before have been applied
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -1005,6 +1005,18 @@
   return m_impl->consensus->role() == ConsensusRole::Leader;
 }
 
+bool
+Replica::in_contact() const
+{
+  return m_impl->consensus->in_contact();
+}
+
+const Membership&
+Replica::membership() const
+{
+  return m_impl->consensus->membership();
+}
+
 void
 Replica::confirm_leadership(std::function<void(std::optional<TimePoint> requested_at)> done)
 {
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -357,7 +357,7 @@
 void
 ControlHost::send_to_members(const ClusterMessage& message)
 {
-  for (const Member& member : m_replica->status().membership) {
+  for (const Member& member : m_replica->membership()) {
     if (member.address != m_settings.cluster_address) {
       m_link.send(member.address, message);
     }
@@ -369,7 +369,7 @@
                                    const PermitRequest& request,
                                    TimePoint now)
 {
-  const Membership membership = m_replica->status().membership;
+  const Membership& membership = m_replica->membership();
   std::vector<std::string> members;
   members.reserve(membership.size());
   for (const Member& member : membership) {
@@ -422,8 +422,7 @@
     m_leases_checked_at = now;
     remove_expired_servers(now);
   }
-  m_timer.expires_at(now +
-                     (m_replica->status().in_contact ? kTickInterval : kElectionTickInterval));
+  m_timer.expires_at(now + (m_replica->in_contact() ? kTickInterval : kElectionTickInterval));
   m_timer.async_wait([this](auto error) {
     if (!error) {
       tick();
@@ -659,7 +658,7 @@
 {
   const TimePoint now = Clock::now();
   const ServerInfo& server = call.heartbeat.server;
-  if (!m_replica->status().in_contact) {
+  if (!m_replica->in_contact()) {
     // The server must try a host that is in contact with the group.
     send_reply(reply,
                FailedReply{ unavailable("this host is not in contact with the control group") });
