libdecision, libstate, platform: accounts, open routes and cold servers in the routing configuration

Cause: deployments declare client accounts with keys, rates and bursts, routes that need no key, and services whose cold servers take few requests. The adapter ignored these fields, so no part could decide by them.

Change: RoutingConfig, RoutingChange and RoutingTable hold them; AccountTable finds the account of a key. The errors of the JSON parser no longer quote the text, which may hold keys.

--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -34,6 +34,12 @@
   /// Requests per second that the server takes from all hosts together, in each of its responses
   /// for as long as it has a limit.
   std::string limit;
+  /// Key of the caller's account in a request. Never forwarded.
+  std::string account_key;
+  /// Name of the caller's account, set by the gateway in requests to servers.
+  std::string account;
+  /// Milliseconds for which the server stays cold, in its responses to health checks.
+  std::string warmup_left;
   /// Current load of the server, decoded by parse_load.
   std::string load;
   std::function<std::optional<LoadReport>(std::string_view)> parse_load;
--- a/src/include/lovagehold/routing_change.h
+++ b/src/include/lovagehold/routing_change.h
@@ -27,11 +27,18 @@
   /// Services that are new or differ.
   std::vector<RoutedService> services;
   std::vector<ServiceName> removed_services;
+  /// Set if it differs.
+  std::optional<bool> requires_key;
+  /// Accounts that are new or differ.
+  std::vector<ClientAccount> accounts;
+  /// Names of accounts.
+  std::vector<std::string> removed_accounts;
 
-  /// \return the number of routes and services that are added, changed or removed
+  /// \return the number of routes, services and accounts that are added, changed or removed
   std::size_t size() const
   {
-    std::size_t size = removed_routes.size() + services.size() + removed_services.size();
+    std::size_t size = removed_routes.size() + services.size() + removed_services.size() +
+                       accounts.size() + removed_accounts.size();
     for (const VirtualHost& host : hosts) {
       size += host.routes.size();
     }
--- a/src/include/lovagehold/routing_config.h
+++ b/src/include/lovagehold/routing_config.h
@@ -2,6 +2,8 @@
 
 #include "lovagehold/types.h"
 
+#include <array>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +42,8 @@
   unsigned max_attempts = 1;
   /// 0 is the most urgent.
   unsigned priority = 0;
+  /// Requests need no key even if the configuration has accounts.
+  bool open = false;
 
   bool operator==(const Route&) const = default;
 };
@@ -69,10 +73,32 @@
   std::string health_path;
   /// Maximum number of connections that each of its servers accepts.
   unsigned max_connections = 500;
+  /// How long a server is cold after its start; 0 if the service has no cold servers.
+  std::chrono::milliseconds warmup{ 0 };
+  /// Requests per second that a cold server takes from all hosts together; 0 for no limit.
+  double warmup_rate = 0;
 
   bool operator==(const RoutedService&) const = default;
 };
 
+/// SHA-256 of an account key. Keys themselves are only in the operator's document.
+using KeyDigest = std::array<std::uint8_t, 32>;
+
+/// A client account. Its callers identify themselves by one of its keys.
+struct ClientAccount
+{
+  std::string name;
+  std::vector<KeyDigest> keys;
+  /// Takes precedence over the route's priority if set; 0 is the most urgent.
+  std::optional<unsigned> priority;
+  /// Requests per second that the account may send to all entry hosts together; 0 for no limit.
+  double rate = 0;
+  /// Requests that it may send beyond the rate at once.
+  double burst = 0;
+
+  bool operator==(const ClientAccount&) const = default;
+};
+
 /// The routing configuration. Operators replace it as a whole; the highest version is in force.
 struct RoutingConfig
 {
@@ -80,6 +106,10 @@
   RequestLimits limits;
   std::vector<VirtualHost> hosts;
   std::vector<RoutedService> services;
+  /// Whether requests need the key of an account, except on open routes. Set if the document
+  /// declares accounts, even an empty list.
+  bool requires_key = false;
+  std::vector<ClientAccount> accounts;
 };
 
 } // namespace lovagehold
--- a/src/include/lovagehold/routing_table.h
+++ b/src/include/lovagehold/routing_table.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lovagehold/routing_change.h"
+#include "lovagehold/account_table.h"
 
 #include <map>
 #include <memory>
@@ -23,6 +23,7 @@
 
   std::uint64_t version() const { return m_version; }
   const RequestLimits& limits() const { return m_limits; }
+  const AccountTable& accounts() const { return m_accounts; }
 
   /// \return the number of routes of all virtual hosts
   std::size_t size() const;
@@ -55,6 +56,7 @@
 
   std::uint64_t m_version = 0;
   RequestLimits m_limits;
+  AccountTable m_accounts;
   std::map<std::string, HostRoutes, std::less<>> m_hosts;
   std::map<ServiceName, std::shared_ptr<const RoutedService>> m_services;
   /// Position of each weighted route in its sequence, in [0, 1).
--- a/src/include/lovagehold/site.h
+++ b/src/include/lovagehold/site.h
@@ -6,6 +6,27 @@
 
 namespace lovagehold {
 
+/// By how much the requests of an account, summed over all hosts, may exceed its allowance: in each
+/// window, (rate * window + burst) * (1 + overage) + slack.
+struct AllowanceBounds
+{
+  std::chrono::milliseconds window{ 5000 };
+  double overage = 0.1;
+  double slack = 20;
+
+  bool operator==(const AllowanceBounds&) const = default;
+};
+
+/// By how much the requests to a cold server, summed over all hosts, may exceed its rate: in each
+/// second, rate * overage + slack.
+struct WarmupBounds
+{
+  double overage = 1.5;
+  double slack = 8;
+
+  bool operator==(const WarmupBounds&) const = default;
+};
+
 /// Settings of one process, as given by the deployment.
 struct SiteSettings
 {
@@ -43,6 +64,10 @@
   std::chrono::seconds quarantine{ 60 };
   /// Upper limit on the time for which callers may cache a reply of the directory.
   std::chrono::milliseconds max_directory_ttl{ 5000 };
+  /// All failure domains of the deployment; empty if the settings don't name them.
+  std::vector<std::string> failure_domains;
+  AllowanceBounds allowance;
+  WarmupBounds warmup;
 
   bool operator==(const SiteSettings&) const = default;
 };
--- a/src/libdecision/routing_table.cpp
+++ b/src/libdecision/routing_table.cpp
@@ -135,6 +135,7 @@
       change.removed_services.push_back(name);
     }
   }
+  m_accounts.add_difference(config, change);
   return change;
 }
 
@@ -160,6 +161,7 @@
   for (const RoutedService& service : change.services) {
     m_services[service.name] = std::make_shared<const RoutedService>(service);
   }
+  m_accounts.apply(change);
   return true;
 }
 
--- a/src/libstate/routing_json.h
+++ b/src/libstate/routing_json.h
@@ -3,6 +3,7 @@
 #include "lovagehold/document_patch.h"
 #include "lovagehold/routing_change.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 /// JSON representation of routing changes: arrays, as they are sent to every host.
@@ -27,6 +28,11 @@
   json = { route.name,         route.path_prefix,     static_cast<int>(route.kind),
            route.targets,      route.timeout.count(), route.target_latency.count(),
            route.max_attempts, route.priority };
+  // Left out if not set, so that messages without open routes are the same as before there were
+  // any.
+  if (route.open) {
+    json.push_back(true);
+  }
 }
 
 inline void
@@ -44,6 +50,7 @@
   route.target_latency = std::chrono::milliseconds(json.at(5).get<std::int64_t>());
   json.at(6).get_to(route.max_attempts);
   json.at(7).get_to(route.priority);
+  route.open = json.size() > 8 && json.at(8).get<bool>();
 }
 
 inline void
@@ -76,6 +83,10 @@
 to_json(nlohmann::json& json, const RoutedService& service)
 {
   json = { service.name, service.health_path, service.max_connections };
+  if (service.warmup.count() > 0 || service.warmup_rate > 0) {
+    json.push_back(service.warmup.count());
+    json.push_back(service.warmup_rate);
+  }
 }
 
 inline void
@@ -84,6 +95,44 @@
   json.at(0).get_to(service.name);
   json.at(1).get_to(service.health_path);
   json.at(2).get_to(service.max_connections);
+  if (json.size() > 4) {
+    service.warmup = std::chrono::milliseconds(json.at(3).get<std::int64_t>());
+    json.at(4).get_to(service.warmup_rate);
+  }
+}
+
+inline void
+to_json(nlohmann::json& json, const ClientAccount& account)
+{
+  nlohmann::json keys = nlohmann::json::array();
+  for (const KeyDigest& key : account.keys) {
+    keys.push_back(nlohmann::json::binary({ key.begin(), key.end() }));
+  }
+  json =
+    nlohmann::json::array({ account.name, std::move(keys), nullptr, account.rate, account.burst });
+  if (account.priority) {
+    json.at(2) = *account.priority;
+  }
+}
+
+inline void
+from_json(const nlohmann::json& json, ClientAccount& account)
+{
+  json.at(0).get_to(account.name);
+  for (const nlohmann::json& key : json.at(1)) {
+    const auto& bytes = key.get_binary();
+    KeyDigest digest{};
+    if (bytes.size() != digest.size()) {
+      throw std::invalid_argument("the digest of an account key has the wrong size");
+    }
+    std::copy(bytes.begin(), bytes.end(), digest.begin());
+    account.keys.push_back(digest);
+  }
+  if (!json.at(2).is_null()) {
+    account.priority = json.at(2).get<unsigned>();
+  }
+  json.at(3).get_to(account.rate);
+  json.at(4).get_to(account.burst);
 }
 
 inline void
@@ -113,6 +162,15 @@
   if (change.limits) {
     json["limits"] = *change.limits;
   }
+  if (change.requires_key) {
+    json["requires_key"] = *change.requires_key;
+  }
+  if (!change.accounts.empty()) {
+    json["accounts"] = change.accounts;
+  }
+  if (!change.removed_accounts.empty()) {
+    json["removed_accounts"] = change.removed_accounts;
+  }
 }
 
 inline void
@@ -127,6 +185,15 @@
   if (json.contains("limits")) {
     change.limits = json.at("limits").get<RequestLimits>();
   }
+  if (json.contains("requires_key")) {
+    change.requires_key = json.at("requires_key").get<bool>();
+  }
+  if (json.contains("accounts")) {
+    json.at("accounts").get_to(change.accounts);
+  }
+  if (json.contains("removed_accounts")) {
+    json.at("removed_accounts").get_to(change.removed_accounts);
+  }
 }
 
 inline void
--- a/src/libstate/untrusted_json.cpp
+++ b/src/libstate/untrusted_json.cpp
@@ -19,7 +19,12 @@
     }
     return true;
   };
-  return nlohmann::json::parse(text, check);
+  try {
+    return nlohmann::json::parse(text, check);
+  } catch (const nlohmann::json::parse_error& error) {
+    // The library's message quotes the text, which may hold keys of accounts.
+    throw std::invalid_argument("the text is not valid JSON at byte " + std::to_string(error.byte));
+  }
 }
 
 } // namespace lovagehold
