libstate: commits wait shortly for a learner that is due to become a voter

Cause: a learner became a voter only at a moment at which it held every committed entry. With changes all the time and a slow link to the learner, each entry was committed before the learner's reply arrived, so that moment never came.

Change: while a voter is wanted and a learner follows within an election timeout, the leader commits only what this learner holds too, for at most an election timeout.

--- a/src/libstate/consensus.cpp
+++ b/src/libstate/consensus.cpp
@@ -274,6 +274,9 @@
   leader = self;
   had_leader = true;
   peers.clear();
+  commit_history.clear();
+  awaited_learner = 0;
+  awaited_since = Duration::zero();
   update_peers();
   // A leader can commit the entries of earlier terms only together with one of its own term.
   append(EntryKind::Empty, nullptr);
--- a/src/libstate/consensus_impl.h
+++ b/src/libstate/consensus_impl.h
@@ -84,6 +84,12 @@
   std::map<MemberId, Peer> peers;
   /// Latest heartbeat round of this member as leader.
   std::uint64_t round = 0;
+  /// Commit indexes at the latest heartbeats of this leader, with their times; the first one is at
+  /// least an election timeout old if there is one that old.
+  std::deque<std::pair<Duration, std::uint64_t>> commit_history;
+  /// Learner that commits wait for until it holds the log, and when the wait began; 0 if none.
+  MemberId awaited_learner = 0;
+  Duration awaited_since{};
   std::deque<PendingRead> reads;
   /// A change of the membership has been committed since adapt_membership().
   bool membership_committed = false;
@@ -174,6 +180,13 @@
   bool has_lost_voter(const Membership& members) const;
   /// Whether the member has all committed entries.
   bool holds_log(const Member& member) const;
+  /// Whether the member has all entries that were committed an election timeout ago.
+  bool follows_closely(const Member& member) const;
+  void record_commit();
+  /// Begins, and ends in time, the wait for the learner that is to be promoted next.
+  void update_awaited_learner();
+  /// \return the index up to which entries may be committed now
+  std::uint64_t commit_limit() const;
   void remove_lost_member();
 
   // consensus_replication.cpp
--- a/src/libstate/consensus_membership.cpp
+++ b/src/libstate/consensus_membership.cpp
@@ -1,6 +1,7 @@
 #include "consensus_impl.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace lovagehold {
 
@@ -76,6 +77,8 @@
 void
 Consensus::Impl::change_membership(const Membership& next)
 {
+  awaited_learner = 0;
+  awaited_since = Duration::zero();
   append(EntryKind::MembershipChange, std::make_shared<const Bytes>(encode(next)));
   update_peers();
   replicate();
@@ -216,6 +219,57 @@
   return peer != peers.end() && peer->second.match_index >= commit_index;
 }
 
+bool
+Consensus::Impl::follows_closely(const Member& member) const
+{
+  const auto peer = peers.find(member.id);
+  return peer != peers.end() && !commit_history.empty() &&
+         clock - commit_history.front().first >= options.election_timeout &&
+         peer->second.match_index >= commit_history.front().second;
+}
+
+// While entries are committed all the time, a learner behind a slow link never holds the latest one
+// and could not become a voter. Commits therefore wait for a learner that is due and follows within
+// an election timeout, at most that long. After a wait without a promotion there is none for ten
+// times as long.
+void
+Consensus::Impl::update_awaited_learner()
+{
+  const Duration waited = clock - awaited_since;
+  const bool due = may_change_membership() && needs_voter(log.membership());
+  if (awaited_learner != 0 && (!due || waited >= options.election_timeout)) {
+    awaited_learner = 0;
+    advance_commit();
+  }
+  if (!due || (awaited_since != Duration::zero() && waited < 10 * options.election_timeout)) {
+    return;
+  }
+  for (const Member& member : log.membership()) {
+    if (!member.voter && has_replied(member) && follows_closely(member)) {
+      awaited_learner = member.id;
+      awaited_since = clock;
+      return;
+    }
+  }
+}
+
+std::uint64_t
+Consensus::Impl::commit_limit() const
+{
+  const auto peer = peers.find(awaited_learner);
+  return peer == peers.end() ? std::numeric_limits<std::uint64_t>::max()
+                             : std::max(commit_index, peer->second.match_index);
+}
+
+void
+Consensus::Impl::record_commit()
+{
+  commit_history.emplace_back(clock, commit_index);
+  while (commit_history.size() > 1 && clock - commit_history[1].first >= options.election_timeout) {
+    commit_history.pop_front();
+  }
+}
+
 // Removes one member at a time, and a voter only if there are more than wanted or their number is
 // even, as one less bears as many losses. promote_learner() adds one while a voter is lost, so its
 // replacement votes before it is removed, and the disk of a voter that returns counts until then.
--- a/src/libstate/consensus_replication.cpp
+++ b/src/libstate/consensus_replication.cpp
@@ -34,6 +34,8 @@
 {
   next_heartbeat = clock + options.heartbeat;
   ++round;
+  record_commit();
+  update_awaited_learner();
   for (auto& [id, peer] : peers) {
     if (peer.snapshot) {
       if (clock - peer.snapshot_sent >= 2 * options.heartbeat) {
@@ -131,7 +133,8 @@
 void
 Consensus::Impl::advance_commit()
 {
-  const std::uint64_t index = reached_by_majority(durable_index, &Peer::match_index);
+  const std::uint64_t index =
+    std::min(reached_by_majority(durable_index, &Peer::match_index), commit_limit());
   // Entries of earlier terms could still be replaced; they are committed together with an entry of
   // the current term.
   if (index > commit_index &&
