libcontrol: the group model sees members that become voters too early

Cause: the model noticed a learner that is promoted without the log only by the losses that followed from it. Since voters are replaced whatever their number, none followed within 200 histories, and the test of the model failed.

Change: at each step the model compares the voters of a leader with those before; a new one must have stored what was committed then.

--- a/src/libcontrol/testing/simulated_group.cpp
+++ b/src/libcontrol/testing/simulated_group.cpp
@@ -463,13 +463,37 @@
     return;
   }
   const std::pair leader(host.address, host.lost_disks);
-  const auto known = m_leader_by_term.try_emplace(host.replica->status().term, leader).first;
+  const ReplicaStatus status = host.replica->status();
+  check_new_voters(number, status);
+  const auto known = m_leader_by_term.try_emplace(status.term, leader).first;
   if (known->second != leader) {
     report_violation(host.address + " and " + known->second.first + " lead in term " +
                      std::to_string(known->first));
   }
 }
 
+// A member that becomes a voter must hold what was committed before.
+void
+SimulatedGroup::check_new_voters(std::size_t number, const ReplicaStatus& status)
+{
+  Process& process = m_processes[number];
+  std::set<MemberId> voters;
+  for (const Member& member : status.membership) {
+    if (member.voter) {
+      voters.insert(member.id);
+    }
+  }
+  for (const MemberProgress& member : status.progress) {
+    const bool is_new = voters.count(member.id) > 0 && process.led_voters.count(member.id) == 0;
+    if (status.term == process.led_term && is_new && member.stored_index < process.led_commit) {
+      report_violation("a member that lacks committed entries became a voter");
+    }
+  }
+  process.led_term = status.term;
+  process.led_commit = status.commit;
+  process.led_voters = std::move(voters);
+}
+
 void
 SimulatedGroup::on_report(std::size_t number,
                           std::string_view event,
--- a/src/libcontrol/testing/simulated_group.h
+++ b/src/libcontrol/testing/simulated_group.h
@@ -160,6 +160,10 @@
     SlowDisk* disk = nullptr;
     /// Makes the proposals of this host.
     std::unique_ptr<ControlClient> client;
+    /// While it leads: its term, and its committed entries and voters at the last step.
+    std::uint64_t led_term = 0;
+    std::uint64_t led_commit = 0;
+    std::set<MemberId> led_voters;
   };
   /// A version without an acknowledgement.
   struct Change
@@ -187,6 +191,7 @@
   /// Time since the start, in milliseconds.
   std::string time() const;
   void check_leader(std::size_t host);
+  void check_new_voters(std::size_t host, const ReplicaStatus& status);
   bool has_effective_leader() const;
 
   SimulatedGroupOptions m_options;
