libgateway: requests are attributed to client accounts by their key

Cause: the configuration had accounts with keys, but the gateway served every caller, and passed the key header and a forged account header on to the servers.

Change: CallerIdentity takes both headers out of each request as soon as its header is read, and decides when the route is known: anonymous, an account, or 401; 404 and the 503 of a host without a configuration come first. The server gets the account's name. GatewayRequest holds the account; its priority precedes the route's, and its name takes the place of the Authorization header in the fingerprint. Request lines have the account's name, and two metrics with a bounded number of series count requests and refusals by account, kind and reason. A name that no header can carry is refused with the configuration. Request preparation, error responses and request logging move out of caller_connection.cpp into files of their own. An event log takes warnings with a variable number of fields.

--- a/src/include/lovagehold/event_log.h
+++ b/src/include/lovagehold/event_log.h
@@ -55,6 +55,7 @@
   void info(std::string_view event, std::initializer_list<LogField> fields = {});
   void info(std::string_view event, const std::vector<LogField>& fields);
   void warn(std::string_view event, std::initializer_list<LogField> fields = {});
+  void warn(std::string_view event, const std::vector<LogField>& fields);
 
   /// \return a hybrid logical timestamp for a message to another process
   HybridTime stamp();
--- a/src/libadapters/event_log.cpp
+++ b/src/libadapters/event_log.cpp
@@ -94,6 +94,12 @@
   record(spdlog::level::warn, event, fields.begin(), fields.size());
 }
 
+void
+EventLog::warn(std::string_view event, const std::vector<LogField>& fields)
+{
+  record(spdlog::level::warn, event, fields.data(), fields.size());
+}
+
 HybridTime
 EventLog::stamp()
 {
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -1,12 +1,11 @@
 #include "caller_connection.h"
 
-#include "forwarded_request.h"
-#include "libproxy/framing.h"
+#include "incoming_request.h"
+#include "request_log.h"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/write.hpp>
-#include <fmt/format.h>
 #include <sys/socket.h>
 
 namespace lovagehold {
@@ -19,7 +18,6 @@
 // restart together have their configuration again within half a second, and a refusal would cost
 // the caller one of its few retries.
 constexpr std::chrono::milliseconds kFirstRoutingWait{ 700 };
-constexpr std::chrono::milliseconds kDefaultCallerTimeout{ 30000 };
 // During shutdown idle connections are closed after this time, so that a request that is already on
 // its way is still served.
 constexpr std::chrono::milliseconds kShutdownIdleTimeout{ 1500 };
@@ -31,38 +29,6 @@
 // Longest time without progress while a body is transferred.
 constexpr std::chrono::milliseconds kBodyIdleTimeout{ 10000 };
 
-class CallerConnection;
-
-// A request of a caller while it is served. Shared by the connection and by what sends the body to
-// a server; keeps the connection alive, from which the body is read.
-struct IncomingRequest
-{
-  IncomingRequest(std::shared_ptr<CallerConnection> owner, const RequestLimits& request_limits)
-    : connection(std::move(owner))
-    , limits(request_limits)
-  {
-  }
-
-  std::shared_ptr<CallerConnection> connection;
-  // Limits in force when the first byte of the request arrived.
-  RequestLimits limits;
-  RequestParser parser;
-  std::optional<UploadSource> upload;
-  // The body if it is sent to the server while it arrives.
-  std::shared_ptr<ArrivingBody> arriving;
-  TimePoint arrived;
-  // The whole body is in memory.
-  bool buffered = false;
-
-  // Whether what the caller sends next can't belong to this request.
-  bool body_has_ended() const { return buffered || (arriving && arriving->ended()); }
-
-  // Whether the connection can serve another request: the next byte is not one of this body.
-  bool read_whole() const { return arriving || (upload && upload->done()); }
-};
-
-using IncomingRequestPtr = std::shared_ptr<IncomingRequest>;
-
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -174,6 +140,7 @@
   {
     request->arrived = Clock::now();
     RequestParser& parser = request->parser;
+    request->identity = CallerIdentity(parser.get(), m_context->options.headers);
     const auto& header = parser.get();
     m_head_method = header.method() == http::verb::head;
     if (const auto fault = check_request_header(header)) {
@@ -288,8 +255,7 @@
                                                  .reason =
                                                    "this host has no routing configuration yet",
                                                  .retry_after = kNoRoutingRetryAfter };
-      log_refused_request(header, error_response);
-      co_await send_error_response(error_response);
+      co_await refuse(request, nullptr, error_response);
       co_return;
     }
     const std::string target(header.target());
@@ -300,90 +266,30 @@
     if (route == nullptr) {
       const GatewayErrorResponse error_response{ .status = 404,
                                                  .reason = "no route matches the request" };
-      log_refused_request(header, error_response);
-      co_await send_error_response(error_response);
+      co_await refuse(request, nullptr, error_response);
+      co_return;
+    }
+    const IdentityDecision identity =
+      request->identity.decide(m_context->routing->accounts(), *route);
+    if (identity.refusal) {
+      co_await refuse(request, route.get(), *identity.refusal);
       co_return;
     }
+    request->account = identity.account;
+    const TimePoint caller_stops = caller_deadline(header, m_context->options.headers, arrived);
     const ShutdownArrival arrival{ .kind = route->kind,
                                    .target_latency = route->target_latency,
-                                   .deadline = std::min(caller_deadline(header, arrived),
-                                                        arrived + route->timeout) };
+                                   .deadline = std::min(caller_stops, arrived + route->timeout) };
     if (m_context->shutting_down &&
         !m_context->admission.accepts(arrival, m_context->shutdown, arrived)) {
       m_open = false;
       const GatewayErrorResponse error_response = make_shutdown_refusal();
-      log_refused_request(header, error_response);
-      co_await send_error_response(error_response);
+      co_await refuse(request, route.get(), error_response);
       co_return;
     }
     co_await forward(request, route);
   }
 
-  // \return when the caller of the request stops waiting
-  TimePoint caller_deadline(const http::request_header<>& header, TimePoint arrived) const
-  {
-    const auto left = parse_number_field(header, m_context->options.headers.deadline.c_str());
-    return arrived + std::chrono::milliseconds(left ? static_cast<std::int64_t>(*left)
-                                                    : kDefaultCallerTimeout.count());
-  }
-
-  GatewayRequest make_request(const IncomingRequestPtr& incoming,
-                              const std::shared_ptr<const Route>& route) const
-  {
-    const GatewayHeaders& names = m_context->options.headers;
-    const RequestParser& parser = incoming->parser;
-    http::request_header<> header = parser.get().base();
-    GatewayRequest request{ .id = std::string(header[names.request_id]),
-                            .target = std::string(header.target()),
-                            .head_method = m_head_method,
-                            .route = route,
-                            .service = m_context->routing->next_target(*route),
-                            .arrived = incoming->arrived };
-    request.service_config = m_context->routing->service(request.service);
-    request.caller_deadline = caller_deadline(header, incoming->arrived);
-    remove_hop_by_hop_fields(header);
-    header.erase(names.deadline);
-    header.erase(names.expected_server);
-    const bool has_body = parser.chunked() || parser.content_length().value_or(0) > 0 ||
-                          header.count(http::field::content_length) > 0;
-    request.chunked = !incoming->buffered && parser.chunked();
-    if (incoming->arriving) {
-      request.body = std::make_shared<const std::string>();
-      request.arriving = incoming->arriving;
-    } else if (incoming->buffered) {
-      request.body = std::make_shared<const std::string>(incoming->upload->take_kept());
-      if (has_body) {
-        header.set(http::field::content_length, std::to_string(request.body->size()));
-      }
-    } else {
-      request.body = std::make_shared<const std::string>();
-      request.upload = std::shared_ptr<UploadSource>(incoming, &*incoming->upload);
-      if (request.chunked) {
-        header.set(http::field::transfer_encoding, "chunked");
-      }
-    }
-    request.fingerprint = fingerprint(header, *request.body, parser.content_length().value_or(0));
-    request.head = format_request_head(header);
-    // Drops the final empty line: the deadline and the expected server are added for each attempt.
-    request.head.resize(request.head.size() - 2);
-    return request;
-  }
-
-  static RequestFingerprint fingerprint(const http::request_header<>& header,
-                                        const std::string& body,
-                                        std::uint64_t content_length)
-  {
-    const auto view = [](beast::string_view text) {
-      return std::string_view(text.data(), text.size());
-    };
-    return fingerprint_of({ .method = view(header.method_string()),
-                            .host = view(header[http::field::host]),
-                            .target = view(header.target()),
-                            .caller = view(header[http::field::authorization]),
-                            .body = body,
-                            .streamed_bytes = body.empty() ? content_length : 0 });
-  }
-
   // Abandons the request if the caller closes the connection while it is served. The end of the
   // stream only shows once all bytes before it have been read, so bytes of pipelined requests are
   // moved to the buffer, up to its limit.
@@ -429,7 +335,7 @@
   awaitable<void> forward(IncomingRequestPtr incoming, std::shared_ptr<const Route> route)
   {
     const auto& arriving = incoming->arriving;
-    GatewayRequest request = make_request(incoming, route);
+    GatewayRequest request = make_gateway_request(*m_context, incoming, route);
     const std::string id = request.id;
     const TimePoint caller_deadline = request.caller_deadline;
     // The watch below may learn of it later than an attempt starts, if the host is busy.
@@ -465,7 +371,8 @@
       co_await send_error_response(forwarded->error_response());
       forwarded->finish(false);
     }
-    log_request(id, *route, status, incoming->arrived, *forwarded);
+    const RequestEnd end{ .id = id, .status = status, .arrived = incoming->arrived };
+    record_request(*m_context, *route, incoming->account.get(), end, *forwarded);
   }
 
   void start_disconnect_watch(const std::shared_ptr<ForwardedRequest>& forwarded)
@@ -477,60 +384,6 @@
       m_context->report_exceptions("disconnect_watch"));
   }
 
-  void log_request(const std::string& id,
-                   const Route& route,
-                   unsigned status,
-                   TimePoint arrived,
-                   const ForwardedRequest& forwarded)
-  {
-    const auto elapsed =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - arrived);
-    const bool failed = status >= 500 || forwarded.abandoned();
-    const std::string version = std::to_string(m_context->routing->version());
-    const std::string budget = fmt::format("{:.1f}", forwarded.budget_left());
-    const std::initializer_list<LogField> fields = {
-      { "id", id },
-      { "route", route.name },
-      { "service", forwarded.service() },
-      { "request", fmt::format("{:016x}", forwarded.fingerprint()) },
-      { "routing", version },
-      { "status", forwarded.abandoned() ? "caller_left" : std::to_string(status) },
-      { "ms", std::to_string(elapsed.count()) },
-      { "timeout_ms", std::to_string(route.timeout.count()) },
-      { "attempts", forwarded.describe_attempts() },
-      { "budget_left", budget },
-      { "reason", failed ? forwarded.error_response().reason : "" },
-      { "detail", failed ? forwarded.error_response().detail : "" }
-    };
-    // The log limits the rate of each event separately, so failures have an event of their own that
-    // successful requests never displace.
-    if (failed) {
-      m_context->log.warn("request_failed", fields);
-    } else {
-      m_context->log.info("request", fields);
-    }
-    record_latency(forwarded.service(), route, status, Clock::now() - arrived);
-  }
-
-  void record_latency(const ServiceName& service,
-                      const Route& route,
-                      unsigned status,
-                      Duration latency)
-  {
-    const RequestClass request_class =
-      route.kind == RouteKind::Idempotent ? RequestClass::Urgent : RequestClass::NonIdempotent;
-    RequestOutcome outcome = RequestOutcome::Served;
-    // The status is 0 if the caller disconnected before a response was sent.
-    if (status == 0) {
-      outcome = RequestOutcome::Aborted;
-    } else if (status == 503) {
-      outcome = RequestOutcome::Refused;
-    } else if (status >= 500) {
-      outcome = RequestOutcome::Unknown;
-    }
-    m_context->metrics.record(service, request_class, outcome, latency);
-  }
-
   // Decides for all responses whether the connection is kept, and sets "Connection: close" if not.
   // A request that has not been read to its end is the last one: the rest of its body must not be
   // taken for requests.
@@ -619,49 +472,25 @@
 
   awaitable<void> reject_request(const RequestFault& fault)
   {
-    log_rejected_request(fault);
+    log_rejected_request(*m_context, fault);
     const GatewayErrorResponse error_response{ .status = static_cast<unsigned>(fault.status),
                                                .reason = fault.error + "; " + fault.remedy };
     co_await send_error_response(error_response);
   }
 
-  // Logs a request that is refused before a server is selected.
-  void log_refused_request(const http::request_header<>& header,
-                           const GatewayErrorResponse& error_response)
-  {
-    const std::uint64_t version = m_context->routing ? m_context->routing->version() : 0;
-    m_context->log.warn("request_refused",
-                        { { "id", std::string(header[m_context->options.headers.request_id]) },
-                          { "caller_host", std::string(header[http::field::host]) },
-                          { "target", std::string(header.target()) },
-                          { "routing", std::to_string(version) },
-                          { "status", std::to_string(error_response.status) },
-                          { "reason", error_response.reason } });
-  }
-
-  void log_rejected_request(const RequestFault& fault)
+  // Refuses a request before a server is selected. \param route null if it is not known
+  awaitable<void> refuse(IncomingRequestPtr request,
+                         const Route* route,
+                         const GatewayErrorResponse& error_response)
   {
-    m_context->log.warn("request_rejected",
-                        { { "status", std::to_string(static_cast<unsigned>(fault.status)) },
-                          { "error", fault.error } });
+    record_refusal(*m_context, *request, route, error_response);
+    co_await send_error_response(error_response);
   }
 
   awaitable<void> send_error_response(const GatewayErrorResponse& error_response)
   {
-    http::response_header<> header;
-    header.version(11);
-    header.result(error_response.status);
-    header.set(http::field::content_type, "text/plain");
-    const std::string body = error_response.reason + "\n";
-    header.set(http::field::content_length, std::to_string(body.size()));
-    if (error_response.retry_after) {
-      char seconds[32];
-      std::snprintf(seconds,
-                    sizeof(seconds),
-                    "%.3f",
-                    std::chrono::duration<double>(*error_response.retry_after).count());
-      header.set(http::field::retry_after, seconds);
-    }
+    const std::string body = error_body(error_response);
+    http::response_header<> header = make_error_header(error_response, body.size());
     add_connection_close(header);
     ++(error_response.status == 503 ? m_context->counters.refused : m_context->counters.failed);
     const std::string head = format_response_head(header);
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -37,7 +37,6 @@
 constexpr std::chrono::milliseconds kCrashRetryDelay{ 10 };
 // Bytes of a request's target in a log line.
 constexpr std::size_t kMaxLoggedTarget = 200;
-constexpr std::chrono::milliseconds kShutdownRetryAfter{ 10 };
 // An attempt that did not reach its server is not counted towards Route::max_attempts while fewer
 // than this many attempts have been made.
 constexpr unsigned kUncountedAttemptLimit = 3;
@@ -94,14 +93,6 @@
 
 } // namespace
 
-GatewayErrorResponse
-make_shutdown_refusal()
-{
-  return { .status = 503,
-           .reason = "this host is shutting down; use another host",
-           .retry_after = kShutdownRetryAfter };
-}
-
 ForwardedRequest::ForwardedRequest(GatewayContext& context, GatewayRequest request)
   : m_context(context)
   , m_request(std::move(request))
@@ -263,7 +254,7 @@
       co_return has_capacity;
     }
   }
-  WaitingQueue::Waiter waiter(queue, m_context.io, m_request.route->priority, m_request.arrived);
+  WaitingQueue::Waiter waiter(queue, m_context.io, m_request.priority(), m_request.arrived);
   while (!m_abandoned && !m_given_up && Clock::now() < latest &&
          m_context.selector(m_request.service).is_callable_until(latest, Clock::now())) {
     co_await waiter.wait_until(
@@ -654,7 +645,7 @@
 }
 
 void
-ForwardedRequest::refuse_not_executed(const char* reason, TimePoint now)
+ForwardedRequest::refuse_not_executed(RefusalCause cause, const char* reason, TimePoint now)
 {
   const ServerSelector& selector = m_context.selector(m_request.service);
   const RefusalState state{ .pause_end = selector.is_callable_until(now, now)
@@ -666,8 +657,8 @@
                             .caller_deadline = m_request.caller_deadline };
   m_error_response = { .status = 503,
                        .reason = reason,
-                       .retry_after =
-                         m_context.admission.retry_after(state, now, m_context.random) };
+                       .retry_after = m_context.admission.retry_after(state, now, m_context.random),
+                       .cause = cause };
 }
 
 void
@@ -695,13 +686,15 @@
     m_error_response = make_shutdown_refusal();
   } else if (m_no_server) {
     const bool limited = m_context.selector(m_request.service).limited_count() > 0;
-    refuse_not_executed(limited ? "the request limits of the servers are used up"
+    refuse_not_executed(limited ? RefusalCause::LimitsUsedUp : RefusalCause::NoServer,
+                        limited ? "the request limits of the servers are used up"
                                 : "no server of the service is available",
                         now);
   } else if (now >= m_deadline) {
-    refuse_not_executed("the time ran out before a server was reached", now);
+    refuse_not_executed(
+      RefusalCause::OutOfTime, "the time ran out before a server was reached", now);
   } else {
-    refuse_not_executed("the servers are full", now);
+    refuse_not_executed(RefusalCause::ServersFull, "the servers are full", now);
     m_error_response.detail = m_overload_detail;
   }
 }
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "error_response.h"
 #include "lovagehold/request_fingerprint.h"
 #include "server_exchange.h"
 
@@ -31,27 +32,21 @@
   ServiceName service;
   /// Null if the service is not configured.
   std::shared_ptr<const RoutedService> service_config;
+  /// Null for a request without an account.
+  std::shared_ptr<const ClientAccount> account;
   TimePoint arrived;
   /// Time at which the caller stops waiting.
   TimePoint caller_deadline;
   /// Returns whether the caller has closed the connection. Asked before each attempt; may be empty.
   std::function<bool()> caller_left;
-};
 
-/// Response that the gateway generates itself when it forwards no server's response.
-struct GatewayErrorResponse
-{
-  unsigned status = 503;
-  std::string reason;
-  /// State that led to the error; logged only, not sent.
-  std::string detail;
-  /// Value of the Retry-After header. Set only if the request was not executed.
-  std::optional<std::chrono::milliseconds> retry_after;
+  /// \return the priority of the account if it has one, otherwise that of the route
+  unsigned priority() const
+  {
+    return account != nullptr ? account->priority.value_or(route->priority) : route->priority;
+  }
 };
 
-/// \return the response to a request that was not executed because this host shuts down
-GatewayErrorResponse make_shutdown_refusal();
-
 /// Forwards one request: selects servers, retries failed attempts where that is safe, and hedges
 /// slow ones. Not thread-safe.
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
@@ -132,7 +127,7 @@
   bool has_active_attempts() const;
   bool may_retry(TimePoint now);
   void give_up(TimePoint now);
-  void refuse_not_executed(const char* reason, TimePoint now);
+  void refuse_not_executed(RefusalCause cause, const char* reason, TimePoint now);
   TimePoint answer_deadline() const;
   TimePoint late_time(const Attempt& attempt) const;
   TimePoint hedge_time() const;
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -266,6 +266,7 @@
       "gauge",
       "Version of the routing configuration in force.",
       static_cast<double>(version()));
+  context.account_counters.render(text);
   return text.text() + context.metrics.render();
 }
 
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "account_counters.h"
 #include "libproxy/connection_pool.h"
 #include "lovagehold/admission.h"
 #include "lovagehold/crash_suspects.h"
@@ -85,6 +86,7 @@
   GatewayCounters counters;
   /// One shard is enough, as the gateway runs on one thread.
   Metrics metrics{ 1 };
+  AccountCounters account_counters;
   /// Number of entry hosts that receive callers, this one included.
   std::size_t entry_hosts = 1;
   /// Requests being served.
--- a/src/libgateway/gateway_fixture.h
+++ b/src/libgateway/gateway_fixture.h
@@ -53,6 +53,8 @@
                         .not_executed = "Lovagehold-Not-Executed",
                         .leaving = "Server-Leaving",
                         .limit = "Server-Limit",
+                        .account_key = "Account-Key",
+                        .account = "Account-Name",
                         .load = "Lovagehold-Server-Load",
                         .parse_load = [](std::string_view text) {
                           if (text == "throw") {
@@ -126,6 +128,11 @@
                        .routes = { route("/safe/", RouteKind::Idempotent),
                                    route("/once/", RouteKind::NonIdempotent) } } };
     config.services = { { .name = "desk", .health_path = m_health_path } };
+    config.accounts = m_accounts;
+    config.requires_key = !m_accounts.empty();
+    for (Route& configured : config.hosts[0].routes) {
+      configured.open = m_open_routes;
+    }
     on_gateway([&] {
       m_gateway.set_routing(config);
       m_gateway.set_servers(m_server_infos, Clock::now());
@@ -179,6 +186,9 @@
   /// Limits and version of the routing configuration.
   RequestLimits m_limits;
   std::uint64_t m_version = 0;
+  std::vector<ClientAccount> m_accounts;
+  /// Whether both routes are open.
+  bool m_open_routes = false;
 };
 
 inline const auto kServe = [](const ReceivedRequest& request) {
--- a/src/libstate/routing_updates_test.cpp
+++ b/src/libstate/routing_updates_test.cpp
@@ -9,8 +9,10 @@
 
 const std::vector<std::string> kPrefixes{ "/", "/a/", "/a/b/", "/ab/", "/b/", "/b/a/b/" };
 const std::vector<std::string> kHosts{ "x", "y" };
+const std::vector<std::string> kAccounts{ "p", "q", "r" };
+const std::vector<std::string> kKeys{ "1", "2", "3", "4" };
 
-// One line for each route: host, prefix, first and second service.
+// One line for each route: host, prefix, first and second service; one for each account.
 std::string
 write_document(const RoutingConfig& config)
 {
@@ -25,6 +27,13 @@
       output << "}\n";
     }
   }
+  for (const ClientAccount& account : config.accounts) {
+    output << account.name << " " << account.rate << " " << account.priority.value_or(9);
+    for (const KeyDigest& key : account.keys) {
+      output << " " << static_cast<int>(key[0]);
+    }
+    output << "\n";
+  }
   return output.str();
 }
 
@@ -52,16 +61,57 @@
         { .name = service, .max_connections = *rc::gen::inRange<unsigned>(1, 3) });
     }
   }
+  // A key moves to another account, or is unused, at random.
+  config.requires_key = *rc::gen::arbitrary<bool>();
+  if (config.requires_key) {
+    for (const std::string& account : kAccounts) {
+      if (*rc::gen::arbitrary<bool>()) {
+        config.accounts.push_back(
+          { .name = account, .rate = static_cast<double>(*rc::gen::inRange(0, 2)) });
+        if (*rc::gen::arbitrary<bool>()) {
+          config.accounts.back().priority = *rc::gen::inRange<unsigned>(0, 3);
+        }
+      }
+    }
+    for (const std::string& key : kKeys) {
+      const auto holder = *rc::gen::inRange<std::size_t>(0, kAccounts.size());
+      if (holder < config.accounts.size()) {
+        config.accounts[holder].keys.push_back(digest_of(key));
+      }
+    }
+  }
   return config;
 }
 
+// \return whether two accounts that may be missing are the same
+bool
+same_account(const std::shared_ptr<const ClientAccount>& found,
+             const std::shared_ptr<const ClientAccount>& expected)
+{
+  return (found == nullptr) == (expected == nullptr) && (found == nullptr || *found == *expected);
+}
+
+// \return whether requests get the same accounts from both tables
+bool
+equal_accounts(const AccountTable& table, const AccountTable& whole)
+{
+  bool equal = table.requires_key() == whole.requires_key() && table.size() == whole.size();
+  for (const std::string& name : kAccounts) {
+    equal = equal && same_account(table.find(name), whole.find(name));
+  }
+  for (const std::string& key : kKeys) {
+    equal = equal && same_account(table.find_by_key(key), whole.find_by_key(key));
+  }
+  return equal;
+}
+
 // \return whether the table gives what a table of the whole configuration gives
 bool
 equals(const RoutingTable& table, const RoutingConfig& config)
 {
   const RoutingTable whole(config, 1);
   bool equal = table.version() == config.version && table.limits() == config.limits &&
-               table.size() == whole.size();
+               table.size() == whole.size() && equal_accounts(table.accounts(), whole.accounts());
   for (const char* path : { "/", "/a", "/a/", "/a/b/c", "/ab/", "/abc", "/b/a/b/", "/b/a/", "" }) {
     for (const std::string& host : kHosts) {
       const auto found = table.find(host, path);
@@ -79,9 +129,9 @@
   return equal;
 }
 
-// Guards against hosts whose routes differ from the acknowledged configuration, whatever they
-// missed: operators change it at several control hosts that are behind each other, and entry hosts
-// see only some versions, start from images or restart.
+// Guards against hosts whose routes or accounts differ from the acknowledged configuration,
+// whatever they missed: operators change it at several control hosts that are behind each other,
+// and entry hosts see only some versions, start from images or restart.
 RC_GTEST_PROP(RoutingUpdates, EachHostHasExactlyTheRoutesOfTheWholeDocument, ())
 {
   std::map<std::string, RoutingConfig> sent;
--- a/testsuite/soak/case.py
+++ b/testsuite/soak/case.py
@@ -11,6 +11,7 @@
     """Runs a scenario beside ordinary callers; all routes lead to one service."""
 
     callers = 12
+    has_accounts = False
 
     def make_document(self, version):
         routes = [wire.route("safe", "safe", "/safe/", "desk"), wire.route("once", "unsafe", "/once/", "desk"),
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -18,7 +18,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "platform", "testing"))
 
 import wire
-from cluster import DIRECTORY_PORT, ENTRY_PORT, READY_PORT, Cluster
+from cluster import DIRECTORY_PORT, ENTRY_PORT, METRICS_PORT, READY_PORT, Cluster
 from http_io import call, format_message, read_message
 from odd_messages import odd_messages, send_odd
 from standins import Record, Server, expected_body
@@ -30,6 +30,9 @@
 # rest of the limit allows for paused processes and a busy machine. Checked only with --strict.
 DRAIN_LIMIT_S = 5.0
 RECOVERY_LIMIT_S = 60.0
+# Accounts that a request may have by its key; one key moves between two accounts with each version.
+STEADY_KEY, MOVING_KEY, UNKNOWN_KEY = "key-steady", "key-moving", "key-unknown"
+KEY_ACCOUNTS = {STEADY_KEY: ("north",), MOVING_KEY: ("south", "east"), UNKNOWN_KEY: (), None: (None,)}
 CALL_ERRORS = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError)
 
 
@@ -38,6 +41,8 @@
 
     # Limit on the time until a configuration is acknowledged while faults are injected.
     change_limit_s = RECOVERY_LIMIT_S
+    # Whether the configurations have accounts.
+    has_accounts = True
 
     def __init__(self, options, seed, work):
         self.options = options
@@ -51,6 +56,8 @@
         self.next_server = 0
         self.version = 0
         self.documents = {}
+        # Key of each request.
+        self.keys = {}
         self.acknowledged = 0
         self.next_id = 0
         self.faults = []
@@ -83,12 +90,27 @@
         if self.options.strict and late:
             self.record.violations.append(f"request {request_id} reached {server.id} too long after its leave")
 
+    def check_account(self, request_id, headers):
+        """Checks what a server is told about the account of a request."""
+        account = headers.get(wire.ACCOUNT_HEADER.lower())
+        if account not in KEY_ACCOUNTS[self.keys.get(request_id)]:
+            self.record.violations.append(f"request {request_id} with {self.keys.get(request_id)} ran for {account}")
+        if wire.KEY_HEADER.lower() in headers:
+            self.record.violations.append(f"request {request_id} reached a server with its key")
+
+    def choose_key(self, number, path):
+        """Returns the key of a request. Draws no random number, so that the faults of a seed stay the same."""
+        if not self.has_accounts or (path.startswith("/moved/") and number % 3 == 0):
+            return None
+        return UNKNOWN_KEY if number % 20 == 0 else (STEADY_KEY, MOVING_KEY)[number % 2]
+
     # Operator
 
     def make_document(self, version):
         routes = [wire.route("safe", "safe", "/safe/", "desk"), wire.route("once", "unsafe", "/once/", "ledger"),
-                  wire.route("moved", "safe", "/moved/", SERVICES[version % 2])]
-        return wire.configuration(version, "a.example", routes, SERVICES)
+                  wire.route("moved", "safe", "/moved/", SERVICES[version % 2], open_to_all=True)]
+        accounts = [wire.account("north", STEADY_KEY), wire.account(("south", "east")[version % 2], MOVING_KEY)]
+        return wire.configuration(version, "a.example", routes, SERVICES, accounts)
 
     async def change_config(self):
         self.version += self.random.randint(1, 3)
@@ -169,7 +191,10 @@
         self.next_id += 1
         request_id = f"{self.seed:x}-{self.next_id:x}"
         method, path = self.random.choice((("GET", "/safe/x"), ("POST", "/once/x"), ("GET", "/moved/x")))
-        headers = {"Host": "a.example", wire.ID_HEADER: request_id, wire.DEADLINE_HEADER: "2000"}
+        headers = {"Host": "a.example", wire.ID_HEADER: request_id, wire.DEADLINE_HEADER: "2000", wire.ACCOUNT_HEADER: "forged"}
+        key = self.keys[request_id] = self.choose_key(self.next_id, path)
+        if key is not None:
+            headers[wire.KEY_HEADER] = key
         body = b"x" * self.random.choice((0, 100, 40000, 40000, 1500000)) if method == "POST" else b""
         await self.send_request(writer, f"{method} {path} HTTP/1.1", headers, body)
         response = await read_message(reader)
@@ -177,6 +202,8 @@
         self.record.count(str(response.status))
         if response.status in (429, 503, 408, 421) and method == "POST":
             self.record.record_not_run(request_id, response.status)
+        if (response.status == 401) != (key == UNKNOWN_KEY) and response.status in (200, 401):
+            self.record.violations.append(f"request {request_id} with {key} was answered {response.status}")
         if response.status == 404:
             self.record.violations.append(f"request {request_id} was answered 404 although all versions have its route")
         if response.status == 200:
@@ -383,6 +410,25 @@
         if version < self.acknowledged:
             self.record.violations.append(f"acknowledged version {self.acknowledged} was lost")
 
+    async def check_shown_keys(self):
+        """Checks that no key is in a log or on a page for operators."""
+        shown = {}
+        for process in self.cluster.all():
+            path = os.path.join(self.cluster.work, process.name + ".log")
+            if os.path.exists(path):
+                with open(path, "rb") as log:
+                    shown[path] = log.read()
+            for page in ("/metrics", "/status", "/events"):
+                try:
+                    response = await call(f"{process.ip}:{METRICS_PORT}", "GET", page)
+                    shown[process.name + page] = response.body
+                except CALL_ERRORS:
+                    continue
+        for place, text in shown.items():
+            for key in (STEADY_KEY, MOVING_KEY, UNKNOWN_KEY):
+                if key.encode() in text:
+                    self.record.violations.append(f"{place} shows {key}")
+
     async def run(self):
         self.cluster.start()
         try:
@@ -398,6 +444,7 @@
             tasks.append(asyncio.create_task(self.watch_processes()))
             await self.inject()
             await self.check_recovery()
+            await self.check_shown_keys()
             self.stopping = True
             await asyncio.gather(*tasks)
             if self.record.outcomes.get("200", 0) == 0:
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -254,6 +254,7 @@
             writer.write(format_message("HTTP/1.1 421 Misdirected", headers))
             return True
         self.soak.check_arrival(self, request_id)
+        self.soak.check_account(request_id, request.headers)
         if self.running >= SLOTS:
             headers[wire.NOT_EXECUTED_HEADER] = "1"
             writer.write(format_message("HTTP/1.1 503 Full", headers))
--- a/testsuite/soak/storm.py
+++ b/testsuite/soak/storm.py
@@ -29,6 +29,8 @@
 class Storm(Soak):
     """A run without faults of entry hosts and of the leader, so that the bound on late configurations holds throughout."""
 
+    has_accounts = False
+
     def __init__(self, options, seed, work):
         super().__init__(options, seed, work)
         self.live = {}
