libstate, libdecision, libgateway: evacuation of a failure domain

Cause: an operator can't keep requests away from the servers of a failure domain, for example before work on its network.

ServerSelector::set_evacuated() excludes the servers of these domains from every choice and from probes, chooses the preferred subset among the other domains if the local one has no server left, and treats the servers as just started when the evacuation ends. Gateway::set_evacuated() hands the set to all selectors, wakes waiting requests, and keeps connections that are being opened from being used.

Nothing changes without an order.

--- a/src/include/lovagehold/command.h
+++ b/src/include/lovagehold/command.h
@@ -110,6 +110,13 @@
   DocumentPatch document;
 };
 
+/// Orders that no requests are sent to the servers of a failure domain, or withdraws the order.
+struct EvacuateDomain
+{
+  std::string failure_domain;
+  bool active = true;
+};
+
 struct JoinHost
 {
   HostInfo host;
@@ -141,7 +148,8 @@
                              LeaveHost,
                              ExpireOutcomes,
                              ReplaceRouting,
-                             ChangeRouting>;
+                             ChangeRouting,
+                             EvacuateDomain>;
 
 /// Status of an idempotency key after a ClaimKey command.
 enum class ClaimStatus
@@ -165,7 +173,8 @@
   /// Set for ClaimKey if the status is Done.
   std::optional<StoredResponse> stored_response;
   /// Set for SubmitChange: revision of the accepted change or, on conflict, of the change that
-  /// holds the number.
+  /// holds the number. Set for EvacuateDomain: log index of the order in force, or of the
+  /// withdrawal.
   std::uint64_t revision = 0;
   /// Set for SubmitChange on conflict: file name of the change that holds the number.
   std::string winner_file;
--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
 
 namespace lovagehold {
@@ -160,6 +161,11 @@
                    const std::vector<ServerInfo>& servers,
                    TimePoint now);
 
+  /// Replaces the set of evacuated failure domains. From now on no request and no health check is
+  /// sent to their servers; requests already running there continue. When an evacuation ends, the
+  /// servers of the domain are cold for RoutedService::warmup.
+  void set_evacuated(std::set<std::string> domains, TimePoint now);
+
   /// Sets the number of entry hosts that receive caller traffic. The retry budgets and the probe
   /// rate limits are divided by it.
   void set_entry_hosts(std::size_t hosts);
--- a/src/include/lovagehold/server_selector.h
+++ b/src/include/lovagehold/server_selector.h
@@ -102,10 +102,17 @@
   /// Replaces the set of servers; the state of servers that remain is kept.
   void set_servers(const std::vector<ServerInfo>& servers, TimePoint now);
 
+  /// Replaces the set of evacuated failure domains. Their servers are in no choice and are not
+  /// probed. A server whose domain is no longer evacuated counts as just started: it is in its
+  /// warm-up, and its load report, which is from before the evacuation, is discarded.
+  /// \param domains also in force for servers that are set later
+  /// \param warmup for how long a server is cold after the evacuation of its domain
+  void set_evacuated(std::set<std::string> domains, Duration warmup, TimePoint now);
+
   /// \param tried servers to exclude
   /// \param body_bytes size of the request body; raises the cost of other failure domains
-  /// \return the server with the lowest expected cost that is neither leaving, paused nor limited;
-  /// nothing if no server is left
+  /// \return the server with the lowest expected cost that is neither leaving, paused, evacuated
+  /// nor limited; nothing if no server is left
   std::optional<ServerInfo> pick(TimePoint now,
                                  const std::set<ServerId>& tried,
                                  std::size_t body_bytes,
@@ -169,14 +176,14 @@
   void deny(const std::vector<LimitedServer>& servers, TimePoint until);
 
   /// \return the server if a request may be sent to it apart from its limit; nothing if it is
-  /// unknown, leaving or paused
+  /// unknown, leaving, paused or evacuated
   std::optional<ServerInfo> find_callable(const ServerId& id, TimePoint now) const;
 
   /// \return the server's limit in requests per second from all hosts together; nothing if it has
   /// none
   std::optional<double> limit(const ServerId& id) const;
 
-  /// \return number of servers with a limit
+  /// \return number of servers with a limit, without those that are evacuated
   std::size_t limited_count() const;
 
   /// \return whether a request may be sent to at least one server until \p latest, however loaded
@@ -240,6 +247,8 @@
     TimePoint denied_until;
     /// The incarnation is leaving; a copy of its entry in m_leaving.
     bool leaving = false;
+    /// Its failure domain is in m_evacuated.
+    bool evacuated = false;
     /// Moving average of the time of its requests, relative to the service's average, as of
     /// relative_time_updated. Decays towards 1.
     double relative_time = 1;
@@ -253,6 +262,8 @@
   /// failure domain
   double cost_of(const State& state, std::size_t body_bytes, TimePoint now) const;
   void choose_subset();
+  bool prefers_other_domains() const;
+  std::size_t evacuated_count() const;
   std::size_t take_probes(std::size_t wanted, TimePoint now);
   bool is_ejected(const State& state, TimePoint now) const;
   static bool is_callable(const State& state, TimePoint now);
@@ -272,6 +283,8 @@
   std::map<ServerId, State> m_servers;
   /// Incarnations that are leaving, also those that are not listed any more.
   std::map<ServerId, LeavingMark> m_leaving;
+  /// Failure domains whose servers are not called.
+  std::set<std::string> m_evacuated;
   /// Moving average of the requests running and waiting at a server, over all reports.
   double m_mean_busy = 0;
   /// Moving average of the time of served requests.
--- a/src/include/lovagehold/state_machine.h
+++ b/src/include/lovagehold/state_machine.h
@@ -81,7 +81,11 @@
 /// of the one before.
 using RoutingChanges = std::vector<std::shared_ptr<const RoutingChange>>;
 
-/// The replicated state: configuration changes, routing configuration, claims, servers and hosts.
+/// The failure domains that are evacuated, each with the log index of the order.
+using Evacuations = std::map<std::string, std::uint64_t>;
+
+/// The replicated state: configuration changes, routing configuration, evacuations, claims, servers
+/// and hosts.
 /// Deterministic: equal commands in equal order give equal states. Not thread-safe.
 class StateMachine
 {
@@ -114,6 +118,9 @@
   /// restored since, or there were too many changes
   std::optional<RoutingChanges> routing_changes_since(std::uint64_t version) const;
 
+  /// \return the evacuations in force. A repeated order keeps the index of the first one.
+  const Evacuations& evacuations() const;
+
   /// \return the changes that still have their content, ordered by number.
   std::vector<ChangeRecord> changes() const;
 
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -79,6 +79,7 @@
       mark->second.updated_at = now;
     }
     state.leaving = is_marked_leaving(server);
+    state.evacuated = m_evacuated.contains(server.failure_domain);
   }
   m_servers = std::move(next);
   expire_leaving_marks(now);
@@ -198,14 +199,16 @@
 std::size_t
 ServerSelector::limited_count() const
 {
-  return static_cast<std::size_t>(std::count_if(
-    m_servers.begin(), m_servers.end(), [](const auto& entry) { return entry.second.limit; }));
+  return static_cast<std::size_t>(
+    std::count_if(m_servers.begin(), m_servers.end(), [](const auto& entry) {
+      return entry.second.limit && !entry.second.evacuated;
+    }));
 }
 
 bool
 ServerSelector::is_callable(const State& state, TimePoint now)
 {
-  return !state.leaving && now >= state.paused_until;
+  return !state.leaving && !state.evacuated && now >= state.paused_until;
 }
 
 bool
@@ -229,7 +232,7 @@
   for (const auto& [id, state] : m_servers) {
     const TimePoint returns =
       std::max(state.paused_until, is_denied(state, now) ? state.denied_until : now);
-    if (!state.leaving && now < returns) {
+    if (!state.leaving && !state.evacuated && now < returns) {
       earliest = std::min(earliest.value_or(TimePoint::max()), returns);
     }
   }
@@ -241,10 +244,11 @@
 void
 ServerSelector::choose_subset()
 {
+  const bool elsewhere = prefers_other_domains();
   std::vector<std::tuple<bool, std::uint64_t, State*>> ranked;
   for (auto& [id, state] : m_servers) {
     state.preferred = false;
-    if (state.info.failure_domain == m_options.failure_domain) {
+    if (!state.evacuated && (elsewhere || state.info.failure_domain == m_options.failure_domain)) {
       const std::string key = m_options.host + "|" + id;
       ranked.emplace_back(state.limit.has_value(), XXH64(key.data(), key.size(), 0), &state);
     }
@@ -385,7 +389,8 @@
     return 0;
   }
   const double rate = m_options.probes_per_second * m_options.probe_share *
-                      static_cast<double>(m_servers.size()) / static_cast<double>(m_hosts);
+                      static_cast<double>(m_servers.size() - evacuated_count()) /
+                      static_cast<double>(m_hosts);
   const double max_probes = std::max(rate * seconds(m_options.probe_burst), kMinProbeBurst);
   const double added = rate * seconds(now - m_probes_updated);
   m_probes_left = std::clamp(m_probes_left + added, 0.0, max_probes);
--- a/src/libdecision/server_selector_test.cpp
+++ b/src/libdecision/server_selector_test.cpp
@@ -1,5 +1,6 @@
 #include "lovagehold/server_selector.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -385,5 +386,173 @@
   }
 }
 
+// Guards against a request, a permit or a health check for a server of an evacuated failure domain,
+// and against servers that are warm, or still look as loaded as before, when the evacuation ends.
+RC_GTEST_PROP(ServerSelectorProperty, EvacuatedServerIsInNoChoice, ())
+{
+  const std::vector<std::string> domains{ "a", "b", "c" };
+  const std::chrono::seconds warmup{ 3 };
+  constexpr unsigned kServers = 7;
+  ServerSelector selector({ .failure_domain = "a", .host = "h", .subset = 2 });
+  std::mt19937_64 random(*rc::gen::arbitrary<unsigned>());
+  std::vector<std::uint64_t> incarnations(kServers, 1);
+  const auto list = [&] {
+    std::vector<ServerInfo> servers = make_servers(kServers);
+    for (unsigned i = 0; i < kServers; ++i) {
+      servers[i].incarnation = incarnations[i];
+      servers[i].failure_domain = domains[i % domains.size()];
+    }
+    std::erase_if(servers, [&](const ServerInfo&) { return random() % 4 == 0; });
+    return servers;
+  };
+  TimePoint now = kStart;
+  std::vector<ServerInfo> listed = list();
+  std::set<std::string> evacuated;
+  selector.set_servers(listed, now);
+  const auto steps = *rc::gen::container<std::vector<unsigned>>(80, rc::gen::inRange(0U, 12U));
+  for (const unsigned step : steps) {
+    now += milliseconds(*rc::gen::inRange(0, 400));
+    const auto index = *rc::gen::inRange(0U, kServers);
+    const ServerId id = "i-" + std::to_string(index);
+    const std::set<ServerId> tried = random() % 2 == 0 ? std::set{ id } : std::set<ServerId>();
+    switch (step) {
+      case 0:
+        ++incarnations[index];
+        [[fallthrough]];
+      case 1:
+        listed = list();
+        selector.set_servers(listed, now);
+        break;
+      case 2:
+      case 3: {
+        const std::set<std::string> before = evacuated;
+        evacuated.clear();
+        for (const std::string& domain : domains) {
+          if (random() % 2 == 0) {
+            evacuated.insert(domain);
+          }
+        }
+        std::map<ServerId, double> costs;
+        for (const ServerInfo& server : listed) {
+          if (before.contains(server.failure_domain) &&
+              !evacuated.contains(server.failure_domain)) {
+            costs[server.id] = 0;
+          }
+        }
+        selector.set_evacuated(evacuated, warmup, now);
+        for (auto& [ended, cost] : costs) {
+          RC_ASSERT(!selector.report_age(ended, now));
+          cost = selector.cost(ended, now + warmup - milliseconds(1));
+          RC_ASSERT(cost > 1.5 * selector.cost(ended, now + warmup));
+        }
+        break;
+      }
+      case 4:
+        selector.report(id, { .running = static_cast<unsigned>(random() % 4), .slots = 3 }, now);
+        break;
+      case 5:
+        selector.begin(id, now);
+        selector.end(id, static_cast<AttemptEnd>(random() % 7), milliseconds(5), now);
+        break;
+      case 6:
+        selector.begin_probe(id, now);
+        break;
+      case 7:
+        selector.probe_failed(id, random() % 2 == 0, now);
+        break;
+      case 8:
+        selector.set_limit(
+          id, incarnations[index], random() % 2 == 0 ? std::optional(2.0) : std::nullopt, now);
+        break;
+      case 9:
+        selector.deny({ { .id = id } }, now + milliseconds(random() % 500));
+        break;
+      case 10:
+        selector.pause(id, incarnations[index], milliseconds(random() % 500), now);
+        break;
+      default:
+        break;
+    }
+    const auto may_be_called = [&](const ServerInfo& server) {
+      return !evacuated.contains(server.failure_domain);
+    };
+    const auto domain_of = [&](const ServerId& server) {
+      return domains[std::stoul(server.substr(2)) % domains.size()];
+    };
+    if (const auto picked = selector.pick(now, tried, 0, random)) {
+      RC_ASSERT(may_be_called(*picked));
+    }
+    for (const bool preferred_only : { true, false }) {
+      for (const auto& target : selector.probe_targets(now, 4, preferred_only, tried, random)) {
+        RC_ASSERT(may_be_called(target));
+      }
+    }
+    for (const LimitedServer& server :
+         selector.permit_candidates(tried, milliseconds(100), 1e9, now)) {
+      RC_ASSERT(!evacuated.contains(domain_of(server.id)));
+    }
+    for (const ServerInfo& server : listed) {
+      RC_ASSERT(!selector.find_callable(server.id, now) || may_be_called(server));
+    }
+    if (std::none_of(listed.begin(), listed.end(), may_be_called)) {
+      RC_ASSERT(!selector.is_callable_until(now, now));
+      RC_ASSERT(!selector.earliest_return(now));
+      RC_ASSERT(selector.limited_count() == 0U);
+    }
+  }
+}
+
+// Guards against hosts of the evacuated domain that probe no server first, and against a different
+// choice without an evacuation: a host without local servers then has no preferred subset.
+TEST(ServerSelector, HostOfAnEvacuatedDomainPrefersServersOfTheOthers)
+{
+  ServerSelector selector({ .failure_domain = "a", .host = "h", .subset = 3 });
+  std::vector<ServerInfo> servers = make_servers(9, "b");
+  servers[0].failure_domain = "a";
+  servers[8].failure_domain = "c";
+  selector.set_servers(servers, kStart);
+  std::mt19937_64 random(1);
+  const auto preferred = [&](TimePoint now) {
+    std::set<std::string> found;
+    for (const ServerInfo& server : selector.probe_targets(now, 9, true, {}, random)) {
+      found.insert(server.id);
+    }
+    return found;
+  };
+  EXPECT_EQ(preferred(kStart), std::set<std::string>{ "i-0" });
+  selector.set_evacuated({ "a" }, Duration::zero(), kStart);
+  const auto elsewhere = preferred(kStart + std::chrono::seconds(10));
+  EXPECT_EQ(elsewhere.size(), 3U);
+  EXPECT_FALSE(elsewhere.contains("i-0"));
+  // Another evacuation, of the only other domain with more than one server.
+  selector.set_evacuated({ "a", "b" }, Duration::zero(), kStart);
+  EXPECT_EQ(preferred(kStart + std::chrono::seconds(20)), std::set<std::string>{ "i-8" });
+  selector.set_evacuated({}, Duration::zero(), kStart);
+  EXPECT_EQ(preferred(kStart + std::chrono::seconds(30)), std::set<std::string>{ "i-0" });
+  servers.erase(servers.begin());
+  selector.set_servers(servers, kStart);
+  EXPECT_TRUE(preferred(kStart + std::chrono::seconds(40)).empty());
+  selector.set_evacuated({ "b" }, Duration::zero(), kStart);
+  EXPECT_EQ(preferred(kStart + std::chrono::seconds(50)), std::set<std::string>{ "i-8" });
+}
+
+// Guards against a probe rate above the budget of the servers that remain: the evacuated ones must
+// not count.
+TEST(ServerSelector, EvacuatedServersAddNothingToTheProbeBudget)
+{
+  ServerSelector selector({ .failure_domain = "a", .host = "h", .probes_per_second = 20 });
+  std::vector<ServerInfo> servers = make_servers(10, "b");
+  servers[0].failure_domain = "a";
+  selector.set_servers(servers, kStart);
+  selector.set_evacuated({ "b" }, Duration::zero(), kStart);
+  std::mt19937_64 random(1);
+  std::size_t probes = 0;
+  for (TimePoint now = kStart; now < kStart + std::chrono::seconds(20); now += milliseconds(5)) {
+    probes += selector.probe_targets(now, 6, false, {}, random).size();
+  }
+  // 20 a second, of which 0.75 are used, for 20 s and a burst of 8 s.
+  EXPECT_LE(probes, 15U * 28U + 7U);
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -105,6 +105,22 @@
   m_impl->context->selector(service).set_servers(servers, now);
 }
 
+void
+Gateway::set_evacuated(std::set<std::string> domains, TimePoint now)
+{
+  GatewayContext& context = *m_impl->context;
+  context.evacuated = std::move(domains);
+  for (auto& [name, selector] : context.selectors) {
+    const auto service = context.routing ? context.routing->service(name) : nullptr;
+    selector.set_evacuated(
+      context.evacuated, service ? service->warmup : std::chrono::milliseconds(0), now);
+  }
+  // Waiting requests may have no server left, or a server of a domain that is no longer evacuated.
+  for (auto& [service, queue] : context.queues) {
+    queue.wake_first();
+  }
+}
+
 void
 Gateway::set_entry_hosts(std::size_t hosts)
 {
@@ -250,6 +266,10 @@
       "gauge",
       "Servers that name a request limit.",
       static_cast<double>(limited));
+  add("lovagehold_evacuated_domains",
+      "gauge",
+      "Failure domains that are evacuated.",
+      static_cast<double>(context.evacuated.size()));
   std::size_t waiting = 0;
   for (const auto& [service, queue] : context.queues) {
     waiting += queue.size();
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -79,6 +79,8 @@
   /// Requests that may have crashed their servers, as all hosts see it.
   CrashSuspects suspects;
   std::map<ServiceName, ServerSelector> selectors;
+  /// Failure domains whose servers get no requests and no health checks.
+  std::set<std::string> evacuated;
   std::map<ServiceName, RetryBudget> budgets;
   std::map<ServiceName, WaitingQueue> queues;
   ConnectionPool pool{ ConnectionPoolOptions{ .idle_per_address = 8, .idle_total = 512 } };
@@ -144,10 +146,18 @@
                              .probes_per_second = options.probes_per_second });
     if (is_new) {
       entry->second.set_hosts(entry_hosts);
+      // It has no servers yet that could be cold.
+      entry->second.set_evacuated(evacuated, Duration::zero(), Clock::now());
     }
     return entry->second;
   }
 
+  /// \return whether nothing may be sent to the server, because its failure domain is evacuated
+  bool is_evacuated(const ServerInfo& server) const
+  {
+    return evacuated.contains(server.failure_domain);
+  }
+
   RetryBudget& budget(const ServiceName& service)
   {
     const auto [entry, is_new] = budgets.try_emplace(service, options.retry_budget);
--- a/src/libgateway/load_probe.cpp
+++ b/src/libgateway/load_probe.cpp
@@ -34,10 +34,10 @@
 };
 
 awaitable<std::shared_ptr<ServerConnection>>
-open_connection(GatewayContext& context, const std::string& address)
+open_connection(GatewayContext& context, const ServerInfo& server)
 {
-  auto connection = context.pool.take(address, Clock::now());
-  const auto endpoint = parse_endpoint(address);
+  auto connection = context.pool.take(server.address, Clock::now());
+  const auto endpoint = parse_endpoint(server.address);
   if (connection || !endpoint) {
     co_return connection;
   }
@@ -46,7 +46,8 @@
   boost::system::error_code error;
   co_await connection->socket.async_connect(*endpoint, capture(error));
   connection->clear_deadline();
-  if (error) {
+  // The server's failure domain may have been evacuated since the server was chosen.
+  if (error || context.is_evacuated(server)) {
     co_return nullptr;
   }
   ++context.counters.server_connections;
@@ -61,7 +62,7 @@
       const std::string& path)
 {
   ++context.counters.probes;
-  const auto connection = co_await open_connection(context, server.address);
+  const auto connection = co_await open_connection(context, server);
   if (!connection) {
     co_return ProbeOutcome::Unreachable;
   }
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -90,7 +90,8 @@
   boost::system::error_code error;
   co_await connection->socket.async_connect(*endpoint, capture(error));
   connection->clear_deadline();
-  if (error || m_cancelled) {
+  // The server's failure domain may have been evacuated since the server was chosen.
+  if (error || m_cancelled || m_context.is_evacuated(m_server)) {
     co_return false;
   }
   ++m_context.counters.server_connections;
--- a/src/libstate/command_codec.cpp
+++ b/src/libstate/command_codec.cpp
@@ -88,6 +88,12 @@
            { "document", change.document } };
 }
 
+json
+to_fields(const EvacuateDomain& order)
+{
+  return { { "t", "evacuate" }, { "domain", order.failure_domain }, { "active", order.active } };
+}
+
 json
 to_fields(const JoinHost& join)
 {
@@ -178,6 +184,10 @@
     return ChangeRouting{ .change = fields.at("change").get<RoutingChange>(),
                           .document = fields.at("document").get<DocumentPatch>() };
   }
+  if (type == "evacuate") {
+    return EvacuateDomain{ .failure_domain = fields.at("domain").get<std::string>(),
+                           .active = fields.at("active").get<bool>() };
+  }
   if (type == "host_join") {
     return JoinHost{ fields.at("host").get<HostInfo>() };
   }
--- a/src/libstate/command_codec_test.cpp
+++ b/src/libstate/command_codec_test.cpp
@@ -28,5 +28,17 @@
   }
 }
 
+// Guards against an order that is decoded as its opposite or for another failure domain.
+TEST(CommandCodec, EvacuationsSurviveTheRoundTrip)
+{
+  for (const bool active : { true, false }) {
+    const auto decoded = decode_command(encode(EvacuateDomain{ "khh-a", active }));
+    ASSERT_TRUE(decoded.has_value());
+    const auto& order = std::get<EvacuateDomain>(decoded.value());
+    EXPECT_EQ(order.failure_domain, "khh-a");
+    EXPECT_EQ(order.active, active);
+  }
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libstate/state_machine.cpp
+++ b/src/libstate/state_machine.cpp
@@ -96,6 +96,7 @@
   ClaimStore claims;
   Directory directory;
   RoutingState routing;
+  Evacuations evacuations;
 
   // Claims and outcomes don't affect where requests are sent.
   static bool changes_routes(const Command& command)
@@ -140,6 +141,18 @@
 
   ApplyResult apply_one(const ChangeRouting& change) { return routing.apply(change); }
 
+  ApplyResult apply_one(const EvacuateDomain& order)
+  {
+    ApplyResult result = accept();
+    if (order.active) {
+      result.revision = evacuations.try_emplace(order.failure_domain, applied).first->second;
+    } else {
+      evacuations.erase(order.failure_domain);
+      result.revision = applied;
+    }
+    return result;
+  }
+
   ApplyResult apply_one(const JoinHost& join)
   {
     bool new_incarnation = false;
@@ -227,6 +240,12 @@
   return m_impl->routing.changes_since(version);
 }
 
+const Evacuations&
+StateMachine::evacuations() const
+{
+  return m_impl->evacuations;
+}
+
 std::vector<FoldedChange>
 StateMachine::folded_changes() const
 {
@@ -333,14 +352,17 @@
 Bytes
 StateMachine::snapshot() const
 {
-  const json fields = { { "version", kSnapshotVersion },
-                        { "applied", m_impl->applied },
-                        { "config", m_impl->config.snapshot() },
-                        { "claims", m_impl->claims.snapshot() },
-                        { "directory", m_impl->directory.snapshot() },
-                        { "routing",
-                          { m_impl->routing.version(),
-                            json::binary(pack_document(m_impl->routing.document())) } } };
+  json fields = { { "version", kSnapshotVersion },
+                  { "applied", m_impl->applied },
+                  { "config", m_impl->config.snapshot() },
+                  { "claims", m_impl->claims.snapshot() },
+                  { "directory", m_impl->directory.snapshot() },
+                  { "routing",
+                    { m_impl->routing.version(),
+                      json::binary(pack_document(m_impl->routing.document())) } } };
+  if (!m_impl->evacuations.empty()) {
+    fields["evacuations"] = m_impl->evacuations;
+  }
   return json::to_cbor(fields);
 }
 
@@ -362,6 +384,9 @@
       next->routing = RoutingState(fields.at("routing").at(0).get<std::uint64_t>(),
                                    unpack_document(fields.at("routing").at(1).get_binary()));
     }
+    if (fields.contains("evacuations")) {
+      fields.at("evacuations").get_to(next->evacuations);
+    }
   } catch (const std::exception& exception) {
     return Error{ .kind = ErrorKind::Protocol,
                   .message = std::string("not a snapshot: ") + exception.what(),
--- a/src/libstate/state_machine_test.cpp
+++ b/src/libstate/state_machine_test.cpp
@@ -1,6 +1,7 @@
 #include "lovagehold/state_machine.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace lovagehold {
 namespace {
@@ -151,5 +152,39 @@
   EXPECT_EQ(state.routes_index(), 4U);
 }
 
+// Guards against a repeated order that looks like a new one to the hosts, a repeat that is
+// rejected, and orders that are lost or mixed up by a snapshot.
+TEST(StateMachine, EvacuationsLastUntilTheyAreWithdrawn)
+{
+  StateMachine state;
+  EXPECT_EQ(state.apply(3, EvacuateDomain{ .failure_domain = "x" }).revision, 3U);
+  EXPECT_EQ(state.apply(4, EvacuateDomain{ .failure_domain = "y" }).revision, 4U);
+  const ApplyResult repeated = state.apply(5, EvacuateDomain{ .failure_domain = "x" });
+  EXPECT_TRUE(repeated.accepted);
+  EXPECT_EQ(repeated.revision, 3U);
+  StateMachine other;
+  ASSERT_TRUE(other.restore(state.snapshot()).has_value());
+  EXPECT_EQ(other.evacuations(), (Evacuations{ { "x", 3 }, { "y", 4 } }));
+  const EvacuateDomain withdrawal{ .failure_domain = "x", .active = false };
+  EXPECT_TRUE(other.apply(6, withdrawal).accepted);
+  EXPECT_EQ(other.evacuations(), (Evacuations{ { "y", 4 } }));
+  EXPECT_TRUE(other.apply(7, withdrawal).accepted);
+  EXPECT_EQ(other.apply(8, EvacuateDomain{ .failure_domain = "x" }).revision, 8U);
+}
+
+// Guards against snapshots that hosts of the version before the evacuations can't read, and against
+// a restore that rejects their snapshots or keeps an order that is not in them.
+TEST(StateMachine, SnapshotWithoutEvacuationsIsThatOfEarlierVersions)
+{
+  StateMachine state;
+  state.apply(1, kFirst);
+  const Bytes before = state.snapshot();
+  EXPECT_FALSE(nlohmann::json::from_cbor(before).contains("evacuations"));
+  state.apply(2, EvacuateDomain{ .failure_domain = "x" });
+  EXPECT_TRUE(nlohmann::json::from_cbor(state.snapshot()).contains("evacuations"));
+  ASSERT_TRUE(state.restore(before).has_value());
+  EXPECT_TRUE(state.evacuations().empty());
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libstate/state_oracle.cpp
+++ b/src/libstate/state_oracle.cpp
@@ -55,6 +55,21 @@
   return accepted();
 }
 
+ApplyResult
+Oracle::apply_one(const EvacuateDomain& order)
+{
+  ApplyResult result = accepted();
+  result.revision = m_index;
+  if (!order.active) {
+    evacuations[order.failure_domain] = 0;
+  } else if (std::uint64_t& index = evacuations[order.failure_domain]; index == 0) {
+    index = m_index;
+  } else {
+    result.revision = index;
+  }
+  return result;
+}
+
 Configuration
 Oracle::configuration() const
 {
--- a/src/libstate/state_oracle.h
+++ b/src/libstate/state_oracle.h
@@ -23,6 +23,7 @@
   std::optional<KeyStatus> key_status(const std::string& key) const;
   std::map<HostId, std::uint64_t> hosts;
   std::map<ServerId, std::uint64_t> servers;
+  std::map<std::string, std::uint64_t> evacuations;
 
 private:
   struct Change
@@ -51,6 +52,7 @@
   ApplyResult apply_one(const ExpireOutcomes& expire);
   ApplyResult apply_one(const ReplaceRouting& replace);
   ApplyResult apply_one(const ChangeRouting& change);
+  ApplyResult apply_one(const EvacuateDomain& order);
   void end_claims_of(const HostId& host);
 
   std::uint64_t m_index = 0;
--- a/src/libstate/state_property_test.cpp
+++ b/src/libstate/state_property_test.cpp
@@ -34,6 +34,7 @@
 }
 
 constexpr int kSnapshotAction = 9;
+constexpr int kEvacuationAction = 10;
 
 const std::vector<std::string> kContents{
   "services: {a: {kinds: {k: {treat: patient, deadline: 2s}}}}",
@@ -89,6 +90,8 @@
       return LeaveServer{ .service = step.b % 4 == 1 ? "s" : "",
                           .id = host,
                           .incarnation = step.c % 3 };
+    case kEvacuationAction:
+      return EvacuateDomain{ .failure_domain = letter, .active = step.c % 3 != 0 };
     default:
       return ExpireOutcomes{ .now = now };
   }
@@ -117,8 +120,11 @@
   SnapshotLosesUnknownDepartures,
   LeaveOfAnUnknownServerIsForgotten,
   LeaveCountsForTheKnownIncarnationOnly,
+  SnapshotLosesEvacuations,
+  RepeatedEvacuationGetsNewIndex,
+  WithdrawalIsIgnored,
 };
-constexpr Fault kLastFault = Fault::LeaveCountsForTheKnownIncarnationOnly;
+constexpr Fault kLastFault = Fault::WithdrawalIsIgnored;
 
 /// The state machine under test, with an injected fault.
 class Subject
@@ -158,6 +164,8 @@
       fields["directory"]["left_hosts"] = json::array();
     } else if (m_fault == Fault::SnapshotLosesUnknownDepartures) {
       fields["directory"]["left_unknown"] = json::array();
+    } else if (m_fault == Fault::SnapshotLosesEvacuations) {
+      fields.erase("evacuations");
     }
     StateMachine next(kSmallLimits);
     if (next.restore(json::to_cbor(fields)).has_error()) {
@@ -170,6 +178,11 @@
 private:
   void inject_into_command(Command& command)
   {
+    if (const auto* order = std::get_if<EvacuateDomain>(&command);
+        order != nullptr && m_fault == Fault::RepeatedEvacuationGetsNewIndex && order->active) {
+      m_state.apply(m_state.applied_index() + 1,
+                    EvacuateDomain{ .failure_domain = order->failure_domain, .active = false });
+    }
     if (auto* join = std::get_if<JoinHost>(&command);
         join != nullptr && m_fault == Fault::EarlierIncarnationWins) {
       join->host.incarnation = 3;
@@ -202,6 +215,10 @@
     if (leave != nullptr && m_fault == Fault::LeaveOfAnUnknownServerIsForgotten) {
       return !knows_server(leave->id);
     }
+    const auto* order = std::get_if<EvacuateDomain>(&command);
+    if (order != nullptr && m_fault == Fault::WithdrawalIsIgnored) {
+      return !order->active;
+    }
     const auto* record = std::get_if<RecordOutcome>(&command);
     return record != nullptr && m_fault == Fault::KeyKeptAfterNotRun &&
            record->outcome == OutcomeKind::NotRun &&
@@ -271,6 +288,9 @@
     servers[server.id] = server.incarnation;
   }
   RC_ASSERT(servers == oracle.servers);
+  std::map<std::string, std::uint64_t> evacuations = oracle.evacuations;
+  std::erase_if(evacuations, [](const auto& entry) { return entry.second == 0; });
+  RC_ASSERT(state.evacuations() == evacuations);
   for (const char* key : { "k0", "k1", "k2", "k3" }) {
     const auto got = state.key_status("s", key);
     const auto expected = oracle.key_status(key);
@@ -308,10 +328,11 @@
   const rc::detail::TestParams params{ .seed = kSeed,
                                        .maxSuccess = kSequences,
                                        .disableShrinking = fault != Fault::None };
-  const auto step = rc::gen::build<Step>(rc::gen::set(&Step::action, rc::gen::inRange(0, 10)),
-                                         rc::gen::set(&Step::a, rc::gen::inRange(0, 9)),
-                                         rc::gen::set(&Step::b, rc::gen::inRange(0, 8)),
-                                         rc::gen::set(&Step::c, rc::gen::inRange(0, 9)));
+  const auto step =
+    rc::gen::build<Step>(rc::gen::set(&Step::action, rc::gen::inRange(0, kEvacuationAction + 1)),
+                         rc::gen::set(&Step::a, rc::gen::inRange(0, 9)),
+                         rc::gen::set(&Step::b, rc::gen::inRange(0, 8)),
+                         rc::gen::set(&Step::c, rc::gen::inRange(0, 9)));
   return rc::detail::checkTestable(
     [&] { run_steps(fault, *rc::gen::container<std::vector<Step>>(kSteps, step)); },
     rc::detail::TestMetadata{},
