libsite, platform: operators order evacuations

Cause: the order to evacuate a failure domain has to reach the entry hosts.

Change: POST and DELETE on /evacuations/NAME are proposed by the control host that takes them, whatever its own state says, and acknowledged once they are committed; an unknown name gets 400 with the known ones. Entry hosts put the orders in force before they become ready. Log lines, a gauge and the status page show them.

--- a/src/include/lovagehold/control_call.h
+++ b/src/include/lovagehold/control_call.h
@@ -34,6 +34,14 @@
   std::uint64_t incarnation = 0;
 };
 
+/// An operator orders that no requests are sent to the servers of a failure domain, or withdraws
+/// the order.
+struct EvacuationCall
+{
+  std::string failure_domain;
+  bool active = true;
+};
+
 /// A caller asks for the addresses of entry hosts.
 struct ResolveCall
 {
@@ -53,6 +61,7 @@
 /// A decoded call of an operator, a server or a caller to a control host.
 using ControlCall = std::variant<ReadRoutingCall,
                                  ReplaceRoutingCall,
+                                 EvacuationCall,
                                  HeartbeatCall,
                                  LeaveCall,
                                  ResolveCall,
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -1,7 +1,8 @@
 #include "control_host.h"
 
+#include "control_metrics.h"
+#include "control_replies.h"
 #include "lovagehold/file_disk.h"
-#include "lovagehold/metrics.h"
 
 #include <boost/asio/post.hpp>
 
@@ -43,10 +44,6 @@
 // host. With 19 control hosts, StateMachineOptions::unknown_departed_limit covers 80 s of them.
 constexpr double kUnknownLeavesPerSecond = 2;
 constexpr double kUnknownLeaveBurst = 50;
-// How often the difference of a routing configuration is proposed before the whole one is.
-constexpr unsigned kMaxRoutingChanges = 3;
-// The table that differences are made from distributes no requests.
-constexpr std::uint64_t kRoutingSeed = 1;
 // Log growth after which a snapshot is taken. A starting entry host receives the snapshot and the
 // entries after it; a snapshot with 422 servers has 45 KB.
 constexpr std::size_t kSnapshotLogBytes = std::size_t{ 64 } << 10;
@@ -63,14 +60,6 @@
   return address.substr(address.rfind(':'));
 }
 
-Error
-unavailable(const std::string& message)
-{
-  return { .kind = ErrorKind::Unavailable,
-           .message = message,
-           .remedy = "retry on another control host" };
-}
-
 ReplicaOptions
 replica_options(const SiteSettings& settings)
 {
@@ -131,6 +120,7 @@
   , m_subscribed_hosts(EntryDirectoryOptions{})
   , m_timer(context)
   , m_suspects({ .quarantine = m_settings.quarantine }, kSubscriptionTimeout)
+  , m_evacuations(log, "evacuation_applied")
   , m_unknown_leaves(kUnknownLeavesPerSecond, kUnknownLeaveBurst, kUnknownLeaveBurst, Clock::now())
 {
   const auto send_hook = [this](const std::string& address, const ClusterMessage& message) {
@@ -154,6 +144,8 @@
                           .follow = false },
     send_hook,
     [](const StateMachine&) {});
+  m_operator_calls = std::make_unique<OperatorCalls>(
+    m_protocol, m_settings.failure_domains, *m_replica, *m_client, m_log);
 }
 
 Result<void>
@@ -187,79 +179,22 @@
 std::string
 ControlHost::render_metrics() const
 {
-  const ReplicaStatus status = m_replica->status();
-  MetricsText text;
-  const auto gauge = [&text](const char* name, const char* help, double value) {
-    text.begin(name, "gauge", help);
-    text.sample({}, value);
-  };
-  gauge("lovagehold_leads", "1 if this host leads the control group.", m_replica->leads() ? 1 : 0);
-  gauge("lovagehold_in_contact", "1 if this host hears of a leader.", status.in_contact ? 1 : 0);
-  gauge("lovagehold_term", "Election term.", static_cast<double>(status.term));
-  gauge("lovagehold_commit_index", "Last committed entry.", static_cast<double>(status.commit));
-  gauge("lovagehold_applied_index", "Last applied entry.", static_cast<double>(status.applied));
-  gauge("lovagehold_state_lag_seconds",
-        "Time since which committed entries may be missing.",
-        seconds_or_infinity(status.lag));
-  gauge("lovagehold_group_members",
-        "Members of the control group.",
-        static_cast<double>(status.membership.size()));
-  const GroupStatus group = group_status(status);
-  gauge("lovagehold_group_voters",
-        "Members that count towards a majority, as in this host's log.",
-        static_cast<double>(group.count(true)));
-  gauge("lovagehold_group_learners",
-        "Members that receive the log and may become voters, as in this host's log.",
-        static_cast<double>(group.count(false)));
-  gauge("lovagehold_group_losses_wanted",
-        "Losses of control hosts at the same time that the settings ask for.",
-        static_cast<double>(group.wanted_losses));
-  gauge("lovagehold_group_outside_seconds",
-        "Time for which this host has been outside the group, as no member or without a leader.",
-        std::chrono::duration<double>(group.outside).count());
-  gauge("lovagehold_group_joining",
-        "Hosts outside the group that ask this host to join.",
-        static_cast<double>(group.joining.size()));
-  if (group.tolerance) {
-    gauge("lovagehold_group_losses_left",
-          "Control hosts that may still be lost; -1 without a majority. Served by the leader only.",
-          group.tolerance->losses_left ? static_cast<double>(*group.tolerance->losses_left) : -1);
-    gauge("lovagehold_group_missing_entries",
-          "Committed entries that the member furthest behind lacks. Served by the leader only.",
-          static_cast<double>(group.most_missing_entries()));
-  }
-  gauge("lovagehold_routing_version",
-        "Version of the routing configuration held.",
-        static_cast<double>(m_replica->machine().routing_version()));
-  gauge("lovagehold_servers",
-        "Servers that requests may go to.",
-        static_cast<double>(m_replica->machine().all_servers().size()));
-  gauge("lovagehold_entry_hosts",
-        "Entry hosts that are ready.",
-        static_cast<double>(m_directory.ready_hosts(Clock::now()).size()));
-  gauge("lovagehold_quarantined_fingerprints",
-        "Different requests that are quarantined.",
-        static_cast<double>(m_suspects.quarantined_count(Clock::now())));
-  gauge("lovagehold_limited_servers",
-        "Servers whose requests this host limits.",
-        static_cast<double>(m_limiter.size()));
-  const auto counter = [&text](const char* name, const char* help, std::uint64_t value) {
-    text.begin(name, "counter", help);
-    text.sample({}, static_cast<double>(value));
-  };
-  counter("lovagehold_permits_granted_total",
-          "Requests to limited servers that this host permitted.",
-          m_permits_granted);
-  counter("lovagehold_permits_denied_total",
-          "Requests to limited servers that this host denied.",
-          m_permits_denied);
-  counter("lovagehold_routing_conflicts_total",
-          "Routing changes made again because another version was accepted in the meantime.",
-          m_routing_conflicts);
-  counter("lovagehold_dropped_messages_total",
-          "Messages to other hosts that were dropped.",
-          m_link.dropped_messages());
-  return text.text();
+  const TimePoint now = Clock::now();
+  const ReplicaStatus replica = m_replica->status();
+  const StateMachine& machine = m_replica->machine();
+  return render_control_metrics({ .replica = replica,
+                                  .group = group_status(replica),
+                                  .leads = m_replica->leads(),
+                                  .routing_version = machine.routing_version(),
+                                  .servers = machine.all_servers().size(),
+                                  .entry_hosts = m_directory.ready_hosts(now).size(),
+                                  .evacuated_domains = machine.evacuations().size(),
+                                  .quarantined_fingerprints = m_suspects.quarantined_count(now),
+                                  .limited_servers = m_limiter.size(),
+                                  .permits_granted = m_permits_granted,
+                                  .permits_denied = m_permits_denied,
+                                  .routing_conflicts = m_operator_calls->routing_conflicts(),
+                                  .dropped_messages = m_link.dropped_messages() });
 }
 
 GroupStatus
@@ -277,7 +212,8 @@
                      .version = m_replica->machine().routing_version(),
                      .ready = replica.in_contact,
                      .state_age = replica.lag,
-                     .group = group_status(replica) };
+                     .group = group_status(replica),
+                     .evacuations = m_replica->machine().evacuations() };
   const auto add = [&](const HostId& id, const std::string& domain, const std::string& address) {
     status.hosts.push_back({ .id = id,
                              .failure_domain = domain,
@@ -401,6 +337,7 @@
   m_replica->tick();
   m_client->tick(now);
   update_leadership(now);
+  m_evacuations.update(m_replica->machine());
   // Changes are collected per tick. Otherwise 200 entry hosts that start together would cause 200
   // messages to each control host.
   if (m_refresh_pending || now - m_refreshed_at >= kAddressRefreshInterval) {
@@ -523,86 +460,6 @@
     Clock::now());
 }
 
-// Calls \p done once, possibly before it returns: with true when the local state contains
-// everything acknowledged before this call, or with false if that cannot be confirmed, or not in
-// time.
-void
-ControlHost::confirm(const std::function<void(bool confirmed)>& done)
-{
-  m_replica->confirm_leadership(
-    [done](std::optional<TimePoint> requested_at) { done(requested_at.has_value()); });
-}
-
-void
-ControlHost::handle_call(const ReadRoutingCall&, const AdminServer::Reply& reply)
-{
-  confirm([this, reply](bool confirmed) {
-    const StateMachine& machine = m_replica->machine();
-    if (!confirmed) {
-      send_reply(
-        reply,
-        FailedReply{ unavailable("this host can't confirm that its configuration is current") });
-    } else if (machine.routing_version() == 0) {
-      send_reply(reply, FailedReply{ unavailable("there is no routing configuration yet") });
-    } else {
-      send_reply(reply, RoutingReply{ .document = machine.routing_document() });
-    }
-  });
-}
-
-void
-ControlHost::handle_call(const ReplaceRoutingCall& call, const AdminServer::Reply& reply)
-{
-  m_log.info("routing_received",
-             { { "version", std::to_string(call.config.version) },
-               { "held", std::to_string(m_replica->machine().routing_version()) },
-               { "bytes", std::to_string(call.document.size()) } });
-  propose_routing(std::make_shared<const ReplaceRoutingCall>(call), kMaxRoutingChanges, reply);
-}
-
-// Proposes the difference to the version in force. Another version may have been accepted since, or
-// the state of this host may be behind; the difference is then made again from the current state.
-void
-ControlHost::propose_routing(const std::shared_ptr<const ReplaceRoutingCall>& call,
-                             unsigned attempts,
-                             const AdminServer::Reply& reply)
-{
-  const StateMachine& machine = m_replica->machine();
-  const RoutingConfig& config = call->config;
-  if (config.version <= machine.routing_version()) {
-    send_reply(reply, AcceptedReply{});
-    return;
-  }
-  if (attempts == 0) {
-    propose(ReplaceRouting{ .version = config.version, .document = call->document },
-            AcceptedReply{},
-            reply);
-    return;
-  }
-  const Result<void> updated =
-    update_routing_table(m_routing, machine, m_protocol.decode_routing, kRoutingSeed);
-  if (updated.has_error()) {
-    m_log.warn("routing_unreadable",
-               { { "version", std::to_string(machine.routing_version()) },
-                 { "error", updated.error().message } });
-  }
-  m_client->propose(
-    make_routing_command(m_routing, machine, config, call->document),
-    [this, call, attempts, reply](const Result<ApplyResult>& result) {
-      if (result.has_error()) {
-        send_reply(reply, FailedReply{ unavailable(result.error().message) });
-      } else if (result.value().accepted) {
-        send_reply(reply, AcceptedReply{});
-      } else {
-        ++m_routing_conflicts;
-        confirm([this, call, attempts, reply](bool confirmed) {
-          propose_routing(call, confirmed ? attempts - 1 : 0, reply);
-        });
-      }
-    },
-    Clock::now());
-}
-
 // Servers are spread over the control hosts, because a group has one leader but any number of
 // servers.
 ControlReply
@@ -640,7 +497,7 @@
   if (m_early_heartbeats.size() > 1) {
     return;
   }
-  confirm([this](bool confirmed) {
+  confirm_state(*m_replica, [this](bool confirmed) {
     m_state_current = m_state_current || confirmed;
     for (const auto& [early_call, early_reply] : std::exchange(m_early_heartbeats, {})) {
       if (confirmed) {
@@ -721,7 +578,7 @@
     return;
   }
   // The server may have joined through another host: the state of this host may be behind.
-  confirm([this, call, content, reply](bool confirmed) {
+  confirm_state(*m_replica, [this, call, content, reply](bool confirmed) {
     if (!confirmed) {
       send_reply(
         reply,
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -1,15 +1,16 @@
 #pragma once
 
 #include "cluster_link.h"
+#include "evacuation_report.h"
 #include "group_status.h"
 #include "libdecision/token_bucket.h"
 #include "lovagehold/control_client.h"
 #include "lovagehold/entry_directory.h"
 #include "lovagehold/event_log.h"
 #include "lovagehold/replica.h"
-#include "lovagehold/routing_updates.h"
 #include "lovagehold/server_registrar.h"
 #include "lovagehold/site.h"
+#include "operator_calls.h"
 #include "status_page.h"
 #include "suspect_board.h"
 
@@ -46,8 +47,11 @@
   void receive(const std::string& from, const ClusterMessage& message);
   void tick();
   void handle_request(const AdminRequest& request, const AdminServer::Reply& reply);
-  void handle_call(const ReadRoutingCall& call, const AdminServer::Reply& reply);
-  void handle_call(const ReplaceRoutingCall& call, const AdminServer::Reply& reply);
+  template<class OperatorCall>
+  void handle_call(const OperatorCall& call, const AdminServer::Reply& reply)
+  {
+    m_operator_calls->handle(call, reply);
+  }
   void handle_call(const HeartbeatCall& call, const AdminServer::Reply& reply);
   void handle_call(const LeaveCall& call, const AdminServer::Reply& reply);
   void handle_call(const ResolveCall& call, const AdminServer::Reply& reply);
@@ -57,10 +61,6 @@
   void propose(const Command& command,
                const ControlReply& content,
                const AdminServer::Reply& reply);
-  void confirm(const std::function<void(bool confirmed)>& done);
-  void propose_routing(const std::shared_ptr<const ReplaceRoutingCall>& call,
-                       unsigned attempts,
-                       const AdminServer::Reply& reply);
   void leave(const LeaveCall& call, const ControlReply& content, const AdminServer::Reply& reply);
   bool propose_leave(const LeaveCall& call,
                      const ControlReply& content,
@@ -89,6 +89,7 @@
   ClusterLink m_link;
   std::unique_ptr<Replica> m_replica;
   std::unique_ptr<ControlClient> m_client;
+  std::unique_ptr<OperatorCalls> m_operator_calls;
   AdminServer m_control_server;
   AdminServer m_directory_server;
   ServerRegistrar m_registrar;
@@ -110,8 +111,6 @@
   /// Entry hosts changed, and m_addresses has not been updated yet.
   bool m_refresh_pending = false;
   boost::asio::steady_timer m_timer;
-  /// Routing configuration that the next one is compared with; may be behind the state.
-  RoutingTable m_routing;
   /// Servers of the replicated state as of m_servers_index.
   std::vector<ServerInfo> m_servers;
   std::uint64_t m_servers_index = 0;
@@ -128,7 +127,7 @@
   /// Permits granted and denied since the start, for the metrics.
   std::uint64_t m_permits_granted = 0;
   std::uint64_t m_permits_denied = 0;
-  std::uint64_t m_routing_conflicts = 0;
+  EvacuationReport m_evacuations;
   /// Limits the leaves of servers that have not joined.
   TokenBucket m_unknown_leaves;
   /// Whether this host led the group at the last tick.
--- a/src/libsite/control_host_test.cpp
+++ b/src/libsite/control_host_test.cpp
@@ -36,6 +36,10 @@
     };
     const std::string given_id = query_value(request.query, "id");
     const std::string id = given_id.empty() ? "i-1" : given_id;
+    if (request.path == "/evacuate" || request.path == "/end") {
+      return EvacuationCall{ .failure_domain = query_value(request.query, "domain"),
+                             .active = request.path == "/evacuate" };
+    }
     if (request.path == "/leave") {
       return LeaveCall{ .id = id, .incarnation = number("incarnation", 0) };
     }
@@ -50,8 +54,9 @@
     return UnknownCall{};
   };
   protocol.encode_reply = [](const ControlReply& reply) -> AdminResponse {
-    if (std::holds_alternative<FailedReply>(reply)) {
-      return { .status = 503 };
+    if (const auto* failed = std::get_if<FailedReply>(&reply)) {
+      return { .status = failed->error.kind == ErrorKind::InvalidArgument ? 400U : 503U,
+               .body = failed->error.message + "; " + failed->error.remedy };
     }
     return { .status = std::holds_alternative<NotFoundReply>(reply) ? 404U : 200U };
   };
@@ -75,7 +80,9 @@
                            .control_address = text(test_endpoint(".7.1", kPort)),
                            .cluster_address = text(test_endpoint(".7.1", kPort + 1)),
                            .first_start = true,
-                           .data_folder = m_folder };
+                           .metrics_address = text(test_endpoint(".7.1", kPort + 2)),
+                           .data_folder = m_folder,
+                           .failure_domains = { "a", "b" } };
     settings.seeds = { settings.cluster_address };
     if (!alone) {
       settings.seeds.push_back(text(test_endpoint(".7.2", kPort + 1)));
@@ -97,7 +104,9 @@
     std::filesystem::remove_all(m_folder);
   }
 
-  static int call(const std::string& path)
+  static int call(const std::string& path) { return status_of(response_to(path)); }
+
+  static std::string response_to(const std::string& path)
   {
     boost::asio::io_context context;
     TestSocket socket(context);
@@ -106,7 +115,7 @@
     boost::asio::write(
       socket,
       boost::asio::buffer("GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"));
-    return status_of(read_to_close(socket).value_or(""));
+    return read_to_close(socket).value_or("");
   }
 
   static bool wait_for_status(const std::string& path, int status)
@@ -120,11 +129,18 @@
     return false;
   }
 
+  // \return the result of a function that is run on the host's thread
+  template<class Function>
+  auto on_thread(Function function)
+  {
+    std::promise<decltype(function())> result;
+    boost::asio::post(m_context, [&] { result.set_value(function()); });
+    return result.get_future().get();
+  }
+
   std::string render_metrics()
   {
-    std::promise<std::string> rendered;
-    boost::asio::post(m_context, [&] { rendered.set_value(m_host->render_metrics()); });
-    return rendered.get_future().get();
+    return on_thread([this] { return m_host->render_metrics(); });
   }
 
   // \return the value of a metric of the control host
@@ -151,6 +167,7 @@
   EXPECT_EQ(call("/leave"), 503);
   EXPECT_EQ(call("/heartbeat"), 503);
   EXPECT_EQ(call("/read"), 503);
+  EXPECT_EQ(call("/evacuate?domain=b"), 503);
 }
 
 // Guards against a leave that is never acknowledged because its server is unknown.
@@ -195,6 +212,36 @@
   EXPECT_EQ(metric("lovagehold_servers"), 0);
 }
 
+// Guards against a repeated order that is rejected, or answered from a state that may be behind
+// instead of by the group, and against a withdrawal without effect.
+TEST_F(ControlHostTest, EvacuationsAreAcknowledgedAgain)
+{
+  start(true);
+  ASSERT_TRUE(wait_for_status("/evacuate?domain=b", 200));
+  const double index = metric("lovagehold_commit_index");
+  EXPECT_EQ(call("/evacuate?domain=b"), 200);
+  EXPECT_EQ(metric("lovagehold_commit_index"), index + 1);
+  EXPECT_EQ(metric("lovagehold_evacuated_domains"), 1);
+  EXPECT_EQ(on_thread([this] { return m_host->status().evacuations.size(); }), 1U);
+  EXPECT_EQ(call("/end?domain=b"), 200);
+  EXPECT_EQ(call("/end?domain=b"), 200);
+  EXPECT_EQ(metric("lovagehold_evacuated_domains"), 0);
+}
+
+// Guards against an order for a misspelt failure domain that is acknowledged and does nothing.
+TEST_F(ControlHostTest, UnknownFailureDomainIsRejectedWithTheKnownOnes)
+{
+  start(true);
+  ASSERT_TRUE(wait_for_status("/leave", 200));
+  for (const char* path : { "/evacuate?domain=c", "/end?domain=c" }) {
+    const std::string response = response_to(path);
+    EXPECT_EQ(status_of(response), 400);
+    EXPECT_NE(response.find("'c' is not a known failure domain; use one of a, b"),
+              std::string::npos);
+  }
+  EXPECT_EQ(metric("lovagehold_evacuated_domains"), 0);
+}
+
 // Guards against made-up leaves that fill the replicated log.
 TEST_F(ControlHostTest, LeavesOfUnknownServersAreLimited)
 {
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -110,6 +110,7 @@
       },
       log,
       admin_options(m_settings))
+  , m_evacuations(log, "evacuation_in_force")
   , m_timer(context)
   , m_shutdown_timer(context)
   , m_permit_timer(context)
@@ -213,7 +214,8 @@
                      .version = m_gateway.version(),
                      .ready = is_ready(),
                      .state_age = m_client->state_age(Clock::now()),
-                     .services = m_gateway.services() };
+                     .services = m_gateway.services(),
+                     .evacuations = m_evacuations.evacuations() };
   for (const std::string& seed : m_settings.seeds) {
     status.hosts.push_back(
       { .id = seed, .status_address = with_port_of(seed, m_settings.metrics_address) });
@@ -290,6 +292,7 @@
 {
   const TimePoint now = Clock::now();
   apply_routing();
+  apply_evacuations(now);
   apply_servers(now);
   if (is_ready() != m_was_ready) {
     m_was_ready = is_ready();
@@ -331,6 +334,18 @@
                { "us", std::to_string(us) } });
 }
 
+void
+EntryHost::apply_evacuations(TimePoint now)
+{
+  if (m_evacuations.update(m_client->state())) {
+    std::set<std::string> domains;
+    for (const auto& [domain, index] : m_evacuations.evacuations()) {
+      domains.insert(domain);
+    }
+    m_gateway.set_evacuated(std::move(domains), now);
+  }
+}
+
 void
 EntryHost::apply_servers(TimePoint now)
 {
--- a/src/libsite/entry_host.h
+++ b/src/libsite/entry_host.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cluster_link.h"
+#include "evacuation_report.h"
 #include "lovagehold/control_client.h"
 #include "lovagehold/event_log.h"
 #include "lovagehold/permit_client.h"
@@ -45,6 +46,7 @@
   void schedule_update();
   void apply_state();
   void apply_routing();
+  void apply_evacuations(TimePoint now);
   void apply_servers(TimePoint now);
   void tick();
   void send_crash_evidence(const CrashEvidence& evidence);
@@ -65,6 +67,7 @@
   Gateway m_gateway;
   std::unique_ptr<ControlClient> m_client;
   AdminServer m_readiness_server;
+  EvacuationReport m_evacuations;
   boost::asio::steady_timer m_timer;
   boost::asio::steady_timer m_shutdown_timer;
   /// Runs while permits are pending.
--- a/src/libsite/entry_host_test.cpp
+++ b/src/libsite/entry_host_test.cpp
@@ -41,6 +41,7 @@
 {
 protected:
   static constexpr unsigned short kPort = 17460;
+  static inline const auto kServerAddress = test_endpoint(".7.3", kPort + 6);
 
   EntryHostTest()
     : m_folder(std::filesystem::temp_directory_path() /
@@ -103,11 +104,16 @@
       if (request.path == "/read") {
         return ReadRoutingCall{};
       }
+      if (request.path == "/evacuate" || request.path == "/end") {
+        return EvacuationCall{ .failure_domain = query_value(request.query, "domain"),
+                               .active = request.path == "/evacuate" };
+      }
       if (request.path == "/heartbeat") {
         return HeartbeatCall{ { .server = { .service = "s",
                                             .id = query_value(request.query, "id"),
-                                            .address = "127.0.0.1:9",
-                                            .incarnation = 1 },
+                                            .address = text(kServerAddress),
+                                            .incarnation = 1,
+                                            .failure_domain = "b" },
                                 .sequence = 1 } };
       }
       return UnknownCall{};
@@ -248,6 +254,58 @@
   EXPECT_LE(on_thread([this] { return m_decoded_routes; }), kRoutes + 4 * kRounds);
 }
 
+// Guards against an acknowledged evacuation that does not reach the gateway, against a host that
+// becomes ready without it, and against one that outlives its withdrawal.
+TEST_F(EntryHostTest, EvacuationIsInForceAtTheGateway)
+{
+  boost::asio::io_context server_context;
+  boost::asio::ip::tcp::acceptor server(server_context, kServerAddress);
+  server.non_blocking(true);
+  // Closes all connections that the gateway has opened. \return their number
+  const auto accept_all = [&] {
+    unsigned accepted = 0;
+    boost::system::error_code error;
+    while (!error) {
+      TestSocket socket(server_context);
+      server.accept(socket, error);
+      accepted += error ? 0 : 1;
+    }
+    return accepted;
+  };
+  // \return the status, or 0 if the request reached the server, which does not answer
+  const auto try_route = [&] {
+    accept_all();
+    boost::asio::io_context context;
+    TestSocket socket(context);
+    send_call(socket, kPort + 2, "/p0/", "");
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    return accept_all() > 0 ? 0 : status_of(read_to_close(socket).value_or(""));
+  };
+  const auto await_evacuations = [this](std::size_t count) {
+    const TimePoint limit = Clock::now() + std::chrono::seconds(5);
+    while (Clock::now() < limit) {
+      if (on_thread([this] { return m_entry->status().evacuations.size(); }) == count) {
+        return true;
+      }
+    }
+    return false;
+  };
+  const TimePoint limit = Clock::now() + std::chrono::seconds(20);
+  while (status_of(call(kPort, "/evacuate?domain=b", "")) != 200 && Clock::now() < limit) {
+  }
+  EXPECT_EQ(status_of(call(kPort, "/heartbeat?id=i-1", "")), 200);
+  put(document(1, { "s" }));
+  ASSERT_TRUE(await_version(1));
+  ASSERT_TRUE(await_evacuations(1));
+  EXPECT_EQ(try_route(), 503);
+  EXPECT_EQ(status_of(call(kPort, "/end?domain=b", "")), 200);
+  ASSERT_TRUE(await_evacuations(0));
+  EXPECT_EQ(try_route(), 0);
+  EXPECT_EQ(status_of(call(kPort, "/evacuate?domain=b", "")), 200);
+  ASSERT_TRUE(await_evacuations(1));
+  EXPECT_EQ(try_route(), 503);
+}
+
 // Guards against a configuration that is acknowledged but too large for the log, the image of the
 // state or the messages that carry it, and against changes of it that cost as much as all of it.
 TEST_F(EntryHostTest, TwentyThousandRoutesAreServed)
--- a/src/libsite/status_page.cpp
+++ b/src/libsite/status_page.cpp
@@ -78,6 +78,9 @@
   if (status.group) {
     page["group"] = group_fields(*status.group);
   }
+  if (!status.evacuations.empty()) {
+    page["evacuations"] = status.evacuations;
+  }
   return { .body = page.dump(-1, ' ', false, json::error_handler_t::replace) };
 }
 
--- a/src/libsite/status_page.h
+++ b/src/libsite/status_page.h
@@ -3,6 +3,7 @@
 #include "group_status.h"
 #include "lovagehold/admin_server.h"
 #include "lovagehold/gateway.h"
+#include "lovagehold/state_machine.h"
 
 namespace lovagehold {
 
@@ -29,6 +30,8 @@
   std::vector<GatewayServiceStatus> services;
   /// Set on control hosts only.
   std::optional<GroupStatus> group;
+  /// The evacuations that the host applies.
+  Evacuations evacuations;
 };
 
 /// \return the IP of \p address with the port of \p port_source
--- a/src/libsite/status_page_test.cpp
+++ b/src/libsite/status_page_test.cpp
@@ -30,6 +30,15 @@
   EXPECT_FALSE(unknown.contains("state_age_ms"));
 }
 
+// Guards against a host whose evacuations can't be told from those of the others, and against
+// another page while there are none.
+TEST(StatusPage, EvacuationsAreListedWithTheirLogIndex)
+{
+  EXPECT_EQ(page_of({ .host = "h", .evacuations = { { "b", 7 } } }).at("evacuations"),
+            (json{ { "b", 7 } }));
+  EXPECT_FALSE(page_of({ .host = "h" }).contains("evacuations"));
+}
+
 // Guards against a follower that states losses left which only the leader can know, and against a
 // missing majority that reads as no loss left.
 TEST(StatusPage, OnlyTheLeaderTellsTheLossesLeft)
