lovagectl: status shows evacuations and the hosts that don't follow

Cause: an operator who evacuates a failure domain has to know which hosts may still send requests there.

Change: status compares the evacuations on the hosts' pages with those of the leader and names, for each order, the hosts that lack it, follow an earlier one or don't respond; for a withdrawn order, those that still apply it.

--- a/src/lovagectl/status_command.cpp
+++ b/src/lovagectl/status_command.cpp
@@ -1,4 +1,5 @@
 #include "commands.h"
+#include "evacuation_summary.h"
 #include "group_report.h"
 
 #include <algorithm>
@@ -55,6 +56,10 @@
   if (!group.is_null()) {
     page["group"] = group;
   }
+  const json evacuations = merge_evacuation_pages(hosts.value());
+  if (!evacuations.empty()) {
+    page["evacuations"] = evacuations;
+  }
   std::vector<std::vector<std::string>> rows{
     { "HOST", "DOMAIN", "REVISION", "STATE", "STATE AGE", "SERVICES OWNED", "IN FLIGHT" }
   };
@@ -89,6 +94,9 @@
     for (const std::string& line : describe_group(group)) {
       std::cout << line << "\n";
     }
+    for (const std::string& line : describe_evacuations(evacuations)) {
+      std::cout << line << "\n";
+    }
   }
   return kExitSuccess;
 }
