libsite: test that an evacuation survives a restart

Cause: no test covered orders that are read back from the disk, nor the withdrawal of an order whose failure domain the settings don't name any more.

Change: the fixture of the control host can be stopped and started again.

--- a/src/libsite/control_host_test.cpp
+++ b/src/libsite/control_host_test.cpp
@@ -70,11 +70,15 @@
 protected:
   static constexpr unsigned short kPort = 17450;
 
-  void start(bool alone)
+  ControlHostTest()
+    : m_folder(std::filesystem::temp_directory_path() /
+               ("lovagehold-control-host-test-" + std::to_string(::getpid())))
   {
-    m_folder = std::filesystem::temp_directory_path() /
-               ("lovagehold-control-host-test-" + std::to_string(::getpid()));
     std::filesystem::remove_all(m_folder);
+  }
+
+  void start(bool alone, const std::vector<std::string>& failure_domains = { "a", "b" })
+  {
     SiteSettings settings{ .host = "control-1",
                            .failure_domain = "a",
                            .control_address = text(test_endpoint(".7.1", kPort)),
@@ -82,7 +86,7 @@
                            .first_start = true,
                            .metrics_address = text(test_endpoint(".7.1", kPort + 2)),
                            .data_folder = m_folder,
-                           .failure_domains = { "a", "b" } };
+                           .failure_domains = failure_domains };
     settings.seeds = { settings.cluster_address };
     if (!alone) {
       settings.seeds.push_back(text(test_endpoint(".7.2", kPort + 1)));
@@ -94,6 +98,12 @@
   }
 
   ~ControlHostTest() override
+  {
+    stop();
+    std::filesystem::remove_all(m_folder);
+  }
+
+  void stop()
   {
     boost::asio::post(m_context, [this] {
       m_host->stop();
@@ -101,7 +111,7 @@
     });
     m_thread.join();
     m_host.reset();
-    std::filesystem::remove_all(m_folder);
+    m_context.restart();
   }
 
   static int call(const std::string& path) { return status_of(response_to(path)); }
@@ -242,6 +252,22 @@
   EXPECT_EQ(metric("lovagehold_evacuated_domains"), 0);
 }
 
+// Guards against an order that a restart loses, and against one that nobody can withdraw because
+// its failure domain was removed from the settings.
+TEST_F(ControlHostTest, OrderSurvivesARestartAndItsFailureDomain)
+{
+  start(true);
+  ASSERT_TRUE(wait_for_status("/evacuate?domain=b", 200));
+  stop();
+  start(true, { "a", "c" });
+  ASSERT_TRUE(wait_for_status("/leave", 200));
+  EXPECT_EQ(metric("lovagehold_evacuated_domains"), 1);
+  EXPECT_EQ(call("/evacuate?domain=b"), 400);
+  EXPECT_EQ(call("/end?domain=b"), 200);
+  EXPECT_EQ(metric("lovagehold_evacuated_domains"), 0);
+  EXPECT_EQ(call("/end?domain=b"), 400);
+}
+
 // Guards against made-up leaves that fill the replicated log.
 TEST_F(ControlHostTest, LeavesOfUnknownServersAreLimited)
 {
