libdecision, libgateway, libsite, libstate: cold servers get no more requests than they take

Cause: a server that has just started, or has turned cold again, crashes well above warmup_rate. Up to 203 entry hosts see the same idle server and send to it at once; a higher cost is all that kept them away.

Change: with RoutedService::warmup_rate, a cold server gets a request only if a warm one has no free capacity and ColdServerShare admits it. Each host has a SharedCredit per cold server, which starts empty. Health checks (GatewayHeaders::warmup_left) and the replicated entry say who is cold. A heartbeat with warm-up time left for a server whose entry says that it is warm is one JoinServer command with a higher ServerInfo::warmup_renewals. HostCount errs towards too many hosts while the reported number may be too small. Requests that find only cold servers wait and are then refused with the time at which a server is warm or the credit is full.

--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -76,6 +76,8 @@
   /// Bandwidth of this host's network link in Mbit/s. On a slow link request bodies are paced; 0 if
   /// unknown, without pacing.
   double link_mbps = 0;
+  /// See ColdServerShareOptions::depth.
+  double cold_share_depth = 1;
   /// Without it, limited servers get no requests.
   RequestPermit request_permit;
   CrashSuspectsOptions crash_suspects;
@@ -114,6 +116,12 @@
   /// Permits for limited servers that were asked for, and those that were granted.
   std::uint64_t permits_requested = 0;
   std::uint64_t permits_granted = 0;
+  /// Requests sent to cold servers, and requests that waited because the share of cold servers
+  /// admitted none.
+  std::uint64_t cold_requests = 0;
+  std::uint64_t cold_waits = 0;
+  /// Servers that turned cold or warm without a log line of their own.
+  std::uint64_t unlogged_cold_changes = 0;
   /// Changes of the routing configuration, and the time that this thread spent on them.
   std::uint64_t routing_changes = 0;
   Duration routing_change_time{};
--- a/src/include/lovagehold/server_registrar.h
+++ b/src/include/lovagehold/server_registrar.h
@@ -2,9 +2,11 @@
 
 #include "lovagehold/types.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lovagehold {
@@ -23,6 +25,7 @@
 {
   None,  ///< no change: the server is known, or the heartbeat is outdated
   Join,  ///< add the new incarnation of the server
+  Warm,  ///< update the entry of the known server, which has turned cold; see renewed_entry()
   Leave, ///< remove the server; it gets no new requests
 };
 
@@ -35,6 +38,12 @@
   /// were probably lost in the network, and the servers are removed only after three times the
   /// lease.
   double max_expired_share = 0.34;
+  /// Whether cold servers of the service take a limited number of requests. If empty, entries are
+  /// not updated when their servers turn cold.
+  std::function<bool(const ServiceName&)> limits_cold_servers;
+  /// A server has turned cold again if it stays cold for longer than its entry says by more than
+  /// this time. Covers delays of heartbeats and of entries.
+  std::chrono::milliseconds warmup_margin{ 1000 };
 };
 
 /// Compares heartbeats with the directory of servers and keeps the leases of the servers. Not
@@ -43,7 +52,7 @@
 {
 public:
   explicit ServerRegistrar(ServerRegistrarOptions options)
-    : m_options(options)
+    : m_options(std::move(options))
   {
   }
 
@@ -53,6 +62,13 @@
                             const std::vector<ServerInfo>& known,
                             TimePoint now);
 
+  /// \return the entry with which a join puts HeartbeatEffect::Warm into effect
+  static ServerInfo renewed_entry(const ServerHeartbeat& heartbeat,
+                                  const std::vector<ServerInfo>& known);
+
+  /// The update of the server's entry has failed; the next heartbeat calls for it again.
+  void forget_warmup(const ServerId& id) { m_warmups.erase(id); }
+
   /// Renews the lease of a server whose heartbeat another host received.
   void renew(const ServerId& id, std::uint64_t incarnation, TimePoint now);
 
@@ -76,8 +92,21 @@
     TimePoint renewed_at;
   };
 
+  /// What is known of the latest warm-up of a server.
+  struct Warmup
+  {
+    std::uint64_t incarnation = 0;
+    std::uint64_t renewals = 0;
+    TimePoint end;
+  };
+
+  void observe_warmup(const ServerInfo& entry, TimePoint now);
+  void observe_warmups(const std::vector<ServerInfo>& known, TimePoint now);
+  bool turned_cold(const ServerInfo& server, const ServerInfo& entry, TimePoint now);
+
   ServerRegistrarOptions m_options;
   std::map<ServerId, Lease> m_leases;
+  std::map<ServerId, Warmup> m_warmups;
 };
 
 } // namespace lovagehold
--- a/src/include/lovagehold/server_selector.h
+++ b/src/include/lovagehold/server_selector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovagehold/cold_server_share.h"
 #include "lovagehold/request_limiter.h"
 #include "lovagehold/types.h"
 
@@ -89,6 +90,14 @@
   std::chrono::seconds leaving_retention{ 3600 };
 };
 
+/// A server turned cold or warm again.
+struct ColdChange
+{
+  ServerInfo server;
+  /// Time for which it stays cold; 0 if it is warm again.
+  std::chrono::milliseconds remaining{ 0 };
+};
+
 /// Selects a server of one service from load reports, this host's requests in progress and recent
 /// failures. Time and randomness are arguments. Not thread-safe.
 class ServerSelector
@@ -104,8 +113,8 @@
 
   /// \param tried servers to exclude
   /// \param body_bytes size of the request body; raises the cost of other failure domains
-  /// \return the server with the lowest expected cost that is neither leaving, paused nor limited;
-  /// nothing if no server is left
+  /// \return the server with the lowest expected cost that is neither leaving, paused, limited nor
+  /// (with a share of cold servers) cold; nothing if no server is left
   std::optional<ServerInfo> pick(TimePoint now,
                                  const std::set<ServerId>& tried,
                                  std::size_t body_bytes,
@@ -155,7 +164,54 @@
                  std::optional<double> limit,
                  TimePoint now);
 
-  /// Selects the limited servers for which a permit is worth asking.
+  /// Sets the share of the requests that cold servers take. With a rate of 0 cold servers are
+  /// chosen as others are, at a higher cost.
+  void set_cold_share(const ColdServerShareOptions& options, TimePoint now);
+
+  /// A response of the server to a health check said for how long it stays cold. No effect without
+  /// a share of cold servers, or if the incarnation is not listed.
+  /// \param remaining 0 if the server is warm; values over max_pause are limited to it
+  void set_cold(const ServerId& id, std::uint64_t incarnation, Duration remaining, TimePoint now);
+
+  /// Treats the server as cold for at least this time, whatever its health checks say.
+  void hold_cold(const ServerId& id, Duration duration, TimePoint now);
+
+  /// \return whether the server is cold and gets only requests that the share admits
+  bool is_cold(const ServerId& id, TimePoint now) const;
+
+  /// \return whether a server that can be called is cold and gets only requests of the share
+  bool has_cold(const std::set<ServerId>& tried, TimePoint now) const;
+
+  /// \return number of cold servers that get only requests that the share admits
+  std::size_t cold_count(TimePoint now) const;
+
+  /// Asks the share of cold servers to send one request.
+  /// \param tried servers to exclude
+  /// \return a random cold server with a free slot and without a limit to which the request may be
+  /// sent now; nothing if there is none or the share admits no request
+  std::optional<ServerInfo> pick_cold(TimePoint now,
+                                      const std::set<ServerId>& tried,
+                                      std::mt19937_64& random);
+
+  /// Asks the share of cold servers to send one request to a limited server.
+  /// \param max_wait time that the request can wait; servers denied for longer are excluded
+  /// \return at most one server, for which a permit is needed too
+  std::vector<LimitedServer> cold_permit_candidates(const std::set<ServerId>& tried,
+                                                    Duration max_wait,
+                                                    TimePoint now,
+                                                    std::mt19937_64& random);
+
+  /// \return if all servers that can be called are cold: when one turns warm, or the share has
+  /// probably admitted a request again. Nothing otherwise.
+  std::optional<TimePoint> cold_return(TimePoint now) const;
+
+  /// \return listed servers that turned cold or warm since the last call
+  std::vector<ColdChange> take_cold_changes(TimePoint now);
+
+  /// \return whether recent attempts or probes did not reach the server
+  bool is_ejected(const ServerId& id, TimePoint now) const;
+
+  /// Selects the limited servers for which a permit is worth asking. Cold ones are not selected.
   /// \param tried servers to exclude
   /// \param max_wait time that the request can wait; servers denied for longer are excluded
   /// \param max_cost upper limit of the expected cost of a request
@@ -220,7 +276,12 @@
     ServerInfo info;
     /// In the subset that is probed first.
     bool preferred = true;
+    /// The server is cold until then.
     TimePoint warmup_until;
+    /// Health checks can't make the server warm before that.
+    TimePoint held_cold_until;
+    /// The last change that take_cold_changes() returned was to cold.
+    bool reported_cold = false;
     LoadReport load;
     std::optional<TimePoint> report_time;
     /// When the oldest unanswered probe was sent.
@@ -252,6 +313,17 @@
   /// \return expected time of another request, relative to one on an idle server of the local
   /// failure domain
   double cost_of(const State& state, std::size_t body_bytes, TimePoint now) const;
+  /// \return whether only the share of cold servers admits requests to the server
+  bool needs_share(const State& state, TimePoint now) const
+  {
+    return m_share.is_enabled() && now < state.warmup_until;
+  }
+  bool has_free_slot(const State& state, TimePoint now) const;
+  /// Takes over what a new entry of the same incarnation says about its warm-up.
+  static void update_warmup(State& state, const ServerInfo& entry, TimePoint now);
+  /// Starts and ends the credits of servers that have turned cold or warm.
+  void update_credits(TimePoint now);
+  static LimitedServer make_candidate(const State& state, TimePoint now);
   void choose_subset();
   std::size_t take_probes(std::size_t wanted, TimePoint now);
   bool is_ejected(const State& state, TimePoint now) const;
@@ -276,6 +348,7 @@
   double m_mean_busy = 0;
   /// Moving average of the time of served requests.
   std::optional<double> m_mean_ms;
+  ColdServerShare m_share;
   std::size_t m_hosts = 1;
   /// Probes left in the probe budget at m_probes_updated.
   double m_probes_left = 0;
--- a/src/include/lovagehold/types.h
+++ b/src/include/lovagehold/types.h
@@ -40,6 +40,9 @@
   std::string failure_domain;
   /// Time after joining during which the server is expected to respond slowly.
   std::chrono::milliseconds warmup{ 0 };
+  /// How often the incarnation has turned cold again since it joined. Tells a new warm-up from the
+  /// one of an entry that is read again.
+  std::uint64_t warmup_renewals = 0;
 };
 
 /// A host that runs lovagehold.
@@ -62,7 +65,8 @@
 {
   return a.service == b.service && a.id == b.id && a.address == b.address && a.slots == b.slots &&
          a.connections == b.connections && a.incarnation == b.incarnation &&
-         a.failure_domain == b.failure_domain && a.warmup == b.warmup;
+         a.failure_domain == b.failure_domain && a.warmup == b.warmup &&
+         a.warmup_renewals == b.warmup_renewals;
 }
 
 inline bool
--- a/src/libdecision/server_registrar.cpp
+++ b/src/libdecision/server_registrar.cpp
@@ -38,7 +38,67 @@
   m_leases[server.id] = { .incarnation = server.incarnation,
                           .sequence = heartbeat.sequence,
                           .renewed_at = now };
-  return is_known ? HeartbeatEffect::None : HeartbeatEffect::Join;
+  if (!is_known) {
+    return HeartbeatEffect::Join;
+  }
+  return turned_cold(server, *entry, now) ? HeartbeatEffect::Warm : HeartbeatEffect::None;
+}
+
+ServerInfo
+ServerRegistrar::renewed_entry(const ServerHeartbeat& heartbeat,
+                               const std::vector<ServerInfo>& known)
+{
+  ServerInfo renewed = heartbeat.server;
+  const auto entry = std::find_if(
+    known.begin(), known.end(), [&](const ServerInfo& other) { return other.id == renewed.id; });
+  renewed.warmup_renewals = entry == known.end() ? 0 : entry->warmup_renewals + 1;
+  return renewed;
+}
+
+// The time of an entry counts from the moment at which this host first sees it. After a start of
+// this host, entries of servers that have long been warm are taken for new ones once.
+void
+ServerRegistrar::observe_warmup(const ServerInfo& entry, TimePoint now)
+{
+  Warmup& warmup = m_warmups[entry.id];
+  // An update that was proposed and is not applied yet is ahead of the entry.
+  if (std::pair(warmup.incarnation, warmup.renewals) <
+      std::pair(entry.incarnation, entry.warmup_renewals)) {
+    warmup = { .incarnation = entry.incarnation,
+               .renewals = entry.warmup_renewals,
+               .end = now + entry.warmup };
+  }
+}
+
+void
+ServerRegistrar::observe_warmups(const std::vector<ServerInfo>& known, TimePoint now)
+{
+  if (!m_options.limits_cold_servers) {
+    return;
+  }
+  std::map<ServerId, Warmup> kept;
+  for (const ServerInfo& server : known) {
+    observe_warmup(server, now);
+    kept[server.id] = m_warmups[server.id];
+  }
+  m_warmups = std::move(kept);
+}
+
+bool
+ServerRegistrar::turned_cold(const ServerInfo& server, const ServerInfo& entry, TimePoint now)
+{
+  if (server.warmup.count() <= 0 || !m_options.limits_cold_servers ||
+      !m_options.limits_cold_servers(server.service)) {
+    return false;
+  }
+  observe_warmup(entry, now);
+  Warmup& warmup = m_warmups[server.id];
+  const TimePoint end = now + server.warmup;
+  if (end <= warmup.end + m_options.warmup_margin) {
+    return false;
+  }
+  warmup = { .incarnation = entry.incarnation, .renewals = entry.warmup_renewals + 1, .end = end };
+  return true;
 }
 
 void
@@ -70,6 +130,7 @@
     kept_leases[server.id] = lease;
     ++server_count[server.service];
   }
+  observe_warmups(known, now);
   // If a large share of a service's servers expired together, they are kept for three times the
   // lease: their heartbeats were probably lost in the network.
   std::map<ServiceName, unsigned> expired_count;
--- a/src/libdecision/server_registrar_test.cpp
+++ b/src/libdecision/server_registrar_test.cpp
@@ -110,5 +110,83 @@
   EXPECT_TRUE(registrar.expired(known, later).empty());
 }
 
+class WarmupTest : public ::testing::Test
+{
+protected:
+  // A heartbeat of the incarnation that joined at kStart; applies the command that it leads to.
+  HeartbeatEffect beat(milliseconds at, milliseconds left, ServerRegistrar& registrar)
+  {
+    ServerHeartbeat heartbeat = make_heartbeat("i-1", 100, ++m_sequence);
+    heartbeat.server.warmup = left;
+    const HeartbeatEffect effect = registrar.heartbeat(heartbeat, m_known, kStart + at);
+    if (effect == HeartbeatEffect::Join) {
+      m_known = { heartbeat.server };
+    } else if (effect == HeartbeatEffect::Warm) {
+      m_known = { ServerRegistrar::renewed_entry(heartbeat, m_known) };
+    }
+    registrar.expired(m_known, kStart + at);
+    return effect;
+  }
+
+  static ServerRegistrarOptions options()
+  {
+    return { .lease = kLease,
+             .limits_cold_servers = [](const ServiceName& service) { return service == "s"; } };
+  }
+
+  std::vector<ServerInfo> m_known;
+  std::uint64_t m_sequence = 0;
+  ServerRegistrar m_registrar{ options() };
+};
+
+// Guards against one command per heartbeat while a server is cold, and against a server that turns
+// cold again without a command.
+TEST_F(WarmupTest, EachWarmupIsOneCommand)
+{
+  EXPECT_EQ(beat(milliseconds(0), milliseconds(3000), m_registrar), HeartbeatEffect::Join);
+  EXPECT_EQ(beat(milliseconds(1000), milliseconds(2000), m_registrar), HeartbeatEffect::None);
+  EXPECT_EQ(beat(milliseconds(2300), milliseconds(1000), m_registrar), HeartbeatEffect::None);
+  EXPECT_EQ(beat(milliseconds(3300), milliseconds(0), m_registrar), HeartbeatEffect::None);
+  EXPECT_EQ(beat(milliseconds(5000), milliseconds(2900), m_registrar), HeartbeatEffect::Warm);
+  EXPECT_EQ(m_known.front().warmup_renewals, 1U);
+  EXPECT_EQ(beat(milliseconds(6000), milliseconds(1900), m_registrar), HeartbeatEffect::None);
+  EXPECT_EQ(beat(milliseconds(9000), milliseconds(2900), m_registrar), HeartbeatEffect::Warm);
+  EXPECT_EQ(m_known.front().warmup_renewals, 2U);
+}
+
+// Guards against a second command for a warm-up that another control host has proposed.
+TEST_F(WarmupTest, WarmupKnownFromTheEntryIsNotProposedAgain)
+{
+  ServerRegistrar other(options());
+  EXPECT_EQ(beat(milliseconds(0), milliseconds(3000), m_registrar), HeartbeatEffect::Join);
+  other.expired(m_known, kStart);
+  EXPECT_EQ(beat(milliseconds(1000), milliseconds(2000), other), HeartbeatEffect::None);
+  EXPECT_EQ(beat(milliseconds(8000), milliseconds(2900), m_registrar), HeartbeatEffect::Warm);
+  EXPECT_EQ(beat(milliseconds(9000), milliseconds(1900), other), HeartbeatEffect::None);
+}
+
+// Guards against a warm-up that stays unknown because its command failed.
+TEST_F(WarmupTest, FailedCommandIsProposedAgain)
+{
+  beat(milliseconds(0), milliseconds(0), m_registrar);
+  const std::vector<ServerInfo> before = m_known;
+  EXPECT_EQ(beat(milliseconds(5000), milliseconds(3000), m_registrar), HeartbeatEffect::Warm);
+  m_known = before;
+  m_registrar.forget_warmup("i-1");
+  EXPECT_EQ(beat(milliseconds(6000), milliseconds(2000), m_registrar), HeartbeatEffect::Warm);
+}
+
+// Guards against commands for services that don't limit the requests to cold servers, and for
+// heartbeats that arrive out of order.
+TEST_F(WarmupTest, OnlyCurrentHeartbeatsOfLimitedServicesCount)
+{
+  ServerRegistrar without({ .lease = kLease });
+  beat(milliseconds(0), milliseconds(0), without);
+  EXPECT_EQ(beat(milliseconds(5000), milliseconds(3000), without), HeartbeatEffect::None);
+  EXPECT_EQ(beat(milliseconds(5000), milliseconds(0), m_registrar), HeartbeatEffect::None);
+  m_sequence = 0;
+  EXPECT_EQ(beat(milliseconds(6000), milliseconds(3000), m_registrar), HeartbeatEffect::None);
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -23,8 +23,6 @@
 constexpr unsigned kMaxProbesWithoutReport = 6;
 // The probe budget holds at least this many probes, because a single choice may need them.
 constexpr double kMinProbeBurst = 6;
-// Limited servers among which the limiter may choose.
-constexpr std::size_t kMaxPermitCandidates = 4;
 // In requests. Allows for reported requests that have probably ended but whose weight has not
 // decayed to 0 yet.
 constexpr double kCapacityTolerance = 0.3;
@@ -69,7 +67,9 @@
     State& state = next[server.id];
     if (same) {
       state = known->second;
+      update_warmup(state, server, now);
     } else {
+      m_share.remove(server.id);
       state.warmup_until = now + server.warmup;
       state.relative_time_updated = now;
     }
@@ -81,6 +81,7 @@
     state.leaving = is_marked_leaving(server);
   }
   m_servers = std::move(next);
+  update_credits(now);
   expire_leaving_marks(now);
   choose_subset();
 }
@@ -140,68 +141,6 @@
   return limit_before != limit;
 }
 
-std::vector<LimitedServer>
-ServerSelector::permit_candidates(const std::set<ServerId>& tried,
-                                  Duration max_wait,
-                                  double max_cost,
-                                  TimePoint now) const
-{
-  std::vector<std::pair<double, const State*>> ranked;
-  for (const auto& [id, state] : m_servers) {
-    const bool excluded = !state.limit || tried.count(id) > 0 || !is_callable(state, now) ||
-                          is_ejected(state, now) || is_denied(state, now + max_wait) ||
-                          !has_free_capacity(id, now);
-    if (!excluded && cost_of(state, 0, now) <= max_cost) {
-      ranked.emplace_back(cost_of(state, 0, now), &state);
-    }
-  }
-  std::sort(ranked.begin(), ranked.end());
-  ranked.resize(std::min(ranked.size(), kMaxPermitCandidates));
-  std::vector<LimitedServer> candidates;
-  candidates.reserve(ranked.size());
-  for (const auto& [cost, state] : ranked) {
-    candidates.push_back({ .id = state->info.id,
-                           .incarnation = state->info.incarnation,
-                           .limit = *state->limit,
-                           .age = std::chrono::duration_cast<std::chrono::milliseconds>(
-                             now - state->limit_named_at) });
-  }
-  return candidates;
-}
-
-void
-ServerSelector::deny(const std::vector<LimitedServer>& servers, TimePoint until)
-{
-  for (const LimitedServer& server : servers) {
-    const auto found = m_servers.find(server.id);
-    if (found != m_servers.end()) {
-      found->second.denied_until = until;
-    }
-  }
-}
-
-std::optional<ServerInfo>
-ServerSelector::find_callable(const ServerId& id, TimePoint now) const
-{
-  const auto found = m_servers.find(id);
-  const bool callable = found != m_servers.end() && is_callable(found->second, now);
-  return callable ? std::optional(found->second.info) : std::nullopt;
-}
-
-std::optional<double>
-ServerSelector::limit(const ServerId& id) const
-{
-  const auto found = m_servers.find(id);
-  return found == m_servers.end() ? std::nullopt : found->second.limit;
-}
-
-std::size_t
-ServerSelector::limited_count() const
-{
-  return static_cast<std::size_t>(std::count_if(
-    m_servers.begin(), m_servers.end(), [](const auto& entry) { return entry.second.limit; }));
-}
-
 bool
 ServerSelector::is_callable(const State& state, TimePoint now)
 {
@@ -329,7 +268,8 @@
   // second pass ignores ejection.
   for (const bool skip_ejected : { true, false }) {
     for (const auto& [id, state] : m_servers) {
-      const bool excluded = tried.count(id) > 0 || state.limit || !is_callable(state, now);
+      const bool excluded =
+        tried.count(id) > 0 || state.limit || !is_callable(state, now) || needs_share(state, now);
       if (excluded || (skip_ejected && is_ejected(state, now))) {
         continue;
       }
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -107,6 +107,7 @@
   , m_request(std::move(request))
   , m_deadline(std::min(m_request.caller_deadline, m_request.arrived + m_request.route->timeout))
   , m_wakeup(context.io, TimePoint::max())
+  , m_admission(context, m_request.service, m_request.service_config)
 {
 }
 
@@ -196,8 +197,10 @@
   }
   const bool too_late = !m_context.admission.has_time_for_attempt(now, m_deadline);
   if (!server || too_late || m_abandoned || m_given_up || m_winner) {
-    m_no_server = !server;
-    m_retryable = m_retryable && server && !too_late;
+    // A hedge gets no cold server, but a retry may.
+    const bool only_cold = hedge && selector->has_cold(m_tried_servers, now);
+    m_no_server = !server && !only_cold;
+    m_retryable = m_retryable && !m_no_server && !too_late;
     m_wakeup.cancel();
     co_return;
   }
@@ -238,6 +241,7 @@
   attempt->limit = selector->limit(server->id);
   m_attempts.push_back(attempt);
   selector->begin(server->id, now);
+  m_context.counters.cold_requests += selector->is_cold(server->id, now) ? 1 : 0;
   const OutgoingRequest request = make_outgoing_request(*server, now);
   // Wakes run(), which can compute the hedge time now that the attempt has started.
   m_wakeup.cancel();
@@ -306,67 +310,25 @@
   const double max_cost = has_capacity
                             ? selector.cost(server->id, Clock::now()) / kUnlimitedCostFactor
                             : std::numeric_limits<double>::max();
-  const bool permitted = co_await obtain_permit(max_cost, latest);
-  if (permitted || has_capacity) {
-    co_return true;
-  }
-  co_return !server && selector.limited_count() == 0;
-}
-
-// Asks for a permit for a limited server and waits until it is valid.
-awaitable<bool>
-ForwardedRequest::obtain_permit(double max_cost, TimePoint latest)
-{
+  const bool permitted = co_await m_admission.obtain_permit(m_tried_servers, max_cost, latest);
   const TimePoint now = Clock::now();
-  m_permitted_server.clear();
-  if (now >= latest || !m_context.options.request_permit) {
-    co_return false;
-  }
-  PermitQuery query{ .service = m_request.service,
-                     .candidates =
-                       m_context.selector(m_request.service)
-                         .permit_candidates(m_tried_servers, latest - now, max_cost, now),
-                     .max_wait = to_milliseconds(latest - now) };
-  if (query.candidates.empty()) {
-    co_return false;
-  }
-  ++m_context.counters.permits_requested;
-  // The handler may be called after this coroutine has been destroyed.
-  const auto timer = std::make_shared<asio::steady_timer>(m_context.io, TimePoint::max());
-  const auto answer = std::make_shared<std::optional<PermitAnswer>>();
-  m_context.options.request_permit(query, [answer, timer](const PermitAnswer& received) {
-    *answer = received;
-    timer->cancel();
-  });
-  boost::system::error_code ignored;
-  if (!*answer) {
-    co_await timer->async_wait(capture(ignored));
-  }
-  const PermitAnswer permit = answer->value_or(PermitAnswer{});
-  ServerSelector& selector = m_context.selector(m_request.service);
-  if (permit.server.empty()) {
-    selector.deny(query.candidates, Clock::now() + permit.wait);
-    co_return false;
-  }
-  ++m_context.counters.permits_granted;
-  if (permit.wait.count() > 0) {
-    timer->expires_after(permit.wait);
-    co_await timer->async_wait(capture(ignored));
+  const bool reachable = server && !selector.is_ejected(server->id, now);
+  if (permitted || (has_capacity && reachable) ||
+      m_admission.obtain_share(m_tried_servers, latest, now)) {
+    co_return true;
   }
-  m_permitted_server = permit.server;
-  co_return true;
+  const bool none_left =
+    !server && selector.limited_count() == 0 && !selector.has_cold(m_tried_servers, now);
+  co_return has_capacity || none_left;
 }
 
 std::optional<ServerInfo>
 ForwardedRequest::select_server(TimePoint now)
 {
-  const ServerSelector& selector = m_context.selector(m_request.service);
-  const ServerId permitted_server = std::exchange(m_permitted_server, {});
-  if (!permitted_server.empty()) {
-    if (auto server = selector.find_callable(permitted_server, now)) {
-      return server;
-    }
+  if (auto server = m_admission.take_server(now)) {
+    return server;
   }
+  const ServerSelector& selector = m_context.selector(m_request.service);
   return selector.pick(now, m_tried_servers, body_bytes(), m_context.random);
 }
 
@@ -658,7 +620,7 @@
 {
   const ServerSelector& selector = m_context.selector(m_request.service);
   const RefusalState state{ .pause_end = selector.is_callable_until(now, now)
-                                           ? std::nullopt
+                                           ? selector.cold_return(now)
                                            : selector.earliest_return(now),
                             .mean_request_time = selector.mean_request_time(),
                             .waiting = m_context.queues[m_request.service].size(),
@@ -694,10 +656,7 @@
   } else if (shutdown_ends) {
     m_error_response = make_shutdown_refusal();
   } else if (m_no_server) {
-    const bool limited = m_context.selector(m_request.service).limited_count() > 0;
-    refuse_not_executed(limited ? "the request limits of the servers are used up"
-                                : "no server of the service is available",
-                        now);
+    refuse_not_executed(m_admission.describe_refusal(now), now);
   } else if (now >= m_deadline) {
     refuse_not_executed("the time ran out before a server was reached", now);
   } else {
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovagehold/request_fingerprint.h"
+#include "server_admission.h"
 #include "server_exchange.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -118,7 +119,6 @@
   awaitable<void> run_attempt(bool hedge);
   awaitable<bool> wait_for_capacity(bool hedge);
   awaitable<bool> check_capacity(TimePoint latest);
-  awaitable<bool> obtain_permit(double max_cost, TimePoint latest);
   std::optional<ServerInfo> select_server(TimePoint now);
   std::string describe_overload(const ServerInfo& best, TimePoint now) const;
   awaitable<void> probe(bool preferred_only, const std::string& path);
@@ -151,8 +151,7 @@
   asio::steady_timer m_wakeup;
   std::vector<std::shared_ptr<Attempt>> m_attempts;
   std::set<ServerId> m_tried_servers;
-  /// Limited server to which the next attempt is permitted; empty if there is no permit.
-  ServerId m_permitted_server;
+  ServerAdmission m_admission;
   /// The exchange whose response is forwarded.
   std::shared_ptr<ServerExchange> m_winner;
   /// A 5xx response of a server; forwarded if no attempt gets a better one.
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "lovagehold/gateway.h"
 
 #include "caller_connection.h"
+#include "cold_server_log.h"
 #include "lovagehold/connection_acceptor.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -110,6 +111,7 @@
 {
   GatewayContext& context = *m_impl->context;
   context.entry_hosts = hosts;
+  context.host_count.report(hosts, Clock::now());
   for (auto& [service, budget] : context.budgets) {
     budget.set_hosts(hosts);
   }
@@ -266,6 +268,7 @@
       "gauge",
       "Version of the routing configuration in force.",
       static_cast<double>(version()));
+  render_cold_metrics(context, text, Clock::now());
   return text.text() + context.metrics.render();
 }
 
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "libdecision/token_bucket.h"
 #include "libproxy/connection_pool.h"
 #include "lovagehold/admission.h"
 #include "lovagehold/crash_suspects.h"
 #include "lovagehold/gateway.h"
+#include "lovagehold/host_count.h"
 #include "lovagehold/link_pacer.h"
 #include "lovagehold/metrics.h"
 #include "lovagehold/routing_table.h"
@@ -87,6 +89,10 @@
   Metrics metrics{ 1 };
   /// Number of entry hosts that receive callers, this one included.
   std::size_t entry_hosts = 1;
+  /// The same number for shares that must not be too large, see HostCount.
+  HostCount host_count;
+  /// Log lines about cold servers: after a restart of all servers there are some hundred at once.
+  TokenBucket cold_log_budget{ 2, 20, 20, Clock::now() };
   /// Requests being served.
   std::size_t in_progress = 0;
   /// Open connections of callers.
--- a/src/libgateway/gateway_fixture.h
+++ b/src/libgateway/gateway_fixture.h
@@ -53,6 +53,7 @@
                         .not_executed = "Lovagehold-Not-Executed",
                         .leaving = "Server-Leaving",
                         .limit = "Server-Limit",
+                        .warmup_left = "Server-Warmup",
                         .load = "Lovagehold-Server-Load",
                         .parse_load = [](std::string_view text) {
                           if (text == "throw") {
@@ -125,7 +126,9 @@
     config.hosts = { { .name = "a.example",
                        .routes = { route("/safe/", RouteKind::Idempotent),
                                    route("/once/", RouteKind::NonIdempotent) } } };
-    config.services = { { .name = "desk", .health_path = m_health_path } };
+    config.services = {
+      { .name = "desk", .health_path = m_health_path, .warmup_rate = m_warmup_rate }
+    };
     on_gateway([&] {
       m_gateway.set_routing(config);
       m_gateway.set_servers(m_server_infos, Clock::now());
@@ -176,6 +179,7 @@
   std::vector<std::unique_ptr<ScriptedServer>> m_servers;
   std::vector<ServerInfo> m_server_infos;
   std::string m_health_path = "/health";
+  double m_warmup_rate = 0;
   /// Limits and version of the routing configuration.
   RequestLimits m_limits;
   std::uint64_t m_version = 0;
--- a/src/libgateway/load_probe.cpp
+++ b/src/libgateway/load_probe.cpp
@@ -87,6 +87,9 @@
   if (id_matches) {
     const ServerNotice notice = read_notice(parser.get(), names);
     apply_notice(context, notice, server, Clock::now());
+    if (const auto warmup = read_warmup(parser.get(), names)) {
+      context.selector(service).set_cold(server.id, server.incarnation, *warmup, Clock::now());
+    }
   }
   if (id_matches && !load.empty()) {
     if (const auto report = names.parse_load(std::string_view(load.data(), load.size()))) {
--- a/src/libgateway/scripted_server.h
+++ b/src/libgateway/scripted_server.h
@@ -107,6 +107,14 @@
     m_limit = limit;
   }
 
+  /// From now on, health checks name this time in milliseconds for which the server is cold; empty:
+  /// none.
+  void stay_cold(const std::string& time)
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_warmup = time;
+  }
+
   /// From now on, health checks are answered with these bytes, see ScriptedResponse.
   void answer_checks_with(std::string bytes, std::string endless)
   {
@@ -213,7 +221,7 @@
       scripted.bytes = "HTTP/1.1 200 OK\r\nLovagehold-Instance-Id: " + m_id +
                        "\r\nLovagehold-Server-Load: " + (full ? "3" : "0") + ",0,3,100\r\n" +
                        (m_leaving ? "Server-Leaving: 1\r\n" : "") + limit_header() +
-                       "Content-Length: 0\r\n\r\n";
+                       warmup_header() + "Content-Length: 0\r\n\r\n";
       ++m_checks;
       const std::lock_guard<std::mutex> lock(m_mutex);
       scripted = m_check_response.value_or(scripted);
@@ -292,6 +300,12 @@
     return m_limit.empty() ? "" : "Server-Limit: " + m_limit + "\r\n";
   }
 
+  std::string warmup_header() const
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_warmup.empty() ? "" : "Server-Warmup: " + m_warmup + "\r\n";
+  }
+
   std::string m_id;
   Script m_script;
   boost::asio::io_context m_context;
@@ -299,6 +313,7 @@
   mutable std::mutex m_mutex;
   std::vector<ReceivedRequest> m_requests;
   std::string m_limit;
+  std::string m_warmup;
   std::optional<ScriptedResponse> m_check_response;
   std::vector<std::shared_ptr<TestSocket>> m_sockets;
   std::vector<std::thread> m_threads;
--- a/src/libgateway/server_notice.cpp
+++ b/src/libgateway/server_notice.cpp
@@ -12,6 +12,8 @@
 constexpr double kMaxRetryAfterSeconds = 86400;
 // Requests per second. No server takes more, so that larger values are no limit.
 constexpr double kMaxRequestLimit = 1e6;
+// A day; ServerSelector limits the time further.
+constexpr double kMaxWarmupMs = 86400e3;
 
 std::string_view
 trim(std::string_view text)
@@ -65,6 +67,24 @@
   return parse_number(value, kMaxRequestLimit);
 }
 
+std::optional<Duration>
+read_warmup(const http::response_header<>& header, const GatewayHeaders& names)
+{
+  if (header.result() == http::status::misdirected_request) {
+    return std::nullopt;
+  }
+  if (names.warmup_left.empty() || header.count(names.warmup_left) == 0) {
+    const bool good = http::to_status_class(header.result()) == http::status_class::successful;
+    return good ? std::optional(Duration::zero()) : std::nullopt;
+  }
+  const beast::string_view left = header[names.warmup_left];
+  const auto ms = parse_number({ left.data(), left.size() }, kMaxWarmupMs);
+  if (!ms) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(*ms));
+}
+
 ServerNotice
 read_notice(const http::response_header<>& header, const GatewayHeaders& names)
 {
--- a/src/libgateway/server_notice.h
+++ b/src/libgateway/server_notice.h
@@ -29,6 +29,12 @@
 /// \return the limit, 0 included; nothing if the value is negative, not finite or not a number
 std::optional<double> parse_limit(std::string_view value);
 
+/// \return time for which the server stays cold according to its response to a health check: 0 if
+/// a successful response does not name it; nothing if the value is negative or not a number, or if
+/// an unsuccessful response does not name it or another server answered
+std::optional<Duration> read_warmup(const http::response_header<>& header,
+                                    const GatewayHeaders& names);
+
 /// \return the notice in the header of a server's response
 ServerNotice read_notice(const http::response_header<>& header, const GatewayHeaders& names);
 
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -1,5 +1,6 @@
 #include "control_host.h"
 
+#include "control_errors.h"
 #include "lovagehold/file_disk.h"
 #include "lovagehold/metrics.h"
 
@@ -45,32 +46,10 @@
 constexpr double kUnknownLeaveBurst = 50;
 // How often the difference of a routing configuration is proposed before the whole one is.
 constexpr unsigned kMaxRoutingChanges = 3;
-// The table that differences are made from distributes no requests.
-constexpr std::uint64_t kRoutingSeed = 1;
 // Log growth after which a snapshot is taken. A starting entry host receives the snapshot and the
 // entries after it; a snapshot with 422 servers has 45 KB.
 constexpr std::size_t kSnapshotLogBytes = std::size_t{ 64 } << 10;
 
-std::string
-ip_of(const std::string& address)
-{
-  return address.substr(0, address.rfind(':'));
-}
-
-std::string
-port_of(const std::string& address)
-{
-  return address.substr(address.rfind(':'));
-}
-
-Error
-unavailable(const std::string& message)
-{
-  return { .kind = ErrorKind::Unavailable,
-           .message = message,
-           .remedy = "retry on another control host" };
-}
-
 ReplicaOptions
 replica_options(const SiteSettings& settings)
 {
@@ -126,7 +105,9 @@
       },
       log,
       admin_options(m_settings))
-  , m_registrar({ .lease = kServerLease })
+  , m_registrar({ .lease = kServerLease,
+                  .limits_cold_servers =
+                    [this](const ServiceName& service) { return limits_cold_servers(service); } })
   , m_directory(EntryDirectoryOptions{})
   , m_subscribed_hosts(EntryDirectoryOptions{})
   , m_timer(context)
@@ -579,13 +560,7 @@
             reply);
     return;
   }
-  const Result<void> updated =
-    update_routing_table(m_routing, machine, m_protocol.decode_routing, kRoutingSeed);
-  if (updated.has_error()) {
-    m_log.warn("routing_unreadable",
-               { { "version", std::to_string(machine.routing_version()) },
-                 { "error", updated.error().message } });
-  }
+  update_routing();
   m_client->propose(
     make_routing_command(m_routing, machine, config, call->document),
     [this, call, attempts, reply](const Result<ApplyResult>& result) {
@@ -603,103 +578,6 @@
     Clock::now());
 }
 
-// Servers are spread over the control hosts, because a group has one leader but any number of
-// servers.
-ControlReply
-ControlHost::heartbeat_reply(const ServerInfo& server) const
-{
-  const std::string source =
-    select_source(server.id, server.failure_domain, m_replica->running_members());
-  const bool is_remote = !source.empty() && source != m_settings.cluster_address;
-  return ServerHeartbeatReply{
-    .next_address = is_remote ? ip_of(source) + port_of(m_settings.control_address) : ""
-  };
-}
-
-// The leader keeps the leases of all servers.
-void
-ControlHost::send_renewals(TimePoint now)
-{
-  m_renewals_sent_at = now;
-  ServerRenewals message;
-  for (auto& [id, renewal] : std::exchange(m_renewals, {})) {
-    message.renewals.push_back(std::move(renewal));
-  }
-  const std::string leader = m_replica->status().leader_address;
-  if (!message.renewals.empty() && !leader.empty() && leader != m_settings.cluster_address) {
-    m_link.send(leader, message);
-  }
-}
-
-// After a start, the state may lack servers that have joined. Their heartbeats would be taken for
-// joins and would fill the log.
-void
-ControlHost::await_current_state(const HeartbeatCall& call, const AdminServer::Reply& reply)
-{
-  m_early_heartbeats.emplace_back(call, reply);
-  if (m_early_heartbeats.size() > 1) {
-    return;
-  }
-  confirm([this](bool confirmed) {
-    m_state_current = m_state_current || confirmed;
-    for (const auto& [early_call, early_reply] : std::exchange(m_early_heartbeats, {})) {
-      if (confirmed) {
-        handle_call(early_call, early_reply);
-      } else {
-        send_reply(early_reply,
-                   FailedReply{ unavailable("this host can't confirm that its state is current") });
-      }
-    }
-  });
-}
-
-void
-ControlHost::handle_call(const HeartbeatCall& call, const AdminServer::Reply& reply)
-{
-  const TimePoint now = Clock::now();
-  const ServerInfo& server = call.heartbeat.server;
-  if (!m_replica->in_contact()) {
-    // The server must try a host that is in contact with the group.
-    send_reply(reply,
-               FailedReply{ unavailable("this host is not in contact with the control group") });
-    return;
-  }
-  if (!m_state_current) {
-    await_current_state(call, reply);
-    return;
-  }
-  if (m_replica->machine().has_left(server.service, server.id, server.incarnation)) {
-    send_reply(reply, heartbeat_reply(server));
-    return;
-  }
-  const HeartbeatEffect effect = m_registrar.heartbeat(call.heartbeat, servers(), now);
-  if (effect == HeartbeatEffect::None) {
-    m_renewals[server.id] = { .service = server.service,
-                              .id = server.id,
-                              .incarnation = server.incarnation };
-    send_reply(reply, heartbeat_reply(server));
-    return;
-  }
-  m_log.info(effect == HeartbeatEffect::Join ? "server_joins" : "server_drains",
-             { { "server", server.id },
-               { "service", server.service },
-               { "address", server.address },
-               { "incarnation", std::to_string(server.incarnation) },
-               { "sequence", std::to_string(call.heartbeat.sequence) } });
-  if (effect == HeartbeatEffect::Leave) {
-    leave({ .id = server.id, .incarnation = server.incarnation }, heartbeat_reply(server), reply);
-    return;
-  }
-  for (const ServerInfo& replaced : ServerRegistrar::replaced_by(call.heartbeat, servers())) {
-    m_client->propose(
-      LeaveServer{
-        .service = replaced.service, .id = replaced.id, .incarnation = replaced.incarnation },
-      [](const Result<ApplyResult>&) {},
-      now);
-  }
-  propose(JoinServer{ server }, heartbeat_reply(server), reply);
-}
-
 void
 ControlHost::handle_call(const LeaveCall& call, const AdminServer::Reply& reply)
 {
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -69,6 +69,9 @@
                              const ControlReply& content,
                              const AdminServer::Reply& reply);
   ControlReply heartbeat_reply(const ServerInfo& server) const;
+  void renew_warmup(const ServerHeartbeat& heartbeat, TimePoint now);
+  bool limits_cold_servers(const ServiceName& service);
+  void update_routing();
   void send_renewals(TimePoint now);
   void await_current_state(const HeartbeatCall& call, const AdminServer::Reply& reply);
   const std::vector<ServerInfo>& servers();
--- a/src/libsite/control_host_test.cpp
+++ b/src/libsite/control_host_test.cpp
@@ -21,6 +21,13 @@
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+// A service whose cold servers take few requests.
+RoutingConfig
+make_routing()
+{
+  return { .version = 1, .services = { { .name = "s", .warmup_rate = 1.6 } } };
+}
+
 // Maps each supported path to a kind of call.
 SiteProtocol
 make_protocol()
@@ -43,12 +50,20 @@
       return HeartbeatCall{ { .server = { .service = "s",
                                           .id = id,
                                           .address = "127.0.0.1:9",
-                                          .incarnation = number("incarnation", 1) },
+                                          .incarnation = number("incarnation", 1),
+                                          .warmup =
+                                            std::chrono::milliseconds(number("warmup", 0)) },
                               .sequence = number("sequence", 1),
                               .draining = request.path == "/drain" } };
     }
+    if (request.path == "/configure") {
+      return ReplaceRoutingCall{ .config = make_routing(), .document = "cold" };
+    }
     return UnknownCall{};
   };
+  protocol.decode_routing = [](const std::string&) -> Result<RoutingConfig> {
+    return make_routing();
+  };
   protocol.encode_reply = [](const ControlReply& reply) -> AdminResponse {
     if (std::holds_alternative<FailedReply>(reply)) {
       return { .status = 503 };
@@ -195,6 +210,25 @@
   EXPECT_EQ(metric("lovagehold_servers"), 0);
 }
 
+// Guards against a server that turns cold again without a command, against one command for each of
+// its heartbeats, and against commands without a limit for cold servers.
+TEST_F(ControlHostTest, ServerThatTurnsColdUpdatesItsEntryOnce)
+{
+  start(true);
+  ASSERT_TRUE(wait_for_status("/heartbeat?sequence=1", 200));
+  const double joined = metric("lovagehold_applied_index");
+  EXPECT_EQ(call("/heartbeat?sequence=2&warmup=3000"), 200);
+  EXPECT_EQ(call("/configure"), 200);
+  EXPECT_EQ(metric("lovagehold_applied_index"), joined + 1);
+  for (const char* sequence : { "3", "4", "5" }) {
+    EXPECT_EQ(call("/heartbeat?warmup=3000&sequence=" + std::string(sequence)), 200);
+  }
+  // Acknowledged after all commands before it have been applied.
+  EXPECT_EQ(call("/leave?id=other&incarnation=1"), 200);
+  EXPECT_EQ(metric("lovagehold_applied_index"), joined + 3);
+  EXPECT_EQ(metric("lovagehold_servers"), 1);
+}
+
 // Guards against made-up leaves that fill the replicated log.
 TEST_F(ControlHostTest, LeavesOfUnknownServersAreLimited)
 {
--- a/src/libstate/directory.cpp
+++ b/src/libstate/directory.cpp
@@ -99,6 +99,13 @@
   if (newer_known || has_left(server.service, server.id, server.incarnation)) {
     return reject_outdated("server " + server.id);
   }
+  // A delayed join of the same incarnation must not undo a later warm-up.
+  const bool renewal_known = members != m_servers.end() && members->second.count(server.id) > 0 &&
+                             members->second.at(server.id).incarnation == server.incarnation &&
+                             members->second.at(server.id).warmup_renewals > server.warmup_renewals;
+  if (renewal_known) {
+    return accept();
+  }
   // Departures of earlier incarnations stay remembered: their delayed announcements may arrive
   // after the lease of this one has expired.
   m_servers[server.service][server.id] = server;
--- a/src/libstate/json_fields.h
+++ b/src/libstate/json_fields.h
@@ -14,6 +14,9 @@
            { "address", server.address },         { "slots", server.slots },
            { "connections", server.connections }, { "incarnation", server.incarnation },
            { "domain", server.failure_domain },   { "warmup_ms", server.warmup.count() } };
+  if (server.warmup_renewals > 0) {
+    json["warmup_renewals"] = server.warmup_renewals;
+  }
 }
 
 inline void
@@ -27,6 +30,7 @@
   server.incarnation = json.value("incarnation", server.incarnation);
   server.failure_domain = json.value("domain", "");
   server.warmup = std::chrono::milliseconds(json.value("warmup_ms", std::int64_t{ 0 }));
+  server.warmup_renewals = json.value("warmup_renewals", std::uint64_t{ 0 });
 }
 
 inline void
--- a/src/libstate/state_machine_test.cpp
+++ b/src/libstate/state_machine_test.cpp
@@ -68,6 +68,35 @@
   EXPECT_TRUE(state.all_servers().empty());
 }
 
+// Guards against a warm-up that the directory refuses, hides from entry hosts or loses in a
+// snapshot, and against a delayed join that undoes it.
+TEST(StateMachine, JoinedServerTurnsColdAgain)
+{
+  StateMachine state;
+  JoinServer join{ { .service = "s", .id = "x", .address = "127.0.0.1:1", .incarnation = 7 } };
+  state.apply(1, join);
+  JoinServer renewed = join;
+  renewed.server.warmup = std::chrono::milliseconds(3000);
+  renewed.server.warmup_renewals = 1;
+  const Result<Command> sent = decode_command(encode(renewed));
+  ASSERT_TRUE(sent.has_value());
+  EXPECT_TRUE(state.apply(2, sent.value()).accepted);
+  EXPECT_EQ(state.services_changed_since(1), std::set<ServiceName>{ "s" });
+  EXPECT_TRUE(state.apply(3, join).accepted);
+  EXPECT_EQ(state.services_changed_since(2), std::set<ServiceName>{});
+  StateMachine other;
+  ASSERT_TRUE(other.restore(state.snapshot()).has_value());
+  EXPECT_EQ(other.servers("s"), std::vector<ServerInfo>{ renewed.server });
+}
+
+// Guards against bytes that change for servers that have not turned cold again.
+TEST(StateMachine, EntryWithoutARenewedWarmupHasNoNewField)
+{
+  const JoinServer join{ { .service = "s", .id = "x", .warmup = std::chrono::milliseconds(3000) } };
+  const Bytes bytes = encode(join);
+  EXPECT_EQ(std::string(bytes.begin(), bytes.end()).find("renewals"), std::string::npos);
+}
+
 // Guards against two attempts that run with the same key.
 TEST(StateMachine, KeyIsGrantedToOneAttempt)
 {
