--- a/src/include/lovagehold/cold_server_share.h
+++ b/src/include/lovagehold/cold_server_share.h
@@ -11,10 +11,10 @@
 {
   /// Requests per second that a cold server takes from all hosts together.
   double rate = 0;
-  /// Requests to a cold server, summed over all hosts, that unused credit may be saved up for. With
-  /// a rate of 1.6 per second, all hosts that use it in the same second send 2.6 on average, and
-  /// more than 10 with a probability of 1e-4.
-  double depth = 1;
+  /// Requests to a cold server, summed over all hosts, that a full credit admits. With a rate
+  /// of 1.6 per second, hosts that all use it in the same second send 2.85 on average, and more
+  /// than 10 with a probability of 2e-4.
+  double depth = 1.25;
   /// Number of hosts that send requests.
   std::size_t hosts = 1;
 
@@ -22,9 +22,9 @@
 };
 
 /// This host's share of the requests that the cold servers of one service take. Each server has a
-/// credit of its own: the credit of servers that can't be used must not go to the others. A server
-/// that turns cold starts without credit, because all hosts may learn of it at once. Not
-/// thread-safe.
+/// credit of its own: the credit of servers that can't be used must not go to the others. The
+/// credit exists while the server is listed, whether it is cold or warm, so that a server that
+/// turns cold again and again is not given a full one each time. Not thread-safe.
 class ColdServerShare
 {
 public:
@@ -34,14 +34,11 @@
   /// \return whether cold servers take a limited number of requests; otherwise nothing is kept
   bool is_enabled() const { return m_options.rate > 0; }
 
-  /// Adds a server that has turned cold; no effect if it is known.
+  /// Adds a server with a full credit; no effect if it is known.
   void add(const ServerId& id, TimePoint now);
 
-  /// Removes a server that is warm or not listed any more.
-  void remove(const ServerId& id) { m_credits.erase(id); }
-
-  /// Removes the servers for which \p is_cold returns false.
-  void retain(const std::function<bool(const ServerId&)>& is_cold);
+  /// Removes the servers for which \p is_listed returns false.
+  void retain(const std::function<bool(const ServerId&)>& is_listed);
 
   /// Asks to send one request to the server.
   /// \return whether it may be sent; false if the server has not been added
--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -77,7 +77,7 @@
   /// unknown, without pacing.
   double link_mbps = 0;
   /// See ColdServerShareOptions::depth.
-  double cold_share_depth = 1;
+  double cold_share_depth = ColdServerShareOptions{}.depth;
   /// Without it, limited servers get no requests.
   RequestPermit request_permit;
   CrashSuspectsOptions crash_suspects;
--- a/src/include/lovagehold/server_selector.h
+++ b/src/include/lovagehold/server_selector.h
@@ -321,7 +321,7 @@
   bool has_free_slot(const State& state, TimePoint now) const;
   /// Takes over what a new entry of the same incarnation says about its warm-up.
   static void update_warmup(State& state, const ServerInfo& entry, TimePoint now);
-  /// Starts and ends the credits of servers that have turned cold or warm.
+  /// Adds and removes the credits of servers that have been listed or are not any more.
   void update_credits(TimePoint now);
   static LimitedServer make_candidate(const State& state, TimePoint now);
   void choose_subset();
--- a/src/libdecision/cold_server_share.cpp
+++ b/src/libdecision/cold_server_share.cpp
@@ -24,15 +24,15 @@
 ColdServerShare::add(const ServerId& id, TimePoint now)
 {
   if (is_enabled()) {
-    m_credits.try_emplace(
-      id, m_options.rate * host_part(), m_options.depth * host_part(), 0.0, now);
+    const double limit = m_options.depth * host_part();
+    m_credits.try_emplace(id, m_options.rate * host_part(), limit, limit, now);
   }
 }
 
 void
-ColdServerShare::retain(const std::function<bool(const ServerId&)>& is_cold)
+ColdServerShare::retain(const std::function<bool(const ServerId&)>& is_listed)
 {
-  std::erase_if(m_credits, [&](const auto& credit) { return !is_cold(credit.first); });
+  std::erase_if(m_credits, [&](const auto& credit) { return !is_listed(credit.first); });
 }
 
 bool
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -69,7 +69,6 @@
       state = known->second;
       update_warmup(state, server, now);
     } else {
-      m_share.remove(server.id);
       state.warmup_until = now + server.warmup;
       state.relative_time_updated = now;
     }
--- a/src/libdecision/server_selector_cold.cpp
+++ b/src/libdecision/server_selector_cold.cpp
@@ -1,6 +1,7 @@
 #include "lovagehold/server_selector.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace lovagehold {
@@ -39,7 +40,6 @@
   State& state = found->second;
   state.warmup_until =
     std::max(state.held_cold_until, now + std::min<Duration>(remaining, m_options.max_pause));
-  update_credits(now);
 }
 
 void
@@ -50,7 +50,6 @@
     State& state = found->second;
     state.held_cold_until = std::max(state.held_cold_until, now + duration);
     state.warmup_until = std::max(state.warmup_until, state.held_cold_until);
-    update_credits(now);
   }
 }
 
@@ -67,11 +66,9 @@
 void
 ServerSelector::update_credits(TimePoint now)
 {
-  m_share.retain([&](const ServerId& id) { return is_cold(id, now); });
+  m_share.retain([this](const ServerId& id) { return m_servers.count(id) > 0; });
   for (const auto& [id, state] : m_servers) {
-    if (needs_share(state, now)) {
-      m_share.add(id, now);
-    }
+    m_share.add(id, now);
   }
 }
 
@@ -109,11 +106,22 @@
 }
 
 // All slots of a cold server may be used: few requests are sent to it, and its knee matters less
-// than a request that is refused.
+// than a request that is refused. Without a fresh report it is expected to be idle, unlike in
+// busy_of(): what is sent to warm servers says nothing about it.
 bool
 ServerSelector::has_free_slot(const State& state, TimePoint now) const
 {
-  return busy_of(state, now) + 1 <= slots_of(state) + kSlotTolerance;
+  if (state.pending_probe && now - *state.pending_probe >= m_options.unanswered_probe) {
+    return false;
+  }
+  double reported = 0;
+  if (state.report_time) {
+    const std::chrono::duration<double> age = now - *state.report_time;
+    reported = (state.load.running + state.load.waiting) *
+               std::exp(-age / std::chrono::duration<double>(m_options.report_decay));
+  }
+  const double busy = std::max<double>(state.in_progress, reported + state.started_since_report);
+  return busy + 1 <= slots_of(state) + kSlotTolerance;
 }
 
 std::optional<ServerInfo>
@@ -122,7 +130,6 @@
   if (!m_share.is_enabled()) {
     return std::nullopt;
   }
-  update_credits(now);
   std::vector<const State*> candidates;
   for (const auto& [id, state] : m_servers) {
     if (needs_share(state, now) && tried.count(id) == 0 && !state.limit &&
@@ -149,7 +156,6 @@
   if (!m_share.is_enabled()) {
     return {};
   }
-  update_credits(now);
   std::vector<const State*> candidates;
   for (const auto& [id, state] : m_servers) {
     if (needs_share(state, now) && tried.count(id) == 0 && state.limit && is_callable(state, now) &&
@@ -191,6 +197,9 @@
 ServerSelector::take_cold_changes(TimePoint now)
 {
   std::vector<ColdChange> changes;
+  if (!m_share.is_enabled()) {
+    return changes;
+  }
   for (auto& [id, state] : m_servers) {
     const bool cold = needs_share(state, now);
     if (std::exchange(state.reported_cold, cold) != cold) {
--- a/src/libdecision/server_selector_cold_test.cpp
+++ b/src/libdecision/server_selector_cold_test.cpp
@@ -93,6 +93,9 @@
     }
   }
 
+  // While they are full, requests ask for a cold server.
+  void fill_warm_servers(bool full) { m_warm_full = full; }
+
   void choose_with(Choose choose) { m_choose = std::move(choose); }
 
   // \return the most requests that a server got in one second while it was cold
@@ -132,9 +135,10 @@
   }
 
   Choose m_choose = [this](ServerSelector& host, TimePoint now) {
-    const auto warm = host.pick(now, {}, 0, m_random);
+    const auto warm = m_warm_full ? std::nullopt : host.pick(now, {}, 0, m_random);
     return warm ? warm : host.pick_cold(now, {}, m_random);
   };
+  bool m_warm_full = false;
   std::vector<ServerSelector> m_hosts;
   std::vector<TimePoint> m_cold_until;
   /// Times of the requests to each server while it was cold.
@@ -205,7 +209,8 @@
   TimePoint now = kStart;
   for (unsigned round = 0; round < 12; ++round) {
     const bool burst = round % 3 == 2;
-    fleet.run(now, now + milliseconds(900), burst ? 30 : 10, [&](TimePoint time) {
+    fleet.fill_warm_servers(burst);
+    fleet.run(now, now + milliseconds(900), burst ? 1600 : 10, [&](TimePoint time) {
       if (time >= next_change) {
         const auto server = static_cast<unsigned>(random() % kServers);
         fleet.turn_cold(
@@ -260,6 +265,8 @@
     << "requests are sent although the share does not admit them";
   EXPECT_LT(run_all_cold(all, 1, { .rate = kRate, .hosts = 600 }).second, 0.8)
     << "the rate is not used";
+  EXPECT_GT(run_random_times(1, { .rate = kRate, .hosts = 8 }), kBound)
+    << "servers turn cold at any moment and the number of hosts is too small";
   // Unused credit without a small limit, which all hosts then use at once.
   Fleet saving(203, 1, { .rate = kRate, .depth = 60, .hosts = 203 }, 1);
   saving.turn_cold(0, kStart, seconds(60));
@@ -387,6 +394,34 @@
   EXPECT_FALSE(m_selector.pick_cold(now, {}, m_random));
 }
 
+// Guards against a full credit for each of many warm-ups in a short time.
+TEST_F(ColdServerSelectorTest, ServerThatTurnsColdAgainKeepsItsCredit)
+{
+  m_selector.set_cold_share({ .rate = 1e-6, .depth = 2 }, kStart);
+  int admitted = 0;
+  for (int i = 0; i < 20; ++i) {
+    const TimePoint now = kStart + milliseconds(10 * i);
+    std::vector<ServerInfo> servers = make_servers(1, kWarmup);
+    servers[0].incarnation = 2U + static_cast<unsigned>(i);
+    m_selector.set_servers(servers, now);
+    admitted += m_selector.pick_cold(now, {}, m_random) ? 1 : 0;
+    m_selector.set_cold("i-0", servers[0].incarnation, Duration::zero(), now);
+  }
+  EXPECT_EQ(admitted, 2);
+}
+
+// Guards against cold servers that count as full because the warm ones are.
+TEST_F(ColdServerSelectorTest, LoadOfWarmServersIsNotExpectedOfColdOnes)
+{
+  m_selector.set_cold("i-0", 1, kWarmup, kStart);
+  const TimePoint now = kStart + seconds(1);
+  for (int i = 0; i < 50; ++i) {
+    m_selector.report("i-1", { .running = 2, .waiting = 2, .slots = 2 }, now);
+    m_selector.report("i-2", { .running = 2, .waiting = 2, .slots = 2 }, now);
+  }
+  EXPECT_EQ(m_selector.pick_cold(now, {}, m_random)->id, "i-0");
+}
+
 // Guards against a time to return at which the request would be refused again.
 TEST_F(ColdServerSelectorTest, RefusalNamesWhenAServerIsWarmOrTheShareIsFull)
 {
@@ -395,7 +430,7 @@
     m_selector.set_cold(id, 1, kWarmup, kStart);
   }
   EXPECT_EQ(m_selector.cold_return(kStart), kStart + kWarmup);
-  m_selector.set_cold_share({ .rate = kRate, .hosts = 2 }, kStart);
+  m_selector.set_cold_share({ .rate = kRate, .depth = 1, .hosts = 2 }, kStart);
   EXPECT_EQ(m_selector.cold_return(kStart), kStart + milliseconds(625));
 }
 
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -33,9 +33,8 @@
 // Time reserved at the end of the grace period for the last writes.
 constexpr std::chrono::milliseconds kShutdownMargin{ 400 };
 // Part of the slack of cold servers that all hosts together may save up; the rest covers the random
-// spread. With a rate of 1.6 and a slack of 8, 2.6 requests are sent in the worst second on
-// average, and more than 10 with a probability of 1e-4.
-constexpr double kColdShareOfSlack = 1.0 / 8;
+// spread, see ColdServerShareOptions::depth.
+constexpr double kColdShareOfSlack = 5.0 / 32;
 // File descriptors reserved for files and for connections to other hosts and servers.
 constexpr std::size_t kReservedDescriptors = 900;
 
--- a/src/teststand/capacity_bench.cpp
+++ b/src/teststand/capacity_bench.cpp
@@ -251,6 +251,11 @@
   measure("propose_reply", ProposeReply{ .id = 1234567, .decided = true });
   measure("entry_server_join",
           Entries{ .first_index = 1234567, .payloads = { encode(Command(JoinServer{ server })) } });
+  ServerInfo cold = server;
+  cold.warmup = std::chrono::milliseconds(3000);
+  cold.warmup_renewals = 12;
+  measure("entry_server_cold",
+          Entries{ .first_index = 1234567, .payloads = { encode(Command(JoinServer{ cold })) } });
   measure(
     "entry_change",
     Entries{ .first_index = 1234567, .payloads = { encode(Command(make_change(53000, 1))) } });
