libdecision: property test of cold servers while all entry hosts start

Cause: right after a restart of all hosts each knows few of the others and takes too large a part of what a cold server takes. Only HostCount itself had a test. Change: 203 hosts become ready within 2 s and learn their number every 0.5 s; with HostCount the sum at a cold server stays within the bound, with the plain number the same run exceeds it.

--- a/src/libdecision/server_selector_cold_test.cpp
+++ b/src/libdecision/server_selector_cold_test.cpp
@@ -274,6 +274,63 @@
   EXPECT_GT(saving.worst_second(), kBound);
 }
 
+// 203 hosts become ready within 2 s and learn every 0.5 s how many there are. \return requests of
+// the fullest second of a cold server
+std::size_t
+run_start(std::uint64_t seed, bool cautious)
+{
+  struct Host
+  {
+    milliseconds next_report;
+    HostCount count;
+    std::size_t last_report = 0;
+    ColdServerShare share;
+  };
+  std::mt19937_64 random(seed);
+  std::vector<Host> hosts(203);
+  for (Host& host : hosts) {
+    host.next_report = milliseconds(random() % 2000);
+  }
+  std::vector<TimePoint> sent;
+  for (milliseconds time{ 0 }; time < seconds(6); time += milliseconds(10)) {
+    const TimePoint now = kStart + time;
+    const auto ready = static_cast<std::size_t>(std::count_if(
+      hosts.begin(), hosts.end(), [](const Host& host) { return host.last_report > 0; }));
+    for (Host& host : hosts) {
+      if (time >= host.next_report) {
+        host.next_report += milliseconds(500);
+        host.last_report = ready + 1;
+        host.count.report(host.last_report, now);
+      }
+      if (host.last_report > 0) {
+        host.share.configure(
+          { .rate = kRate, .hosts = cautious ? host.count.value(now) : host.last_report }, now);
+        host.share.add("i-0", now);
+        if (random() % 12 == 0 && host.share.take("i-0", now, random)) {
+          sent.push_back(now);
+        }
+      }
+    }
+  }
+  std::size_t worst = 0;
+  for (auto first = sent.begin(); first != sent.end(); ++first) {
+    const auto last = std::upper_bound(first, sent.end(), *first + seconds(1));
+    worst = std::max(worst, static_cast<std::size_t>(last - first));
+  }
+  return worst;
+}
+
+// Guards against hosts that start together and each take a large part, as they know few others.
+TEST(ColdServers, HostsThatStartTogetherStayWithinTheBound)
+{
+  std::size_t worst_plain = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    EXPECT_LE(run_start(seed, true), kBound) << "seed " << seed;
+    worst_plain = std::max(worst_plain, run_start(seed, false));
+  }
+  EXPECT_GT(worst_plain, kBound) << "the property would not notice the plain number";
+}
+
 class ColdServerSelectorTest : public ::testing::Test
 {
 protected:
