--- a/src/libdecision/server_evacuation.cpp
+++ b/src/libdecision/server_evacuation.cpp
@@ -13,7 +13,7 @@
     const bool was_evacuated =
       std::exchange(state.evacuated, m_evacuated.contains(state.info.failure_domain));
     if (was_evacuated && !state.evacuated) {
-      state.warmup_until = std::max(state.warmup_until, now + warmup);
+      hold_cold(id, warmup, now);
       state.load = {};
       state.report_time.reset();
       state.started_since_report = 0;
--- a/src/libgateway/error_response.cpp
+++ b/src/libgateway/error_response.cpp
@@ -25,6 +25,8 @@
       return "shutting_down";
     case RefusalCause::NoServer:
       return "no_server";
+    case RefusalCause::ServersCold:
+      return "servers_cold";
     case RefusalCause::LimitsUsedUp:
       return "limits_used_up";
     case RefusalCause::ServersFull:
--- a/src/libgateway/error_response.h
+++ b/src/libgateway/error_response.h
@@ -15,12 +15,13 @@
   UnknownKey,
   ShuttingDown,
   NoServer,
+  ServersCold,
   LimitsUsedUp,
   ServersFull,
   OutOfTime,
 };
 
-inline constexpr std::size_t kRefusalCauses = 7;
+inline constexpr std::size_t kRefusalCauses = 8;
 
 const char* to_string(RefusalCause cause);
 
--- a/src/libgateway/gateway_fixture.h
+++ b/src/libgateway/gateway_fixture.h
@@ -55,6 +55,7 @@
                         .limit = "Server-Limit",
                         .account_key = "Account-Key",
                         .account = "Account-Name",
+                        .warmup_left = "Server-Warmup",
                         .load = "Lovagehold-Server-Load",
                         .parse_load = [](std::string_view text) {
                           if (text == "throw") {
@@ -127,7 +128,9 @@
     config.hosts = { { .name = "a.example",
                        .routes = { route("/safe/", RouteKind::Idempotent),
                                    route("/once/", RouteKind::NonIdempotent) } } };
-    config.services = { { .name = "desk", .health_path = m_health_path } };
+    config.services = {
+      { .name = "desk", .health_path = m_health_path, .warmup_rate = m_warmup_rate }
+    };
     config.accounts = m_accounts;
     config.requires_key = !m_accounts.empty();
     for (Route& configured : config.hosts[0].routes) {
@@ -183,6 +186,7 @@
   std::vector<std::unique_ptr<ScriptedServer>> m_servers;
   std::vector<ServerInfo> m_server_infos;
   std::string m_health_path = "/health";
+  double m_warmup_rate = 0;
   /// Limits and version of the routing configuration.
   RequestLimits m_limits;
   std::uint64_t m_version = 0;
--- a/src/libsite/operator_calls.h
+++ b/src/libsite/operator_calls.h
@@ -24,6 +24,10 @@
   void handle(const ReplaceRoutingCall& call, const AdminServer::Reply& reply);
   void handle(const EvacuationCall& call, const AdminServer::Reply& reply);
 
+  /// \return the routing configuration of this host's state; the one before if the state's can't be
+  /// read
+  const RoutingTable& routing();
+
   /// \return number of routing changes that were made again, because another version was accepted
   /// in the meantime
   std::uint64_t routing_conflicts() const { return m_routing_conflicts; }
