libdecision, libgateway: requests that wait are ordered by account, objective and fairness

Cause: requests waited by priority and arrival for an eighth of their objective, so that one account with many times its load took the capacity of all others, requests that had missed their objective came before those that could meet it, and refused callers returned by a guess at the length of the queue.

Change: WaitingOrder ranks waiting requests by the account's priority, the route's, whether the objective can still be met (RequestAge estimates the caller's first attempt), start-time fair queueing between accounts in proportion to their rates, and arrival. QueueDrain measures how fast a queue moves; AdmissionPolicy::wait_end lets a request wait longer if its turn comes in time and refuses it at once if even twice the rate is too slow; ReturnSchedule gives each refused caller a time of its own. All of it only if the configuration has accounts; without them order, wait and return are as before.

--- a/src/include/lovagehold/admission.h
+++ b/src/include/lovagehold/admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovagehold/queue_drain.h"
 #include "lovagehold/routing_config.h"
 #include "lovagehold/types.h"
 
@@ -58,6 +59,22 @@
   /// Servers of the service.
   std::size_t servers = 0;
   TimePoint caller_deadline;
+  /// Time until capacity opens that was not promised to another request, see ReturnSchedule;
+  /// nothing if it is not known.
+  std::optional<Duration> opens_after;
+};
+
+/// A request that waits for free capacity.
+struct WaitState
+{
+  /// End of the wait without knowledge of the queue, see AdmissionPolicy::latest_start.
+  TimePoint usual_end;
+  /// Latest start with which it is expected to meet its objective and its deadline.
+  TimePoint in_time_end;
+  /// Requests that come before it.
+  std::size_t ahead = 0;
+  /// How fast the queue moves; nothing if not known.
+  std::optional<QueueSpeed> speed;
 };
 
 /// Decides how long a request may wait for a server with free capacity and when a refused caller
@@ -78,6 +95,11 @@
                          std::chrono::milliseconds target_latency,
                          TimePoint deadline) const;
 
+  /// \return the time until which the request may wait: longer than usual if the queue moves fast
+  /// enough for it to be served in time; \p now, so that it is refused at once, if even a faster
+  /// queue could not serve it in time. The first request is never refused by this.
+  static TimePoint wait_end(const WaitState& state, TimePoint now);
+
   /// \return whether enough time is left for an attempt
   bool has_time_for_attempt(TimePoint now, TimePoint deadline) const
   {
--- a/src/libdecision/admission.cpp
+++ b/src/libdecision/admission.cpp
@@ -16,14 +16,41 @@
 constexpr double kMinSpread = 0.5;
 constexpr double kMaxSpread = 1.5;
 
+// Range of the random factor for a return at a time of its own, which needs no further spread.
+constexpr double kBookedSpread = 0.1;
+
 milliseconds
 scaled(Duration duration, double factor)
 {
   return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(duration) * factor);
 }
 
+// \return when a request with \p ahead others before it is served, at \p rate requests per second
+TimePoint
+expected_start(std::size_t ahead, double rate, TimePoint now)
+{
+  constexpr double kFarSeconds = 3600;
+  const double seconds = rate > 0 ? static_cast<double>(ahead + 1) / rate : kFarSeconds;
+  return now + std::chrono::duration_cast<Duration>(
+                 std::chrono::duration<double>(std::min(seconds, kFarSeconds)));
+}
+
 } // namespace
 
+TimePoint
+AdmissionPolicy::wait_end(const WaitState& state, TimePoint now)
+{
+  if (!state.speed) {
+    return state.usual_end;
+  }
+  const TimePoint end = std::max(state.usual_end, state.in_time_end);
+  if (expected_start(state.ahead, state.speed->rate, now) <= end) {
+    return end;
+  }
+  const bool hopeless = expected_start(state.ahead, state.speed->highest_rate, now) > end;
+  return hopeless && state.ahead > 0 ? now : state.usual_end;
+}
+
 TimePoint
 AdmissionPolicy::latest_start(TimePoint since,
                               milliseconds target_latency,
@@ -56,10 +83,19 @@
   const Duration mean = state.mean_request_time.value_or(kDefaultMeanTime);
   const double queue = 1 + static_cast<double>(state.waiting) /
                              static_cast<double>(std::max<std::size_t>(state.servers, 1));
-  milliseconds time = std::clamp(
-    scaled(mean, kTimeToFreeSlot * queue * spread), m_options.min_return, m_options.max_return);
   const milliseconds limit =
     std::max(scaled(state.caller_deadline - now, m_options.max_return_share), milliseconds(0));
+  milliseconds time{ 0 };
+  if (state.opens_after) {
+    const double factor = 1 + 2 * kBookedSpread * (spread - 1);
+    const milliseconds longest = std::min(m_options.max_return, limit);
+    time = std::max(scaled(*state.opens_after, factor), m_options.min_return);
+    // Those that would come too late are spread too, instead of returning together.
+    time = time > longest ? scaled(longest, 0.5 + 0.5 * (spread - kMinSpread)) : time;
+  } else {
+    time = std::clamp(
+      scaled(mean, kTimeToFreeSlot * queue * spread), m_options.min_return, m_options.max_return);
+  }
   time = std::min(time, limit);
   // A return before the end of the pause would be refused again, whatever the caller's limit is.
   if (state.pause_end) {
--- a/src/libgateway/forwarded_request.cpp
+++ b/src/libgateway/forwarded_request.cpp
@@ -1,6 +1,7 @@
 #include "forwarded_request.h"
 
 #include "load_probe.h"
+#include "wait_terms.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -245,26 +246,29 @@
 awaitable<bool>
 ForwardedRequest::wait_for_capacity(bool hedge)
 {
-  const TimePoint latest =
-    m_context.admission.latest_start(Clock::now(), m_request.route->target_latency, m_deadline);
+  const WaitTerms terms = wait_terms(m_context, m_request, m_deadline, Clock::now());
   WaitingQueue& queue = m_context.queues[m_request.service];
   if (hedge || queue.is_empty()) {
-    const bool has_capacity = co_await check_capacity(hedge ? TimePoint::min() : latest);
+    const bool has_capacity = co_await check_capacity(hedge ? TimePoint::min() : terms.usual_end);
     if (hedge || has_capacity) {
       co_return has_capacity;
     }
   }
-  WaitingQueue::Waiter waiter(queue, m_context.io, m_request.priority(), m_request.arrived);
+  WaitingQueue::Waiter waiter(queue, m_context.io, terms);
+  TimePoint latest = waiter.wait_end(Clock::now());
   while (!m_abandoned && !m_given_up && Clock::now() < latest &&
          m_context.selector(m_request.service).is_callable_until(latest, Clock::now())) {
-    co_await waiter.wait_until(
-      waiter.is_first() ? std::min(Clock::now() + kCapacityCheckInterval, latest) : latest);
+    const bool checks = waiter.is_first() || terms.follows_queue;
+    co_await waiter.wait_until(checks ? std::min(Clock::now() + kCapacityCheckInterval, latest)
+                                      : latest);
     if (waiter.is_first()) {
       const bool has_capacity = co_await check_capacity(latest);
       if (has_capacity) {
+        waiter.count_served();
         co_return true;
       }
     }
+    latest = waiter.wait_end(Clock::now());
   }
   co_return false;
 }
@@ -647,14 +651,7 @@
 void
 ForwardedRequest::refuse_not_executed(RefusalCause cause, const char* reason, TimePoint now)
 {
-  const ServerSelector& selector = m_context.selector(m_request.service);
-  const RefusalState state{ .pause_end = selector.is_callable_until(now, now)
-                                           ? std::nullopt
-                                           : selector.earliest_return(now),
-                            .mean_request_time = selector.mean_request_time(),
-                            .waiting = m_context.queues[m_request.service].size(),
-                            .servers = selector.size(),
-                            .caller_deadline = m_request.caller_deadline };
+  const RefusalState state = refusal_state(m_context, m_request, cause, now);
   m_error_response = { .status = 503,
                        .reason = reason,
                        .retry_after = m_context.admission.retry_after(state, now, m_context.random),
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -37,6 +37,8 @@
   TimePoint arrived;
   /// Time at which the caller stops waiting.
   TimePoint caller_deadline;
+  /// Estimated time between the caller's first attempt and the arrival; see RequestAge.
+  Duration age{ 0 };
   /// Returns whether the caller has closed the connection. Asked before each attempt; may be empty.
   std::function<bool()> caller_left;
 
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -7,6 +7,7 @@
 #include "lovagehold/gateway.h"
 #include "lovagehold/link_pacer.h"
 #include "lovagehold/metrics.h"
+#include "lovagehold/request_age.h"
 #include "lovagehold/routing_table.h"
 #include "waiting_queue.h"
 
@@ -87,6 +88,7 @@
   /// One shard is enough, as the gateway runs on one thread.
   Metrics metrics{ 1 };
   AccountCounters account_counters;
+  RequestAge request_age;
   /// Number of entry hosts that receive callers, this one included.
   std::size_t entry_hosts = 1;
   /// Requests being served.
@@ -108,6 +110,9 @@
   std::map<std::uint64_t, beast::tcp_stream*> idle_callers;
   std::uint64_t next_idle_caller = 0;
 
+  /// \return whether the configuration has accounts
+  bool has_accounts() const { return routing && routing->accounts().requires_key(); }
+
   /// Closes the connection that has been idle for the longest time. \return whether there is one
   bool close_idle_caller()
   {
--- a/src/libgateway/incoming_request.cpp
+++ b/src/libgateway/incoming_request.cpp
@@ -55,6 +55,11 @@
                           .arrived = incoming->arrived };
   request.service_config = context.routing->service(request.service);
   request.caller_deadline = caller_deadline(header, names, incoming->arrived);
+  if (context.has_accounts() && parse_number_field(header, names.deadline.c_str())) {
+    const std::string account = request.account != nullptr ? request.account->name : "";
+    request.age = context.request_age.estimate(
+      route->name, account, request.caller_deadline - request.arrived, request.arrived);
+  }
   remove_hop_by_hop_fields(header);
   header.erase(names.deadline);
   header.erase(names.expected_server);
--- a/src/libgateway/request_log.cpp
+++ b/src/libgateway/request_log.cpp
@@ -12,9 +12,9 @@
               const Route& route,
               const std::optional<RefusalCause>& cause)
 {
-  const AccountTable& accounts = context.routing->accounts();
-  if (cause && accounts.requires_key()) {
-    context.account_counters.count_refusal(account, route.kind, *cause, accounts);
+  if (cause && context.has_accounts()) {
+    context.account_counters.count_refusal(
+      account, route.kind, *cause, context.routing->accounts());
   }
 }
 
@@ -77,7 +77,7 @@
     context.log.info("request", fields);
   }
   record_latency(context, forwarded.service(), route, end.status, latency);
-  if (context.routing->accounts().requires_key()) {
+  if (context.has_accounts()) {
     context.account_counters.count_request(account, route.kind, context.routing->accounts());
   }
   if (!abandoned && forwarded.response() == nullptr) {
--- a/src/libgateway/waiting_queue.h
+++ b/src/libgateway/waiting_queue.h
@@ -1,48 +1,95 @@
 #pragma once
 
 #include "libproxy/http_types.h"
-#include "lovagehold/types.h"
+#include "lovagehold/admission.h"
+#include "lovagehold/queue_drain.h"
+#include "lovagehold/waiting_order.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <list>
+#include <map>
 #include <memory>
 
 namespace lovagehold {
 
-/// Queue of the requests of one service that wait until a server has free capacity, ordered by
-/// priority and arrival. Only the request at the head probes the servers, so that the number of
-/// probes does not grow with the length of the queue. Not thread-safe.
+/// A request that waits, and how long it may do so.
+struct WaitTerms
+{
+  WaitingRequest request;
+  /// See WaitState.
+  TimePoint usual_end;
+  TimePoint in_time_end;
+  /// Whether the wait depends on how fast the queue moves; otherwise it ends at usual_end.
+  bool follows_queue = false;
+};
+
+/// Queue of the requests of one service that wait until a server has free capacity, in the order of
+/// WaitingOrder. Only the request at the head probes the servers, so that the number of probes does
+/// not grow with the length of the queue. Not thread-safe.
 class WaitingQueue
 {
+  struct State
+  {
+    WaitingOrder order;
+    /// Wake the requests of the order.
+    std::map<WaitingOrder::Id, asio::steady_timer*> timers;
+    QueueDrain drain;
+    ReturnSchedule returns;
+
+    void advance(TimePoint now) { drain.advance(!order.is_empty(), now); }
+
+    void wake_first()
+    {
+      if (!order.is_empty()) {
+        timers.at(order.first(Clock::now()))->cancel();
+      }
+    }
+  };
+
 public:
   /// An entry of the queue; removed from it on destruction.
   class Waiter
   {
   public:
-    /// \param priority 0 is the most urgent; requests of the same priority are ordered by arrival
-    Waiter(WaitingQueue& queue, asio::io_context& io, unsigned priority, TimePoint arrived)
-      : m_waiters(queue.m_waiters)
-      , m_priority(priority)
-      , m_arrived(arrived)
+    Waiter(WaitingQueue& queue, asio::io_context& io, const WaitTerms& terms)
+      : m_state(queue.m_state)
+      , m_terms(terms)
       , m_wake(io)
     {
-      auto before = m_waiters->begin();
-      while (before != m_waiters->end() && !(*before)->follows(*this)) {
-        ++before;
-      }
-      m_position = m_waiters->insert(before, this);
+      m_state->advance(Clock::now());
+      m_id = m_state->order.add(terms.request);
+      m_state->timers[m_id] = &m_wake;
     }
 
     ~Waiter()
     {
-      m_waiters->erase(m_position);
-      wake_first_of(*m_waiters);
+      m_state->advance(Clock::now());
+      m_state->order.remove(m_id);
+      m_state->timers.erase(m_id);
+      if (!m_refused) {
+        m_state->wake_first();
+      }
     }
 
     Waiter(const Waiter&) = delete;
     Waiter& operator=(const Waiter&) = delete;
 
-    bool is_first() const { return m_waiters->front() == this; }
+    bool is_first() const { return m_state->order.first(Clock::now()) == m_id; }
+
+    /// \return the time until which it may wait, as of now; not after \p now if it is refused
+    TimePoint wait_end(TimePoint now)
+    {
+      if (!m_terms.follows_queue) {
+        return m_terms.usual_end;
+      }
+      m_state->advance(now);
+      const WaitState state{ .usual_end = m_terms.usual_end,
+                             .in_time_end = m_terms.in_time_end,
+                             .ahead = m_state->order.position(m_id, now),
+                             .speed = m_state->drain.speed() };
+      const TimePoint end = AdmissionPolicy::wait_end(state, now);
+      m_refused = end <= now && state.ahead > 0;
+      return end;
+    }
 
     /// Waits until \p time, until this waiter becomes the first one, or until the first waiter is
     /// woken because a request of the service has ended.
@@ -53,37 +100,44 @@
       co_await m_wake.async_wait(capture(ignored));
     }
 
-  private:
-    friend class WaitingQueue;
-
-    bool follows(const Waiter& other) const
+    /// The request is sent to a server now.
+    void count_served()
     {
-      return std::pair(m_priority, m_arrived) > std::pair(other.m_priority, other.m_arrived);
+      m_state->advance(Clock::now());
+      m_state->drain.count_served();
+      m_state->order.count_served(m_id);
     }
 
+  private:
     /// Shared, because a coroutine with a waiter may be destroyed after the queue.
-    std::shared_ptr<std::list<Waiter*>> m_waiters;
-    unsigned m_priority;
-    TimePoint m_arrived;
+    std::shared_ptr<State> m_state;
+    WaitTerms m_terms;
     asio::steady_timer m_wake;
-    std::list<Waiter*>::iterator m_position;
+    WaitingOrder::Id m_id = 0;
+    /// Refused because of those before it; its end is of no use to them.
+    bool m_refused = false;
   };
 
-  bool is_empty() const { return m_waiters->empty(); }
-  std::size_t size() const { return m_waiters->size(); }
+  bool is_empty() const { return m_state->order.is_empty(); }
+  std::size_t size() const { return m_state->order.size(); }
 
   /// Wakes the first waiter; called when a server may have free capacity.
-  void wake_first() { wake_first_of(*m_waiters); }
+  void wake_first() { m_state->wake_first(); }
 
-private:
-  static void wake_first_of(const std::list<Waiter*>& waiters)
+  /// Reserves a time for a refused request to come back.
+  /// \return time until capacity opens for it; nothing if it is not known how fast the queue moves
+  std::optional<Duration> book_return(TimePoint now)
   {
-    if (!waiters.empty()) {
-      waiters.front()->m_wake.cancel();
+    m_state->advance(now);
+    const auto speed = m_state->drain.speed();
+    if (!speed || speed->rate <= 0) {
+      return std::nullopt;
     }
+    return m_state->returns.book(size(), speed->rate, now);
   }
 
-  std::shared_ptr<std::list<Waiter*>> m_waiters = std::make_shared<std::list<Waiter*>>();
+private:
+  std::shared_ptr<State> m_state = std::make_shared<State>();
 };
 
 } // namespace lovagehold
