--- a/src/libgateway/waiting_queue.h
+++ b/src/libgateway/waiting_queue.h
@@ -65,9 +65,7 @@
       m_state->advance(Clock::now());
       m_state->order.remove(m_id);
       m_state->timers.erase(m_id);
-      if (!m_refused) {
-        m_state->wake_first();
-      }
+      m_state->wake_first();
     }
 
     Waiter(const Waiter&) = delete;
@@ -86,9 +84,7 @@
                              .in_time_end = m_terms.in_time_end,
                              .ahead = m_state->order.position(m_id, now),
                              .speed = m_state->drain.speed() };
-      const TimePoint end = AdmissionPolicy::wait_end(state, now);
-      m_refused = end <= now && state.ahead > 0;
-      return end;
+      return AdmissionPolicy::wait_end(state, now);
     }
 
     /// Waits until \p time, until this waiter becomes the first one, or until the first waiter is
@@ -114,8 +110,6 @@
     WaitTerms m_terms;
     asio::steady_timer m_wake;
     WaitingOrder::Id m_id = 0;
-    /// Refused because of those before it; its end is of no use to them.
-    bool m_refused = false;
   };
 
   bool is_empty() const { return m_state->order.is_empty(); }
