--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovagehold/allowance_ledger.h"
 #include "lovagehold/command.h"
 #include "lovagehold/consensus_message.h"
 #include "lovagehold/crash_suspects.h"
@@ -216,6 +217,63 @@
   PermitAnswer answer;
 };
 
+/// Requests of a limited account.
+struct AccountRequests
+{
+  std::string account;
+  AllowanceLimit limit;
+  /// Requests that the sender has admitted by itself and not reported yet.
+  unsigned used = 0;
+  /// Those of them that may have been reported before, to this receiver or another.
+  unsigned repeated = 0;
+  /// Requests that the sender asks for.
+  unsigned wanted = 0;
+
+  bool operator==(const AccountRequests&) const = default;
+};
+
+/// An entry host reports requests of limited accounts to a control host that is responsible for
+/// them, and asks for further ones.
+struct AllowanceQuery
+{
+  /// Chosen by the entry host, echoed in the reply.
+  std::uint64_t id = 0;
+  std::vector<AccountRequests> accounts;
+};
+
+/// Answers an AllowanceQuery.
+struct AllowanceReply
+{
+  struct Item
+  {
+    std::string account;
+    /// The sender counts the requests of the account. If not, it has ignored them and the answer is
+    /// empty.
+    bool responsible = false;
+    AllowanceAnswer answer;
+  };
+
+  std::uint64_t id = 0;
+  /// Number of entry hosts that share the allowances.
+  std::uint64_t hosts = 0;
+  std::vector<Item> accounts;
+};
+
+/// Requests that a responsible control host has counted since its last message of this kind; sent
+/// to the other control host that is responsible for the accounts. Without accounts, it tells that
+/// the sender is reachable.
+struct AllowanceUse
+{
+  std::vector<AccountRequests> accounts;
+};
+
+/// All accounts that the sender restricts: as a responsible control host if it is sent to control
+/// hosts, and of all control hosts if it is sent to an entry host.
+struct RestrictedAccounts
+{
+  std::vector<std::string> accounts;
+};
+
 /// Requests that were running at servers that crashed. Entry hosts send what they see to all
 /// control hosts, which pass on to the entry hosts what is suspected or cleared.
 struct CrashReports
@@ -244,7 +302,11 @@
                                     PermitRequest,
                                     PermitReply,
                                     CrashReports,
-                                    GroupContacts>;
+                                    GroupContacts,
+                                    AllowanceQuery,
+                                    AllowanceReply,
+                                    AllowanceUse,
+                                    RestrictedAccounts>;
 
 /// \return the message encoded as CBOR
 Bytes encode(const ClusterMessage& message);
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -231,6 +231,60 @@
   return { { "t", "crashes" }, { "v", std::move(reports) } };
 }
 
+json
+to_array(const AccountRequests& requests)
+{
+  const AllowanceLimit& limit = requests.limit;
+  return {
+    requests.account, limit.rate, limit.burst, limit.version, requests.used, requests.wanted
+  };
+}
+
+json
+to_array(const std::vector<AccountRequests>& accounts)
+{
+  json values = json::array();
+  for (const AccountRequests& requests : accounts) {
+    values.push_back(to_array(requests));
+  }
+  return values;
+}
+
+json
+to_fields(const AllowanceQuery& message)
+{
+  return { { "t", "aq" }, { "v", { message.id, to_array(message.accounts) } } };
+}
+
+json
+to_fields(const AllowanceReply& message)
+{
+  json items = json::array();
+  for (const AllowanceReply::Item& item : message.accounts) {
+    const AllowanceAnswer& answer = item.answer;
+    items.push_back({ item.account,
+                      item.responsible,
+                      answer.granted,
+                      answer.over,
+                      answer.wait.count(),
+                      answer.retry.count(),
+                      answer.restricted });
+  }
+  return { { "t", "ar" }, { "v", { message.id, message.hosts, std::move(items) } } };
+}
+
+json
+to_fields(const AllowanceUse& message)
+{
+  return { { "t", "au" }, { "v", to_array(message.accounts) } };
+}
+
+json
+to_fields(const RestrictedAccounts& message)
+{
+  return { { "t", "restricted" }, { "v", message.accounts } };
+}
+
 json
 to_fields(const PermitReply& message)
 {
@@ -356,6 +410,39 @@
   return reports;
 }
 
+std::vector<AccountRequests>
+parse_account_requests(const json& values)
+{
+  std::vector<AccountRequests> accounts;
+  for (const json& value : values) {
+    accounts.push_back({ .account = value.at(0).get<std::string>(),
+                         .limit = { .rate = value.at(1).get<double>(),
+                                    .burst = value.at(2).get<double>(),
+                                    .version = value.at(3).get<std::uint64_t>() },
+                         .used = value.at(4).get<unsigned>(),
+                         .repeated = value.at(5).get<unsigned>(),
+                         .wanted = value.at(6).get<unsigned>() });
+  }
+  return accounts;
+}
+
+AllowanceReply
+parse_allowance_reply(const json& values)
+{
+  AllowanceReply reply{ .id = values.at(0).get<std::uint64_t>(),
+                        .hosts = values.at(1).get<std::uint64_t>() };
+  for (const json& item : values.at(2)) {
+    reply.accounts.push_back({ .account = item.at(0).get<std::string>(),
+                               .responsible = item.at(1).get<bool>(),
+                               .answer = { .granted = item.at(2).get<unsigned>(),
+                                           .over = item.at(3).get<bool>(),
+                                           .wait = parse_milliseconds(item.at(4)),
+                                           .retry = parse_milliseconds(item.at(5)),
+                                           .restricted = item.at(6).get<bool>() } });
+  }
+  return reply;
+}
+
 PermitReply
 parse_permit_reply(const json& values)
 {
@@ -452,6 +539,20 @@
   if (type == "permit_reply") {
     return parse_permit_reply(fields.at("v"));
   }
+  if (type == "aq") {
+    const json& values = fields.at("v");
+    return AllowanceQuery{ .id = values.at(0).get<std::uint64_t>(),
+                           .accounts = parse_account_requests(values.at(1)) };
+  }
+  if (type == "ar") {
+    return parse_allowance_reply(fields.at("v"));
+  }
+  if (type == "au") {
+    return AllowanceUse{ .accounts = parse_account_requests(fields.at("v")) };
+  }
+  if (type == "restricted") {
+    return RestrictedAccounts{ .accounts = fields.at("v").get<std::vector<std::string>>() };
+  }
   if (type == "crashes") {
     return parse_crash_reports(fields.at("v"));
   }
--- a/src/libcontrol/cluster_message_test.cpp
+++ b/src/libcontrol/cluster_message_test.cpp
@@ -119,5 +119,54 @@
   EXPECT_EQ(back.answer.wait, reply.answer.wait);
 }
 
+// Guards against the requests of an account that are counted for another one, or with the limits of
+// an old configuration, because fields are lost or exchanged on the way.
+TEST(ClusterMessage, AllowancesKeepAllFields)
+{
+  using std::chrono::milliseconds;
+  const std::vector<AccountRequests> accounts{
+    { .account = "brook",
+      .limit = { .rate = 153.6, .burst = 0.5, .version = 17 },
+      .used = 3,
+      .repeated = 2,
+      .wanted = 4 },
+    { .account = "fern", .limit = { .rate = 1e9, .version = 18 }, .used = 1 }
+  };
+  const AllowanceQuery query{ .id = 9, .accounts = accounts };
+  const auto got = std::get<AllowanceQuery>(decode_message(encode(ClusterMessage(query))).value());
+  EXPECT_EQ(got.id, 9U);
+  EXPECT_EQ(got.accounts, accounts);
+  const AllowanceUse use{ accounts };
+  EXPECT_EQ(std::get<AllowanceUse>(decode_message(encode(ClusterMessage(use))).value()).accounts,
+            accounts);
+  const AllowanceAnswer answer{ .granted = 2,
+                                .over = true,
+                                .wait = milliseconds(7),
+                                .retry = milliseconds(30),
+                                .restricted = true };
+  const AllowanceReply reply{ .id = 9,
+                              .hosts = 203,
+                              .accounts = {
+                                { .account = "brook", .responsible = true, .answer = answer },
+                                { .account = "fern" } } };
+  const auto back = std::get<AllowanceReply>(decode_message(encode(ClusterMessage(reply))).value());
+  EXPECT_EQ(back.id, 9U);
+  EXPECT_EQ(back.hosts, 203U);
+  ASSERT_EQ(back.accounts.size(), 2U);
+  EXPECT_TRUE(back.accounts[0].responsible);
+  EXPECT_EQ(back.accounts[0].answer.granted, 2U);
+  EXPECT_TRUE(back.accounts[0].answer.over);
+  EXPECT_EQ(back.accounts[0].answer.wait, milliseconds(7));
+  EXPECT_EQ(back.accounts[0].answer.retry, milliseconds(30));
+  EXPECT_TRUE(back.accounts[0].answer.restricted);
+  EXPECT_EQ(back.accounts[1].account, "fern");
+  EXPECT_FALSE(back.accounts[1].responsible);
+  EXPECT_FALSE(back.accounts[1].answer.restricted);
+  const RestrictedAccounts restricted{ { "brook", "fern" } };
+  EXPECT_EQ(std::get<RestrictedAccounts>(decode_message(encode(ClusterMessage(restricted))).value())
+              .accounts,
+            restricted.accounts);
+}
+
 } // namespace
 } // namespace lovagehold
