--- a/src/include/lovagehold/allowance_board.h
+++ b/src/include/lovagehold/allowance_board.h
@@ -76,6 +76,10 @@
   void receive(const std::string& from, const AllowanceUse& use, TimePoint now);
   void receive(const std::string& from, const RestrictedAccounts& message, TimePoint now);
 
+  /// Handles a message if it is one of those above.
+  /// \return whether it is
+  bool receive_any(const std::string& from, const ClusterMessage& message, TimePoint now);
+
   /// To be called every 50 ms.
   void tick(TimePoint now);
 
--- a/src/include/lovagehold/entry_directory.h
+++ b/src/include/lovagehold/entry_directory.h
@@ -66,6 +66,9 @@
   /// \return number of hosts that are advertised to callers of any failure domain
   std::size_t advertised_count(TimePoint now) const;
 
+  /// \return number of hosts with an announcement that has not been removed
+  std::size_t size() const { return m_hosts.size(); }
+
   /// Removes hosts without an announcement for ten times the lease.
   void expire(TimePoint now);
 
--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovagehold/allowance_gate.h"
 #include "lovagehold/crash_suspects.h"
 #include "lovagehold/error.h"
 #include "lovagehold/event_log.h"
@@ -50,6 +51,11 @@
 using RequestPermit =
   std::function<void(const PermitQuery& query, std::function<void(const PermitAnswer&)> handler)>;
 
+/// Asks for permission to forward a request of an account with a rate. The handler is called once,
+/// at once or within some 100 ms.
+using RequestAllowance = std::function<void(const std::shared_ptr<const ClientAccount>& account,
+                                            std::function<void(const AllowanceDecision&)> handler)>;
+
 struct GatewayOptions
 {
   HostId host;
@@ -78,6 +84,8 @@
   double link_mbps = 0;
   /// Without it, limited servers get no requests.
   RequestPermit request_permit;
+  /// Without it, accounts are not limited.
+  RequestAllowance request_allowance;
   CrashSuspectsOptions crash_suspects;
   /// Called with new evidence that the other hosts should know. May be empty.
   std::function<void(const CrashEvidence&)> on_crash_evidence;
--- a/src/libcontrol/allowance_board.cpp
+++ b/src/libcontrol/allowance_board.cpp
@@ -137,6 +137,21 @@
                      .heard = now };
 }
 
+bool
+AllowanceBoard::receive_any(const std::string& from, const ClusterMessage& message, TimePoint now)
+{
+  if (const auto* query = std::get_if<AllowanceQuery>(&message)) {
+    receive(from, *query, now);
+  } else if (const auto* use = std::get_if<AllowanceUse>(&message)) {
+    receive(from, *use, now);
+  } else if (const auto* restrictions = std::get_if<RestrictedAccounts>(&message)) {
+    receive(from, *restrictions, now);
+  } else {
+    return false;
+  }
+  return true;
+}
+
 std::set<std::string>
 AllowanceBoard::restricted() const
 {
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -235,9 +235,8 @@
 to_array(const AccountRequests& requests)
 {
   const AllowanceLimit& limit = requests.limit;
-  return {
-    requests.account, limit.rate, limit.burst, limit.version, requests.used, requests.wanted
-  };
+  return { requests.account, limit.rate,        limit.burst,    limit.version,
+           requests.used,    requests.repeated, requests.wanted };
 }
 
 json
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "caller_connection.h"
 
+#include "account_allowance.h"
 #include "incoming_request.h"
 #include "request_log.h"
 
@@ -287,6 +288,11 @@
       co_await refuse(request, route.get(), error_response);
       co_return;
     }
+    const auto over_allowance = co_await check_allowance(*m_context, request->account);
+    if (over_allowance) {
+      co_await refuse(request, route.get(), *over_allowance);
+      co_return;
+    }
     co_await forward(request, route);
   }
 
--- a/src/libgateway/error_response.cpp
+++ b/src/libgateway/error_response.cpp
@@ -31,6 +31,10 @@
       return "servers_full";
     case RefusalCause::OutOfTime:
       return "out_of_time";
+    case RefusalCause::OverAllowance:
+      return "over_allowance";
+    case RefusalCause::AllowanceUnknown:
+      return "allowance_unknown";
   }
   return "unknown";
 }
--- a/src/libgateway/error_response.h
+++ b/src/libgateway/error_response.h
@@ -18,9 +18,11 @@
   LimitsUsedUp,
   ServersFull,
   OutOfTime,
+  OverAllowance,
+  AllowanceUnknown,
 };
 
-inline constexpr std::size_t kRefusalCauses = 7;
+inline constexpr std::size_t kRefusalCauses = 9;
 
 const char* to_string(RefusalCause cause);
 
--- a/src/libgateway/gateway_fixture.h
+++ b/src/libgateway/gateway_fixture.h
@@ -77,6 +77,12 @@
       }
       handler(answer);
     };
+    options.request_allowance = [this](const std::shared_ptr<const ClientAccount>&,
+                                       const auto& handler) {
+      ++m_allowance_queries;
+      // Also answers that arrive later than the call returns.
+      boost::asio::post(m_context, [handler, answer = m_allowance] { handler(answer); });
+    };
     options.on_crash_evidence = [this](const CrashEvidence& evidence) {
       if (m_on_crash_evidence) {
         m_on_crash_evidence(evidence);
@@ -187,6 +193,9 @@
   RequestLimits m_limits;
   std::uint64_t m_version = 0;
   std::vector<ClientAccount> m_accounts;
+  /// Answer to each question about an allowance.
+  AllowanceDecision m_allowance;
+  std::atomic<unsigned> m_allowance_queries{ 0 };
   /// Whether both routes are open.
   bool m_open_routes = false;
 };
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -1,5 +1,6 @@
 #include "control_host.h"
 
+#include "allowance_wiring.h"
 #include "lovagehold/file_disk.h"
 #include "lovagehold/metrics.h"
 
@@ -131,6 +132,13 @@
   , m_subscribed_hosts(EntryDirectoryOptions{})
   , m_timer(context)
   , m_suspects({ .quarantine = m_settings.quarantine }, kSubscriptionTimeout)
+  , m_allowances(
+      allowance_board_options(m_settings, kSubscriptionTimeout),
+      { .send = [this](const std::string& address,
+                       const ClusterMessage& message) { m_link.send(address, message); },
+        .view = [this] { return make_allowance_view(*m_replica, m_directory, Clock::now()); },
+        .report = [this](std::string_view event,
+                         const std::vector<LogField>& fields) { m_log.info(event, fields); } })
   , m_unknown_leaves(kUnknownLeavesPerSecond, kUnknownLeaveBurst, kUnknownLeaveBurst, Clock::now())
 {
   const auto send_hook = [this](const std::string& address, const ClusterMessage& message) {
@@ -201,33 +209,7 @@
   gauge("lovagehold_state_lag_seconds",
         "Time since which committed entries may be missing.",
         seconds_or_infinity(status.lag));
-  gauge("lovagehold_group_members",
-        "Members of the control group.",
-        static_cast<double>(status.membership.size()));
-  const GroupStatus group = group_status(status);
-  gauge("lovagehold_group_voters",
-        "Members that count towards a majority, as in this host's log.",
-        static_cast<double>(group.count(true)));
-  gauge("lovagehold_group_learners",
-        "Members that receive the log and may become voters, as in this host's log.",
-        static_cast<double>(group.count(false)));
-  gauge("lovagehold_group_losses_wanted",
-        "Losses of control hosts at the same time that the settings ask for.",
-        static_cast<double>(group.wanted_losses));
-  gauge("lovagehold_group_outside_seconds",
-        "Time for which this host has been outside the group, as no member or without a leader.",
-        std::chrono::duration<double>(group.outside).count());
-  gauge("lovagehold_group_joining",
-        "Hosts outside the group that ask this host to join.",
-        static_cast<double>(group.joining.size()));
-  if (group.tolerance) {
-    gauge("lovagehold_group_losses_left",
-          "Control hosts that may still be lost; -1 without a majority. Served by the leader only.",
-          group.tolerance->losses_left ? static_cast<double>(*group.tolerance->losses_left) : -1);
-    gauge("lovagehold_group_missing_entries",
-          "Committed entries that the member furthest behind lacks. Served by the leader only.",
-          static_cast<double>(group.most_missing_entries()));
-  }
+  render_group_metrics(text, group_status(status));
   gauge("lovagehold_routing_version",
         "Version of the routing configuration held.",
         static_cast<double>(m_replica->machine().routing_version()));
@@ -259,6 +241,7 @@
   counter("lovagehold_dropped_messages_total",
           "Messages to other hosts that were dropped.",
           m_link.dropped_messages());
+  render_allowance_metrics(text, m_allowances);
   return text.text();
 }
 
@@ -277,7 +260,8 @@
                      .version = m_replica->machine().routing_version(),
                      .ready = replica.in_contact,
                      .state_age = replica.lag,
-                     .group = group_status(replica) };
+                     .group = group_status(replica),
+                     .restricted_accounts = m_allowances.restricted() };
   const auto add = [&](const HostId& id, const std::string& domain, const std::string& address) {
     status.hosts.push_back({ .id = id,
                              .failure_domain = domain,
@@ -313,6 +297,7 @@
         m_link.send(from, m_addresses);
       }
       send_evidence(from, m_suspects.add_subscriber(from, subscribe->confirm, now));
+      m_allowances.add_subscriber(from, subscribe->confirm, now);
     }
     m_replica->receive(from, message);
   } else if (const auto* hosts = std::get_if<EntryHosts>(&message)) {
@@ -332,7 +317,7 @@
     handle_permit_request(from, *permit, now);
   } else if (std::holds_alternative<ProposeReply>(message)) {
     m_client->receive(from, message, now);
-  } else {
+  } else if (!m_allowances.receive_any(from, message, now)) {
     m_replica->receive(from, message);
   }
 }
@@ -369,12 +354,7 @@
                                    const PermitRequest& request,
                                    TimePoint now)
 {
-  const Membership& membership = m_replica->membership();
-  std::vector<std::string> members;
-  members.reserve(membership.size());
-  for (const Member& member : membership) {
-    members.push_back(member.address);
-  }
+  const std::vector<std::string> members = member_addresses(m_replica->membership());
   const double share = limiter_share(request.query.service, m_settings.cluster_address, members);
   const PermitAnswer answer = m_limiter.request(request.query, share, now);
   ++(answer.server.empty() ? m_permits_denied : m_permits_granted);
@@ -415,6 +395,7 @@
   }
   // Changes are collected per tick, as a failure of many servers is reported by many entry hosts.
   publish_suspects(now);
+  m_allowances.tick(now);
   if (now - m_renewals_sent_at >= kRenewalInterval) {
     send_renewals(now);
   }
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -3,6 +3,7 @@
 #include "cluster_link.h"
 #include "group_status.h"
 #include "libdecision/token_bucket.h"
+#include "lovagehold/allowance_board.h"
 #include "lovagehold/control_client.h"
 #include "lovagehold/entry_directory.h"
 #include "lovagehold/event_log.h"
@@ -125,6 +126,8 @@
   TimePoint m_leases_checked_at;
   /// Requests that may have crashed their servers, as entry hosts report.
   SuspectBoard m_suspects;
+  /// Counts the requests of limited accounts that fall to this host.
+  AllowanceBoard m_allowances;
   /// Permits granted and denied since the start, for the metrics.
   std::uint64_t m_permits_granted = 0;
   std::uint64_t m_permits_denied = 0;
--- a/src/libsite/control_host_test.cpp
+++ b/src/libsite/control_host_test.cpp
@@ -1,6 +1,7 @@
 #include "control_host.h"
 
 #include "entry_host.h"
+#include "libgateway/account_counters.h"
 #include "libproxy/entry_fixture.h"
 
 #include <boost/asio/post.hpp>
@@ -275,7 +276,12 @@
   start(true);
   ASSERT_TRUE(wait_for_status("/leave", 200));
   const EntryHost entry(m_context, SiteSettings{ .host = "h", .seeds = { "seed" } }, {}, m_log);
-  const std::string served = render_metrics() + entry.render_metrics();
+  // Served only after the first request of an account.
+  AccountCounters accounts;
+  accounts.count_request(nullptr, RouteKind::Idempotent, {});
+  MetricsText text;
+  accounts.render(text);
+  const std::string served = render_metrics() + entry.render_metrics() + text.text();
   EXPECT_EQ(metric_names(served), documented_names());
 }
 
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -1,5 +1,6 @@
 #include "entry_host.h"
 
+#include "allowance_wiring.h"
 #include "lovagehold/home_selector.h"
 #include "lovagehold/metrics.h"
 #include "lovagehold/routing_updates.h"
@@ -56,6 +57,7 @@
 gateway_options(const SiteSettings& settings,
                 const SiteProtocol& protocol,
                 RequestPermit request_permit,
+                RequestAllowance request_allowance,
                 std::function<void(const CrashEvidence&)> on_crash_evidence)
 {
   return { .host = settings.host,
@@ -70,6 +72,7 @@
            .spread_time = kSpreadTime,
            .link_mbps = settings.link_mbps,
            .request_permit = std::move(request_permit),
+           .request_allowance = std::move(request_allowance),
            .crash_suspects = { .quarantine = settings.quarantine },
            .on_crash_evidence = std::move(on_crash_evidence),
            .seed = std::random_device{}() };
@@ -94,6 +97,9 @@
   , m_permits([this](const std::string& address, const ClusterMessage& message) {
     m_link.send(address, message);
   })
+  , m_allowances([this](const std::string& address,
+                        const ClusterMessage& message) { m_link.send(address, message); },
+                 allowance_client_options(m_settings, m_log))
   , m_gateway(context,
               gateway_options(
                 m_settings,
@@ -101,6 +107,10 @@
                 [this](const PermitQuery& query, PermitClient::AnswerHandler handler) {
                   request_permit(query, std::move(handler));
                 },
+                [this](const std::shared_ptr<const ClientAccount>& account,
+                       AllowanceClient::Handler handler) {
+                  request_allowance(account, std::move(handler));
+                },
                 [this](const CrashEvidence& evidence) { send_crash_evidence(evidence); }),
               log)
   , m_readiness_server(
@@ -113,6 +123,7 @@
   , m_timer(context)
   , m_shutdown_timer(context)
   , m_permit_timer(context)
+  , m_allowance_timer(context)
 {
   ControlClientOptions options{
     .control_addresses = nearest_first(m_settings.seeds, m_settings.cluster_address),
@@ -126,7 +137,11 @@
       [this](const std::string& address, const char* reason) {
         m_log.info("control_followed", { { "control", address }, { "reason", reason } });
       },
-    .on_entry_hosts = [this](std::uint64_t hosts) { m_gateway.set_entry_hosts(hosts); },
+    .on_entry_hosts =
+      [this](std::uint64_t hosts) {
+        m_gateway.set_entry_hosts(hosts);
+        m_allowances.set_hosts(hosts);
+      },
     .on_control_hosts =
       [this](const std::vector<ControlAddress>& hosts) {
         std::vector<std::string> members;
@@ -135,6 +150,7 @@
           members.push_back(host.address);
         }
         m_control_hosts = members;
+        m_allowances.set_members(members);
         m_permits.set_members(std::move(members));
       },
     .presence = [this]() -> std::optional<EntryPresence> {
@@ -178,6 +194,7 @@
   m_timer.cancel();
   m_shutdown_timer.cancel();
   m_permit_timer.cancel();
+  m_allowance_timer.cancel();
   m_link.stop();
 }
 
@@ -203,6 +220,7 @@
   text.begin(
     "lovagehold_dropped_messages_total", "counter", "Messages to other hosts that were dropped.");
   text.sample({}, static_cast<double>(m_link.dropped_messages()));
+  render_allowance_metrics(text, m_allowances, Clock::now());
   return m_gateway.render_metrics() + text.text();
 }
 
@@ -241,10 +259,22 @@
     m_permits.receive(*permit);
     return;
   }
+  if (const auto* allowance = std::get_if<AllowanceReply>(&message)) {
+    m_allowances.receive(*allowance, Clock::now());
+    await_allowances();
+    return;
+  }
+  if (const auto* restricted = std::get_if<RestrictedAccounts>(&message)) {
+    m_allowances.receive(*restricted, Clock::now());
+    return;
+  }
   if (const auto* crashes = std::get_if<CrashReports>(&message)) {
     m_gateway.add_crash_evidence(crashes->evidence, Clock::now());
     return;
   }
+  if (std::holds_alternative<Entries>(message)) {
+    m_allowances.contact(Clock::now());
+  }
   m_client->receive(from, message, Clock::now());
 }
 
@@ -393,6 +423,30 @@
   });
 }
 
+void
+EntryHost::request_allowance(const std::shared_ptr<const ClientAccount>& account,
+                             AllowanceClient::Handler handler)
+{
+  m_allowances.request(account, m_gateway.version(), std::move(handler), Clock::now());
+  await_allowances();
+}
+
+void
+EntryHost::await_allowances()
+{
+  const TimePoint next = m_allowances.next_tick();
+  if (next == TimePoint::max() || next == m_allowance_timer.expiry()) {
+    return;
+  }
+  m_allowance_timer.expires_at(next);
+  m_allowance_timer.async_wait([this](auto error) {
+    if (!error) {
+      m_allowances.tick(Clock::now());
+      await_allowances();
+    }
+  });
+}
+
 void
 EntryHost::begin_shutdown(std::function<void()> done)
 {
--- a/src/libsite/entry_host.h
+++ b/src/libsite/entry_host.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cluster_link.h"
+#include "lovagehold/allowance_client.h"
 #include "lovagehold/control_client.h"
 #include "lovagehold/event_log.h"
 #include "lovagehold/permit_client.h"
@@ -50,6 +51,9 @@
   void send_crash_evidence(const CrashEvidence& evidence);
   void request_permit(const PermitQuery& query, PermitClient::AnswerHandler handler);
   void await_permits();
+  void request_allowance(const std::shared_ptr<const ClientAccount>& account,
+                         AllowanceClient::Handler handler);
+  void await_allowances();
   void check_shutdown();
   bool is_ready() const;
   void handle_directory_request(const AdminRequest& request, const AdminServer::Reply& reply);
@@ -62,6 +66,7 @@
   /// Cluster addresses of all control hosts.
   std::vector<std::string> m_control_hosts;
   PermitClient m_permits;
+  AllowanceClient m_allowances;
   Gateway m_gateway;
   std::unique_ptr<ControlClient> m_client;
   AdminServer m_readiness_server;
@@ -69,6 +74,8 @@
   boost::asio::steady_timer m_shutdown_timer;
   /// Runs while permits are pending.
   boost::asio::steady_timer m_permit_timer;
+  /// Runs while allowances are pending.
+  boost::asio::steady_timer m_allowance_timer;
   std::unique_ptr<AdminServer> m_directory_server;
   /// Addresses of entry hosts by failure domain, as received from control.
   EntryAddresses m_directory;
--- a/src/libsite/entry_host_test.cpp
+++ b/src/libsite/entry_host_test.cpp
@@ -2,6 +2,7 @@
 
 #include "control_host.h"
 #include "libproxy/entry_fixture.h"
+#include "lovagehold/account_table.h"
 
 #include <boost/asio/post.hpp>
 #include <filesystem>
@@ -20,7 +21,8 @@
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
-// The test's document format: the version, then one line with prefix and service for each route.
+// The test's document format: the version, then one line with prefix and service for each route,
+// and one with "@", the name, which is also the key, and the rate for each account.
 RoutingConfig
 read_document(const std::string& document)
 {
@@ -29,6 +31,13 @@
   input >> config.version;
   VirtualHost host{ .name = "a" };
   for (std::string prefix, service; input >> prefix >> service;) {
+    if (prefix.starts_with('@')) {
+      config.requires_key = true;
+      config.accounts.push_back({ .name = prefix.substr(1),
+                                  .keys = { digest_of(prefix.substr(1)) },
+                                  .rate = std::stod(service) });
+      continue;
+    }
     host.routes.push_back(
       { .name = prefix, .path_prefix = prefix, .targets = { { .service = service } } });
   }
@@ -54,6 +63,7 @@
                           .cluster_address = control_link,
                           .seeds = { control_link },
                           .first_start = true,
+                          .metrics_address = text(test_endpoint(".7.3", kPort + 6)),
                           .data_folder = m_folder };
     m_control = std::make_unique<ControlHost>(m_context, control, make_protocol(), m_log);
     SiteSettings entry{ .host = "entry-1",
@@ -95,6 +105,7 @@
   static SiteProtocol make_protocol()
   {
     SiteProtocol protocol;
+    protocol.headers.account_key = "Account-Key";
     protocol.decode_call = [](const AdminRequest& request) -> ControlCall {
       if (request.path == "/put") {
         return ReplaceRoutingCall{ .config = read_document(request.body),
@@ -267,5 +278,55 @@
   EXPECT_TRUE(read.ends_with("\r\n\r\n" + document(2, services)));
 }
 
+// Guards against parts of the allowances that don't work together: messages that one of the hosts
+// does not handle, timers that do not run, and restrictions that operators are not shown.
+TEST_F(EntryHostTest, AllowanceOfAnAccountHolds)
+{
+  put("1\n/p0/ s\n@north 2\n");
+  ASSERT_TRUE(await_version(1));
+  const auto ask = [] {
+    boost::asio::io_context context;
+    TestSocket socket(context);
+    socket.connect(test_endpoint(".7.3", kPort + 2));
+    set_read_timeout(socket);
+    boost::asio::write(
+      socket,
+      boost::asio::buffer(std::string("GET /p0/ HTTP/1.1\r\nHost: a\r\nAccount-Key: north\r\n"
+                                      "Connection: close\r\n\r\n")));
+    return read_to_close(socket).value_or("");
+  };
+  // The host has no servers, so an admitted request is refused for this reason.
+  std::size_t admitted = 0;
+  std::string denied;
+  const TimePoint end = Clock::now() + std::chrono::seconds(3);
+  while (Clock::now() < end) {
+    const std::string response = ask();
+    admitted += response.find("no server") != std::string::npos ? 1 : 0;
+    denied = status_of(response) == 429 ? response : denied;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  EXPECT_GE(admitted, 6U);
+  EXPECT_LE(admitted, 31U);
+  EXPECT_NE(denied.find("Retry-After: 0."), std::string::npos) << denied;
+  EXPECT_EQ(on_thread([this] { return m_control->status().restricted_accounts; }),
+            std::set<std::string>{ "north" });
+  const std::string metrics = on_thread([this] { return m_entry->render_metrics(); });
+  EXPECT_NE(metrics.find("lovagehold_allowance_requests_total{mode=\"queried\""),
+            std::string::npos);
+  EXPECT_NE(metrics.find("lovagehold_allowance_restricted 1\n"), std::string::npos);
+  on_thread([this] {
+    m_control->stop();
+    return true;
+  });
+  ASSERT_FALSE(denied.empty());
+  std::string unknown;
+  for (int i = 0; i < 20 && unknown.find("can't tell") == std::string::npos; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    unknown = ask();
+  }
+  EXPECT_EQ(status_of(unknown), 503) << unknown;
+  EXPECT_NE(unknown.find("Retry-After: 0."), std::string::npos) << unknown;
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libsite/group_status.h
+++ b/src/libsite/group_status.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovagehold/group_tolerance.h"
+#include "lovagehold/metrics.h"
 #include "lovagehold/replica.h"
 
 namespace lovagehold {
@@ -39,4 +40,7 @@
                               std::size_t wanted_losses,
                               Duration reply_limit);
 
+/// Adds the metrics of the group.
+void render_group_metrics(MetricsText& text, const GroupStatus& group);
+
 } // namespace lovagehold
--- a/src/libsite/status_page.cpp
+++ b/src/libsite/status_page.cpp
@@ -75,6 +75,9 @@
   if (status.state_age != Duration::max()) {
     page["state_age_ms"] = to_milliseconds(status.state_age);
   }
+  if (!status.restricted_accounts.empty()) {
+    page["restricted_accounts"] = status.restricted_accounts;
+  }
   if (status.group) {
     page["group"] = group_fields(*status.group);
   }
--- a/src/libsite/status_page.h
+++ b/src/libsite/status_page.h
@@ -4,6 +4,8 @@
 #include "lovagehold/admin_server.h"
 #include "lovagehold/gateway.h"
 
+#include <set>
+
 namespace lovagehold {
 
 /// Another host of the system, as known to this host.
@@ -29,6 +31,8 @@
   std::vector<GatewayServiceStatus> services;
   /// Set on control hosts only.
   std::optional<GroupStatus> group;
+  /// On control hosts: accounts near or over their allowance.
+  std::set<std::string> restricted_accounts;
 };
 
 /// \return the IP of \p address with the port of \p port_source
--- a/src/lovagectl/group_report.cpp
+++ b/src/lovagectl/group_report.cpp
@@ -140,4 +140,31 @@
   return lines;
 }
 
+std::set<std::string>
+restricted_accounts(const std::vector<HostPage>& hosts)
+{
+  std::set<std::string> accounts;
+  for (const HostPage& host : hosts) {
+    if (host.responded && host.page.contains("restricted_accounts")) {
+      for (const json& account : host.page["restricted_accounts"]) {
+        accounts.insert(account.get<std::string>());
+      }
+    }
+  }
+  return accounts;
+}
+
+std::vector<std::string>
+describe_restrictions(const std::set<std::string>& accounts)
+{
+  if (accounts.empty()) {
+    return {};
+  }
+  std::string line = "accounts near or over their allowance:";
+  for (const std::string& account : accounts) {
+    line += " " + account;
+  }
+  return { line };
+}
+
 } // namespace lovagehold
--- a/src/lovagectl/group_report.h
+++ b/src/lovagectl/group_report.h
@@ -2,6 +2,8 @@
 
 #include "commands.h"
 
+#include <set>
+
 namespace lovagehold {
 
 /// Puts together what the control hosts tell of their group on their status pages.
@@ -14,4 +16,10 @@
 /// \return the lines for a reader about the result of merge_group_pages(); none for null
 std::vector<std::string> describe_group(const nlohmann::json& group);
 
+/// \return the accounts that any control host names as near or over their allowance
+std::set<std::string> restricted_accounts(const std::vector<HostPage>& hosts);
+
+/// \return the line for a reader about restricted_accounts(); none without any
+std::vector<std::string> describe_restrictions(const std::set<std::string>& accounts);
+
 } // namespace lovagehold
--- a/src/lovagectl/group_report_test.cpp
+++ b/src/lovagectl/group_report_test.cpp
@@ -87,5 +87,18 @@
   EXPECT_EQ(describe_group(merge_group_pages({ entry })), Lines());
 }
 
+// Guards against accounts over their allowance that an operator is not shown.
+TEST(GroupReport, NamesRestrictedAccountsOfAllControlHosts)
+{
+  const std::vector<HostPage> hosts{
+    { .id = "a", .page = { { "restricted_accounts", { "fern" } } }, .responded = true },
+    { .id = "b", .page = { { "restricted_accounts", { "brook", "fern" } } }, .responded = true },
+    { .id = "c" },
+  };
+  EXPECT_EQ(describe_restrictions(restricted_accounts(hosts)),
+            (Lines{ "accounts near or over their allowance: brook fern" }));
+  EXPECT_EQ(describe_restrictions(restricted_accounts({ { .id = "c" } })), Lines());
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/lovagectl/status_command.cpp
+++ b/src/lovagectl/status_command.cpp
@@ -55,6 +55,10 @@
   if (!group.is_null()) {
     page["group"] = group;
   }
+  const std::set<std::string> restricted = restricted_accounts(hosts.value());
+  if (!restricted.empty()) {
+    page["restricted_accounts"] = restricted;
+  }
   std::vector<std::vector<std::string>> rows{
     { "HOST", "DOMAIN", "REVISION", "STATE", "STATE AGE", "SERVICES OWNED", "IN FLIGHT" }
   };
@@ -89,6 +93,9 @@
     for (const std::string& line : describe_group(group)) {
       std::cout << line << "\n";
     }
+    for (const std::string& line : describe_restrictions(restricted)) {
+      std::cout << line << "\n";
+    }
   }
   return kExitSuccess;
 }
