--- a/src/libgateway/error_response.h
+++ b/src/libgateway/error_response.h
@@ -19,9 +19,11 @@
   LimitsUsedUp,
   ServersFull,
   OutOfTime,
+  OverAllowance,
+  AllowanceUnknown,
 };
 
-inline constexpr std::size_t kRefusalCauses = 8;
+inline constexpr std::size_t kRefusalCauses = 10;
 
 const char* to_string(RefusalCause cause);
 
--- a/src/libgateway/wait_terms.cpp
+++ b/src/libgateway/wait_terms.cpp
@@ -47,9 +47,8 @@
   const ServerSelector& selector = context.selector(request.service);
   WaitingQueue& queue = context.queues[request.service];
   const bool books = cause == RefusalCause::ServersFull && context.has_accounts();
-  return { .pause_end =
-             selector.is_callable_until(now, now) ? selector.cold_return(now)
-                                                  : selector.earliest_return(now),
+  return { .pause_end = selector.is_callable_until(now, now) ? selector.cold_return(now)
+                                                             : selector.earliest_return(now),
            .mean_request_time = selector.mean_request_time(),
            .waiting = queue.size(),
            .servers = selector.size(),
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -1,8 +1,10 @@
 #include "control_host.h"
 
+#include "allowance_wiring.h"
 #include "control_metrics.h"
 #include "control_replies.h"
 #include "lovagehold/file_disk.h"
+#include "lovagehold/metrics.h"
 
 #include <boost/asio/post.hpp>
 
@@ -111,6 +113,13 @@
   , m_timer(context)
   , m_suspects({ .quarantine = m_settings.quarantine }, kSubscriptionTimeout)
   , m_evacuations(log, "evacuation_applied")
+  , m_allowances(
+      allowance_board_options(m_settings, kSubscriptionTimeout),
+      { .send = [this](const std::string& address,
+                       const ClusterMessage& message) { m_link.send(address, message); },
+        .view = [this] { return make_allowance_view(*m_replica, m_directory, Clock::now()); },
+        .report = [this](std::string_view event,
+                         const std::vector<LogField>& fields) { m_log.info(event, fields); } })
   , m_unknown_leaves(kUnknownLeavesPerSecond, kUnknownLeaveBurst, kUnknownLeaveBurst, Clock::now())
 {
   const auto send_hook = [this](const std::string& address, const ClusterMessage& message) {
@@ -172,6 +181,8 @@
   const TimePoint now = Clock::now();
   const ReplicaStatus replica = m_replica->status();
   const StateMachine& machine = m_replica->machine();
+  MetricsText text;
+  render_allowance_metrics(text, m_allowances);
   return render_control_metrics({ .replica = replica,
                                   .group = group_status(replica),
                                   .leads = m_replica->leads(),
@@ -184,7 +195,8 @@
                                   .permits_granted = m_permits_granted,
                                   .permits_denied = m_permits_denied,
                                   .routing_conflicts = m_operator_calls->routing_conflicts(),
-                                  .dropped_messages = m_link.dropped_messages() });
+                                  .dropped_messages = m_link.dropped_messages() }) +
+         text.text();
 }
 
 GroupStatus
@@ -203,7 +215,8 @@
                      .ready = replica.in_contact,
                      .state_age = replica.lag,
                      .group = group_status(replica),
-                     .evacuations = m_replica->machine().evacuations() };
+                     .evacuations = m_replica->machine().evacuations(),
+                     .restricted_accounts = m_allowances.restricted() };
   const auto add = [&](const HostId& id, const std::string& domain, const std::string& address) {
     status.hosts.push_back({ .id = id,
                              .failure_domain = domain,
@@ -239,6 +252,7 @@
         m_link.send(from, m_addresses);
       }
       send_evidence(from, m_suspects.add_subscriber(from, subscribe->confirm, now));
+      m_allowances.add_subscriber(from, subscribe->confirm, now);
     }
     m_replica->receive(from, message);
   } else if (const auto* hosts = std::get_if<EntryHosts>(&message)) {
@@ -258,7 +272,7 @@
     handle_permit_request(from, *permit, now);
   } else if (std::holds_alternative<ProposeReply>(message)) {
     m_client->receive(from, message, now);
-  } else {
+  } else if (!m_allowances.receive_any(from, message, now)) {
     m_replica->receive(from, message);
   }
 }
@@ -295,12 +309,7 @@
                                    const PermitRequest& request,
                                    TimePoint now)
 {
-  const Membership& membership = m_replica->membership();
-  std::vector<std::string> members;
-  members.reserve(membership.size());
-  for (const Member& member : membership) {
-    members.push_back(member.address);
-  }
+  const std::vector<std::string> members = member_addresses(m_replica->membership());
   const double share = limiter_share(request.query.service, m_settings.cluster_address, members);
   const PermitAnswer answer = m_limiter.request(request.query, share, now);
   ++(answer.server.empty() ? m_permits_denied : m_permits_granted);
@@ -342,6 +351,7 @@
   }
   // Changes are collected per tick, as a failure of many servers is reported by many entry hosts.
   publish_suspects(now);
+  m_allowances.tick(now);
   if (now - m_renewals_sent_at >= kRenewalInterval) {
     send_renewals(now);
   }
--- a/src/libsite/status_page.h
+++ b/src/libsite/status_page.h
@@ -5,6 +5,8 @@
 #include "lovagehold/gateway.h"
 #include "lovagehold/state_machine.h"
 
+#include <set>
+
 namespace lovagehold {
 
 /// Another host of the system, as known to this host.
@@ -32,6 +34,8 @@
   std::optional<GroupStatus> group;
   /// The evacuations that the host applies.
   Evacuations evacuations;
+  /// On control hosts: accounts near or over their allowance.
+  std::set<std::string> restricted_accounts;
 };
 
 /// \return the IP of \p address with the port of \p port_source
