libdecision: shares of a service's requests that leave their failure domain

Each request decides for itself today whether a server of another failure domain is cheaper. Hosts with little traffic decide on old views, and two domains can send each other requests of the same service.

ServerSelector::set_domain_shares() puts shares in force for 3 s: they select the domain, the cost selects the server in it. take_domain_load() gives the report of a host.

--- a/src/include/lovagehold/server_selector.h
+++ b/src/include/lovagehold/server_selector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovagehold/domain_choice.h"
 #include "lovagehold/request_limiter.h"
 #include "lovagehold/types.h"
 
@@ -87,6 +88,10 @@
   /// How long the mark of a leaving incarnation is kept after the incarnation was last listed. A
   /// leaving server runs for some seconds to minutes.
   std::chrono::seconds leaving_retention{ 3600 };
+  /// Counts what take_domain_load() reports.
+  bool domain_overflow = false;
+  /// Load reports older than this tell take_domain_load() nothing.
+  std::chrono::milliseconds doubtful_report{ 3000 };
 };
 
 /// Selects a server of one service from load reports, this host's requests in progress and recent
@@ -102,7 +107,9 @@
   /// Replaces the set of servers; the state of servers that remain is kept.
   void set_servers(const std::vector<ServerInfo>& servers, TimePoint now);
 
-  /// \param tried servers to exclude
+  /// With fresh shares, the shares select the failure domain and the cost the server in it. If no
+  /// server of the domain has free capacity, one of another domain that the shares permit is
+  /// chosen, and without any such server one as without shares. \param tried servers to exclude
   /// \param body_bytes size of the request body; raises the cost of other failure domains
   /// \return the server with the lowest expected cost that is neither leaving, paused nor limited;
   /// nothing if no server is left
@@ -214,6 +221,25 @@
   /// \return age of the last load report; nothing if there is none
   std::optional<Duration> report_age(const ServerId& id, TimePoint now) const;
 
+  /// Sets the shares of the requests that leave the local failure domain.
+  void set_domain_shares(const ServiceShares& shares, TimePoint as_of)
+  {
+    m_domains.set(shares, m_options.failure_domain, as_of);
+  }
+
+  /// Counts bytes of the body of a request or a response, for take_domain_load().
+  void count_bytes(std::size_t bytes) { m_domains.add_bytes(bytes); }
+
+  /// \return the load of the local failure domain's servers, as far as it is known, and the traffic
+  /// of this host since the last call
+  DomainServiceLoad take_domain_load(TimePoint now);
+
+  /// \return attempts since the start by failure domain, if domain_overflow is set
+  const std::map<std::string, std::uint64_t>& domain_attempts() const
+  {
+    return m_domains.attempts();
+  }
+
 private:
   struct State
   {
@@ -255,6 +281,11 @@
   void choose_subset();
   std::size_t take_probes(std::size_t wanted, TimePoint now);
   bool is_ejected(const State& state, TimePoint now) const;
+  double permitted_slots(const State& state) const;
+  std::optional<ServerInfo> pick_by_share(TimePoint now,
+                                          const std::set<ServerId>& tried,
+                                          std::size_t body_bytes,
+                                          std::mt19937_64& random) const;
   static bool is_callable(const State& state, TimePoint now);
   static bool is_denied(const State& state, TimePoint time);
   bool is_marked_leaving(const ServerInfo& server) const;
@@ -282,6 +313,7 @@
   TimePoint m_probes_updated;
   /// Answered probes of servers without a load report, since the last report of any server.
   unsigned m_probes_without_report = 0;
+  DomainChoice m_domains;
 };
 
 } // namespace lovagehold
--- a/src/libdecision/server_selector.cpp
+++ b/src/libdecision/server_selector.cpp
@@ -266,7 +266,11 @@
 {
   // The older a report, the more the server is expected to be loaded like the others. If all are, a
   // server without a fresh report must not look idle.
-  double expected = m_mean_busy;
+  // Only for a domain that shares send requests to, the load of its servers tells more.
+  const std::string& domain = state.info.failure_domain;
+  double expected = m_domains.is_fresh(now) && m_domains.sends_to(domain)
+                      ? m_domains.mean_busy(domain)
+                      : m_mean_busy;
   if (state.report_time) {
     const double reported = state.load.running + state.load.waiting;
     const double weight = decay(now - *state.report_time, m_options.report_decay);
@@ -322,6 +326,11 @@
                      std::size_t body_bytes,
                      std::mt19937_64& random) const
 {
+  if (m_domains.is_fresh(now)) {
+    if (auto server = pick_by_share(now, tried, body_bytes, random)) {
+      return server;
+    }
+  }
   const State* best = nullptr;
   double best_cost = 0;
   unsigned equal_count = 0;
@@ -406,6 +415,9 @@
     found->second.pending_probe.reset();
     m_probes_without_report = 0;
     m_mean_busy += kMeanBusySmoothing * (load.running + load.waiting - m_mean_busy);
+    if (m_options.domain_overflow) {
+      m_domains.add_report(found->second.info.failure_domain, load.running + load.waiting);
+    }
   }
 }
 
@@ -482,6 +494,14 @@
     state.relative_time_updated = now;
   };
   const double elapsed_ms = 1000 * seconds(elapsed);
+  if (m_options.domain_overflow) {
+    const bool slow =
+      end == AttemptEnd::Served && m_mean_ms && elapsed_ms > kTimeoutFactor * *m_mean_ms;
+    const bool failed = end == AttemptEnd::Failed || end == AttemptEnd::Unreached ||
+                        end == AttemptEnd::TimedOut || slow;
+    const bool judged = failed || end == AttemptEnd::Served;
+    m_domains.add_attempt(state.info.failure_domain, elapsed, judged, failed);
+  }
   switch (end) {
     case AttemptEnd::Served:
       if (m_mean_ms && *m_mean_ms > 0) {
@@ -554,8 +574,14 @@
   if (found == m_servers.end()) {
     return false;
   }
-  const double usable = std::max(1.0, std::floor(m_options.knee * slots_of(found->second)));
-  return busy_of(found->second, now) + 1 <= usable + kCapacityTolerance;
+  return busy_of(found->second, now) + 1 <= permitted_slots(found->second) + kCapacityTolerance;
+}
+
+// Above this number a server takes another request, but slows down.
+double
+ServerSelector::permitted_slots(const State& state) const
+{
+  return std::max(1.0, std::floor(m_options.knee * slots_of(state)));
 }
 
 LoadReport
