libsite, libgateway, libcontrol: the leader decides the traffic between failure domains

A host gets the shares of its domain and of the services that it has reported within a minute.

Off, which is the default, no message is sent and no timer runs.

--- a/src/include/lovagehold/cluster_message.h
+++ b/src/include/lovagehold/cluster_message.h
@@ -3,6 +3,7 @@
 #include "lovagehold/command.h"
 #include "lovagehold/consensus_message.h"
 #include "lovagehold/crash_suspects.h"
+#include "lovagehold/domain_overflow.h"
 #include "lovagehold/entry_directory.h"
 #include "lovagehold/hybrid_clock.h"
 #include "lovagehold/request_limiter.h"
@@ -223,6 +224,28 @@
   std::vector<CrashEvidence> evidence;
 };
 
+/// Load of the services that an entry host has served requests of in the last second, sent to the
+/// control host that it subscribes to. Control hosts send the sums over their entry hosts to the
+/// leader.
+struct DomainLoad
+{
+  /// Sent by a control host.
+  bool combined = false;
+  /// By failure domain of the callers.
+  std::map<std::string, std::map<ServiceName, DomainServiceLoad>> loads;
+};
+
+/// The shares of the requests that leave their failure domain. The leader sends them to the control
+/// hosts, which send each entry host those of its domain and of the services that it reports.
+struct DomainShares
+{
+  /// Election term of the leader that decided.
+  std::uint64_t term = 0;
+  /// Time since the decision.
+  std::chrono::milliseconds age{ 0 };
+  std::vector<ServiceShares> services;
+};
+
 /// \return hash of the addresses, which identifies this content
 std::uint64_t version_of(const EntryAddresses& addresses);
 
@@ -244,7 +267,9 @@
                                     PermitRequest,
                                     PermitReply,
                                     CrashReports,
-                                    GroupContacts>;
+                                    GroupContacts,
+                                    DomainLoad,
+                                    DomainShares>;
 
 /// \return the message encoded as CBOR
 Bytes encode(const ClusterMessage& message);
--- a/src/include/lovagehold/domain_overflow.h
+++ b/src/include/lovagehold/domain_overflow.h
@@ -140,6 +140,9 @@
   /// domain's load is known or there is only one domain
   ServiceShares decide(const ServiceName& service, const Loads& loads, TimePoint now);
 
+  /// Continues from the shares that another leader decided last.
+  void adopt(const ServiceShares& shares) { m_services[shares.service].leaving = shares.leaving; }
+
   /// \return the reason for the last decision, by failure domain
   std::map<std::string, OverflowReason> reasons(const ServiceName& service) const;
 
@@ -171,6 +174,10 @@
     bool fresh = false;
     std::map<std::string, DomainAttempts> attempts;
     std::map<std::string, TimePoint> lossy_until;
+    /// Its servers report less than it should keep.
+    bool has_spare = false;
+    /// Share of the demand that has to leave because of what the servers report.
+    double relief = 0;
     /// When its shares last changed.
     TimePoint changed_at;
     OverflowReason reason = OverflowReason::Unknown;
@@ -189,7 +196,11 @@
   void update_links(const std::string& name, Domain& domain, TimePoint now) const;
   void update_received(Service& service, double weight) const;
   void update_demand(Service& service, double elapsed) const;
-  double need(const Service& service, const std::string& name, TimePoint now) const;
+  double start_use(const Domain& sender) const;
+  double keep_use(const Domain& sender) const;
+  static double sent_by(const Service& service, const std::string& name);
+  void update_relief(Service& service, TimePoint now) const;
+  double need(const Service& service, const std::string& name) const;
   double free_capacity(const Domain& receiver) const;
   std::map<std::string, Shares> targets(Service& service, TimePoint now) const;
   bool may_receive(const Service& service,
--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -78,6 +78,8 @@
   double link_mbps = 0;
   /// Without it, limited servers get no requests.
   RequestPermit request_permit;
+  /// Counts what take_domain_loads() reports.
+  bool domain_overflow = false;
   CrashSuspectsOptions crash_suspects;
   /// Called with new evidence that the other hosts should know. May be empty.
   std::function<void(const CrashEvidence&)> on_crash_evidence;
@@ -167,6 +169,14 @@
   /// Adds evidence of other hosts about requests that crash their servers.
   void add_crash_evidence(const std::vector<CrashEvidence>& evidence, TimePoint now);
 
+  /// \return by service, the load of the servers of the local failure domain and the traffic since
+  /// the last call; only services with requests since then
+  std::map<ServiceName, DomainServiceLoad> take_domain_loads(TimePoint now);
+
+  /// Sets the shares of the requests that leave the failure domain.
+  /// \param as_of when they were decided
+  void set_domain_shares(const std::vector<ServiceShares>& shares, TimePoint as_of);
+
   /// Starts a graceful shutdown: closes each connection after its current request, and refuses
   /// requests that are unlikely to finish in time. Requests that have no response shortly before
   /// the deadline are answered with an error then.
--- a/src/include/lovagehold/site.h
+++ b/src/include/lovagehold/site.h
@@ -62,6 +62,9 @@
   std::chrono::milliseconds shutdown_grace{ 6000 };
   /// How long a request that has crashed three servers is not sent to another one.
   std::chrono::seconds quarantine{ 60 };
+  /// Lets the control group decide how many requests leave their failure domain; see
+  /// decides_overflow().
+  bool domain_overflow = false;
   /// Upper limit on the time for which callers may cache a reply of the directory.
   std::chrono::milliseconds max_directory_ttl{ 5000 };
   /// All failure domains of the deployment; empty if the settings don't name them.
@@ -76,6 +79,14 @@
 /// descriptors each
 AdminServerOptions admin_options(const SiteSettings& settings);
 
+/// \return whether the control group decides how many requests leave their failure domain: if
+/// domain_overflow is set and there is more than one failure domain
+inline bool
+decides_overflow(const SiteSettings& settings)
+{
+  return settings.domain_overflow && settings.failure_domains.size() > 1;
+}
+
 /// Checks whether the process can work with the settings. \return all mistakes found
 std::vector<Error> check_settings(const SiteSettings& settings);
 
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -2,6 +2,7 @@
 
 #include "libstate/json_fields.h"
 
+#include <cmath>
 #include <xxhash.h>
 
 namespace lovagehold {
@@ -238,6 +239,88 @@
            { "v", { message.id, message.answer.server, message.answer.wait.count() } } };
 }
 
+// Numbers that aren't whole are sent in thousandths, as CBOR needs 9 bytes for most others.
+std::int64_t
+to_thousandths(double value)
+{
+  return std::llround(value * 1000);
+}
+
+double
+parse_thousandths(const json& value)
+{
+  return static_cast<double>(value.get<std::int64_t>()) / 1000;
+}
+
+json
+to_array(const ServiceName& service, const DomainServiceLoad& load)
+{
+  json attempts = json::array();
+  for (const auto& [domain, count] : load.attempts) {
+    attempts.push_back({ domain, to_thousandths(count.attempts), to_thousandths(count.failed) });
+  }
+  return { service,
+           std::llround(load.hosts),
+           std::llround(load.listed),
+           std::llround(load.unusable),
+           std::llround(load.usable),
+           std::llround(load.busy),
+           to_thousandths(load.demand),
+           to_thousandths(load.requests),
+           std::llround(load.bytes),
+           load.age.count(),
+           std::move(attempts) };
+}
+
+json
+to_fields(const DomainLoad& message)
+{
+  json domains = json::array();
+  for (const auto& [domain, services] : message.loads) {
+    json loads = json::array();
+    for (const auto& [service, load] : services) {
+      loads.push_back(to_array(service, load));
+    }
+    domains.push_back({ domain, std::move(loads) });
+  }
+  return { { "t", "load" }, { "v", { message.combined, std::move(domains) } } };
+}
+
+// Failure domains are named once and referred to by their position, and a share is a number of
+// thousandths.
+json
+to_fields(const DomainShares& message)
+{
+  json names = json::array();
+  const auto position = [&names](const std::string& domain) {
+    const auto found = std::find(names.begin(), names.end(), domain);
+    const auto index = found - names.begin();
+    if (found == names.end()) {
+      names.push_back(domain);
+    }
+    return index;
+  };
+  json services = json::array();
+  for (const ServiceShares& shares : message.services) {
+    json domains = json::array();
+    for (const std::string& domain : shares.domains) {
+      domains.push_back(position(domain));
+    }
+    json rows = json::array();
+    for (const auto& [sender, row] : shares.leaving) {
+      json fields = { position(sender) };
+      for (const auto& [receiver, share] : row) {
+        fields.push_back(position(receiver));
+        fields.push_back(to_thousandths(share));
+      }
+      rows.push_back(std::move(fields));
+    }
+    services.push_back({ shares.service, std::move(domains), std::move(rows) });
+  }
+  return { { "t", "shares" },
+           { "v", { message.term, message.age.count(), std::move(names), std::move(services) } } };
+}
+
 std::chrono::milliseconds
 parse_milliseconds(const json& value)
 {
@@ -364,6 +447,63 @@
                        .wait = parse_milliseconds(values.at(2)) } };
 }
 
+DomainServiceLoad
+parse_load(const json& values)
+{
+  DomainServiceLoad load{ .hosts = values.at(1).get<double>(),
+                          .listed = values.at(2).get<double>(),
+                          .unusable = values.at(3).get<double>(),
+                          .usable = values.at(4).get<double>(),
+                          .busy = values.at(5).get<double>(),
+                          .demand = parse_thousandths(values.at(6)),
+                          .requests = parse_thousandths(values.at(7)),
+                          .bytes = values.at(8).get<double>() };
+  load.age = parse_milliseconds(values.at(9));
+  for (const json& count : values.at(10)) {
+    load.attempts[count.at(0).get<std::string>()] = { .attempts = parse_thousandths(count.at(1)),
+                                                      .failed = parse_thousandths(count.at(2)) };
+  }
+  return load;
+}
+
+DomainLoad
+parse_domain_load(const json& values)
+{
+  DomainLoad message{ .combined = values.at(0).get<bool>() };
+  for (const json& domain : values.at(1)) {
+    auto& services = message.loads[domain.at(0).get<std::string>()];
+    for (const json& load : domain.at(1)) {
+      services[load.at(0).get<std::string>()] = parse_load(load);
+    }
+  }
+  return message;
+}
+
+DomainShares
+parse_domain_shares(const json& values)
+{
+  DomainShares message{ .term = values.at(0).get<std::uint64_t>(),
+                        .age = parse_milliseconds(values.at(1)) };
+  const auto names = values.at(2).get<std::vector<std::string>>();
+  const auto name = [&names](const json& position) {
+    return names.at(position.get<std::size_t>());
+  };
+  for (const json& service : values.at(3)) {
+    ServiceShares shares{ .service = service.at(0).get<std::string>() };
+    for (const json& domain : service.at(1)) {
+      shares.domains.push_back(name(domain));
+    }
+    for (const json& row : service.at(2)) {
+      auto& leaving = shares.leaving[name(row.at(0))];
+      for (std::size_t i = 1; i < row.size(); i += 2) {
+        leaving[name(row.at(i))] = parse_thousandths(row.at(i + 1));
+      }
+    }
+    message.services.push_back(std::move(shares));
+  }
+  return message;
+}
+
 ClusterMessage
 parse_message(const json& fields)
 {
@@ -455,6 +595,12 @@
   if (type == "crashes") {
     return parse_crash_reports(fields.at("v"));
   }
+  if (type == "load") {
+    return parse_domain_load(fields.at("v"));
+  }
+  if (type == "shares") {
+    return parse_domain_shares(fields.at("v"));
+  }
   if (type == "hb") {
     return parse_heartbeat(fields.at("v"));
   }
--- a/src/libcontrol/cluster_message_test.cpp
+++ b/src/libcontrol/cluster_message_test.cpp
@@ -92,6 +92,72 @@
   EXPECT_EQ(got.evidence[1].cleared, milliseconds(70));
 }
 
+DomainLoad
+make_domain_load(unsigned services)
+{
+  DomainLoad message;
+  for (unsigned i = 0; i < services; ++i) {
+    message.loads["khh-a"]["service-" + std::to_string(10 + i)] = {
+      .hosts = 1,
+      .listed = 12,
+      .unusable = 2,
+      .usable = 6,
+      .busy = 3,
+      .demand = 0.375,
+      .requests = 1.5,
+      .bytes = 40000,
+      .attempts = { { "khh-a", { .attempts = 1.25, .failed = 0.5 } } },
+      .age = std::chrono::milliseconds(40)
+    };
+  }
+  return message;
+}
+
+// Guards against a load report whose fields are lost or exchanged on the way, and against one whose
+// size strains an entry host's link: a report of 6 services is sent each second.
+TEST(ClusterMessage, DomainLoadsAreCompactAndKeepAllFields)
+{
+  DomainLoad message = make_domain_load(6);
+  message.combined = true;
+  const Bytes sent = encode(ClusterMessage(message));
+  std::printf("domain_load_bytes=%zu for 6 services\n", sent.size());
+  EXPECT_LE(sent.size(), 400U);
+  const auto got = std::get<DomainLoad>(decode_message(sent).value());
+  EXPECT_TRUE(got.combined);
+  EXPECT_EQ(got.loads, message.loads);
+}
+
+// Guards against shares that are attributed to another domain, and against a message that strains
+// the leader's link: one of 50 services goes to each control host each second.
+TEST(ClusterMessage, DomainSharesAreCompactAndKeepAllFields)
+{
+  DomainShares message{ .term = 7, .age = std::chrono::milliseconds(120) };
+  for (unsigned i = 0; i < 50; ++i) {
+    message.services.push_back(
+      { .service = "service-" + std::to_string(10 + i), .domains = { "a", "b", "c" } });
+  }
+  message.services[3].leaving = { { "a", { { "b", 0.25 }, { "c", 0.125 } } },
+                                  { "d", { { "b", 1 } } } };
+  const Bytes sent = encode(ClusterMessage(message));
+  std::printf("domain_shares_bytes=%zu for 50 services\n", sent.size());
+  EXPECT_LE(sent.size(), 1200U);
+  const auto got = std::get<DomainShares>(decode_message(sent).value());
+  EXPECT_EQ(got.term, 7U);
+  EXPECT_EQ(got.age, message.age);
+  EXPECT_EQ(got.services, message.services);
+}
+
+// Guards against a host that stops at a position that names no failure domain.
+TEST(ClusterMessage, SharesOfUnnamedDomainsAreRejected)
+{
+  const std::string hex = "a26174667368617265736176840100808183617380818101";
+  Bytes bytes;
+  for (std::size_t i = 0; i < hex.size(); i += 2) {
+    bytes.push_back(static_cast<std::uint8_t>(std::stoi(hex.substr(i, 2), nullptr, 16)));
+  }
+  EXPECT_TRUE(decode_message(bytes).has_error());
+}
+
 // Guards against a permit whose fields are lost or exchanged on the way.
 TEST(ClusterMessage, PermitsKeepAllFields)
 {
--- a/src/libdecision/domain_overflow.cpp
+++ b/src/libdecision/domain_overflow.cpp
@@ -190,38 +190,66 @@
   }
 }
 
-// The demand that should leave. Requests begin to leave at the use at which another request gains
-// by leaving what the move costs, and as many leave as bring the use below it by the distance
-// between full_use and receive_use, so that a varying load doesn't start and end the overflow in
-// turn.
+// The use at which another request gains by leaving what the move costs.
 double
-DomainOverflow::need(const Service& service, const std::string& name, TimePoint now) const
+DomainOverflow::start_use(const Domain& sender) const
+{
+  const double max_gain = m_options.full_slowdown - 1;
+  return sender.move_cost <= max_gain
+           ? m_options.full_use + (1 - m_options.full_use) * sender.move_cost / max_gain
+           : 1 + (sender.move_cost - max_gain) / m_options.queue_cost;
+}
+
+// As many requests leave as bring the use below start_use() by the distance between full_use and
+// receive_use, so that a varying load doesn't start and end the overflow in turn.
+double
+DomainOverflow::keep_use(const Domain& sender) const
+{
+  return start_use(sender) - (m_options.full_use - m_options.receive_use);
+}
+
+double
+DomainOverflow::sent_by(const Service& service, const std::string& name)
+{
+  const auto row = service.leaving.find(name);
+  return row == service.leaving.end() ? 0 : sum(row->second) * service.domains.at(name).demand;
+}
+
+// The servers may be slower than those of the other domains, or serve others too. What they report
+// shows that, once it reflects the shares in force. Half the difference is corrected each time,
+// because a request may count several times as much at slow servers.
+void
+DomainOverflow::update_relief(Service& service, TimePoint now) const
+{
+  for (auto& [name, domain] : service.domains) {
+    const double own_busy = domain.busy - domain.received;
+    const double busy_excess = own_busy - keep_use(domain) * domain.capacity;
+    const double band = (m_options.full_use - m_options.receive_use) * domain.capacity;
+    domain.has_spare = busy_excess < -band;
+    const bool settled = now - domain.changed_at >= m_options.settling;
+    if (settled && domain.demand > 0 && (busy_excess > band || domain.has_spare)) {
+      const double sent = sent_by(service, name) + busy_excess / 2;
+      domain.relief = std::clamp(sent / domain.demand, 0.0, 1.0);
+    }
+  }
+}
+
+// The demand that should leave.
+double
+DomainOverflow::need(const Service& service, const std::string& name) const
 {
   const Domain& sender = service.domains.at(name);
   if (!sender.known || sender.emptied) {
     return sender.known ? sender.demand : 0;
   }
-  const double max_gain = m_options.full_slowdown - 1;
-  const double start_use =
-    sender.move_cost <= max_gain
-      ? m_options.full_use + (1 - m_options.full_use) * sender.move_cost / max_gain
-      : 1 + (sender.move_cost - max_gain) / m_options.queue_cost;
-  const double keep_use = start_use - (m_options.full_use - m_options.receive_use);
-  const auto row = service.leaving.find(name);
-  const double sent = row == service.leaving.end() ? 0 : sum(row->second) * sender.demand;
-  const double excess = sender.demand - keep_use * sender.capacity;
-  // The servers may be slower than those of the other domains. What they report shows that, once it
-  // reflects the shares in force.
-  const bool settled = now - sender.changed_at >= m_options.settling;
-  const double own_busy = sender.busy - sender.received;
-  const double busy_excess = own_busy - keep_use * sender.capacity;
-  if (settled && own_busy > start_use * sender.capacity) {
-    return std::max(excess, sent + busy_excess / 2);
-  }
-  if (sent > 0) {
-    return busy_excess > 0 ? std::max(excess, sent) : std::max(0.0, excess);
+  const double sent = sent_by(service, name);
+  const double excess = sender.demand - keep_use(sender) * sender.capacity;
+  if (sent > 0 || sender.relief > 0) {
+    const double relief = sender.relief * sender.demand;
+    return std::max(
+      { 0.0, excess, sender.has_spare ? std::min(sent, relief) : std::max(sent, relief) });
   }
-  return sender.demand > start_use * sender.capacity ? excess : 0;
+  return sender.demand > start_use(sender) * sender.capacity ? excess : 0;
 }
 
 // The demand of the own callers comes first, wherever it is served at present.
@@ -255,7 +283,7 @@
   std::map<std::string, Shares> moved;
   Shares arriving;
   for (auto& [sender, domain] : service.domains) {
-    const double wanted = need(service, sender, now);
+    const double wanted = need(service, sender);
     const bool overloaded =
       domain.known && !domain.emptied && domain.demand > m_options.full_use * domain.capacity;
     domain.reason = !domain.known    ? OverflowReason::Unknown
@@ -372,6 +400,7 @@
                 [&](const auto& entry) { return service.domains.count(entry.first) == 0; });
   update_demand(service, elapsed);
   update_received(service, weight);
+  update_relief(service, now);
   ServiceShares result{ .service = name };
   std::size_t known = 0;
   for (const auto& [domain_name, domain] : service.domains) {
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "lovagehold/gateway.h"
 
 #include "caller_connection.h"
+#include "domain_traffic.h"
 #include "lovagehold/connection_acceptor.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -137,6 +138,18 @@
   }
 }
 
+std::map<ServiceName, DomainServiceLoad>
+Gateway::take_domain_loads(TimePoint now)
+{
+  return lovagehold::take_domain_loads(*m_impl->context, now);
+}
+
+void
+Gateway::set_domain_shares(const std::vector<ServiceShares>& shares, TimePoint as_of)
+{
+  lovagehold::set_domain_shares(*m_impl->context, shares, as_of);
+}
+
 void
 Gateway::begin_shutdown(TimePoint deadline, TimePoint now)
 {
@@ -266,6 +279,7 @@
       "gauge",
       "Version of the routing configuration in force.",
       static_cast<double>(version()));
+  add_domain_metrics(context, text);
   return text.text() + context.metrics.render();
 }
 
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -135,13 +135,22 @@
     };
   }
 
+  /// Counts bytes of the body of a request or a response.
+  void count_bytes(const ServiceName& service, std::size_t bytes)
+  {
+    if (options.domain_overflow) {
+      selector(service).count_bytes(bytes);
+    }
+  }
+
   ServerSelector& selector(const ServiceName& service)
   {
-    const auto [entry, is_new] = selectors.try_emplace(
-      service,
-      ServerSelectorOptions{ .failure_domain = options.failure_domain,
-                             .host = options.host,
-                             .probes_per_second = options.probes_per_second });
+    const auto [entry, is_new] =
+      selectors.try_emplace(service,
+                            ServerSelectorOptions{ .failure_domain = options.failure_domain,
+                                                   .host = options.host,
+                                                   .probes_per_second = options.probes_per_second,
+                                                   .domain_overflow = options.domain_overflow });
     if (is_new) {
       entry->second.set_hosts(entry_hosts);
     }
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -128,6 +128,7 @@
   if (direct) {
     const std::array<asio::const_buffer, 2> buffers{ asio::buffer(request.head),
                                                      asio::buffer(*request.body) };
+    m_context.count_bytes(m_server.service, request.body->size());
     co_await asio::async_write(m_connection->socket, buffers, capture(m_error));
     m_request_sent = !m_error;
   } else {
@@ -209,6 +210,7 @@
                             boost::system::error_code& error)
 {
   const auto connection = m_connection;
+  m_context.count_bytes(m_server.service, piece.size());
   // Leaves bandwidth of a slow link for the messages of other requests.
   co_await await_link(m_context.send_pacer, piece.size());
   if (request.chunked) {
@@ -453,6 +455,7 @@
     }
     size = m_read_buffer.size() - m_parser->get().body().size;
   }
+  m_context.count_bytes(m_server.service, size);
   co_return m_error ? std::string_view() : std::string_view(m_read_buffer.data(), size);
 }
 
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -131,6 +131,9 @@
   , m_subscribed_hosts(EntryDirectoryOptions{})
   , m_timer(context)
   , m_suspects({ .quarantine = m_settings.quarantine }, kSubscriptionTimeout)
+  , m_overflow(decides_overflow(m_settings),
+               m_settings.cluster_address,
+               [&log](std::string_view event, const auto& fields) { log.info(event, fields); })
   , m_unknown_leaves(kUnknownLeavesPerSecond, kUnknownLeaveBurst, kUnknownLeaveBurst, Clock::now())
 {
   const auto send_hook = [this](const std::string& address, const ClusterMessage& message) {
@@ -259,7 +262,7 @@
   counter("lovagehold_dropped_messages_total",
           "Messages to other hosts that were dropped.",
           m_link.dropped_messages());
-  return text.text();
+  return text.text() + m_overflow.render_metrics(Clock::now());
 }
 
 GroupStatus
@@ -297,6 +300,9 @@
 ControlHost::receive(const std::string& from, const ClusterMessage& message)
 {
   const TimePoint now = Clock::now();
+  if (m_overflow.receive(from, message, now)) {
+    return;
+  }
   if (const auto* subscribe = std::get_if<Subscribe>(&message)) {
     if (subscribe->presence) {
       m_subscribed_hosts.apply_announcement(*subscribe->presence, now);
@@ -415,6 +421,10 @@
   }
   // Changes are collected per tick, as a failure of many servers is reported by many entry hosts.
   publish_suspects(now);
+  for (const auto& [address, message] :
+       m_overflow.tick([this] { return overflow_group(*m_replica); }, now)) {
+    m_link.send(address, message);
+  }
   if (now - m_renewals_sent_at >= kRenewalInterval) {
     send_renewals(now);
   }
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -10,6 +10,7 @@
 #include "lovagehold/routing_updates.h"
 #include "lovagehold/server_registrar.h"
 #include "lovagehold/site.h"
+#include "overflow_board.h"
 #include "status_page.h"
 #include "suspect_board.h"
 
@@ -125,6 +126,8 @@
   TimePoint m_leases_checked_at;
   /// Requests that may have crashed their servers, as entry hosts report.
   SuspectBoard m_suspects;
+  /// Traffic between failure domains.
+  OverflowBoard m_overflow;
   /// Permits granted and denied since the start, for the metrics.
   std::uint64_t m_permits_granted = 0;
   std::uint64_t m_permits_denied = 0;
--- a/src/libsite/control_host_test.cpp
+++ b/src/libsite/control_host_test.cpp
@@ -75,7 +75,9 @@
                            .control_address = text(test_endpoint(".7.1", kPort)),
                            .cluster_address = text(test_endpoint(".7.1", kPort + 1)),
                            .first_start = true,
-                           .data_folder = m_folder };
+                           .data_folder = m_folder,
+                           .domain_overflow = m_domain_overflow,
+                           .failure_domains = { "a", "b" } };
     settings.seeds = { settings.cluster_address };
     if (!alone) {
       settings.seeds.push_back(text(test_endpoint(".7.2", kPort + 1)));
@@ -135,6 +137,7 @@
     return sample == std::string::npos ? -1 : std::stod(metrics.substr(sample + name.size() + 2));
   }
 
+  bool m_domain_overflow = false;
   boost::asio::io_context m_context;
   EventLog m_log{ { .host = "control-host-test", .level = "error" } };
   std::unique_ptr<ControlHost> m_host;
@@ -269,12 +272,26 @@
   return metric_names(rows);
 }
 
-// Guards against metrics that are documented but not served, and the reverse.
+// Guards against metrics of a feature that is off.
+TEST_F(ControlHostTest, OverflowIsOffByDefault)
+{
+  start(true);
+  ASSERT_TRUE(wait_for_status("/leave", 200));
+  EXPECT_EQ(render_metrics().find("lovagehold_domain_"), std::string::npos);
+}
+
+// Guards against metrics that are documented but not served, and the reverse. All features are on.
 TEST_F(ControlHostTest, ServedMetricsAreDocumented)
 {
+  m_domain_overflow = true;
   start(true);
   ASSERT_TRUE(wait_for_status("/leave", 200));
-  const EntryHost entry(m_context, SiteSettings{ .host = "h", .seeds = { "seed" } }, {}, m_log);
+  const EntryHost entry(
+    m_context,
+    SiteSettings{
+      .host = "h", .seeds = { "seed" }, .domain_overflow = true, .failure_domains = { "a", "b" } },
+    {},
+    m_log);
   const std::string served = render_metrics() + entry.render_metrics();
   EXPECT_EQ(metric_names(served), documented_names());
 }
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -70,6 +70,7 @@
            .spread_time = kSpreadTime,
            .link_mbps = settings.link_mbps,
            .request_permit = std::move(request_permit),
+           .domain_overflow = decides_overflow(settings),
            .crash_suspects = { .quarantine = settings.quarantine },
            .on_crash_evidence = std::move(on_crash_evidence),
            .seed = std::random_device{}() };
@@ -103,6 +104,12 @@
                 },
                 [this](const CrashEvidence& evidence) { send_crash_evidence(evidence); }),
               log)
+  , m_overflow(context,
+               m_gateway,
+               m_settings.failure_domain,
+               [this](const std::string& address, const ClusterMessage& message) {
+                 m_link.send(address, message);
+               })
   , m_readiness_server(
       context,
       [this](const AdminRequest&, const AdminServer::Reply& reply) {
@@ -168,6 +175,9 @@
       admin_options(m_settings));
     BOOST_OUTCOME_TRYV(m_directory_server->start(m_settings.directory_address));
   }
+  if (decides_overflow(m_settings)) {
+    m_overflow.start();
+  }
   tick();
   return boost::outcome_v2::success();
 }
@@ -176,6 +186,7 @@
 EntryHost::stop()
 {
   m_timer.cancel();
+  m_overflow.stop();
   m_shutdown_timer.cancel();
   m_permit_timer.cancel();
   m_link.stop();
@@ -245,6 +256,13 @@
     m_gateway.add_crash_evidence(crashes->evidence, Clock::now());
     return;
   }
+  if (const auto* shares = std::get_if<DomainShares>(&message)) {
+    m_overflow.receive(*shares, Clock::now());
+    return;
+  }
+  if (std::holds_alternative<Entries>(message)) {
+    m_overflow.follow(from);
+  }
   m_client->receive(from, message, Clock::now());
 }
 
--- a/src/libsite/entry_host.h
+++ b/src/libsite/entry_host.h
@@ -5,6 +5,7 @@
 #include "lovagehold/event_log.h"
 #include "lovagehold/permit_client.h"
 #include "lovagehold/site.h"
+#include "overflow_reporter.h"
 #include "status_page.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -63,6 +64,7 @@
   std::vector<std::string> m_control_hosts;
   PermitClient m_permits;
   Gateway m_gateway;
+  OverflowReporter m_overflow;
   std::unique_ptr<ControlClient> m_client;
   AdminServer m_readiness_server;
   boost::asio::steady_timer m_timer;
--- a/src/lovagehold/main.cpp
+++ b/src/lovagehold/main.cpp
@@ -16,7 +16,7 @@
 
 Usage:
   lovagehold --settings FILE
-  lovagehold --site [--metrics-port PORT] [--quarantine SECONDS]
+  lovagehold --site [--metrics-port PORT] [--quarantine SECONDS] [--domain-overflow]
   lovagehold --check [--settings FILE] [--declarations FOLDER]
   lovagehold --check --site [--settings FILE] [--routing FILE]
 
@@ -28,6 +28,8 @@
       --quarantine SECONDS   with --site: how long a request that has crashed three servers is
                              not sent to another one, 1 to 600 (default 60); doubles with each
                              further crash up to 600. Use the same value on all hosts.
+      --domain-overflow      with --site: the control group decides for each service how many
+                             requests leave their failure domain. Use it on all hosts.
 
 Check (starts nothing):
   -c, --check                print every mistake in the files named and exit
@@ -84,6 +86,7 @@
 {
   unsigned metrics_port = 0;
   std::chrono::seconds quarantine{ 60 };
+  bool domain_overflow = false;
 };
 
 Result<SiteSettings>
@@ -92,6 +95,7 @@
   BOOST_OUTCOME_TRY(content, read_text_file(path));
   BOOST_OUTCOME_TRY(settings, platform::parse_node_settings(content));
   settings.quarantine = arguments.quarantine;
+  settings.domain_overflow = arguments.domain_overflow;
   if (arguments.metrics_port != 0) {
     const std::string& own = settings.cluster_address;
     settings.metrics_address =
@@ -149,6 +153,8 @@
       "", "metrics-port", "port of the metrics page", false, 0, "PORT", command);
     TCLAP::ValueArg<unsigned> quarantine(
       "", "quarantine", "quarantine of deadly requests", false, 60, "SECONDS", command);
+    TCLAP::SwitchArg domain_overflow(
+      "", "domain-overflow", "decide the traffic between failure domains", command);
     TCLAP::SwitchArg site("", "site", "run on the users' platform", command);
     TCLAP::ValueArg<std::string> routing(
       "r", "routing", "routing configuration", false, "", "FILE", command);
@@ -164,7 +170,8 @@
     }
     if (site.isSet()) {
       return run_on_platform({ .metrics_port = metrics_port.getValue(),
-                               .quarantine = std::chrono::seconds(quarantine.getValue()) });
+                               .quarantine = std::chrono::seconds(quarantine.getValue()),
+                               .domain_overflow = domain_overflow.getValue() });
     }
     if (check.isSet()) {
       if (!settings.isSet() && !declarations.isSet()) {
