libdecision, libsite: requests without room at home use spare capacity of other domains

Cause: between the moment when a domain became full and the first share, its requests were refused although another domain was idle, because shares of 0 keep requests at home. And a floor of 1 ms for the time of a request made many short requests look like a large demand.

Change: the leader names the domains with spare capacity beside the shares; a request that finds no room at home may go there. The floor holds only for the cost of a move.

--- a/src/include/lovagehold/domain_choice.h
+++ b/src/include/lovagehold/domain_choice.h
@@ -28,11 +28,14 @@
   std::string draw(std::mt19937_64& random) const;
 
   /// \return whether requests may go to the failure domain if the drawn one has no room: to the
-  /// home, to one with a share, and to one that the decision doesn't cover
+  /// home, to one with a share or with spare capacity, and to one that the decision doesn't cover
   bool permits(const std::string& domain) const;
 
-  /// \return whether requests of this host's domain go to the failure domain
-  bool sends_to(const std::string& domain) const { return m_leaving.count(domain) > 0; }
+  /// \return whether the failure domain takes requests of this host's domain
+  bool sends_to(const std::string& domain) const
+  {
+    return m_leaving.count(domain) > 0 || m_spare.count(domain) > 0;
+  }
 
   /// Counts a load report of a server.
   void add_report(const std::string& domain, double busy);
@@ -58,6 +61,7 @@
   std::string m_home;
   std::vector<std::string> m_domains;
   std::map<std::string, double> m_leaving;
+  std::set<std::string> m_spare;
   std::optional<TimePoint> m_as_of;
   std::map<std::string, double> m_mean_busy;
   std::map<std::string, std::uint64_t> m_total;
--- a/src/include/lovagehold/domain_overflow.h
+++ b/src/include/lovagehold/domain_overflow.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -59,6 +60,9 @@
   std::vector<std::string> domains;
   /// Sender -> receiver -> share, above 0. The rest of a sender's requests stays.
   std::map<std::string, std::map<std::string, double>> leaving;
+  /// Sender -> receivers that have free capacity and don't send themselves. A request that finds no
+  /// room at home may go there before a share is decided.
+  std::map<std::string, std::set<std::string>> spare;
 
   bool operator==(const ServiceShares&) const = default;
 };
@@ -207,6 +211,8 @@
                    const std::string& sender,
                    const std::string& receiver,
                    TimePoint now) const;
+  std::map<std::string, std::set<std::string>> find_spare(const Service& service,
+                                                          TimePoint now) const;
   void approach(Service& service,
                 const std::string& sender,
                 const Shares& target,
--- a/src/libcontrol/cluster_message.cpp
+++ b/src/libcontrol/cluster_message.cpp
@@ -286,6 +286,22 @@
   return { { "t", "load" }, { "v", { message.combined, std::move(domains) } } };
 }
 
+// Stands for a receiver with spare capacity among the shares of a sender.
+constexpr double kSpare = -0.001;
+
+std::set<std::string>
+senders_of(const ServiceShares& shares)
+{
+  std::set<std::string> senders;
+  for (const auto& [sender, row] : shares.leaving) {
+    senders.insert(sender);
+  }
+  for (const auto& [sender, row] : shares.spare) {
+    senders.insert(sender);
+  }
+  return senders;
+}
+
 // Failure domains are named once and referred to by their position, and a share is a number of
 // thousandths.
 json
@@ -307,11 +323,21 @@
       domains.push_back(position(domain));
     }
     json rows = json::array();
-    for (const auto& [sender, row] : shares.leaving) {
+    for (const std::string& sender : senders_of(shares)) {
       json fields = { position(sender) };
-      for (const auto& [receiver, share] : row) {
+      const auto add = [&](const std::string& receiver, double share) {
         fields.push_back(position(receiver));
         fields.push_back(to_thousandths(share));
+      };
+      if (const auto row = shares.leaving.find(sender); row != shares.leaving.end()) {
+        for (const auto& [receiver, share] : row->second) {
+          add(receiver, share);
+        }
+      }
+      if (const auto row = shares.spare.find(sender); row != shares.spare.end()) {
+        for (const std::string& receiver : row->second) {
+          add(receiver, kSpare);
+        }
       }
       rows.push_back(std::move(fields));
     }
@@ -494,9 +520,14 @@
       shares.domains.push_back(name(domain));
     }
     for (const json& row : service.at(2)) {
-      auto& leaving = shares.leaving[name(row.at(0))];
+      const std::string sender = name(row.at(0));
       for (std::size_t i = 1; i < row.size(); i += 2) {
-        leaving[name(row.at(i))] = parse_thousandths(row.at(i + 1));
+        const double share = parse_thousandths(row.at(i + 1));
+        if (share > 0) {
+          shares.leaving[sender][name(row.at(i))] = share;
+        } else if (share < 0) {
+          shares.spare[sender].insert(name(row.at(i)));
+        }
       }
     }
     message.services.push_back(std::move(shares));
--- a/src/libdecision/domain_choice.cpp
+++ b/src/libdecision/domain_choice.cpp
@@ -18,6 +18,8 @@
   m_domains = shares.domains;
   const auto row = shares.leaving.find(home);
   m_leaving = row == shares.leaving.end() ? std::map<std::string, double>{} : row->second;
+  const auto spare = shares.spare.find(home);
+  m_spare = spare == shares.spare.end() ? std::set<std::string>{} : spare->second;
   // Without a decision for the home each request chooses for itself.
   const bool decided = std::find(m_domains.begin(), m_domains.end(), home) != m_domains.end();
   m_as_of = decided ? std::optional(as_of) : std::nullopt;
--- a/src/libdecision/domain_choice_test.cpp
+++ b/src/libdecision/domain_choice_test.cpp
@@ -103,6 +103,20 @@
   EXPECT_EQ(pick_1000(kStart).at('d'), 1000);
 }
 
+// Guards against requests that are refused between the moment when their domain becomes full and
+// the decision on its share.
+TEST_F(DomainChoiceTest, SpareCapacityIsUsedByRequestsWithoutRoom)
+{
+  ServiceShares shares = make_shares(0);
+  shares.spare["a"] = { "b" };
+  m_selector.set_domain_shares(shares, kStart);
+  report("a", 0, kStart);
+  report("d", 3, kStart);
+  EXPECT_EQ(pick_1000(kStart).at('a'), 1000);
+  report("a", 3, kStart);
+  EXPECT_EQ(pick_1000(kStart).at('b'), 1000);
+}
+
 // Guards against requests that fail because no permitted domain has a server.
 TEST_F(DomainChoiceTest, RetriesGoAnywhere)
 {
--- a/src/libdecision/domain_overflow.cpp
+++ b/src/libdecision/domain_overflow.cpp
@@ -14,7 +14,7 @@
 constexpr double kNoShare = 1e-6;
 // A decision after a longer pause counts as one after this time.
 constexpr double kMaxInterval = 1;
-// In seconds. Keeps the cost of a move finite if no request has ended yet.
+// In seconds. Keeps the cost of a move finite for very short requests.
 constexpr double kMinRequestTime = 1e-3;
 
 double
@@ -161,15 +161,14 @@
   if (requests > 0) {
     const double weight =
       service.request_time ? 1 - std::exp(-elapsed / seconds(m_options.time_smoothing)) : 1;
-    const double latest = std::max(kMinRequestTime, in_progress / requests);
+    const double latest = in_progress / requests;
     service.request_time = service.request_time.value_or(0);
     approach_mean(*service.request_time, latest, weight);
   }
   for (auto& [name, domain] : service.domains) {
     domain.demand =
       service.request_time ? domain.requests * *service.request_time : domain.in_progress;
-    const double request_time =
-      service.request_time.value_or(std::max(kMinRequestTime, domain.in_progress));
+    const double request_time = std::max(kMinRequestTime, service.request_time.value_or(0));
     const double bytes = domain.requests > 0 ? domain.bytes / domain.requests : 0;
     domain.move_cost = 2 * seconds(m_options.delay) / request_time +
                        std::min(m_options.max_byte_cost, m_options.cost_per_byte * bytes);
@@ -321,6 +320,25 @@
   return moved;
 }
 
+// A domain that receives requests has no spare ones to send to, as it must not send.
+std::map<std::string, std::set<std::string>>
+DomainOverflow::find_spare(const Service& service, TimePoint now) const
+{
+  std::map<std::string, std::set<std::string>> spare;
+  for (const auto& [sender, domain] : service.domains) {
+    if (!domain.known || receives(service, sender)) {
+      continue;
+    }
+    for (const auto& [receiver, other] : service.domains) {
+      if (service.leaving.count(receiver) == 0 && free_capacity(other) > 0 &&
+          may_receive(service, sender, receiver, now)) {
+        spare[sender].insert(receiver);
+      }
+    }
+  }
+  return spare;
+}
+
 bool
 DomainOverflow::receives(const Service& service, const std::string& domain)
 {
@@ -438,6 +456,7 @@
   }
   std::erase_if(service.leaving, [](const auto& entry) { return entry.second.empty(); });
   result.leaving = service.leaving;
+  result.spare = find_spare(service, now);
   return result;
 }
 
--- a/src/libsite/overflow_board.cpp
+++ b/src/libsite/overflow_board.cpp
@@ -270,6 +270,10 @@
     if (row != shares.leaving.end()) {
       message.services.back().leaving[subscriber.domain] = row->second;
     }
+    const auto spare = shares.spare.find(subscriber.domain);
+    if (spare != shares.spare.end()) {
+      message.services.back().spare[subscriber.domain] = spare->second;
+    }
   }
   return message;
 }
