--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_connection.h"
 #include "cold_server_log.h"
+#include "domain_traffic.h"
 #include "lovagehold/connection_acceptor.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -155,6 +156,18 @@
   }
 }
 
+std::map<ServiceName, DomainServiceLoad>
+Gateway::take_domain_loads(TimePoint now)
+{
+  return lovagehold::take_domain_loads(*m_impl->context, now);
+}
+
+void
+Gateway::set_domain_shares(const std::vector<ServiceShares>& shares, TimePoint as_of)
+{
+  lovagehold::set_domain_shares(*m_impl->context, shares, as_of);
+}
+
 void
 Gateway::begin_shutdown(TimePoint deadline, TimePoint now)
 {
@@ -290,6 +303,7 @@
       static_cast<double>(version()));
   context.account_counters.render(text);
   render_cold_metrics(context, text, Clock::now());
+  add_domain_metrics(context, text);
   return text.text() + context.metrics.render();
 }
 
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -120,6 +120,9 @@
         .view = [this] { return make_allowance_view(*m_replica, m_directory, Clock::now()); },
         .report = [this](std::string_view event,
                          const std::vector<LogField>& fields) { m_log.info(event, fields); } })
+  , m_overflow(decides_overflow(m_settings),
+               m_settings.cluster_address,
+               [&log](std::string_view event, const auto& fields) { log.info(event, fields); })
   , m_unknown_leaves(kUnknownLeavesPerSecond, kUnknownLeaveBurst, kUnknownLeaveBurst, Clock::now())
 {
   const auto send_hook = [this](const std::string& address, const ClusterMessage& message) {
@@ -196,7 +199,7 @@
                                   .permits_denied = m_permits_denied,
                                   .routing_conflicts = m_operator_calls->routing_conflicts(),
                                   .dropped_messages = m_link.dropped_messages() }) +
-         text.text();
+         text.text() + m_overflow.render_metrics(now);
 }
 
 GroupStatus
@@ -236,6 +239,9 @@
 ControlHost::receive(const std::string& from, const ClusterMessage& message)
 {
   const TimePoint now = Clock::now();
+  if (m_overflow.receive(from, message, now)) {
+    return;
+  }
   if (const auto* subscribe = std::get_if<Subscribe>(&message)) {
     if (subscribe->presence) {
       m_subscribed_hosts.apply_announcement(*subscribe->presence, now);
@@ -352,6 +358,10 @@
   // Changes are collected per tick, as a failure of many servers is reported by many entry hosts.
   publish_suspects(now);
   m_allowances.tick(now);
+  for (const auto& [address, message] :
+       m_overflow.tick([this] { return overflow_group(*m_replica); }, now)) {
+    m_link.send(address, message);
+  }
   if (now - m_renewals_sent_at >= kRenewalInterval) {
     send_renewals(now);
   }
--- a/src/libsite/control_host_test.cpp
+++ b/src/libsite/control_host_test.cpp
@@ -102,6 +102,7 @@
                            .first_start = true,
                            .metrics_address = text(test_endpoint(".7.1", kPort + 2)),
                            .data_folder = m_folder,
+                           .domain_overflow = m_domain_overflow,
                            .failure_domains = failure_domains };
     settings.seeds = { settings.cluster_address };
     if (!alone) {
@@ -177,6 +178,7 @@
     return sample == std::string::npos ? -1 : std::stod(metrics.substr(sample + name.size() + 2));
   }
 
+  bool m_domain_overflow = false;
   boost::asio::io_context m_context;
   EventLog m_log{ { .host = "control-host-test", .level = "error" } };
   std::unique_ptr<ControlHost> m_host;
@@ -377,12 +379,26 @@
   return metric_names(rows);
 }
 
-// Guards against metrics that are documented but not served, and the reverse.
+// Guards against metrics of a feature that is off.
+TEST_F(ControlHostTest, OverflowIsOffByDefault)
+{
+  start(true);
+  ASSERT_TRUE(wait_for_status("/leave", 200));
+  EXPECT_EQ(render_metrics().find("lovagehold_domain_"), std::string::npos);
+}
+
+// Guards against metrics that are documented but not served, and the reverse. All features are on.
 TEST_F(ControlHostTest, ServedMetricsAreDocumented)
 {
+  m_domain_overflow = true;
   start(true);
   ASSERT_TRUE(wait_for_status("/leave", 200));
-  const EntryHost entry(m_context, SiteSettings{ .host = "h", .seeds = { "seed" } }, {}, m_log);
+  const EntryHost entry(
+    m_context,
+    SiteSettings{
+      .host = "h", .seeds = { "seed" }, .domain_overflow = true, .failure_domains = { "a", "b" } },
+    {},
+    m_log);
   // Served only after the first request of an account.
   AccountCounters accounts;
   accounts.count_request(nullptr, RouteKind::Idempotent, {});
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -77,6 +77,7 @@
            .cold_share_depth = kColdShareOfSlack * settings.warmup.slack,
            .request_permit = std::move(request_permit),
            .request_allowance = std::move(request_allowance),
+           .domain_overflow = decides_overflow(settings),
            .crash_suspects = { .quarantine = settings.quarantine },
            .on_crash_evidence = std::move(on_crash_evidence),
            .seed = std::random_device{}() };
@@ -117,6 +118,12 @@
                 },
                 [this](const CrashEvidence& evidence) { send_crash_evidence(evidence); }),
               log)
+  , m_overflow(context,
+               m_gateway,
+               m_settings.failure_domain,
+               [this](const std::string& address, const ClusterMessage& message) {
+                 m_link.send(address, message);
+               })
   , m_readiness_server(
       context,
       [this](const AdminRequest&, const AdminServer::Reply& reply) {
@@ -189,6 +196,9 @@
       admin_options(m_settings));
     BOOST_OUTCOME_TRYV(m_directory_server->start(m_settings.directory_address));
   }
+  if (decides_overflow(m_settings)) {
+    m_overflow.start();
+  }
   tick();
   return boost::outcome_v2::success();
 }
@@ -197,6 +207,7 @@
 EntryHost::stop()
 {
   m_timer.cancel();
+  m_overflow.stop();
   m_shutdown_timer.cancel();
   m_permit_timer.cancel();
   m_allowance_timer.cancel();
@@ -278,8 +289,13 @@
     m_gateway.add_crash_evidence(crashes->evidence, Clock::now());
     return;
   }
+  if (const auto* shares = std::get_if<DomainShares>(&message)) {
+    m_overflow.receive(*shares, Clock::now());
+    return;
+  }
   if (std::holds_alternative<Entries>(message)) {
     m_allowances.contact(Clock::now());
+    m_overflow.follow(from);
   }
   m_client->receive(from, message, Clock::now());
 }
@@ -308,8 +324,8 @@
                     .ttl = directory_ttl(Clock::now() - m_directory_changed_at, max_ttl) }));
 }
 
-// Messages that have already arrived are applied to the state first, so that versions which one of
-// them supersedes are not decoded.
+// Messages that have already arrived are applied to the state first, so that versions which one
+// of them supersedes are not decoded.
 void
 EntryHost::schedule_update()
 {
--- a/src/libsite/entry_host.h
+++ b/src/libsite/entry_host.h
@@ -7,6 +7,7 @@
 #include "lovagehold/event_log.h"
 #include "lovagehold/permit_client.h"
 #include "lovagehold/site.h"
+#include "overflow_reporter.h"
 #include "status_page.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -70,6 +71,7 @@
   PermitClient m_permits;
   AllowanceClient m_allowances;
   Gateway m_gateway;
+  OverflowReporter m_overflow;
   std::unique_ptr<ControlClient> m_client;
   AdminServer m_readiness_server;
   EvacuationReport m_evacuations;
