--- a/src/libsite/status_page_test.cpp
+++ b/src/libsite/status_page_test.cpp
@@ -66,5 +66,15 @@
   EXPECT_TRUE(group_of().at("losses_left").is_null());
 }
 
+// Guards against accounts over their allowance that the page leaves out, and against a field on
+// hosts without any.
+TEST(StatusPage, NamesRestrictedAccounts)
+{
+  EXPECT_EQ(
+    page_of({ .host = "h", .restricted_accounts = { "brook", "fern" } }).at("restricted_accounts"),
+    json::array({ "brook", "fern" }));
+  EXPECT_FALSE(page_of({ .host = "h" }).contains("restricted_accounts"));
+}
+
 } // namespace
 } // namespace lovagehold
