--- a/src/libcontrol/allowance_model_test.cpp
+++ b/src/libcontrol/allowance_model_test.cpp
@@ -682,22 +682,34 @@
 // Guards against a model that can't find the faults it is meant for.
 TEST(AllowanceModel, BrokenVariantsExceedTheAllowance)
 {
-  std::map<std::string, ModelOptions> variants;
-  variants["each host has a first token"].gate.local_part = 1e9;
-  variants["the ledger forgets debt"].ledger.window = milliseconds(0);
-  variants["a new ledger grants a burst"].ledger.initial = 1e9;
-  variants["the ledger does not leave a share to hosts out of reach"].board_ignores_reach = true;
-  variants["control hosts don't tell each other"].boards_share_uses = false;
-  variants["requests are admitted without a confirmation"].gate = { .contact_time =
-                                                                      std::chrono::hours(1),
-                                                                    .unconfirmed_part = 1e9 };
-  for (const auto& [name, options] : variants) {
+  struct Variant
+  {
+    std::string name;
+    ModelOptions options;
+    /// A schedule that finds it; later ones are tried if the model has changed.
+    unsigned schedule = 1;
+  };
+  std::vector<Variant> variants{
+    { .name = "each host has a first token", .schedule = 492 },
+    { .name = "the ledger forgets debt", .schedule = 922 },
+    { .name = "a new ledger grants a burst", .schedule = 137 },
+    { .name = "the ledger does not leave a share to hosts out of reach", .schedule = 126 },
+    { .name = "control hosts don't tell each other", .schedule = 164 },
+    { .name = "requests are admitted without a confirmation", .schedule = 695 },
+  };
+  variants[0].options.gate.local_part = 1e9;
+  variants[1].options.ledger.window = milliseconds(0);
+  variants[2].options.ledger.initial = 1e9;
+  variants[3].options.board_ignores_reach = true;
+  variants[4].options.boards_share_uses = false;
+  variants[5].options.gate = { .contact_time = std::chrono::hours(1), .unconfirmed_part = 1e9 };
+  for (const Variant& variant : variants) {
+    const unsigned last = variant.schedule + 10 * kSchedules;
     double worst = 0;
-    unsigned seed = 0;
-    while (worst <= 1.0 && ++seed <= 10 * kSchedules) {
-      worst = run_schedule(options, seed).worst_use;
+    for (unsigned seed = variant.schedule; worst <= 1.0 && seed < last; ++seed) {
+      worst = run_schedule(variant.options, seed).worst_use;
     }
-    EXPECT_GT(worst, 1.0) << name;
+    EXPECT_GT(worst, 1.0) << variant.name;
   }
 }
 
