libcontrol, libsite: questions about allowances go through another entry host without contact to control

Cause: an entry host that could not reach the control hosts admitted only its small share of an account's rate, and refused most requests of small accounts with 503.

Change: such a host asks through another entry host, which passes the question on (AllowanceRelay). It decides by itself only if that one has no answer either. AllowanceGate::in_contact() says when; without contact no caller waits for the timeouts of the control hosts.

--- a/src/include/lovagehold/allowance_client.h
+++ b/src/include/lovagehold/allowance_client.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace lovagehold {
@@ -22,6 +23,9 @@
   /// Time after which a caller should return whose request the host can't decide about: another
   /// host may be in contact.
   std::chrono::milliseconds unknown_retry{ 100 };
+  /// \return the cluster address of another entry host, which passes questions on while this host
+  /// can't reach the control hosts; empty if none is known. May be empty: there is no such host.
+  std::function<std::string()> peer;
   /// Called for each event to be logged. May be empty.
   std::function<void(std::string_view event, const std::vector<LogField>& fields)> report;
   std::uint64_t seed = 1;
@@ -42,8 +46,10 @@
   /// Decided by the host itself, because no control host answered.
   std::uint64_t admitted_locally = 0;
   std::uint64_t refused_locally = 0;
-  /// Messages sent to control hosts, and those without an answer.
+  /// Messages sent to control hosts, those of them that went through another entry host, and those
+  /// without an answer.
   std::uint64_t queries = 0;
+  std::uint64_t relayed = 0;
   std::uint64_t timeouts = 0;
 };
 
@@ -105,18 +111,30 @@
     std::vector<Handler> asked;
     std::vector<Handler> waiting;
     TimePoint last_request;
+
+    /// Makes those that were asked for wait again, before later ones.
+    void wait_again();
+  };
+  /// Where a question is sent.
+  struct Target
+  {
+    std::string address;
+    /// The address is that of another entry host.
+    bool relayed = false;
   };
   struct Sent
   {
-    std::string limiter;
+    Target target;
     std::vector<AccountRequests> accounts;
     TimePoint expires;
   };
 
   void update_hosts();
   static AccountRequests take_unsent(const std::string& name, Account& state);
+  std::optional<Target> select_target(const std::string& name, TimePoint now);
   void ask(const std::string& name, TimePoint now);
-  void send(const std::string& limiter, std::vector<AccountRequests> accounts, TimePoint now);
+  void send(const Target& target, std::vector<AccountRequests> accounts, TimePoint now);
+  void fail(const Sent& sent, TimePoint now);
   void send_reports(TimePoint now);
   void give_up(const std::string& name, TimePoint now);
   void retry(const AccountRequests& requests, TimePoint now);
@@ -143,6 +161,8 @@
   TimePoint m_next_report = TimePoint::max();
   TimePoint m_expired_at;
   std::uint64_t m_next_id = 1;
+  /// Entry host that passes questions on; empty if none has been chosen.
+  std::string m_peer;
   /// The last question was not answered by any control host.
   bool m_local = false;
   AllowanceCounters m_counters;
--- a/src/include/lovagehold/allowance_gate.h
+++ b/src/include/lovagehold/allowance_gate.h
@@ -79,6 +79,9 @@
   /// The control host that this host follows has sent something.
   void contact(TimePoint now);
 
+  /// \return whether the followed control host has sent something lately
+  bool in_contact(TimePoint now) const { return now - m_contact < m_options.contact_time; }
+
   /// Replaces the accounts that the control hosts restrict.
   void set_restricted(const std::vector<std::string>& accounts, TimePoint now);
 
--- a/src/libcontrol/allowance_client.cpp
+++ b/src/libcontrol/allowance_client.cpp
@@ -21,6 +21,15 @@
 {
 }
 
+void
+AllowanceClient::Account::wait_again()
+{
+  std::vector<Handler> all = std::exchange(asked, {});
+  all.insert(
+    all.end(), std::make_move_iterator(waiting.begin()), std::make_move_iterator(waiting.end()));
+  waiting = std::move(all);
+}
+
 void
 AllowanceClient::set_members(std::vector<std::string> members)
 {
@@ -112,11 +121,26 @@
            .repeated = std::exchange(state.repeated, 0) };
 }
 
+// Without contact to control, the question goes through another entry host at once: waiting for the
+// control hosts would cost each caller two timeouts.
+std::optional<AllowanceClient::Target>
+AllowanceClient::select_target(const std::string& name, TimePoint now)
+{
+  if (m_options.peer && !m_gate.in_contact(now)) {
+    m_peer = m_peer.empty() ? m_options.peer() : m_peer;
+    if (!m_peer.empty()) {
+      return Target{ .address = m_peer, .relayed = true };
+    }
+  }
+  const std::string limiter = m_selection.select(name, now);
+  return limiter.empty() ? std::nullopt : std::optional(Target{ .address = limiter });
+}
+
 void
 AllowanceClient::ask(const std::string& name, TimePoint now)
 {
-  const std::string limiter = m_selection.select(name, now);
-  if (limiter.empty()) {
+  const auto target = select_target(name, now);
+  if (!target) {
     give_up(name, now);
     return;
   }
@@ -125,21 +149,20 @@
   AccountRequests requests = take_unsent(name, state);
   requests.wanted = static_cast<unsigned>(state.asked.size());
   m_unsent.erase(name);
-  send(limiter, { std::move(requests) }, now);
+  send(*target, { std::move(requests) }, now);
 }
 
 void
-AllowanceClient::send(const std::string& limiter,
-                      std::vector<AccountRequests> accounts,
-                      TimePoint now)
+AllowanceClient::send(const Target& target, std::vector<AccountRequests> accounts, TimePoint now)
 {
   const std::uint64_t id = m_next_id++;
   const AllowanceQuery query{ .id = id, .accounts = accounts };
-  m_sent[id] = { .limiter = limiter,
+  m_sent[id] = { .target = target,
                  .accounts = std::move(accounts),
                  .expires = now + m_options.timeout };
   ++m_counters.queries;
-  m_send(limiter, query);
+  m_counters.relayed += target.relayed ? 1 : 0;
+  m_send(target.address, query);
 }
 
 void
@@ -148,22 +171,27 @@
   m_next_report = TimePoint::max();
   std::map<std::string, std::vector<AccountRequests>> reports;
   for (const std::string& name : std::set<std::string>(m_unsent)) {
-    const std::string limiter = m_selection.select(name, now);
-    if (limiter.empty()) {
+    const auto target = select_target(name, now);
+    if (!target) {
       give_up(name, now);
       continue;
     }
-    const TimePoint due = m_report_at[limiter];
+    const TimePoint due = m_report_at[target->address];
     if (now < due) {
       m_next_report = std::min(m_next_report, due);
       continue;
     }
-    reports[limiter].push_back(take_unsent(name, m_accounts[name]));
     m_unsent.erase(name);
+    if (target->relayed) {
+      // Accounts have different control hosts, so a message to another entry host holds one.
+      send(*target, { take_unsent(name, m_accounts[name]) }, now);
+    } else {
+      reports[target->address].push_back(take_unsent(name, m_accounts[name]));
+    }
   }
   for (auto& [limiter, accounts] : reports) {
     m_report_at[limiter] = now + m_options.report_interval;
-    send(limiter, std::move(accounts), now);
+    send({ .address = limiter }, std::move(accounts), now);
   }
 }
 
@@ -199,11 +227,7 @@
     m_unsent.insert(requests.account);
   }
   if (requests.wanted > 0) {
-    std::vector<Handler> waiting = std::exchange(state.asked, {});
-    waiting.insert(waiting.end(),
-                   std::make_move_iterator(state.waiting.begin()),
-                   std::make_move_iterator(state.waiting.end()));
-    state.waiting = std::move(waiting);
+    state.wait_again();
     ask(requests.account, now);
   }
 }
@@ -255,10 +279,16 @@
     std::all_of(sent.accounts.begin(), sent.accounts.end(), [&](const auto& requests) {
       return item_of(requests.account) != reply.accounts.end();
     });
-  if (responsible) {
-    m_selection.answered(sent.limiter);
-  } else {
-    m_selection.timed_out(sent.limiter, now);
+  if (sent.target.relayed && !responsible) {
+    fail(sent, now);
+    return;
+  }
+  if (!sent.target.relayed) {
+    if (responsible) {
+      m_selection.answered(sent.target.address);
+    } else {
+      m_selection.timed_out(sent.target.address, now);
+    }
   }
   for (const AccountRequests& requests : sent.accounts) {
     const auto item = item_of(requests.account);
@@ -284,12 +314,31 @@
     const Sent sent = std::move(m_sent.begin()->second);
     m_sent.erase(m_sent.begin());
     ++m_counters.timeouts;
-    m_selection.timed_out(sent.limiter, now);
+    fail(sent, now);
+  }
+  send_reports(now);
+}
+
+// Another control host is tried. Another entry host is not, as the request has waited long enough.
+void
+AllowanceClient::fail(const Sent& sent, TimePoint now)
+{
+  if (!sent.target.relayed) {
+    m_selection.timed_out(sent.target.address, now);
     for (const AccountRequests& requests : sent.accounts) {
       retry(requests, now);
     }
+    return;
+  }
+  if (m_peer == sent.target.address) {
+    m_peer.clear();
+  }
+  for (const AccountRequests& requests : sent.accounts) {
+    if (requests.wanted > 0) {
+      m_accounts[requests.account].wait_again();
+    }
+    give_up(requests.account, now);
   }
-  send_reports(now);
 }
 
 TimePoint
--- a/src/libcontrol/allowance_client_test.cpp
+++ b/src/libcontrol/allowance_client_test.cpp
@@ -1,5 +1,6 @@
 #include "lovagehold/allowance_board.h"
 #include "lovagehold/allowance_client.h"
+#include "lovagehold/allowance_relay.h"
 
 #include <gtest/gtest.h>
 
@@ -163,5 +164,92 @@
   EXPECT_FALSE(std::get<AllowanceReply>(sent[0].second).accounts[0].responsible);
 }
 
+// Guards against requests within the allowance that are refused at a host that control can't be
+// reached from while other entry hosts can reach it, and against callers that wait for timeouts.
+TEST(AllowanceClientWithPeers, AsksThroughAnotherEntryHostWithoutContact)
+{
+  std::vector<std::pair<std::string, AllowanceQuery>> sent;
+  std::vector<Outcome> outcomes;
+  std::vector<std::string> peers{ "e2", "e1" };
+  AllowanceClient client(
+    [&](const std::string& address, const ClusterMessage& message) {
+      sent.emplace_back(address, std::get<AllowanceQuery>(message));
+    },
+    { .peer = [&] {
+      const std::string peer = peers.empty() ? "" : peers.back();
+      peers.pop_back();
+      return peer;
+    } });
+  client.set_members({ "c1", "c2", "c3" });
+  const auto account =
+    std::make_shared<const ClientAccount>(ClientAccount{ .name = "a", .rate = 3 });
+  const auto ask = [&](TimePoint now) {
+    client.request(
+      account,
+      7,
+      [&](const AllowanceDecision& decision) { outcomes.push_back(decision.outcome); },
+      now);
+  };
+  client.contact(kStart);
+  const TimePoint lost = kStart + std::chrono::seconds(1);
+  ask(lost);
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_EQ(sent[0].first, "e1");
+  client.receive(
+    AllowanceReply{
+      .id = sent[0].second.id,
+      .accounts = { { .account = "a", .responsible = true, .answer = { .granted = 1 } } } },
+    lost + milliseconds(3));
+  EXPECT_EQ(outcomes, std::vector<Outcome>{ Outcome::Admitted });
+  // The next one goes the same way; without an answer the host decides by itself and chooses
+  // another entry host next time.
+  const TimePoint later = lost + std::chrono::seconds(1);
+  ask(later);
+  ASSERT_EQ(sent.size(), 2U);
+  EXPECT_EQ(sent[1].first, "e1");
+  client.tick(later + milliseconds(200));
+  EXPECT_EQ(outcomes.size(), 2U);
+  ask(later + milliseconds(300));
+  ASSERT_EQ(sent.size(), 3U);
+  EXPECT_EQ(sent[2].first, "e2");
+  EXPECT_EQ(client.counters().relayed, 3U);
+}
+
+// Guards against answers that reach the wrong host, questions that go round between entry hosts,
+// and questions without a bound.
+TEST(AllowanceRelay, PassesQuestionsToControlAndAnswersBack)
+{
+  std::vector<std::pair<std::string, ClusterMessage>> sent;
+  AllowanceRelay relay([&](const std::string& address,
+                           const ClusterMessage& message) { sent.emplace_back(address, message); },
+                       { .max_pending = 2 });
+  const AllowanceQuery query{ .id = 9, .accounts = { { .account = "a", .wanted = 1 } } };
+  relay.forward("e1", query, kStart);
+  EXPECT_TRUE(sent.empty()) << "without members there is nobody to ask";
+  const std::vector<std::string> members{ "c1", "c2", "c3" };
+  relay.set_members(members);
+  relay.forward("e1", query, kStart);
+  relay.forward("e2", query, kStart);
+  relay.forward("e3", query, kStart);
+  ASSERT_EQ(sent.size(), 2U);
+  EXPECT_EQ(sent[0].first, limiters_of("a", members)[0]);
+  const auto second = std::get<AllowanceQuery>(sent[1].second);
+  EXPECT_TRUE(relay.receive(AllowanceReply{ .id = second.id, .hosts = 5 }));
+  ASSERT_EQ(sent.size(), 3U);
+  EXPECT_EQ(sent[2].first, "e2");
+  EXPECT_EQ(std::get<AllowanceReply>(sent[2].second).id, 9U);
+  EXPECT_TRUE(relay.receive(AllowanceReply{ .id = second.id })) << "a repeat is dropped";
+  EXPECT_EQ(sent.size(), 3U);
+  EXPECT_FALSE(relay.receive(AllowanceReply{ .id = 9 })) << "not a question of another host";
+  // The control host that did not answer is passed over.
+  relay.forward("e1", query, kStart + milliseconds(200));
+  ASSERT_EQ(sent.size(), 4U);
+  EXPECT_EQ(sent[3].first, limiters_of("a", members)[1]);
+  AllowanceQuery both = query;
+  both.accounts.push_back({ .account = "b" });
+  relay.forward("e1", both, kStart + milliseconds(200));
+  EXPECT_EQ(sent.size(), 4U);
+}
+
 } // namespace
 } // namespace lovagehold
--- a/src/libdecision/allowance_gate.cpp
+++ b/src/libdecision/allowance_gate.cpp
@@ -124,8 +124,7 @@
   if (now < state.denied_until) {
     return AllowanceVerdict::Deny;
   }
-  const bool told =
-    now - m_contact < m_options.contact_time && now - m_resumed >= m_options.resume_time;
+  const bool told = in_contact(now) && now - m_resumed >= m_options.resume_time;
   const bool may_admit = state.answered &&
                          (told || now - state.answered_at < m_options.contact_time) &&
                          !is_restricted(account.name, now) &&
--- a/src/libsite/allowance_wiring.cpp
+++ b/src/libsite/allowance_wiring.cpp
@@ -1,5 +1,7 @@
 #include "allowance_wiring.h"
 
+#include "status_page.h"
+
 #include <random>
 
 namespace lovagehold {
@@ -37,17 +39,39 @@
 }
 
 AllowanceClientOptions
-allowance_client_options(const SiteSettings& settings, EventLog& log)
+allowance_client_options(const SiteSettings& settings,
+                         EventLog& log,
+                         std::function<std::string()> peer)
 {
   return { .gate = { .window = settings.allowance.window,
                      .overage = settings.allowance.overage,
                      .slack = settings.allowance.slack,
                      .jitter = kJitterPart * settings.allowance.slack },
+           .peer = std::move(peer),
            .report = [&log](std::string_view event,
                             const std::vector<LogField>& fields) { log.info(event, fields); },
            .seed = std::random_device{}() };
 }
 
+std::string
+choose_peer(const EntryAddresses& directory, const SiteSettings& settings)
+{
+  const auto local = directory.by_domain.find(settings.failure_domain);
+  const auto found = local != directory.by_domain.end() ? local : directory.by_domain.begin();
+  if (found == directory.by_domain.end()) {
+    return "";
+  }
+  std::vector<std::string> peers = found->second;
+  std::erase(peers, settings.entry_address);
+  if (peers.empty()) {
+    return "";
+  }
+  std::random_device random;
+  std::uniform_int_distribution<std::size_t> any(0, peers.size() - 1);
+  // All hosts of a deployment use the same port for each other.
+  return with_port_of(peers[any(random)], settings.cluster_address);
+}
+
 AllowanceBoardOptions
 allowance_board_options(const SiteSettings& settings,
                         std::chrono::milliseconds subscription_timeout)
@@ -92,6 +116,10 @@
           "lovagehold_allowance_queries_total",
           "Messages with requests of limited accounts to control hosts.",
           counters.queries);
+  counter(text,
+          "lovagehold_allowance_relayed_total",
+          "Those that went through another entry host.",
+          counters.relayed);
   counter(text,
           "lovagehold_allowance_timeouts_total",
           "Those that were not answered in time.",
--- a/src/libsite/allowance_wiring.h
+++ b/src/libsite/allowance_wiring.h
@@ -2,6 +2,7 @@
 
 #include "lovagehold/allowance_board.h"
 #include "lovagehold/allowance_client.h"
+#include "lovagehold/cluster_message.h"
 #include "lovagehold/entry_directory.h"
 #include "lovagehold/event_log.h"
 #include "lovagehold/metrics.h"
@@ -14,7 +15,14 @@
 std::vector<std::string> member_addresses(const Membership& membership);
 
 /// \return the options for the allowances of an entry host
-AllowanceClientOptions allowance_client_options(const SiteSettings& settings, EventLog& log);
+/// \param peer see AllowanceClientOptions::peer
+AllowanceClientOptions allowance_client_options(const SiteSettings& settings,
+                                                EventLog& log,
+                                                std::function<std::string()> peer);
+
+/// \return the cluster address of a random entry host other than this one, preferably of the same
+/// failure domain; empty if none is known
+std::string choose_peer(const EntryAddresses& directory, const SiteSettings& settings);
 
 /// \return the options for the allowances of a control host
 AllowanceBoardOptions allowance_board_options(const SiteSettings& settings,
--- a/src/libsite/entry_host.cpp
+++ b/src/libsite/entry_host.cpp
@@ -104,7 +104,12 @@
   })
   , m_allowances([this](const std::string& address,
                         const ClusterMessage& message) { m_link.send(address, message); },
-                 allowance_client_options(m_settings, m_log))
+                 allowance_client_options(m_settings,
+                                          m_log,
+                                          [this] { return choose_peer(m_directory, m_settings); }))
+  , m_allowance_relay([this](const std::string& address, const ClusterMessage& message) {
+    m_link.send(address, message);
+  })
   , m_gateway(context,
               gateway_options(
                 m_settings,
@@ -163,6 +168,7 @@
         }
         m_control_hosts = members;
         m_allowances.set_members(members);
+        m_allowance_relay.set_members(members);
         m_permits.set_members(std::move(members));
       },
     .presence = [this]() -> std::optional<EntryPresence> {
@@ -277,8 +283,14 @@
     return;
   }
   if (const auto* allowance = std::get_if<AllowanceReply>(&message)) {
-    m_allowances.receive(*allowance, Clock::now());
-    await_allowances();
+    if (!m_allowance_relay.receive(*allowance)) {
+      m_allowances.receive(*allowance, Clock::now());
+      await_allowances();
+    }
+    return;
+  }
+  if (const auto* question = std::get_if<AllowanceQuery>(&message)) {
+    m_allowance_relay.forward(from, *question, Clock::now());
     return;
   }
   if (const auto* restricted = std::get_if<RestrictedAccounts>(&message)) {
--- a/src/libsite/entry_host.h
+++ b/src/libsite/entry_host.h
@@ -3,6 +3,7 @@
 #include "cluster_link.h"
 #include "evacuation_report.h"
 #include "lovagehold/allowance_client.h"
+#include "lovagehold/allowance_relay.h"
 #include "lovagehold/control_client.h"
 #include "lovagehold/event_log.h"
 #include "lovagehold/permit_client.h"
@@ -70,6 +71,8 @@
   std::vector<std::string> m_control_hosts;
   PermitClient m_permits;
   AllowanceClient m_allowances;
+  /// For entry hosts that can't reach the control hosts.
+  AllowanceRelay m_allowance_relay;
   Gateway m_gateway;
   OverflowReporter m_overflow;
   std::unique_ptr<ControlClient> m_client;
