--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovagehold/allowance_gate.h"
 #include "lovagehold/crash_suspects.h"
 #include "lovagehold/error.h"
 #include "lovagehold/event_log.h"
@@ -51,6 +52,11 @@
 using RequestPermit =
   std::function<void(const PermitQuery& query, std::function<void(const PermitAnswer&)> handler)>;
 
+/// Asks for permission to forward a request of an account with a rate. The handler is called once,
+/// at once or within some 100 ms.
+using RequestAllowance = std::function<void(const std::shared_ptr<const ClientAccount>& account,
+                                            std::function<void(const AllowanceDecision&)> handler)>;
+
 struct GatewayOptions
 {
   HostId host;
@@ -77,8 +83,12 @@
   /// Bandwidth of this host's network link in Mbit/s. On a slow link request bodies are paced; 0 if
   /// unknown, without pacing.
   double link_mbps = 0;
+  /// See ColdServerShareOptions::depth.
+  double cold_share_depth = ColdServerShareOptions{}.depth;
   /// Without it, limited servers get no requests.
   RequestPermit request_permit;
+  /// Without it, accounts are not limited.
+  RequestAllowance request_allowance;
   CrashSuspectsOptions crash_suspects;
   /// Called with new evidence that the other hosts should know. May be empty.
   std::function<void(const CrashEvidence&)> on_crash_evidence;
@@ -115,6 +125,12 @@
   /// Permits for limited servers that were asked for, and those that were granted.
   std::uint64_t permits_requested = 0;
   std::uint64_t permits_granted = 0;
+  /// Requests sent to cold servers, and requests that waited because the share of cold servers
+  /// admitted none.
+  std::uint64_t cold_requests = 0;
+  std::uint64_t cold_waits = 0;
+  /// Servers that turned cold or warm without a log line of their own.
+  std::uint64_t unlogged_cold_changes = 0;
   /// Changes of the routing configuration, and the time that this thread spent on them.
   std::uint64_t routing_changes = 0;
   Duration routing_change_time{};
--- a/src/libgateway/error_response.cpp
+++ b/src/libgateway/error_response.cpp
@@ -25,12 +25,18 @@
       return "shutting_down";
     case RefusalCause::NoServer:
       return "no_server";
+    case RefusalCause::ServersCold:
+      return "servers_cold";
     case RefusalCause::LimitsUsedUp:
       return "limits_used_up";
     case RefusalCause::ServersFull:
       return "servers_full";
     case RefusalCause::OutOfTime:
       return "out_of_time";
+    case RefusalCause::OverAllowance:
+      return "over_allowance";
+    case RefusalCause::AllowanceUnknown:
+      return "allowance_unknown";
   }
   return "unknown";
 }
--- a/src/libgateway/error_response.h
+++ b/src/libgateway/error_response.h
@@ -15,12 +15,15 @@
   UnknownKey,
   ShuttingDown,
   NoServer,
+  ServersCold,
   LimitsUsedUp,
   ServersFull,
   OutOfTime,
+  OverAllowance,
+  AllowanceUnknown,
 };
 
-inline constexpr std::size_t kRefusalCauses = 7;
+inline constexpr std::size_t kRefusalCauses = 10;
 
 const char* to_string(RefusalCause cause);
 
--- a/src/libgateway/forwarded_request.h
+++ b/src/libgateway/forwarded_request.h
@@ -2,6 +2,7 @@
 
 #include "error_response.h"
 #include "lovagehold/request_fingerprint.h"
+#include "server_admission.h"
 #include "server_exchange.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -37,6 +38,8 @@
   TimePoint arrived;
   /// Time at which the caller stops waiting.
   TimePoint caller_deadline;
+  /// Estimated time between the caller's first attempt and the arrival; see RequestAge.
+  Duration age{ 0 };
   /// Returns whether the caller has closed the connection. Asked before each attempt; may be empty.
   std::function<bool()> caller_left;
 
@@ -113,7 +116,6 @@
   awaitable<void> run_attempt(bool hedge);
   awaitable<bool> wait_for_capacity(bool hedge);
   awaitable<bool> check_capacity(TimePoint latest);
-  awaitable<bool> obtain_permit(double max_cost, TimePoint latest);
   std::optional<ServerInfo> select_server(TimePoint now);
   std::string describe_overload(const ServerInfo& best, TimePoint now) const;
   awaitable<void> probe(bool preferred_only, const std::string& path);
@@ -146,8 +148,7 @@
   asio::steady_timer m_wakeup;
   std::vector<std::shared_ptr<Attempt>> m_attempts;
   std::set<ServerId> m_tried_servers;
-  /// Limited server to which the next attempt is permitted; empty if there is no permit.
-  ServerId m_permitted_server;
+  ServerAdmission m_admission;
   /// The exchange whose response is forwarded.
   std::shared_ptr<ServerExchange> m_winner;
   /// A 5xx response of a server; forwarded if no attempt gets a better one.
--- a/src/libgateway/gateway_context.h
+++ b/src/libgateway/gateway_context.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include "account_counters.h"
+#include "libdecision/token_bucket.h"
 #include "libproxy/connection_pool.h"
 #include "lovagehold/admission.h"
 #include "lovagehold/crash_suspects.h"
 #include "lovagehold/gateway.h"
+#include "lovagehold/host_count.h"
 #include "lovagehold/link_pacer.h"
 #include "lovagehold/metrics.h"
+#include "lovagehold/request_age.h"
 #include "lovagehold/routing_table.h"
 #include "waiting_queue.h"
 
@@ -89,8 +92,13 @@
   /// One shard is enough, as the gateway runs on one thread.
   Metrics metrics{ 1 };
   AccountCounters account_counters;
+  RequestAge request_age;
   /// Number of entry hosts that receive callers, this one included.
   std::size_t entry_hosts = 1;
+  /// The same number for shares that must not be too large, see HostCount.
+  HostCount host_count;
+  /// Log lines about cold servers: after a restart of all servers there are some hundred at once.
+  TokenBucket cold_log_budget{ 2, 20, 20, Clock::now() };
   /// Requests being served.
   std::size_t in_progress = 0;
   /// Open connections of callers.
@@ -110,6 +118,9 @@
   std::map<std::uint64_t, beast::tcp_stream*> idle_callers;
   std::uint64_t next_idle_caller = 0;
 
+  /// \return whether the configuration has accounts
+  bool has_accounts() const { return routing && routing->accounts().requires_key(); }
+
   /// Closes the connection that has been idle for the longest time. \return whether there is one
   bool close_idle_caller()
   {
--- a/src/libgateway/gateway_fixture.h
+++ b/src/libgateway/gateway_fixture.h
@@ -55,6 +55,7 @@
                         .limit = "Server-Limit",
                         .account_key = "Account-Key",
                         .account = "Account-Name",
+                        .warmup_left = "Server-Warmup",
                         .load = "Lovagehold-Server-Load",
                         .parse_load = [](std::string_view text) {
                           if (text == "throw") {
@@ -77,6 +78,12 @@
       }
       handler(answer);
     };
+    options.request_allowance = [this](const std::shared_ptr<const ClientAccount>&,
+                                       const auto& handler) {
+      ++m_allowance_queries;
+      // Also answers that arrive later than the call returns.
+      boost::asio::post(m_context, [handler, answer = m_allowance] { handler(answer); });
+    };
     options.on_crash_evidence = [this](const CrashEvidence& evidence) {
       if (m_on_crash_evidence) {
         m_on_crash_evidence(evidence);
@@ -127,7 +134,9 @@
     config.hosts = { { .name = "a.example",
                        .routes = { route("/safe/", RouteKind::Idempotent),
                                    route("/once/", RouteKind::NonIdempotent) } } };
-    config.services = { { .name = "desk", .health_path = m_health_path } };
+    config.services = {
+      { .name = "desk", .health_path = m_health_path, .warmup_rate = m_warmup_rate }
+    };
     config.accounts = m_accounts;
     config.requires_key = !m_accounts.empty();
     for (Route& configured : config.hosts[0].routes) {
@@ -183,10 +192,14 @@
   std::vector<std::unique_ptr<ScriptedServer>> m_servers;
   std::vector<ServerInfo> m_server_infos;
   std::string m_health_path = "/health";
+  double m_warmup_rate = 0;
   /// Limits and version of the routing configuration.
   RequestLimits m_limits;
   std::uint64_t m_version = 0;
   std::vector<ClientAccount> m_accounts;
+  /// Answer to each question about an allowance.
+  AllowanceDecision m_allowance;
+  std::atomic<unsigned> m_allowance_queries{ 0 };
   /// Whether both routes are open.
   bool m_open_routes = false;
 };
--- a/src/libsite/control_host.cpp
+++ b/src/libsite/control_host.cpp
@@ -1,8 +1,10 @@
 #include "control_host.h"
 
+#include "allowance_wiring.h"
 #include "control_metrics.h"
 #include "control_replies.h"
 #include "lovagehold/file_disk.h"
+#include "lovagehold/metrics.h"
 
 #include <boost/asio/post.hpp>
 
@@ -48,18 +50,6 @@
 // entries after it; a snapshot with 422 servers has 45 KB.
 constexpr std::size_t kSnapshotLogBytes = std::size_t{ 64 } << 10;
 
-std::string
-ip_of(const std::string& address)
-{
-  return address.substr(0, address.rfind(':'));
-}
-
-std::string
-port_of(const std::string& address)
-{
-  return address.substr(address.rfind(':'));
-}
-
 ReplicaOptions
 replica_options(const SiteSettings& settings)
 {
@@ -115,12 +105,21 @@
       },
       log,
       admin_options(m_settings))
-  , m_registrar({ .lease = kServerLease })
+  , m_registrar({ .lease = kServerLease,
+                  .limits_cold_servers =
+                    [this](const ServiceName& service) { return limits_cold_servers(service); } })
   , m_directory(EntryDirectoryOptions{})
   , m_subscribed_hosts(EntryDirectoryOptions{})
   , m_timer(context)
   , m_suspects({ .quarantine = m_settings.quarantine }, kSubscriptionTimeout)
   , m_evacuations(log, "evacuation_applied")
+  , m_allowances(
+      allowance_board_options(m_settings, kSubscriptionTimeout),
+      { .send = [this](const std::string& address,
+                       const ClusterMessage& message) { m_link.send(address, message); },
+        .view = [this] { return make_allowance_view(*m_replica, m_directory, Clock::now()); },
+        .report = [this](std::string_view event,
+                         const std::vector<LogField>& fields) { m_log.info(event, fields); } })
   , m_unknown_leaves(kUnknownLeavesPerSecond, kUnknownLeaveBurst, kUnknownLeaveBurst, Clock::now())
 {
   const auto send_hook = [this](const std::string& address, const ClusterMessage& message) {
@@ -182,6 +181,8 @@
   const TimePoint now = Clock::now();
   const ReplicaStatus replica = m_replica->status();
   const StateMachine& machine = m_replica->machine();
+  MetricsText text;
+  render_allowance_metrics(text, m_allowances);
   return render_control_metrics({ .replica = replica,
                                   .group = group_status(replica),
                                   .leads = m_replica->leads(),
@@ -194,7 +195,8 @@
                                   .permits_granted = m_permits_granted,
                                   .permits_denied = m_permits_denied,
                                   .routing_conflicts = m_operator_calls->routing_conflicts(),
-                                  .dropped_messages = m_link.dropped_messages() });
+                                  .dropped_messages = m_link.dropped_messages() }) +
+         text.text();
 }
 
 GroupStatus
@@ -213,7 +215,8 @@
                      .ready = replica.in_contact,
                      .state_age = replica.lag,
                      .group = group_status(replica),
-                     .evacuations = m_replica->machine().evacuations() };
+                     .evacuations = m_replica->machine().evacuations(),
+                     .restricted_accounts = m_allowances.restricted() };
   const auto add = [&](const HostId& id, const std::string& domain, const std::string& address) {
     status.hosts.push_back({ .id = id,
                              .failure_domain = domain,
@@ -249,6 +252,7 @@
         m_link.send(from, m_addresses);
       }
       send_evidence(from, m_suspects.add_subscriber(from, subscribe->confirm, now));
+      m_allowances.add_subscriber(from, subscribe->confirm, now);
     }
     m_replica->receive(from, message);
   } else if (const auto* hosts = std::get_if<EntryHosts>(&message)) {
@@ -268,7 +272,7 @@
     handle_permit_request(from, *permit, now);
   } else if (std::holds_alternative<ProposeReply>(message)) {
     m_client->receive(from, message, now);
-  } else {
+  } else if (!m_allowances.receive_any(from, message, now)) {
     m_replica->receive(from, message);
   }
 }
@@ -305,12 +309,7 @@
                                    const PermitRequest& request,
                                    TimePoint now)
 {
-  const Membership& membership = m_replica->membership();
-  std::vector<std::string> members;
-  members.reserve(membership.size());
-  for (const Member& member : membership) {
-    members.push_back(member.address);
-  }
+  const std::vector<std::string> members = member_addresses(m_replica->membership());
   const double share = limiter_share(request.query.service, m_settings.cluster_address, members);
   const PermitAnswer answer = m_limiter.request(request.query, share, now);
   ++(answer.server.empty() ? m_permits_denied : m_permits_granted);
@@ -352,6 +351,7 @@
   }
   // Changes are collected per tick, as a failure of many servers is reported by many entry hosts.
   publish_suspects(now);
+  m_allowances.tick(now);
   if (now - m_renewals_sent_at >= kRenewalInterval) {
     send_renewals(now);
   }
@@ -460,103 +460,6 @@
     Clock::now());
 }
 
-// Servers are spread over the control hosts, because a group has one leader but any number of
-// servers.
-ControlReply
-ControlHost::heartbeat_reply(const ServerInfo& server) const
-{
-  const std::string source =
-    select_source(server.id, server.failure_domain, m_replica->running_members());
-  const bool is_remote = !source.empty() && source != m_settings.cluster_address;
-  return ServerHeartbeatReply{
-    .next_address = is_remote ? ip_of(source) + port_of(m_settings.control_address) : ""
-  };
-}
-
-// The leader keeps the leases of all servers.
-void
-ControlHost::send_renewals(TimePoint now)
-{
-  m_renewals_sent_at = now;
-  ServerRenewals message;
-  for (auto& [id, renewal] : std::exchange(m_renewals, {})) {
-    message.renewals.push_back(std::move(renewal));
-  }
-  const std::string leader = m_replica->status().leader_address;
-  if (!message.renewals.empty() && !leader.empty() && leader != m_settings.cluster_address) {
-    m_link.send(leader, message);
-  }
-}
-
-// After a start, the state may lack servers that have joined. Their heartbeats would be taken for
-// joins and would fill the log.
-void
-ControlHost::await_current_state(const HeartbeatCall& call, const AdminServer::Reply& reply)
-{
-  m_early_heartbeats.emplace_back(call, reply);
-  if (m_early_heartbeats.size() > 1) {
-    return;
-  }
-  confirm_state(*m_replica, [this](bool confirmed) {
-    m_state_current = m_state_current || confirmed;
-    for (const auto& [early_call, early_reply] : std::exchange(m_early_heartbeats, {})) {
-      if (confirmed) {
-        handle_call(early_call, early_reply);
-      } else {
-        send_reply(early_reply,
-                   FailedReply{ unavailable("this host can't confirm that its state is current") });
-      }
-    }
-  });
-}
-
-void
-ControlHost::handle_call(const HeartbeatCall& call, const AdminServer::Reply& reply)
-{
-  const TimePoint now = Clock::now();
-  const ServerInfo& server = call.heartbeat.server;
-  if (!m_replica->in_contact()) {
-    // The server must try a host that is in contact with the group.
-    send_reply(reply,
-               FailedReply{ unavailable("this host is not in contact with the control group") });
-    return;
-  }
-  if (!m_state_current) {
-    await_current_state(call, reply);
-    return;
-  }
-  if (m_replica->machine().has_left(server.service, server.id, server.incarnation)) {
-    send_reply(reply, heartbeat_reply(server));
-    return;
-  }
-  const HeartbeatEffect effect = m_registrar.heartbeat(call.heartbeat, servers(), now);
-  if (effect == HeartbeatEffect::None) {
-    m_renewals[server.id] = { .service = server.service,
-                              .id = server.id,
-                              .incarnation = server.incarnation };
-    send_reply(reply, heartbeat_reply(server));
-    return;
-  }
-  m_log.info(effect == HeartbeatEffect::Join ? "server_joins" : "server_drains",
-             { { "server", server.id },
-               { "service", server.service },
-               { "address", server.address },
-               { "incarnation", std::to_string(server.incarnation) },
-               { "sequence", std::to_string(call.heartbeat.sequence) } });
-  if (effect == HeartbeatEffect::Leave) {
-    leave({ .id = server.id, .incarnation = server.incarnation }, heartbeat_reply(server), reply);
-    return;
-  }
-  for (const ServerInfo& replaced : ServerRegistrar::replaced_by(call.heartbeat, servers())) {
-    m_client->propose(
-      LeaveServer{
-        .service = replaced.service, .id = replaced.id, .incarnation = replaced.incarnation },
-      [](const Result<ApplyResult>&) {},
-      now);
-  }
-  propose(JoinServer{ server }, heartbeat_reply(server), reply);
-}
-
 void
 ControlHost::handle_call(const LeaveCall& call, const AdminServer::Reply& reply)
 {
--- a/src/libsite/operator_calls.cpp
+++ b/src/libsite/operator_calls.cpp
@@ -35,6 +35,23 @@
   reply(m_protocol.encode_reply(content));
 }
 
+const RoutingTable&
+OperatorCalls::routing()
+{
+  const StateMachine& machine = m_replica.machine();
+  if (machine.routing_version() == m_routing.version()) {
+    return m_routing;
+  }
+  const Result<void> updated =
+    update_routing_table(m_routing, machine, m_protocol.decode_routing, kRoutingSeed);
+  if (updated.has_error()) {
+    m_log.warn("routing_unreadable",
+               { { "version", std::to_string(machine.routing_version()) },
+                 { "error", updated.error().message } });
+  }
+  return m_routing;
+}
+
 void
 OperatorCalls::handle(const ReadRoutingCall&, const AdminServer::Reply& reply)
 {
@@ -88,15 +105,8 @@
       Clock::now());
     return;
   }
-  const Result<void> updated =
-    update_routing_table(m_routing, machine, m_protocol.decode_routing, kRoutingSeed);
-  if (updated.has_error()) {
-    m_log.warn("routing_unreadable",
-               { { "version", std::to_string(machine.routing_version()) },
-                 { "error", updated.error().message } });
-  }
   m_client.propose(
-    make_routing_command(m_routing, machine, config, call->document),
+    make_routing_command(routing(), machine, config, call->document),
     [this, call, attempts, reply](const Result<ApplyResult>& result) {
       if (result.has_error()) {
         send_reply(reply, FailedReply{ unavailable(result.error().message) });
--- a/src/lovagectl/status_command.cpp
+++ b/src/lovagectl/status_command.cpp
@@ -60,6 +60,10 @@
   if (!evacuations.empty()) {
     page["evacuations"] = evacuations;
   }
+  const std::set<std::string> restricted = restricted_accounts(hosts.value());
+  if (!restricted.empty()) {
+    page["restricted_accounts"] = restricted;
+  }
   std::vector<std::vector<std::string>> rows{
     { "HOST", "DOMAIN", "REVISION", "STATE", "STATE AGE", "SERVICES OWNED", "IN FLIGHT" }
   };
@@ -97,6 +101,9 @@
     for (const std::string& line : describe_evacuations(evacuations)) {
       std::cout << line << "\n";
     }
+    for (const std::string& line : describe_restrictions(restricted)) {
+      std::cout << line << "\n";
+    }
   }
   return kExitSuccess;
 }
