--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -12,6 +12,7 @@
 #include "lovagehold/server_registrar.h"
 #include "lovagehold/site.h"
 #include "operator_calls.h"
+#include "overflow_board.h"
 #include "status_page.h"
 #include "suspect_board.h"
 
@@ -129,6 +130,8 @@
   SuspectBoard m_suspects;
   /// Counts the requests of limited accounts that fall to this host.
   AllowanceBoard m_allowances;
+  /// Traffic between failure domains.
+  OverflowBoard m_overflow;
   /// Permits granted and denied since the start, for the metrics.
   std::uint64_t m_permits_granted = 0;
   std::uint64_t m_permits_denied = 0;
