--- a/src/libcontrol/allowance_client_test.cpp
+++ b/src/libcontrol/allowance_client_test.cpp
@@ -176,7 +176,7 @@
       sent.emplace_back(address, std::get<AllowanceQuery>(message));
     },
     { .peer = [&] {
-      const std::string peer = peers.empty() ? "" : peers.back();
+      std::string peer = peers.back();
       peers.pop_back();
       return peer;
     } });
--- a/src/libsite/control_host.h
+++ b/src/libsite/control_host.h
@@ -128,6 +128,7 @@
   TimePoint m_leases_checked_at;
   /// Requests that may have crashed their servers, as entry hosts report.
   SuspectBoard m_suspects;
+  EvacuationReport m_evacuations;
   /// Counts the requests of limited accounts that fall to this host.
   AllowanceBoard m_allowances;
   /// Traffic between failure domains.
@@ -135,7 +136,6 @@
   /// Permits granted and denied since the start, for the metrics.
   std::uint64_t m_permits_granted = 0;
   std::uint64_t m_permits_denied = 0;
-  EvacuationReport m_evacuations;
   /// Limits the leaves of servers that have not joined.
   TokenBucket m_unknown_leaves;
   /// Whether this host led the group at the last tick.
--- a/src/lovagehold/main.cpp
+++ b/src/lovagehold/main.cpp
@@ -29,7 +29,8 @@
                              not sent to another one, 1 to 600 (default 60); doubles with each
                              further crash up to 600. Use the same value on all hosts.
       --domain-overflow      with --site: the control group decides for each service how many
-                             requests leave their failure domain. Use it on all hosts.
+                             requests leave their failure domain. Experimental: callers were
+                             served worse with it so far. Use it on all hosts or on none.
 
 Check (starts nothing):
   -c, --check                print every mistake in the files named and exit
