soak: connections through the proxy end with a reset if the proxy resets them or its server crashes

Server i-desk-1 sends parts without a length ("early") and crashed meanwhile. The stand-in resets its own connection since, but the proxy before it closed its connections with transport.abort(), which is an orderly end unless unread bytes are left. The entry host saw the end of the stream and took the answer for whole, as it has to.

Change: the proxy resets its connections where it says so: in the mode "reset" and when its server crashes.

--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -80,14 +80,17 @@
 
     def close(self):
         self.server.close()
+        self.reset_connections()
+
+    def reset_connections(self):
+        """An orderly end would make a part of an answer without a length a whole one."""
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     def set_mode(self, mode):
         self.mode = mode
         if mode == "reset":
-            for writer in list(self.writers):
-                writer.transport.abort()
+            self.reset_connections()
 
     async def accept(self, reader, writer):
         self.writers.add(writer)
