libadapters: the test of dropped messages waits for the reports too

The transport counts a message on its own thread before it calls the hook, and the test only waited for the counter.

Change: the test waits for both, and expects exactly two of each as before.

--- a/src/libadapters/cluster_transport_test.cpp
+++ b/src/libadapters/cluster_transport_test.cpp
@@ -128,7 +128,8 @@
   transport.send(test_network() + ".0.1:39506", Bytes(60));
   transport.send(test_network() + ".0.1:39506", Bytes(60));
   const TimePoint limit = Clock::now() + kTestTimeout;
-  while (transport.dropped_messages() < 2 && Clock::now() < limit) {
+  // Each message is counted before it is reported.
+  while ((transport.dropped_messages() < 2 || reported < 2) && Clock::now() < limit) {
     std::this_thread::yield();
   }
   EXPECT_EQ(transport.dropped_messages(), 2U);
