--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -71,7 +71,7 @@
                      "countsAsLoss": control, "bootstrap": bootstrap,
                      "dataDir": os.path.join(self.folder, "data") if control else None,
                      "limits": {"cpuShare": 0.15, "cpuCores": 1, "memoryMb": 256, "maxFds": 4096,
-                                "linkMbps": 1000.0 if control else 700.0, "diskMb": 256 if control else 0}},
+                                "linkMbps": 1000.0 if control else d.front_mbps, "diskMb": 256 if control else 0}},
             "network": {"listen": listen, "portRange": [d.first_port, d.first_port + 15],
                         "seeds": [f"{ip}:{d.control_port}" for ip in d.seed_ips],
                         "zones": {zone: "region-1" for zone in ZONES}},
@@ -144,12 +144,13 @@
 
 
 class Deployment:
-    def __init__(self, record, controls=3, fronts=0):
+    def __init__(self, record, controls=3, fronts=0, front_mbps=700.0):
         program = os.path.join(ROOT, role("control-host")["run"].split()[0])
         if not os.path.exists(program):
             raise CannotRun("the build of deploy/system.toml is missing")
         self.record = record
         self.bounds = dict(BOUNDS)
+        self.front_mbps = front_mbps
         self.folder = tempfile.mkdtemp(prefix="lovagehold-review-")
         generator = random.Random()
         for _ in range(50):
@@ -157,8 +158,8 @@
             base = generator.randint(110, 290) * 100
             (self.first_port, self.control_port, self.front_port, self.ready_port, self.directory_port,
              self.server_port) = (base, base + 20, base + 21, base + 22, base + 23, base + 24)
-            ips = [f"{self.net}.{i}" for i in range(1, 40)]
-            if all(is_free(ip, port) for ip in ips[:16] for port in
+            ips = [f"{self.net}.{i}" for i in [*range(1, controls + 1), *range(101, fronts + 101)]]
+            if all(is_free(ip, port) for ip in ips for port in
                    (self.first_port, self.control_port, self.front_port, self.ready_port, 9464)):
                 break
         else:
@@ -166,7 +167,7 @@
         self.seed_ips = [f"{self.net}.{i + 1}" for i in range(min(3, controls))]
         self.controls = [Host(self, f"core-{i + 1}", "control-host", f"{self.net}.{i + 1}", ZONES[i % 3])
                          for i in range(controls)]
-        self.fronts = [Host(self, f"front-{i + 1}", "entry-host", f"{self.net}.{i + 11}", ZONES[i % 3])
+        self.fronts = [Host(self, f"front-{i + 1}", "entry-host", f"{self.net}.{i + 101}", ZONES[i % 3])
                        for i in range(fronts)]
 
     def start(self):
