--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -70,7 +71,8 @@
                      "serves": role(self.role_name)["serves"], "ip": self.ip, "zone": self.zone, "region": "region-1",
                      "countsAsLoss": control, "bootstrap": bootstrap,
                      "dataDir": os.path.join(self.folder, "data") if control else None,
-                     "limits": {"cpuShare": 0.15, "cpuCores": 1, "memoryMb": 256, "maxFds": 4096,
+                     "limits": {"cpuShare": 0.15 if control else 0.14, "cpuCores": 1,
+                                "memoryMb": 256 if control else 182, "maxFds": 4096 if control else 2870,
                                 "linkMbps": 1000.0 if control else d.front_mbps, "diskMb": 256 if control else 0}},
             "network": {"listen": listen, "portRange": [d.first_port, d.first_port + 15],
                         "seeds": [f"{ip}:{d.control_port}" for ip in d.seed_ips],
@@ -233,7 +235,9 @@
 
 
 def run(folder, case):
-    """Runs case(record, deployment factory) and turns its result into an exit code."""
+    """Runs case(record) and turns its result into an exit code."""
+    # The case ends its processes on the way out, also if it takes too long.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder)
     try:
         held = case(record)
