libcontrol: answers to an earlier process match no request of its successor

What callers saw: an operator's change was answered 200 and never came into force.

Cause: ProposeReply names a proposal by its number, and the numbers of each process began at 1. The leader sends a result to the address of the client, where the restarted process took it for that of its own first proposal. Permits, allowances and their relay, confirmations of an entry host's state and confirmed reads were matched in the same way.

Change: RequestNumbers numbers the requests of a process from a random first number on, and all of these use it. The number is returned unchanged by each version of the program, so the fix holds beside control hosts of the old version, which an additional field would not. A confirmation counts only if it answers a request of this process. The existing tests of the control client that name numbers fix the first one by an option; their assertions are unchanged.

The fix works as the result for the predecessor finds no proposal, so the change stays pending and is sent again to the leader.

--- a/src/include/lovagehold/allowance_client.h
+++ b/src/include/lovagehold/allowance_client.h
@@ -3,6 +3,7 @@
 #include "lovagehold/allowance_gate.h"
 #include "lovagehold/cluster_message.h"
 #include "lovagehold/log_field.h"
+#include "lovagehold/request_numbers.h"
 
 #include <functional>
 #include <map>
@@ -160,7 +161,7 @@
   std::map<std::string, TimePoint> m_report_at;
   TimePoint m_next_report = TimePoint::max();
   TimePoint m_expired_at;
-  std::uint64_t m_next_id = 1;
+  RequestNumbers m_numbers;
   /// Entry host that passes questions on; empty if none has been chosen.
   std::string m_peer;
   /// The last question was not answered by any control host.
--- a/src/include/lovagehold/allowance_relay.h
+++ b/src/include/lovagehold/allowance_relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovagehold/cluster_message.h"
+#include "lovagehold/request_numbers.h"
 
 #include <functional>
 #include <map>
@@ -52,7 +53,7 @@
   LimiterSelection m_selection;
   /// By the number under which the question was passed on; expires grows with it.
   std::map<std::uint64_t, Pending> m_pending;
-  std::uint64_t m_next_id;
+  RequestNumbers m_numbers;
 };
 
 } // namespace lovagehold
--- a/src/include/lovagehold/control_client.h
+++ b/src/include/lovagehold/control_client.h
@@ -49,6 +49,8 @@
   std::function<std::uint64_t()> directory_version;
   /// Client id of this process's proposals, unique among all processes; 0 draws a random one.
   std::uint64_t client = 0;
+  /// Number of the first proposal and of the first request to a control host, see RequestNumbers.
+  std::uint64_t first_request = 0;
 };
 
 /// Replicates the state from one control host and sends proposals to the leader. Proposals without
--- a/src/include/lovagehold/replica.h
+++ b/src/include/lovagehold/replica.h
@@ -55,7 +55,7 @@
   /// A new image of the state is made for starting subscribers when the entries since the last one
   /// exceed this size.
   std::size_t image_lag_bytes = std::size_t{ 16 } << 10;
-  /// Seed for member ids and election timeouts; 0 draws a random one.
+  /// Seed for member ids, election timeouts and the numbers of reads; 0 draws a random one.
   std::uint64_t seed = 0;
   /// Whether to write on a separate thread; false: writes block the calling thread, for tests.
   bool storage_thread = true;
--- a/src/libcontrol/allowance_client.cpp
+++ b/src/libcontrol/allowance_client.cpp
@@ -155,7 +155,7 @@
 void
 AllowanceClient::send(const Target& target, std::vector<AccountRequests> accounts, TimePoint now)
 {
-  const std::uint64_t id = m_next_id++;
+  const std::uint64_t id = m_numbers.next();
   const AllowanceQuery query{ .id = id, .accounts = accounts };
   m_sent[id] = { .target = target,
                  .accounts = std::move(accounts),
--- a/src/libcontrol/allowance_relay.cpp
+++ b/src/libcontrol/allowance_relay.cpp
@@ -4,15 +4,14 @@
 
 namespace {
 
-// Numbers from here on belong to questions that are passed on; those of this host start at 1.
-constexpr std::uint64_t kFirstId = std::uint64_t{ 1 } << 62;
+// Numbers from here on belong to questions that are passed on; those of this host are smaller.
+constexpr std::uint64_t kFirstId = 2 * RequestNumbers::kMaxFirst;
 
 } // namespace
 
 AllowanceRelay::AllowanceRelay(Send send, AllowanceRelayOptions options)
   : m_send(std::move(send))
   , m_options(options)
-  , m_next_id(kFirstId)
 {
 }
 
@@ -33,7 +32,7 @@
   if (limiter.empty()) {
     return;
   }
-  const std::uint64_t id = m_next_id++;
+  const std::uint64_t id = kFirstId + m_numbers.next();
   m_pending[id] = {
     .from = from, .id = query.id, .limiter = limiter, .expires = now + m_options.timeout
   };
--- a/src/libcontrol/control_client.cpp
+++ b/src/libcontrol/control_client.cpp
@@ -1,6 +1,7 @@
 #include "lovagehold/control_client.h"
 
 #include "lovagehold/replicated_state.h"
+#include "lovagehold/request_numbers.h"
 
 #include <algorithm>
 #include <random>
@@ -75,12 +76,19 @@
 
 struct ControlClient::Impl
 {
+  explicit Impl(ControlClientOptions client_options)
+    : options(std::move(client_options))
+    , proposal_numbers(options.first_request)
+    , request_numbers(options.first_request)
+  {
+  }
+
   ControlClientOptions options;
   Send send;
   Applied applied;
   ReplicatedState state;
   bool ready = false;
-  std::uint64_t next_id = 1;
+  RequestNumbers proposal_numbers;
   std::map<std::uint64_t, PendingProposal> pending;
   /// Address that proposals are sent to: the leader if known.
   std::string proposal_target;
@@ -101,7 +109,7 @@
   /// Cleared once the client was directed to another control host, so that it is not directed back
   /// if that one does not answer.
   bool accepts_source = true;
-  std::uint64_t next_request = 1;
+  RequestNumbers request_numbers;
   /// The latest requests that are not answered yet.
   std::map<std::uint64_t, Request> requests;
   /// The state includes everything that was acknowledged before this time.
@@ -128,8 +136,9 @@
     if (requests.size() == kMaxRequests) {
       requests.erase(requests.begin());
     }
-    requests[next_request] = std::move(request);
-    return next_request++;
+    const std::uint64_t number = request_numbers.next();
+    requests[number] = std::move(request);
+    return number;
   }
 
   std::optional<Request> take_request(std::uint64_t id)
@@ -145,16 +154,20 @@
 
   // An answer to a request shows until when the state is complete, however long the request or the
   // answer took.
-  void apply_answer(const Entries& entries, TimePoint now)
+  // \return whether the entries may confirm the state: an answer to an earlier process at this
+  // address tells of the time before this one started. Versions of the program that don't number
+  // their requests answer with 0.
+  bool apply_answer(const Entries& entries, TimePoint now)
   {
     const auto request = take_request(entries.answers);
     if (!request || !entries.lag) {
-      return;
+      return request || entries.answers == 0;
     }
     complete_until = std::max(complete_until, std::optional(complete_time(*request, *entries.lag)));
     if (!is_outdated(now)) {
       end_search();
     }
+    return true;
   }
 
   Duration state_age(TimePoint now) const
@@ -389,9 +402,9 @@
     for (const Bytes& payload : entries.payloads) {
       state.apply(index++, payload);
     }
-    apply_answer(entries, now);
-    const bool first_confirmation = entries.confirmed && !ready;
-    ready = ready || entries.confirmed;
+    const bool confirmed = apply_answer(entries, now) && entries.confirmed;
+    const bool first_confirmation = confirmed && !ready;
+    ready = ready || confirmed;
     if (ready && (first_confirmation || state.applied_index() > old_applied_index)) {
       applied(state.machine());
     }
@@ -467,9 +480,8 @@
 };
 
 ControlClient::ControlClient(ControlClientOptions options, Send send, Applied applied)
-  : m_impl(std::make_unique<Impl>())
+  : m_impl(std::make_unique<Impl>(std::move(options)))
 {
-  m_impl->options = std::move(options);
   m_impl->seeds = m_impl->options.control_addresses;
   m_impl->send = std::move(send);
   m_impl->applied = std::move(applied);
@@ -484,7 +496,7 @@
 void
 ControlClient::propose(const Command& command, ResultHandler handler, TimePoint now)
 {
-  const std::uint64_t id = m_impl->next_id++;
+  const std::uint64_t id = m_impl->proposal_numbers.next();
   PendingProposal& proposal = m_impl->pending[id];
   proposal = { .command = encode(command),
                .handler = std::move(handler),
--- a/src/libcontrol/control_client_test.cpp
+++ b/src/libcontrol/control_client_test.cpp
@@ -86,7 +86,7 @@
   constexpr std::uint64_t kProposals = 3;
   std::vector<std::uint64_t> sent_to_leader;
   ControlClient client(
-    { .control_addresses = { "follower" }, .follow = false },
+    { .control_addresses = { "follower" }, .follow = false, .first_request = 1 },
     [&](const std::string& to, const ClusterMessage& message) {
       if (to == "leader") {
         sent_to_leader.push_back(std::get<Propose>(message).id);
@@ -261,7 +261,7 @@
     assigned.insert(source);
     unsigned queries = 0;
     ControlClient client(
-      { .control_addresses = { source }, .address = address, .client = 1 },
+      { .control_addresses = { source }, .address = address, .client = 1, .first_request = 1 },
       [&](const std::string&, const ClusterMessage& message) {
         queries += std::holds_alternative<SourceQuery>(message) ? 1 : 0;
       },
@@ -285,7 +285,11 @@
                                              { .address = "near", .failure_domain = "a" } };
   std::vector<std::pair<std::string, ClusterMessage>> sent;
   ControlClient client(
-    { .control_addresses = { "far" }, .address = "client", .failure_domain = "a", .client = 1 },
+    { .control_addresses = { "far" },
+      .address = "client",
+      .failure_domain = "a",
+      .client = 1,
+      .first_request = 1 },
     [&](const std::string& to, const ClusterMessage& message) { sent.emplace_back(to, message); },
     [](const StateMachine&) {});
   client.tick(kStart);
--- a/src/libcontrol/permit_client.cpp
+++ b/src/libcontrol/permit_client.cpp
@@ -22,7 +22,7 @@
     handler({ .wait = m_options.timeout });
     return;
   }
-  const std::uint64_t id = m_next_id++;
+  const std::uint64_t id = m_numbers.next();
   m_pending[id] = { .limiter = limiter,
                     .handler = std::move(handler),
                     .expires = now + m_options.timeout };
--- a/src/libcontrol/replica.cpp
+++ b/src/libcontrol/replica.cpp
@@ -1,5 +1,6 @@
 #include "lovagehold/replica.h"
 
+#include "lovagehold/request_numbers.h"
 #include "storage_worker.h"
 
 #include <algorithm>
@@ -150,6 +151,8 @@
   ReplicaPorts ports;
   std::unique_ptr<Disk> disk;
   std::mt19937_64 random;
+  /// Of the reads that a majority confirms.
+  RequestNumbers read_numbers;
   LogStorage storage;
   std::unique_ptr<Consensus> consensus;
   ReplicatedState state;
@@ -184,7 +187,6 @@
   std::optional<TimePoint> read_sent_at;
   bool read_posted = false;
   std::map<std::uint64_t, LeadershipCheck> leadership_checks;
-  std::uint64_t next_read = 1;
   TimePoint join_at;
   /// When this host was last seen to be in the group, or was opened.
   TimePoint last_inside;
@@ -214,6 +216,7 @@
     , ports(std::move(replica_ports))
     , disk(std::move(replica_disk))
     , random(options.seed == 0 ? random_seed() : options.seed)
+    , read_numbers(options.seed % RequestNumbers::kMaxFirst)
     , storage(
         { .segment_bytes = options.segment_bytes, .make_identity = [this] { return random(); } },
         *disk)
@@ -711,7 +714,7 @@
     if (awaiting_read.empty()) {
       return;
     }
-    const std::uint64_t id = next_read++;
+    const std::uint64_t id = read_numbers.next();
     std::vector<Confirmation>& confirmed = confirmations[id];
     for (auto& [subscriber, confirmation] : std::exchange(awaiting_read, {})) {
       confirmed.push_back(std::move(confirmation));
@@ -1021,7 +1024,7 @@
 Replica::confirm_leadership(std::function<void(std::optional<TimePoint> requested_at)> done)
 {
   const TimePoint now = m_impl->ports.now();
-  const std::uint64_t id = m_impl->next_read++;
+  const std::uint64_t id = m_impl->read_numbers.next();
   m_impl->leadership_checks[id] = { .requested_at = now,
                                     .done = std::move(done),
                                     .leader = m_impl->consensus->leader() };
