libhttp: a Content-Length beyond the body limit is an error when the field is read

What callers saw: connections of an entry host that ended without an answer, those to sound servers of other services among them.

Beast 1.74 reports body_limit at the end of a response's header, but if bytes follow in the same read, the parser goes on in its loop and drops that error. http::string_body then reserves the whole length, from within the asynchronous operation. Lengths below the memory of the machine were reserved and read, whatever the limit.

Change: BoundedParser, through which all HTTP is read, compares the length with the limit when the field arrives, before the parser leaves the header. This covers the status checks of both gateways, the control and admin servers, lovagectl, and late answers on a kept connection, which the same parser reads.

--- a/src/libhttp/bounded_reader.h
+++ b/src/libhttp/bounded_reader.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <cstdint>
 #include <limits>
 
@@ -37,8 +38,15 @@
   }
 };
 
-/// Parser for messages from a peer that may send anything. Differs from the base class in three
+/// Body limit of a parser that sets none, in bytes.
+inline constexpr std::uint64_t kDefaultBodyLimit = std::uint64_t{ 1 } << 20;
+
+/// Parser for messages from a peer that may send anything. Differs from the base class in four
 /// ways:
+/// - A Content-Length beyond the body limit is reported as http::error::body_limit as soon as the
+///   field is read. Beast 1.74 goes on with a response whose first bytes of the body arrive with
+///   the header: it drops that error, and http::string_body reserves the whole length, which throws
+///   from within the asynchronous operation or takes all memory.
 /// - A field that is longer than Beast can store is reported as http::error::header_limit. Beast
 ///   throws std::length_error instead, from within its asynchronous operation, where nothing but
 ///   the caller of io_context::run() can catch it.
@@ -49,8 +57,17 @@
 template<bool isRequest, class Body>
 class BoundedParser : public boost::beast::http::parser<isRequest, Body>
 {
+  using Base = boost::beast::http::parser<isRequest, Body>;
+
 public:
-  using boost::beast::http::parser<isRequest, Body>::parser;
+  BoundedParser() { body_limit(kDefaultBodyLimit); }
+
+  /// Sets the largest body that is read, in bytes.
+  void body_limit(std::uint64_t bytes)
+  {
+    m_body_limit = bytes;
+    Base::body_limit(bytes);
+  }
 
 private:
   // Beast stores the length of a name or value in 16 bits, together with two bytes of separators.
@@ -58,13 +75,28 @@
   static constexpr int kMinStatus = 100;
   static constexpr int kMaxStatus = 599;
 
+  // \return the first number of the list; basic_parser has checked that all are equal and fit. Its
+  // content_length() may only be called after the header.
+  static std::uint64_t parse_length(boost::beast::string_view list)
+  {
+    const char* const end = list.data() + list.size();
+    const char* const first =
+      std::find_if(list.data(), end, [](char c) { return c >= '0' && c <= '9'; });
+    std::uint64_t length = 0;
+    std::from_chars(first, end, length);
+    return length;
+  }
+
   void on_field_impl(boost::beast::http::field name,
                      boost::beast::string_view name_text,
                      boost::beast::string_view value,
                      boost::beast::error_code& error) override
   {
+    const bool is_length = name == boost::beast::http::field::content_length;
     if (name_text.size() > kMaxStoredBytes || value.size() > kMaxStoredBytes) {
       error = boost::beast::http::error::header_limit;
+    } else if (is_length && parse_length(value) > m_body_limit) {
+      error = boost::beast::http::error::body_limit;
     } else if (!this->is_header_done()) {
       this->get().insert(name, name_text, value);
     }
@@ -85,6 +117,8 @@
       this->get().reason(reason);
     }
   }
+
+  std::uint64_t m_body_limit = 0;
 };
 
 template<class Body>
