libgateway: the sending of a body holds its connection for as long as it runs

Cause: on slow links a buffered body is sent in pieces by a coroutine that may outlive the exchange, and write_piece() read m_connection anew for each. When a server rejects the upload while a piece has been written whose completion is not handled yet, evaluate() calls release(), the write then ends without an error, and the next piece uses a null pointer.

Change: the coroutine gets the connection when it starts and passes it on. A piece is not sent on a closed connection and takes no bandwidth of the link. A streamed body with a length counts as sent only if it was read to its end.

It works as no step of the sending depends on a member that release() clears any more; the closed socket ends it.

--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -181,8 +181,8 @@
   m_sending = true;
   asio::co_spawn(
     m_context.io,
-    [self = shared_from_this(), request]() -> awaitable<void> {
-      co_await self->send(request);
+    [self = shared_from_this(), request, connection = m_connection]() -> awaitable<void> {
+      co_await self->send(request, connection);
       self->m_sending = false;
       self->m_send_ended.cancel();
     },
@@ -190,31 +190,35 @@
 }
 
 awaitable<void>
-ServerExchange::send(const OutgoingRequest& request)
+ServerExchange::send(const OutgoingRequest& request, ServerConnectionPtr connection)
 {
-  const auto connection = m_connection;
   boost::system::error_code error;
   co_await asio::async_write(connection->socket, asio::buffer(request.head), capture(error));
   if (error) {
     co_return;
   }
   if (request.arriving) {
-    co_await send_arriving(request);
+    co_await send_arriving(request, connection);
   } else {
-    co_await send_body(request);
+    co_await send_body(request, connection);
   }
 }
 
 awaitable<void>
-ServerExchange::write_piece(const OutgoingRequest& request,
+ServerExchange::write_piece(ServerConnectionPtr connection,
                             std::string_view piece,
+                            bool chunked,
                             boost::system::error_code& error)
 {
-  const auto connection = m_connection;
+  if (!connection->socket.is_open()) {
+    // The exchange has ended; the rest of the body must not take bandwidth of a slow link.
+    error = asio::error::operation_aborted;
+    co_return;
+  }
   m_context.count_bytes(m_server.service, piece.size());
   // Leaves bandwidth of a slow link for the messages of other requests.
   co_await await_link(m_context.send_pacer, piece.size());
-  if (request.chunked) {
+  if (chunked) {
     const auto data = http::make_chunk(asio::const_buffer(piece.data(), piece.size()));
     co_await asio::async_write(connection->socket, data, capture(error));
   } else {
@@ -224,16 +228,15 @@
 }
 
 awaitable<void>
-ServerExchange::send_arriving(const OutgoingRequest& request)
+ServerExchange::send_arriving(const OutgoingRequest& request, ServerConnectionPtr connection)
 {
-  const auto connection = m_connection;
   ArrivingBody& body = *request.arriving;
   boost::system::error_code error;
   std::size_t sent = 0;
   while (!error && sent < body.size() && connection->socket.is_open()) {
     const std::string_view piece = body.from(sent).substr(0, LinkPacer::kPieceBytes);
     if (!piece.empty()) {
-      co_await write_piece(request, piece, error);
+      co_await write_piece(connection, piece, request.chunked, error);
       sent += piece.size();
     } else if (body.failed()) {
       // A request with a part of its body must not look complete to the server.
@@ -247,15 +250,14 @@
 }
 
 awaitable<void>
-ServerExchange::send_body(const OutgoingRequest& request)
+ServerExchange::send_body(const OutgoingRequest& request, ServerConnectionPtr connection)
 {
-  const auto connection = m_connection;
   boost::system::error_code error;
   const auto write_all = [&](std::string_view bytes) -> awaitable<void> {
     const std::size_t max_piece =
       m_context.send_pacer.active() ? LinkPacer::kPieceBytes : bytes.size();
     while (!error && !bytes.empty()) {
-      co_await write_piece(request, bytes.substr(0, max_piece), error);
+      co_await write_piece(connection, bytes.substr(0, max_piece), request.chunked, error);
       bytes.remove_prefix(std::min(max_piece, bytes.size()));
     }
   };
@@ -281,7 +283,7 @@
     const std::string_view last_chunk = "0\r\n\r\n";
     co_await asio::async_write(connection->socket, asio::buffer(last_chunk), capture(error));
   }
-  m_request_sent = !error;
+  m_request_sent = !error && request.upload->done();
 }
 
 awaitable<bool>
--- a/src/libgateway/server_exchange.h
+++ b/src/libgateway/server_exchange.h
@@ -89,12 +89,15 @@
 private:
   awaitable<bool> connect(TimePoint deadline, bool may_reuse);
   void start_sending(const OutgoingRequest& request);
-  awaitable<void> send(const OutgoingRequest& request);
-  awaitable<void> send_body(const OutgoingRequest& request);
-  awaitable<void> write_piece(const OutgoingRequest& request,
+  // The sending may outlive run(), and release() takes m_connection away then, so these get the
+  // connection that they write to.
+  awaitable<void> send(const OutgoingRequest& request, ServerConnectionPtr connection);
+  awaitable<void> send_body(const OutgoingRequest& request, ServerConnectionPtr connection);
+  awaitable<void> send_arriving(const OutgoingRequest& request, ServerConnectionPtr connection);
+  awaitable<void> write_piece(ServerConnectionPtr connection,
                               std::string_view piece,
+                              bool chunked,
                               boost::system::error_code& error);
-  awaitable<void> send_arriving(const OutgoingRequest& request);
   awaitable<bool> read_response(const OutgoingRequest& request);
   awaitable<bool> read_header(const OutgoingRequest& request);
   awaitable<bool> discard_body();
@@ -108,7 +111,7 @@
 
   GatewayContext& m_context;
   ServerInfo m_server;
-  std::shared_ptr<ServerConnection> m_connection;
+  ServerConnectionPtr m_connection;
   std::optional<ResponseParser> m_parser;
   std::vector<char> m_read_buffer;
   /// Beginning of the response body that run() read.
--- a/src/libproxy/connection_pool.h
+++ b/src/libproxy/connection_pool.h
@@ -46,6 +46,8 @@
   bool m_timed_out = false;
 };
 
+using ServerConnectionPtr = std::shared_ptr<ServerConnection>;
+
 struct ConnectionPoolOptions
 {
   /// Idle connections to one address at most. A server has few slots; relays to the owner of a
