libgateway: a response longer than 1 PiB is invalid, and reading a body ends with its socket

Cause: the server's length was 2^64-1. The size of the read buffer, the smaller one of 64 KB and the length + 1, became 0. Each read then ended at once with need_buffer and was repeated. The deadline and the caller's end close the socket, which a read that finds bytes in its buffer does not look at.

Change: responses of servers have a body limit of 1 PiB, which BoundedParser checks with all other lengths, so that the response is invalid, and a safe request goes to another server. Each turn of read_piece() looks at the socket, in ServerAttempt too.

--- a/src/libgateway/odd_message_test.cpp
+++ b/src/libgateway/odd_message_test.cpp
@@ -113,6 +113,23 @@
   expect_service();
 }
 
+// Guards against a request without an end, and against a caller that gets the head of a response
+// which can't be whole: the server has printed a length of -1 as an unsigned number.
+TEST_F(GatewayTest, ResponseWithAnImpossibleLengthIsReplaced)
+{
+  for (int i = 0; i < 2; ++i) {
+    add_server([this](const ReceivedRequest& received) {
+      const bool first = arrivals() <= 1;
+      const std::string head = "HTTP/1.1 200 OK\r\n" + ScriptedServer::id_header(received) +
+                               "Content-Length: 18446744073709551615\r\n\r\n";
+      return first ? ScriptedResponse{ .bytes = head + "part", .close = true } : kServe(received);
+    });
+  }
+  configure(milliseconds(1000));
+  EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+  EXPECT_EQ(arrivals(), 2U);
+}
+
 // Guards against an exception that is lost, with the probe or connection that it ended.
 TEST_F(GatewayTest, ExceptionEndsOnlyItsProbeAndIsCounted)
 {
--- a/src/libgateway/server_exchange.cpp
+++ b/src/libgateway/server_exchange.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/rfc7230.hpp>
-#include <limits>
 
 namespace lovagehold {
 
@@ -293,7 +292,7 @@
   for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
     m_parser.emplace();
     m_parser->header_limit(kMaxResponseHeaderBytes);
-    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_parser->body_limit(kMaxResponseBytes);
     m_parser->skip(request.head_method);
     co_await http::async_read_header(
       connection->socket, connection->buffer, *m_parser, capture(m_error));
@@ -445,10 +444,16 @@
 ServerExchange::read_piece()
 {
   const auto connection = m_connection;
-  m_read_buffer.resize(
-    std::min<std::uint64_t>(kStreamBufferBytes, content_length().value_or(kStreamBufferBytes) + 1));
+  const std::uint64_t length = content_length().value_or(kStreamBufferBytes);
+  m_read_buffer.resize(std::min<std::uint64_t>(kStreamBufferBytes, length + 1));
   std::size_t size = 0;
   while (!m_error && size == 0 && !m_parser->is_done()) {
+    // The deadline and cancel() close the socket. A read that finds bytes in the buffer does not
+    // notice that.
+    if (!connection->socket.is_open()) {
+      m_error = asio::error::operation_aborted;
+      break;
+    }
     m_parser->get().body().data = m_read_buffer.data();
     m_parser->get().body().size = m_read_buffer.size();
     co_await http::async_read_some(
--- a/src/libhttp/testing/odd_messages.h
+++ b/src/libhttp/testing/odd_messages.h
@@ -57,6 +57,8 @@
       .bytes = head + "Content-Length: 99999999999999999999\r\n\r\nok" },
     { .name = "largest signed length with a part of the body",
       .bytes = head + "Content-Length: 9223372036854775807\r\n\r\nok" },
+    { .name = "largest length with a part of the body",
+      .bytes = head + "Content-Length: 18446744073709551615\r\n\r\nok" },
     { .name = "length of a terabyte with a part of the body",
       .bytes = head + "Content-Length: 1099511627776\r\n\r\nok" },
     { .name = "zero bytes", .bytes = std::string(100, '\0') },
--- a/src/libproxy/http_types.h
+++ b/src/libproxy/http_types.h
@@ -34,6 +34,11 @@
 inline constexpr char kKeyHeader[] = "Idempotency-Key";
 inline constexpr char kLocalPrefix[] = "/.lovagehold/";
 
+/// Longest response body of a server, in bytes (1 PiB). A longer length is an error of the server,
+/// which may have printed a negative number as an unsigned one; further calculations can't
+/// overflow.
+inline constexpr std::uint64_t kMaxResponseBytes = std::uint64_t{ 1 } << 50;
+
 /// Largest request body that is held in memory, so that it can be resent or hashed.
 inline constexpr std::size_t kBufferedBodyBytes = std::size_t{ 1 } << 20;
 
--- a/src/libproxy/server_attempt.cpp
+++ b/src/libproxy/server_attempt.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
-#include <limits>
 
 namespace lovagehold {
 
@@ -241,7 +240,7 @@
     ++interim;
     m_parser.emplace();
     m_parser->header_limit(kMaxResponseHeaderBytes);
-    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_parser->body_limit(kMaxResponseBytes);
     m_parser->skip(m_options.head_request);
     co_await http::async_read_header(
       connection->socket, connection->buffer, *m_parser, capture(m_error));
@@ -304,6 +303,12 @@
   m_read_buffer.resize(kStreamBufferBytes);
   std::size_t size = 0;
   while (!m_error && size == 0 && !m_parser->is_done()) {
+    // The deadline and cancel() close the socket. A read that finds bytes in the buffer does not
+    // notice that.
+    if (!connection->socket.is_open()) {
+      m_error = asio::error::operation_aborted;
+      break;
+    }
     m_parser->get().body().data = m_read_buffer.data();
     m_parser->get().body().size = m_read_buffer.size();
     connection->set_deadline(std::min(deadline, Clock::now() + m_options.limits.stall));
