libgateway: a server's silence ends no response before the route's timeout

Cause: once the head was passed on, each read waited at most 10 s for the server, whatever time was left.

Change: until the route's timeout a read waits for as long as the caller does. After it the limit of 10 s of silence stays, so that a server that has stopped doesn't hold a request for longer than the operator wants. It is an option now, which the tests shorten.

--- a/src/include/lovagehold/gateway.h
+++ b/src/include/lovagehold/gateway.h
@@ -83,6 +83,8 @@
   /// Bandwidth of this host's network link in Mbit/s. On a slow link request bodies are paced; 0 if
   /// unknown, without pacing.
   double link_mbps = 0;
+  /// Longest silence of a server in the middle of a response once the route's timeout has passed.
+  std::chrono::milliseconds response_idle{ 10000 };
   /// See ColdServerShareOptions::depth.
   double cold_share_depth = ColdServerShareOptions{}.depth;
   /// Without it, limited servers get no requests.
--- a/src/libgateway/caller_connection.cpp
+++ b/src/libgateway/caller_connection.cpp
@@ -27,9 +27,25 @@
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 64 } << 10;
 // Shorter bodies arrive at once.
 constexpr std::size_t kMinArrivingBodyBytes = std::size_t{ 16 } << 10;
-// Longest time without progress while a body is transferred.
+// Longest time without progress while a body arrives from a caller.
 constexpr std::chrono::milliseconds kBodyIdleTimeout{ 10000 };
 
+// What may end a response after its head has been forwarded.
+struct ResponseTimes
+{
+  TimePoint caller_deadline;
+  // The end of the route's timeout.
+  TimePoint route_deadline;
+  Duration max_silence;
+
+  // Before the route's timeout a slow server may take all the time that the caller has left.
+  // \return until when the next piece may arrive
+  TimePoint read_deadline(TimePoint now) const
+  {
+    return std::min(caller_deadline, std::max(route_deadline, now + max_silence));
+  }
+};
+
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -343,7 +359,9 @@
     const auto& arriving = incoming->arriving;
     GatewayRequest request = make_gateway_request(*m_context, incoming, route);
     const std::string id = request.id;
-    const TimePoint caller_deadline = request.caller_deadline;
+    const ResponseTimes times{ .caller_deadline = request.caller_deadline,
+                               .route_deadline = request.arrived + route->timeout,
+                               .max_silence = m_context->options.response_idle };
     // The watch below may learn of it later than an attempt starts, if the host is busy.
     request.caller_left = [self = shared_from_this(), weak = std::weak_ptr(incoming)] {
       const auto served = weak.lock();
@@ -368,7 +386,7 @@
       // Ends the disconnect watch.
       m_stream.socket().cancel();
       status = response->response().result_int();
-      const bool complete = co_await forward_response(*response, caller_deadline);
+      const bool complete = co_await forward_response(*response, times);
       ++(complete ? m_context->counters.served : m_context->counters.failed);
       forwarded->finish(complete);
     } else {
@@ -418,7 +436,7 @@
 
   // Forwards the response of a server until the caller stops waiting: a broken server may send
   // without end. \return whether the caller was sent the whole response
-  awaitable<bool> forward_response(ServerExchange& exchange, TimePoint caller_deadline)
+  awaitable<bool> forward_response(ServerExchange& exchange, ResponseTimes times)
   {
     http::response_header<> header = exchange.response().base();
     const bool bodiless = m_head_method || header.result() == http::status::no_content ||
@@ -445,8 +463,7 @@
       written = co_await write_piece(exchange.buffered_body(), true);
     }
     while (written && !exchange.is_complete()) {
-      const TimePoint read_deadline = std::min(Clock::now() + kBodyIdleTimeout, caller_deadline);
-      const std::string_view piece = co_await exchange.read_body(read_deadline);
+      const std::string_view piece = co_await exchange.read_body(times.read_deadline(Clock::now()));
       if (piece.empty()) {
         break;
       }
--- a/src/libgateway/gateway_fixture.h
+++ b/src/libgateway/gateway_fixture.h
@@ -25,9 +25,10 @@
 protected:
   static constexpr unsigned short kPort = 17410;
 
-  explicit GatewayTest(double link_mbps = 0)
+  explicit GatewayTest(double link_mbps = 0,
+                       std::chrono::milliseconds response_idle = GatewayOptions{}.response_idle)
     : m_log({ .host = "gateway-test", .level = "error" })
-    , m_gateway(m_context, with_hooks(make_options(link_mbps)), m_log)
+    , m_gateway(m_context, with_hooks(make_options(link_mbps, response_idle)), m_log)
   {
     EXPECT_TRUE(m_gateway.start().has_value());
     m_thread = std::thread([this] {
@@ -42,9 +43,13 @@
     m_thread.join();
   }
 
-  static GatewayOptions make_options(double link_mbps)
+  static GatewayOptions make_options(
+    double link_mbps,
+    std::chrono::milliseconds response_idle = GatewayOptions{}.response_idle)
   {
-    GatewayOptions options{ .host = "h", .failure_domain = "a", .link_mbps = link_mbps };
+    GatewayOptions options{
+      .host = "h", .failure_domain = "a", .link_mbps = link_mbps, .response_idle = response_idle
+    };
     options.listen_address = text(test_endpoint(".8.1", kPort));
     options.headers = { .request_id = "Lovagehold-Request-Id",
                         .deadline = "Lovagehold-Deadline-Ms",
--- a/src/libgateway/scripted_server.h
+++ b/src/libgateway/scripted_server.h
@@ -33,6 +33,8 @@
 struct ScriptedResponse
 {
   std::string bytes;
+  /// Sent after \p bytes and a pause.
+  std::string rest;
   bool close = false;
   /// Closes the connection with a TCP reset.
   bool reset = false;
@@ -49,7 +51,7 @@
   bool stall = false;
   /// Sent repeatedly after \p bytes until the peer closes the connection.
   std::string endless;
-  /// Pause between two repetitions.
+  /// Pause before \p rest, or between two repetitions.
   std::chrono::milliseconds pause{ 0 };
 };
 
@@ -242,6 +244,10 @@
     }
     boost::system::error_code ignored;
     boost::asio::write(socket, boost::asio::buffer(scripted.bytes), ignored);
+    if (!scripted.rest.empty()) {
+      std::this_thread::sleep_for(scripted.pause);
+      boost::asio::write(socket, boost::asio::buffer(scripted.rest), ignored);
+    }
     if (!scripted.endless.empty()) {
       m_peer_closed = send_without_end(socket, scripted);
       return false;
