libstate: a host's leave is remembered before its join

What was seen: with seeds 6 and 23 the model test of the ownership leases ends with a service that no host serves in full, 4.6 s after the last fault.

Cause: a host whose session had ended proposed to join again and then shut down. Its leave was applied first; as that incarnation was no member, it was not remembered, and the late join made the host a member again. Its process renewed the session until it ended and took no share of the services that it owned.

Change: a leave is remembered with its own incarnation, whether the host is a member, has left or was never known, and a later join of that incarnation is rejected. The oracle of the state machine has the same rule.

Evidence: StateMachine.JoinThatIsAppliedAfterItsLeaveIsRejected fails on (five expectations).

--- a/src/libcontrol/ownership_model_test.cpp
+++ b/src/libcontrol/ownership_model_test.cpp
@@ -524,6 +524,20 @@
   RC_ASSERT(outcome.unserved == "");
 }
 
+// Guards against services without an owner: the join of a host whose session has ended is applied
+// after the leave with which it shuts down. Found with the seeds 6 and 23 of the test above.
+TEST(OwnershipRegression, JoinIsAppliedAfterTheLeave)
+{
+  const std::vector<Operation> first = { { OperationKind::PauseHost, 2, 536 },
+                                         { OperationKind::PauseHost, 3, 1170 },
+                                         { OperationKind::LeaveGracefully, 2, 0 } };
+  EXPECT_EQ(run_scenario(first, 325).unserved, "");
+  const std::vector<Operation> second = { { OperationKind::PauseHost, 3, 511 },
+                                          { OperationKind::PauseHost, 0, 1215 },
+                                          { OperationKind::LeaveGracefully, 3, 0 } };
+  EXPECT_EQ(run_scenario(second, 166116579156988501).unserved, "");
+}
+
 // Guards against a progress check that can't fail: one step after the loss of a host its services
 // have no full owner.
 TEST(OwnershipCheck, FindsMissingProgress)
--- a/src/libstate/directory.cpp
+++ b/src/libstate/directory.cpp
@@ -201,12 +201,14 @@
     return accept();
   }
   const auto found = m_hosts.find(leave.id);
-  if (found == m_hosts.end() || found->second.incarnation > leave.incarnation) {
+  if (found == m_hosts.end()) {
+    remember_early_leave(leave, departed, index);
     return accept();
   }
-  Departed entry{ .incarnation = found->second.incarnation,
-                  .released = leave.released,
-                  .index = index };
+  if (found->second.incarnation > leave.incarnation) {
+    return accept();
+  }
+  Departed entry{ .incarnation = leave.incarnation, .released = leave.released, .index = index };
   if (!leave.released) {
     entry.known_members = known_members_of(leave, m_joined_views.at(leave.id));
   }
@@ -218,6 +220,25 @@
   return accept();
 }
 
+// The leave of a host that has not joined: its join may still be on its way and must not make it a
+// member for good. Like a join of a newer incarnation, it shows that the earlier one has ended.
+void
+Directory::remember_early_leave(const LeaveHost& leave, Departed* departed, std::uint64_t index)
+{
+  if (departed == nullptr) {
+    m_left_hosts.add(leave.id,
+                     { .incarnation = leave.incarnation, .released = true, .index = index },
+                     m_departed_limit);
+  } else if (departed->incarnation < leave.incarnation) {
+    departed->incarnation = leave.incarnation;
+    if (leave.released && !departed->released) {
+      departed->released = true;
+      departed->known_members.clear();
+      m_view = index;
+    }
+  }
+}
+
 MembershipView
 Directory::membership() const
 {
--- a/src/libstate/directory.h
+++ b/src/libstate/directory.h
@@ -64,6 +64,8 @@
     /// Hosts only: see DepartedHost.
     std::vector<HostId> known_members;
   };
+  /// \param departed the earlier departure of the host; null if there is none
+  void remember_early_leave(const LeaveHost& leave, Departed* departed, std::uint64_t index);
   /// Departed hosts or servers; above a limit, the earliest departures are dropped.
   template<class Key>
   struct Departures
--- a/src/libstate/state_machine_test.cpp
+++ b/src/libstate/state_machine_test.cpp
@@ -153,6 +153,27 @@
   EXPECT_EQ(state.view(), 3U);
 }
 
+// Guards against a host that stays a member for as long as it shuts down, without serving its
+// services, because its join is applied after its leave.
+TEST(StateMachine, JoinThatIsAppliedAfterItsLeaveIsRejected)
+{
+  StateMachine state;
+  state.apply(1, LeaveHost{ .id = "new", .incarnation = 5, .released = true });
+  EXPECT_FALSE(state.apply(2, JoinHost{ { .id = "new", .incarnation = 5 } }).accepted);
+  state.apply(3, JoinHost{ { .id = "h", .incarnation = 5 } });
+  // The session ends, the host wants to join again, and shuts down before it has.
+  state.apply(4, LeaveHost{ .id = "h", .incarnation = 5 });
+  state.apply(5, LeaveHost{ .id = "h", .incarnation = 6, .released = true });
+  EXPECT_TRUE(state.membership().unreleased.empty());
+  EXPECT_EQ(state.view(), 5U);
+  EXPECT_FALSE(state.apply(6, JoinHost{ { .id = "h", .incarnation = 6 } }).accepted);
+  // A restarted process joins again, and its leave may also overtake its join.
+  EXPECT_TRUE(state.apply(7, JoinHost{ { .id = "h", .incarnation = 7 } }).accepted);
+  state.apply(8, LeaveHost{ .id = "h", .incarnation = 8, .released = true });
+  EXPECT_FALSE(state.apply(9, JoinHost{ { .id = "h", .incarnation = 8 } }).accepted);
+  EXPECT_TRUE(state.membership().members.empty());
+}
+
 // Guards against a departed host that is assumed to know a member that joined after the last view
 // that the host acknowledged.
 TEST(StateMachine, DepartedHostKnowsMembersOfItsAcknowledgedView)
--- a/src/libstate/state_oracle.cpp
+++ b/src/libstate/state_oracle.cpp
@@ -242,8 +242,10 @@
 Oracle::apply_one(const LeaveHost& leave)
 {
   const auto found = hosts.find(leave.id);
+  if (found == hosts.end() || found->second <= leave.incarnation) {
+    m_left_hosts[leave.id] = std::max(m_left_hosts[leave.id], leave.incarnation);
+  }
   if (found != hosts.end() && found->second <= leave.incarnation) {
-    m_left_hosts[leave.id] = found->second;
     hosts.erase(found);
     end_claims_of(leave.id);
   }
