upload_test: a failed request after uploads shows its response

Change: the three tests of the upload fixture print the whole response. They expect the same status as before.

--- a/src/libgateway/upload_test.cpp
+++ b/src/libgateway/upload_test.cpp
@@ -120,6 +120,13 @@
 protected:
   static bool chunked() { return GetParam(); }
 
+  // A request of another caller is served.
+  static void expect_service()
+  {
+    const std::string response = send(request("GET", "/safe/x"));
+    EXPECT_EQ(status_of(response), 200) << response;
+  }
+
   // \return the whole response to a long upload that is sent without a pause
   static std::string send_upload()
   {
@@ -193,7 +200,7 @@
       << response;
     sender.join();
   }
-  EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+  expect_service();
 }
 
 // Guards against a use after free: the time budget ends while the body is still being sent.
@@ -212,7 +219,7 @@
     EXPECT_EQ(status_of(caller.read_response()), 504);
     sender.join();
   }
-  EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+  expect_service();
 }
 
 // Guards against a use after free: the caller leaves while its body is being sent to the server.
@@ -226,7 +233,7 @@
     caller.send_head("/once/x", Caller::framing(body.size() + 1, chunked()));
     caller.send_body(body.substr(0, (std::size_t{ 1 } << 20) + round * kPieceBytes), chunked());
   }
-  EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+  expect_service();
 }
 
 // Guards against bytes of a body that are served as requests: before the first configuration.
@@ -401,7 +408,7 @@
     });
     configure();
     // Tells the gateway how soon a request is late.
-    EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+  EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
     Caller caller(kPort);
     const std::string body(50000, 'x');
     caller.send_head("/once/x", Caller::framing(body.size(), false));
