--- a/src/libgateway/upload_test.cpp
+++ b/src/libgateway/upload_test.cpp
@@ -408,7 +408,7 @@
     });
     configure();
     // Tells the gateway how soon a request is late.
-  EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
+    EXPECT_EQ(status_of(send(request("GET", "/safe/x"))), 200);
     Caller caller(kPort);
     const std::string body(50000, 'x');
     caller.send_head("/once/x", Caller::framing(body.size(), false));
